feat: decision crates, models of the platform, stand-ins

Change: crates for types, platform messages, settings, policy, membership and ledger, pure models of engine, table and instance list, and their HTTP stand-ins. A shared runtime crate reads the clock, runs the timer service and serves HTTP.

--- /dev/null
+++ b/crates/ringbend-membership/src/membership.rs
@@ -0,0 +1,505 @@
+//! The gossip itself.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::seq::{IteratorRandom, SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use ringbend_types::{EndpointId, Incarnation, InstanceId, Seed, SettingsVersion, Timestamp};
+
+use crate::config::MembershipConfig;
+use crate::member::{Member, MemberState};
+use crate::message::{Kind, Message, Update};
+use crate::rumours::Rumours;
+
+/// Random stream of membership within a process.
+const RANDOM_STREAM: u64 = 2;
+
+/// Members in one message to a joining instance.
+const JOIN_PAGE: usize = 64;
+
+/// What happens to membership.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A message arrived.
+    Received(Message),
+    /// This instance now has these settings in force.
+    Settings(SettingsVersion),
+    /// An endpoint told this instance that it is leaving.
+    EndpointLeaving(EndpointId),
+    /// This instance begins to leave.
+    Leave,
+}
+
+/// What the driver does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send a message; loss is expected.
+    Send(SocketAddr, Message),
+    /// An instance is taken for something else than before.
+    Changed(Member),
+    /// A peer has newer settings in force; fetch them from it or from the store.
+    NewerSettings(InstanceId, SettingsVersion),
+    /// A peer heard from an endpoint that it is leaving.
+    EndpointLeaving(EndpointId),
+}
+
+#[derive(Debug, Clone)]
+struct Probe {
+    target: InstanceId,
+    sequence: u64,
+    sent: Timestamp,
+    indirect: bool,
+}
+
+/// A ping made for another instance.
+#[derive(Debug, Clone)]
+struct Errand {
+    sequence: u64,
+    asker: SocketAddr,
+    asker_sequence: u64,
+    sent: Timestamp,
+}
+
+/// One instance's view of the others.
+#[derive(Debug, Clone)]
+pub struct Membership {
+    cfg: MembershipConfig,
+    id: InstanceId,
+    address: SocketAddr,
+    incarnation: Incarnation,
+    state: MemberState,
+    settings: SettingsVersion,
+    seeds: Vec<SocketAddr>,
+    members: BTreeMap<InstanceId, Member>,
+    rumours: Rumours,
+    rng: ChaCha8Rng,
+    sequence: u64,
+    round: Vec<InstanceId>,
+    probe: Option<Probe>,
+    errands: Vec<Errand>,
+    next_probe: Timestamp,
+    last_tick: Option<Timestamp>,
+    false_alarms: u64,
+}
+
+impl Membership {
+    /// A view that knows only itself and the seeds' addresses.
+    pub fn new(
+        cfg: MembershipConfig,
+        id: InstanceId,
+        address: SocketAddr,
+        incarnation: Incarnation,
+        seeds: Vec<SocketAddr>,
+        seed: Seed,
+    ) -> Self {
+        Self {
+            cfg,
+            id,
+            address,
+            incarnation,
+            state: MemberState::Alive,
+            settings: SettingsVersion(0),
+            seeds,
+            members: BTreeMap::new(),
+            rumours: Rumours::default(),
+            rng: seed.rng(RANDOM_STREAM),
+            sequence: 0,
+            round: Vec::new(),
+            probe: None,
+            errands: Vec::new(),
+            next_probe: Timestamp::default(),
+            last_tick: None,
+            false_alarms: 0,
+        }
+    }
+
+    /// All members known, this instance left out.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Members that take part: alive or suspected.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.members
+            .values()
+            .filter(|m| m.state <= MemberState::Suspect)
+    }
+
+    /// How often this instance had to refute its own suspicion.
+    pub fn false_alarms(&self) -> u64 {
+        self.false_alarms
+    }
+
+    /// When [`Event::Tick`] is wanted next.
+    pub fn next_wakeup(&self) -> Timestamp {
+        let ack = self.probe.as_ref().map(|p| p.sent + self.cfg.ack_timeout);
+        self.next_probe.min(ack.unwrap_or(Timestamp::NEVER))
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut actions),
+            Event::Received(message) => self.receive(now, message, &mut actions),
+            Event::Settings(version) => self.settings = self.settings.max(version),
+            Event::EndpointLeaving(id) => self.rumours.add(Update::EndpointLeaving(id)),
+            Event::Leave => self.leave(&mut actions),
+        }
+        actions
+    }
+
+    fn tick(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        self.notice_own_pause(now);
+        self.check_probe(now, actions);
+        self.bury(now, actions);
+        if now >= self.next_probe {
+            self.next_probe = now + self.cfg.probe_every;
+            self.start_probe(now, actions);
+        }
+    }
+
+    /// After a pause of this instance, unanswered probes say nothing about the others.
+    fn notice_own_pause(&mut self, now: Timestamp) {
+        let late = self
+            .last_tick
+            .is_some_and(|last| now.since(last) > self.cfg.own_pause);
+        self.last_tick = Some(now);
+        if late {
+            self.probe = None;
+            for member in self.members.values_mut() {
+                member.since = member.since.max(now - self.cfg.ack_timeout);
+            }
+        }
+    }
+
+    fn check_probe(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let Some(mut probe) = self.probe.take() else {
+            return;
+        };
+        let waited = now.since(probe.sent);
+        if waited >= self.cfg.ack_timeout * 3 {
+            return self.suspect(now, &probe.target, actions);
+        }
+        if waited >= self.cfg.ack_timeout && !probe.indirect {
+            probe.indirect = true;
+            self.ask_others(&probe, actions);
+        }
+        self.probe = Some(probe);
+    }
+
+    fn ask_others(&mut self, probe: &Probe, actions: &mut Vec<Action>) {
+        let candidates = self
+            .members
+            .values()
+            .filter(|m| m.state == MemberState::Alive && m.id != probe.target);
+        let helpers = candidates.choose_multiple(&mut self.rng, self.cfg.indirect_probes);
+        let helpers: Vec<SocketAddr> = helpers.into_iter().map(|m| m.address).collect();
+        for address in helpers {
+            let kind = Kind::PingRequest {
+                target: probe.target.clone(),
+            };
+            let message = self.message(kind, probe.sequence);
+            actions.push(Action::Send(address, message));
+        }
+    }
+
+    fn suspect(&mut self, now: Timestamp, target: &InstanceId, actions: &mut Vec<Action>) {
+        let Some(member) = self.members.get(target) else {
+            return;
+        };
+        if member.state == MemberState::Alive {
+            let (address, incarnation) = (member.address, member.incarnation);
+            let state = MemberState::Suspect;
+            let id = target.clone();
+            self.learn(
+                now,
+                Update::Member {
+                    id,
+                    address,
+                    incarnation,
+                    state,
+                },
+                actions,
+            );
+        }
+    }
+
+    fn bury(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let suspicion = self.cfg.suspicion;
+        let expired =
+            |m: &&Member| m.state == MemberState::Suspect && now.since(m.since) >= suspicion;
+        let dead: Vec<Member> = self.members.values().filter(expired).cloned().collect();
+        for Member {
+            id,
+            address,
+            incarnation,
+            ..
+        } in dead
+        {
+            let state = MemberState::Dead;
+            self.learn(
+                now,
+                Update::Member {
+                    id,
+                    address,
+                    incarnation,
+                    state,
+                },
+                actions,
+            );
+        }
+        let forget_after = self.cfg.forget_after;
+        self.members
+            .retain(|_, m| m.state < MemberState::Leaving || now.since(m.since) < forget_after);
+    }
+
+    fn start_probe(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        if self.live().next().is_none() {
+            return self.join(actions);
+        }
+        if self.probe.is_some() {
+            return;
+        }
+        let Some(target) = self.next_target() else {
+            return;
+        };
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let address = self.members[&target].address;
+        self.probe = Some(Probe {
+            target,
+            sequence,
+            sent: now,
+            indirect: false,
+        });
+        let message = self.message(Kind::Ping, sequence);
+        actions.push(Action::Send(address, message));
+    }
+
+    fn join(&mut self, actions: &mut Vec<Action>) {
+        let own = self.address;
+        let seeds: Vec<SocketAddr> = self.seeds.iter().copied().filter(|s| *s != own).collect();
+        for address in seeds {
+            let message = self.message(Kind::Join, 0);
+            actions.push(Action::Send(address, message));
+        }
+    }
+
+    /// Goes through the members in a shuffled order, so that each is probed within a round.
+    fn next_target(&mut self) -> Option<InstanceId> {
+        loop {
+            if self.round.is_empty() {
+                self.round = self.live().map(|m| m.id.clone()).collect();
+                self.round.shuffle(&mut self.rng);
+            }
+            let id = self.round.pop()?;
+            if self
+                .members
+                .get(&id)
+                .is_some_and(|m| m.state <= MemberState::Suspect)
+            {
+                return Some(id);
+            }
+        }
+    }
+
+    fn receive(&mut self, now: Timestamp, message: Message, actions: &mut Vec<Action>) {
+        let Message {
+            from,
+            from_address,
+            incarnation,
+            sequence,
+            kind,
+            settings,
+            updates,
+        } = message;
+        if from == self.id {
+            return;
+        }
+        let sender = Update::Member {
+            id: from.clone(),
+            address: from_address,
+            incarnation,
+            state: MemberState::Alive,
+        };
+        self.learn(now, sender, actions);
+        for update in updates {
+            self.learn(now, update, actions);
+        }
+        if settings > self.settings {
+            actions.push(Action::NewerSettings(from.clone(), settings));
+        }
+        match kind {
+            Kind::Ping => {
+                let ack = self.message(Kind::Ack, sequence);
+                actions.push(Action::Send(from_address, ack));
+            }
+            Kind::Ack => self.acknowledged(sequence, actions),
+            Kind::PingRequest { target } => {
+                self.run_errand(now, &target, from_address, sequence, actions);
+            }
+            Kind::Join => self.send_members(from_address, actions),
+            Kind::News => {}
+        }
+    }
+
+    fn acknowledged(&mut self, sequence: u64, actions: &mut Vec<Action>) {
+        if self.probe.as_ref().is_some_and(|p| p.sequence == sequence) {
+            self.probe = None;
+        }
+        if let Some(at) = self.errands.iter().position(|e| e.sequence == sequence) {
+            let errand = self.errands.swap_remove(at);
+            let ack = self.message(Kind::Ack, errand.asker_sequence);
+            actions.push(Action::Send(errand.asker, ack));
+        }
+    }
+
+    fn run_errand(
+        &mut self,
+        now: Timestamp,
+        target: &InstanceId,
+        asker: SocketAddr,
+        asker_sequence: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(address) = self.members.get(target).map(|m| m.address) else {
+            return;
+        };
+        let timeout = self.cfg.ack_timeout * 3;
+        self.errands.retain(|e| now.since(e.sent) < timeout);
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.errands.push(Errand {
+            sequence,
+            asker,
+            asker_sequence,
+            sent: now,
+        });
+        let ping = self.message(Kind::Ping, sequence);
+        actions.push(Action::Send(address, ping));
+    }
+
+    fn send_members(&mut self, to: SocketAddr, actions: &mut Vec<Action>) {
+        let updates: Vec<Update> = self.members.values().map(as_update).collect();
+        for page in updates.chunks(JOIN_PAGE) {
+            let mut message = self.message(Kind::News, 0);
+            message.updates = page.to_vec();
+            actions.push(Action::Send(to, message));
+        }
+        if self.members.is_empty() {
+            let message = self.message(Kind::News, 0);
+            actions.push(Action::Send(to, message));
+        }
+    }
+
+    /// Takes news in, and spreads it on when it is new here.
+    fn learn(&mut self, now: Timestamp, update: Update, actions: &mut Vec<Action>) {
+        match &update {
+            Update::EndpointLeaving(id) => {
+                // The driver reports back only what it did not know, which then spreads.
+                actions.push(Action::EndpointLeaving(id.clone()));
+            }
+            Update::Member {
+                id,
+                incarnation,
+                state,
+                ..
+            } if *id == self.id => {
+                self.refute(*incarnation, *state);
+            }
+            Update::Member {
+                id,
+                address,
+                incarnation,
+                state,
+            } => {
+                let known = self.members.get(id);
+                if known.is_some_and(|m| !m.is_older_than(*incarnation, *state)) {
+                    return;
+                }
+                if known.is_none() && *state == MemberState::Dead {
+                    return;
+                }
+                let member = Member {
+                    id: id.clone(),
+                    address: *address,
+                    incarnation: *incarnation,
+                    state: *state,
+                    since: now,
+                };
+                self.members.insert(id.clone(), member.clone());
+                actions.push(Action::Changed(member));
+                self.rumours.add(update);
+            }
+        }
+    }
+
+    fn refute(&mut self, incarnation: Incarnation, state: MemberState) {
+        let about_now = incarnation >= self.incarnation;
+        if state == MemberState::Alive || !about_now || self.state == MemberState::Leaving {
+            return;
+        }
+        self.false_alarms += 1;
+        self.incarnation = incarnation.next();
+        let update = self.own_update();
+        self.rumours.add(update);
+    }
+
+    fn leave(&mut self, actions: &mut Vec<Action>) {
+        self.state = MemberState::Leaving;
+        let update = self.own_update();
+        self.rumours.add(update);
+        let live = self
+            .members
+            .values()
+            .filter(|m| m.state <= MemberState::Suspect);
+        let told = live.choose_multiple(&mut self.rng, self.cfg.updates_per_message);
+        let told: Vec<SocketAddr> = told.into_iter().map(|m| m.address).collect();
+        for address in told {
+            let message = self.message(Kind::News, 0);
+            actions.push(Action::Send(address, message));
+        }
+    }
+
+    fn own_update(&self) -> Update {
+        Update::Member {
+            id: self.id.clone(),
+            address: self.address,
+            incarnation: self.incarnation,
+            state: self.state,
+        }
+    }
+
+    fn message(&mut self, kind: Kind, sequence: u64) -> Message {
+        let members = self.members.len() as u32 + 2;
+        let transmissions = self.cfg.transmit_factor * (u32::BITS - members.leading_zeros());
+        let mut updates = self
+            .rumours
+            .take(self.cfg.updates_per_message, transmissions);
+        if self.state == MemberState::Leaving {
+            updates.push(self.own_update());
+        }
+        Message {
+            from: self.id.clone(),
+            from_address: self.address,
+            incarnation: self.incarnation,
+            sequence,
+            kind,
+            settings: self.settings,
+            updates,
+        }
+    }
+}
+
+fn as_update(member: &Member) -> Update {
+    Update::Member {
+        id: member.id.clone(),
+        address: member.address,
+        incarnation: member.incarnation,
+        state: member.state,
+    }
+}
--- /dev/null
+++ b/crates/ringbend-membership/src/rumours.rs
@@ -0,0 +1,57 @@
+//! News waiting to be piggybacked, least sent first.
+
+use std::collections::BTreeMap;
+
+use ringbend_types::{EndpointId, InstanceId};
+
+use crate::message::Update;
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Subject {
+    Endpoint(EndpointId),
+    Member(InstanceId),
+}
+
+#[derive(Debug, Clone)]
+struct Rumour {
+    update: Update,
+    sent: u32,
+}
+
+/// The news this instance still spreads; newer news of the same subject replaces older.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Rumours {
+    rumours: BTreeMap<Subject, Rumour>,
+}
+
+impl Rumours {
+    pub(crate) fn add(&mut self, update: Update) {
+        let subject = match &update {
+            Update::Member { id, .. } => Subject::Member(id.clone()),
+            Update::EndpointLeaving(id) => Subject::Endpoint(id.clone()),
+        };
+        self.rumours.insert(subject, Rumour { update, sent: 0 });
+    }
+
+    /// The `most` least sent updates; each is dropped after `transmissions`.
+    pub(crate) fn take(&mut self, most: usize, transmissions: u32) -> Vec<Update> {
+        let mut order: Vec<(u32, Subject)> = self
+            .rumours
+            .iter()
+            .map(|(subject, r)| (r.sent, subject.clone()))
+            .collect();
+        order.sort();
+        let mut updates = Vec::new();
+        for (_, subject) in order.into_iter().take(most) {
+            let Some(rumour) = self.rumours.get_mut(&subject) else {
+                continue;
+            };
+            updates.push(rumour.update.clone());
+            rumour.sent += 1;
+            if rumour.sent >= transmissions {
+                self.rumours.remove(&subject);
+            }
+        }
+        updates
+    }
+}
--- /dev/null
+++ b/crates/ringbend-models/src/table.rs
@@ -0,0 +1,192 @@
+//! The transactional table service, with its rates and faults.
+
+use std::collections::BTreeMap;
+
+use ringbend_platform::{
+    Condition, Row, RowKey, RowVersion, TableError, TableReply, TableRequest, Write,
+};
+use ringbend_types::Timestamp;
+use serde::{Deserialize, Serialize};
+
+/// Calls the service carries a second; more are refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableRates {
+    /// Commits a second.
+    pub writes_per_s: u32,
+    /// Reads and scans a second.
+    pub reads_per_s: u32,
+}
+
+impl Default for TableRates {
+    fn default() -> Self {
+        Self {
+            writes_per_s: 400,
+            reads_per_s: 2_000,
+        }
+    }
+}
+
+/// Faults that a test switches on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct TableFaults {
+    /// Refuse every call.
+    pub outage: bool,
+    /// Let this many of the next commits take effect and lose their answers.
+    pub lose_answers: u32,
+    /// Lose this many of the next commits before they take effect.
+    pub lose_commits: u32,
+    /// Delay each answer; the caller of the model applies it.
+    pub delay_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Window {
+    second: u64,
+    writes: u32,
+    reads: u32,
+}
+
+/// One table.
+#[derive(Debug, Clone, Default)]
+pub struct TableModel {
+    rows: BTreeMap<RowKey, Row>,
+    last_version: u64,
+    rates: TableRates,
+    window: Window,
+    /// Faults in force.
+    pub faults: TableFaults,
+    commits: u64,
+    reads: u64,
+}
+
+impl TableModel {
+    /// An empty table with these rates.
+    pub fn new(rates: TableRates) -> Self {
+        Self {
+            rates,
+            ..Self::default()
+        }
+    }
+
+    /// Answers one call.
+    pub fn call(
+        &mut self,
+        now: Timestamp,
+        request: &TableRequest,
+    ) -> Result<TableReply, TableError> {
+        if self.faults.outage || !self.within_rate(now, request.is_write()) {
+            return Err(TableError::NotApplied);
+        }
+        match request {
+            TableRequest::Read { keys } => {
+                self.reads += 1;
+                let rows = keys.iter().filter_map(|key| self.rows.get(key).cloned());
+                Ok(TableReply::Rows(rows.collect()))
+            }
+            TableRequest::Scan {
+                prefix,
+                after,
+                limit,
+            } => {
+                self.reads += 1;
+                Ok(TableReply::Rows(self.scan(prefix, after.as_ref(), *limit)))
+            }
+            TableRequest::Commit { conditions, writes } => self.commit(conditions, writes),
+        }
+    }
+
+    /// Commits that took effect.
+    pub fn commits(&self) -> u64 {
+        self.commits
+    }
+
+    /// Reads and scans answered.
+    pub fn reads(&self) -> u64 {
+        self.reads
+    }
+
+    fn within_rate(&mut self, now: Timestamp, write: bool) -> bool {
+        let second = now.0 / 1_000_000;
+        if self.window.second != second {
+            self.window = Window {
+                second,
+                writes: 0,
+                reads: 0,
+            };
+        }
+        let (used, most) = if write {
+            (&mut self.window.writes, self.rates.writes_per_s)
+        } else {
+            (&mut self.window.reads, self.rates.reads_per_s)
+        };
+        *used += 1;
+        *used <= most
+    }
+
+    fn scan(&self, prefix: &str, after: Option<&RowKey>, limit: usize) -> Vec<Row> {
+        let start = after.cloned().unwrap_or_else(|| RowKey::new(prefix));
+        self.rows
+            .range(start..)
+            .filter(|(key, _)| Some(*key) != after)
+            .take_while(|(key, _)| key.as_str().starts_with(prefix))
+            .take(limit)
+            .map(|(_, row)| row.clone())
+            .collect()
+    }
+
+    fn commit(
+        &mut self,
+        conditions: &[Condition],
+        writes: &[Write],
+    ) -> Result<TableReply, TableError> {
+        if self.faults.lose_commits > 0 {
+            self.faults.lose_commits -= 1;
+            return Err(TableError::OutcomeUnknown);
+        }
+        let failed: Vec<&Condition> = conditions.iter().filter(|c| !self.holds(c)).collect();
+        if !failed.is_empty() {
+            let current = failed
+                .iter()
+                .filter_map(|c| self.rows.get(c.key()).cloned());
+            return Ok(TableReply::ConditionsFailed(current.collect()));
+        }
+        for write in writes {
+            self.write(write);
+        }
+        self.commits += 1;
+        if self.faults.lose_answers > 0 {
+            self.faults.lose_answers -= 1;
+            return Err(TableError::OutcomeUnknown);
+        }
+        Ok(TableReply::Committed)
+    }
+
+    fn holds(&self, condition: &Condition) -> bool {
+        match condition {
+            Condition::Absent(key) => !self.rows.contains_key(key),
+            Condition::VersionIs(key, version) => self
+                .rows
+                .get(key)
+                .is_some_and(|row| row.version == *version),
+        }
+    }
+
+    fn write(&mut self, write: &Write) {
+        self.last_version += 1;
+        match write {
+            Write::Put { key, value, .. } => {
+                let version = RowVersion(self.last_version);
+                let row = Row {
+                    key: key.clone(),
+                    version,
+                    value: value.clone(),
+                };
+                self.rows.insert(key.clone(), row);
+            }
+            Write::Delete { key } => {
+                self.rows.remove(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ringbend-policy/src/choice.rs
@@ -0,0 +1,131 @@
+//! The ways of choosing an endpoint.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use ringbend_settings::configs::{ChoiceKind, RoutingConfig};
+use ringbend_types::EndpointId;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// An endpoint that has room for the request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// Which.
+    pub endpoint: EndpointId,
+    /// Predicted time to first token.
+    pub predicted: Duration,
+    /// Requests of this instance that run there, and those that it reported.
+    pub outstanding: u32,
+}
+
+/// Chooses among candidates.
+pub trait EndpointChoice {
+    /// The place in `candidates` of the one chosen; `None` when there are none.
+    fn choose(
+        &mut self,
+        candidates: &[Candidate],
+        prefix: u64,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<usize>;
+}
+
+/// The way of choosing that the settings name.
+pub fn choice_for(cfg: &RoutingConfig) -> Box<dyn EndpointChoice> {
+    match cfg.choice {
+        ChoiceKind::RoundRobin => Box::new(RoundRobin::default()),
+        ChoiceKind::LeastOutstanding => Box::new(LeastOutstanding),
+        ChoiceKind::TwoChoices => Box::new(TwoChoices),
+        ChoiceKind::PredictedFinish => Box::new(PredictedFinish),
+        ChoiceKind::PrefixAffinity => Box::new(PrefixAffinity {
+            bound: f64::from(cfg.affinity_bound_percent) / 100.0,
+        }),
+    }
+}
+
+/// The weight of `name` for `key`; the name with the highest weight is the key's home.
+pub fn rendezvous(name: &str, key: u64) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), key)
+}
+
+#[derive(Debug, Default)]
+struct RoundRobin {
+    last: Option<EndpointId>,
+}
+
+impl EndpointChoice for RoundRobin {
+    fn choose(&mut self, candidates: &[Candidate], _: u64, _: &mut ChaCha8Rng) -> Option<usize> {
+        let after = candidates
+            .iter()
+            .position(|c| Some(&c.endpoint) > self.last.as_ref());
+        let chosen = after.or(if candidates.is_empty() { None } else { Some(0) })?;
+        self.last = Some(candidates[chosen].endpoint.clone());
+        Some(chosen)
+    }
+}
+
+#[derive(Debug)]
+struct LeastOutstanding;
+
+impl EndpointChoice for LeastOutstanding {
+    fn choose(&mut self, candidates: &[Candidate], _: u64, rng: &mut ChaCha8Rng) -> Option<usize> {
+        let fewest = candidates.iter().map(|c| c.outstanding).min()?;
+        let tied: Vec<usize> = (0..candidates.len())
+            .filter(|i| candidates[*i].outstanding == fewest)
+            .collect();
+        Some(tied[rng.random_range(0..tied.len())])
+    }
+}
+
+#[derive(Debug)]
+struct TwoChoices;
+
+impl EndpointChoice for TwoChoices {
+    fn choose(&mut self, candidates: &[Candidate], _: u64, rng: &mut ChaCha8Rng) -> Option<usize> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let one = rng.random_range(0..candidates.len());
+        let other = rng.random_range(0..candidates.len());
+        let sooner = candidates[one].predicted <= candidates[other].predicted;
+        Some(if sooner { one } else { other })
+    }
+}
+
+/// Candidates predicted within this of the best count as equal, and one is taken at random: the
+/// prediction is no finer, and instances that see the same report do not all choose alike.
+const PREDICTION_GRAIN: Duration = Duration::from_millis(10);
+
+#[derive(Debug)]
+struct PredictedFinish;
+
+impl EndpointChoice for PredictedFinish {
+    fn choose(&mut self, candidates: &[Candidate], _: u64, rng: &mut ChaCha8Rng) -> Option<usize> {
+        let best = candidates.iter().map(|c| c.predicted).min()?;
+        let near: Vec<usize> = (0..candidates.len())
+            .filter(|i| candidates[*i].predicted <= best + PREDICTION_GRAIN)
+            .collect();
+        Some(near[rng.random_range(0..near.len())])
+    }
+}
+
+#[derive(Debug)]
+struct PrefixAffinity {
+    bound: f64,
+}
+
+impl EndpointChoice for PrefixAffinity {
+    fn choose(
+        &mut self,
+        candidates: &[Candidate],
+        prefix: u64,
+        _: &mut ChaCha8Rng,
+    ) -> Option<usize> {
+        let total: u32 = candidates.iter().map(|c| c.outstanding).sum();
+        let mean = f64::from(total + 1) / candidates.len().max(1) as f64;
+        let most = (mean * self.bound).ceil();
+        let fits = |i: &usize| f64::from(candidates[*i].outstanding) < most;
+        let weight = |i: &usize| rendezvous(candidates[*i].endpoint.as_str(), prefix);
+        (0..candidates.len()).filter(fits).max_by_key(weight)
+    }
+}
--- /dev/null
+++ b/crates/ringbend-runtime/src/body.rs
@@ -0,0 +1,56 @@
+//! Reading a request's body within bounds.
+
+use std::fmt;
+use std::time::Duration;
+
+use actix_http::Payload;
+use actix_http::error::PayloadError;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+
+/// Why a body could not be read.
+#[derive(Debug)]
+pub enum BodyError {
+    /// Longer than the limit, in bytes.
+    TooLarge(usize),
+    /// The sender was too slow.
+    TooSlow,
+    /// The connection broke or the body was malformed.
+    Broken(PayloadError),
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge(limit) => write!(f, "the body is longer than {limit} bytes"),
+            Self::TooSlow => write!(f, "the body did not arrive in time"),
+            Self::Broken(e) => write!(f, "the body could not be read: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// Reads a whole body of at most `limit` bytes within `time`.
+///
+/// # Errors
+///
+/// The body is too large, too slow, or broken.
+pub async fn read_body(payload: Payload, limit: usize, time: Duration) -> Result<Bytes, BodyError> {
+    match tokio::time::timeout(time, collect(payload, limit)).await {
+        Ok(body) => body,
+        Err(_) => Err(BodyError::TooSlow),
+    }
+}
+
+async fn collect(mut payload: Payload, limit: usize) -> Result<Bytes, BodyError> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(BodyError::Broken)?;
+        if body.len() + chunk.len() > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/crates/ringbend-settings/src/configs/mod.rs
@@ -0,0 +1,30 @@
+//! One settings struct per feature, with every default in its `Default`.
+
+mod admission;
+mod class;
+mod limits;
+mod retries;
+mod routing;
+mod timeouts;
+
+pub use admission::AdmissionConfig;
+pub use class::ClassConfig;
+pub use limits::LimitsConfig;
+pub use retries::RetriesConfig;
+pub use routing::{ChoiceKind, RoutingConfig};
+pub use timeouts::TimeoutsConfig;
+
+use crate::effective::RangeError;
+
+/// Checks that a value lies in its range.
+fn in_range(key: &'static str, value: u64, least: u64, most: u64) -> Result<(), RangeError> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(RangeError {
+        key,
+        value,
+        least,
+        most,
+    })
+}
--- /dev/null
+++ b/crates/ringbend-settings/src/effective.rs
@@ -0,0 +1,95 @@
+//! The settings in force at one node, and the registry of features.
+
+use std::fmt;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::configs::{
+    AdmissionConfig, ClassConfig, LimitsConfig, RetriesConfig, RoutingConfig, TimeoutsConfig,
+};
+
+/// The features that have settings, in the order of the documentation.
+pub const FEATURES: [&str; 6] = [
+    "admission",
+    "class",
+    "limits",
+    "retries",
+    "routing",
+    "timeouts",
+];
+
+/// All settings in force at one node.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct Effective {
+    /// Which requests are taken in.
+    pub admission: AdmissionConfig,
+    /// How urgent requests are.
+    pub class: ClassConfig,
+    /// What the client account may use.
+    pub limits: LimitsConfig,
+    /// How requests are tried again.
+    pub retries: RetriesConfig,
+    /// Which endpoint a request goes to.
+    pub routing: RoutingConfig,
+    /// How long each phase may take.
+    pub timeouts: TimeoutsConfig,
+}
+
+impl Effective {
+    /// Checks every feature's ranges.
+    ///
+    /// # Errors
+    ///
+    /// The first value that is out of range, with what is allowed.
+    pub fn check(&self) -> Result<(), RangeError> {
+        FEATURES
+            .iter()
+            .try_for_each(|feature| self.check_feature(feature))
+    }
+
+    fn check_feature(&self, feature: &str) -> Result<(), RangeError> {
+        match feature {
+            "admission" => self.admission.check(),
+            "class" => self.class.check(),
+            "limits" => self.limits.check(),
+            "retries" => self.retries.check(),
+            "routing" => self.routing.check(),
+            "timeouts" => self.timeouts.check(),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// The JSON schema of the settings of a node.
+pub fn schema() -> schemars::Schema {
+    schemars::schema_for!(Effective)
+}
+
+/// A value outside its range.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RangeError {
+    /// The setting's key.
+    pub key: &'static str,
+    /// The value given.
+    pub value: u64,
+    /// The least value allowed.
+    pub least: u64,
+    /// The greatest value allowed.
+    pub most: u64,
+}
+
+impl fmt::Display for RangeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            key,
+            value,
+            least,
+            most,
+        } = self;
+        write!(f, "{key} = {value}: allowed are {least} to {most}")
+    }
+}
+
+impl std::error::Error for RangeError {}
--- /dev/null
+++ b/crates/ringbend-settings/src/replica.rs
@@ -0,0 +1,106 @@
+//! One instance's copy of the tree. Its version only rises.
+
+use std::collections::VecDeque;
+
+use ringbend_types::SettingsVersion;
+use serde::{Deserialize, Serialize};
+
+use crate::change::LogEntry;
+use crate::tree::SettingsTree;
+
+/// Log entries kept for peers and for the history.
+const ENTRIES_KEPT: usize = 512;
+
+/// What came of applying a log entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// The entry is now in force.
+    Yes,
+    /// The replica had it already.
+    Old,
+    /// Entries before it are missing; read the log or a snapshot.
+    Gap,
+}
+
+/// A whole tree at one version.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The version.
+    pub version: SettingsVersion,
+    /// The tree.
+    pub tree: SettingsTree,
+}
+
+/// The tree in force at this instance, with the latest log entries.
+#[derive(Debug, Clone, Default)]
+pub struct Replica {
+    current: Snapshot,
+    entries: VecDeque<LogEntry>,
+}
+
+impl Replica {
+    /// The version in force.
+    pub fn version(&self) -> SettingsVersion {
+        self.current.version
+    }
+
+    /// The tree in force.
+    pub fn tree(&self) -> &SettingsTree {
+        &self.current.tree
+    }
+
+    /// The version and tree in force.
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.current
+    }
+
+    /// Applies the next entry of the log.
+    pub fn apply(&mut self, entry: &LogEntry) -> Applied {
+        if entry.version <= self.current.version {
+            return Applied::Old;
+        }
+        if entry.version > self.current.version.next() {
+            return Applied::Gap;
+        }
+        self.current.tree.apply(entry);
+        self.current.version = entry.version;
+        self.entries.push_back(entry.clone());
+        if self.entries.len() > ENTRIES_KEPT {
+            self.entries.pop_front();
+        }
+        Applied::Yes
+    }
+
+    /// Takes a snapshot when it is newer; returns whether it was.
+    pub fn load(&mut self, snapshot: Snapshot) -> bool {
+        if snapshot.version <= self.current.version {
+            return false;
+        }
+        self.current = snapshot;
+        self.entries.clear();
+        true
+    }
+
+    /// The entries after `version`, or `None` when some are no longer kept.
+    pub fn entries_after(&self, version: SettingsVersion) -> Option<Vec<LogEntry>> {
+        if version >= self.current.version {
+            return Some(Vec::new());
+        }
+        let first = self.entries.front()?;
+        if first.version > version.next() {
+            return None;
+        }
+        Some(
+            self.entries
+                .iter()
+                .filter(|e| e.version > version)
+                .cloned()
+                .collect(),
+        )
+    }
+
+    /// The latest entries, newest first.
+    pub fn history(&self, most: usize) -> Vec<LogEntry> {
+        self.entries.iter().rev().take(most).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/ringbend-standins/src/instances.rs
@@ -0,0 +1,87 @@
+//! The instance list over HTTP: `GET /v1/endpoints` lists what a reader sees after the lag,
+//! `PUT /v1/endpoints` takes an [`EndpointEntry`], `DELETE /v1/endpoints/ID` removes one.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode};
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use ringbend_models::InstanceListModel;
+use ringbend_platform::EndpointEntry;
+use ringbend_runtime::{
+    Clock, Handler, HttpRequest, HttpResponse, Server, ServerConfig, empty, json, read_body, serve,
+};
+
+/// Longest entry, in bytes.
+const MAX_ENTRY_BYTES: usize = 64 << 10;
+
+struct InstanceList {
+    clock: Clock,
+    model: RefCell<InstanceListModel>,
+}
+
+/// Serves a list that starts with `entries`, already seen, and lags by `lag` after that.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn run(
+    address: SocketAddr,
+    lag: Duration,
+    entries: Vec<EndpointEntry>,
+) -> std::io::Result<Server> {
+    let model = InstanceListModel::with_entries(lag, entries);
+    let list = Rc::new(InstanceList {
+        clock: Clock::start(),
+        model: RefCell::new(model),
+    });
+    serve(address, ServerConfig::default(), list).await
+}
+
+impl Handler for InstanceList {
+    fn handle(self: Rc<Self>, req: HttpRequest) -> LocalBoxFuture<'static, HttpResponse> {
+        async move { self.answer(req).await }.boxed_local()
+    }
+}
+
+impl InstanceList {
+    async fn answer(&self, mut req: HttpRequest) -> HttpResponse {
+        let method = req.method().clone();
+        let path = req.path().to_owned();
+        let now = self.clock.now();
+        match (method, path.as_str()) {
+            (Method::GET, "/v1/endpoints") => {
+                json(StatusCode::OK, &self.model.borrow_mut().view(now))
+            }
+            (Method::PUT, "/v1/endpoints") => self.put(&mut req).await,
+            (Method::DELETE, path) => {
+                let id = path
+                    .strip_prefix("/v1/endpoints/")
+                    .and_then(|id| id.parse().ok());
+                let Some(id) = id else {
+                    return empty(StatusCode::NOT_FOUND);
+                };
+                self.model.borrow_mut().remove(now, id);
+                empty(StatusCode::NO_CONTENT)
+            }
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn put(&self, req: &mut HttpRequest) -> HttpResponse {
+        let time = Duration::from_secs(10);
+        let Ok(body) = read_body(req.take_payload(), MAX_ENTRY_BYTES, time).await else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        match serde_json::from_slice::<EndpointEntry>(&body) {
+            Ok(entry) => {
+                self.model.borrow_mut().put(self.clock.now(), entry);
+                empty(StatusCode::NO_CONTENT)
+            }
+            Err(e) => json(StatusCode::BAD_REQUEST, &e.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ringbend-standins/src/table.rs
@@ -0,0 +1,112 @@
+//! The table service over HTTP.
+//!
+//! `POST /v1/call` takes a [`TableRequest`] as JSON and answers a
+//! [`TableReply`](ringbend_platform::TableReply), or 503 when nothing was done. A lost answer is
+//! a connection that closes without one. `PUT /faults` takes [`TableFaults`], `GET /stats` counts
+//! calls.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode};
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use ringbend_models::{TableFaults, TableModel, TableRates};
+use ringbend_platform::{TableError, TableRequest};
+use ringbend_runtime::{
+    Clock, Handler, HttpRequest, HttpResponse, Server, ServerConfig, empty, json, read_body, serve,
+    stream,
+};
+use serde::{Deserialize, Serialize};
+
+/// Longest call, in bytes.
+const MAX_CALL_BYTES: usize = 8 << 20;
+
+/// Calls that took effect.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableStats {
+    /// Commits.
+    pub commits: u64,
+    /// Reads and scans.
+    pub reads: u64,
+}
+
+struct TableService {
+    clock: Clock,
+    model: RefCell<TableModel>,
+}
+
+/// Serves an empty table.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn run(address: SocketAddr, rates: TableRates) -> std::io::Result<Server> {
+    let model = RefCell::new(TableModel::new(rates));
+    let service = Rc::new(TableService {
+        clock: Clock::start(),
+        model,
+    });
+    serve(address, ServerConfig::default(), service).await
+}
+
+impl Handler for TableService {
+    fn handle(self: Rc<Self>, req: HttpRequest) -> LocalBoxFuture<'static, HttpResponse> {
+        async move { self.answer(req).await }.boxed_local()
+    }
+}
+
+impl TableService {
+    async fn answer(&self, mut req: HttpRequest) -> HttpResponse {
+        let method = req.method().clone();
+        let path = req.path().to_owned();
+        let body = read_body(req.take_payload(), MAX_CALL_BYTES, Duration::from_secs(10)).await;
+        let Ok(body) = body else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        match (method, path.as_str()) {
+            (Method::POST, "/v1/call") => match serde_json::from_slice(&body) {
+                Ok(call) => self.call(&call).await,
+                Err(e) => json(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            (Method::PUT, "/faults") => match serde_json::from_slice::<TableFaults>(&body) {
+                Ok(faults) => {
+                    self.model.borrow_mut().faults = faults;
+                    empty(StatusCode::NO_CONTENT)
+                }
+                Err(e) => json(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            (Method::GET, "/stats") => {
+                let model = self.model.borrow();
+                let stats = TableStats {
+                    commits: model.commits(),
+                    reads: model.reads(),
+                };
+                json(StatusCode::OK, &stats)
+            }
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn call(&self, call: &TableRequest) -> HttpResponse {
+        let delay = self.model.borrow().faults.delay_ms;
+        let reply = self.model.borrow_mut().call(self.clock.now(), call);
+        if delay > 0 {
+            actix_rt::time::sleep(Duration::from_millis(delay)).await;
+        }
+        match reply {
+            Ok(reply) => json(StatusCode::OK, &reply),
+            Err(TableError::NotApplied) => empty(StatusCode::SERVICE_UNAVAILABLE),
+            Err(TableError::OutcomeUnknown) => cut(),
+        }
+    }
+}
+
+/// A response whose connection closes before the body ends.
+fn cut() -> HttpResponse {
+    let (tx, res) = stream(StatusCode::OK, 1);
+    let _ = tx.try_send(Err(ringbend_runtime::StreamError));
+    res
+}
--- /dev/null
+++ b/crates/ringbend-types/src/lib.rs
@@ -0,0 +1,21 @@
+//! Identifiers, sizes, rates and time shared by every Ringbend crate.
+//!
+//! Nothing here does I/O or reads a clock: the driver passes a [`Timestamp`] and a seed in.
+
+mod id;
+mod quantity;
+mod run_state;
+mod seed;
+mod time;
+
+pub use id::{
+    AttemptId, ChangeId, ClassName, ClientAccountId, DataCentre, EndpointId, InstanceId, LeaseName,
+    ModelName, ParseIdError, RequestId, RequestKey, ServiceName,
+};
+pub use quantity::{
+    ByteCount, FencingNumber, Incarnation, ParseQuantityError, PromptBucket, SettingsVersion,
+    TokenCount, TokensPerSecond,
+};
+pub use run_state::{ParseRunStateError, RunState};
+pub use seed::{IdMint, Seed};
+pub use time::Timestamp;
--- /dev/null
+++ b/crates/ringbend-types/src/quantity.rs
@@ -0,0 +1,138 @@
+//! Sizes, rates and counters as newtypes.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+use std::time::Duration;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Why a text is not a quantity.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseQuantityError(ParseIntError);
+
+impl fmt::Display for ParseQuantityError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "not a whole number: {}", self.0)
+    }
+}
+
+impl std::error::Error for ParseQuantityError {}
+
+macro_rules! quantity {
+    ($($(#[$doc:meta])* $name:ident => $unit:literal),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The sum, held at the largest value.
+            pub fn plus(self, other: Self) -> Self {
+                Self(self.0.saturating_add(other.0))
+            }
+
+            /// The difference, held at zero.
+            pub fn minus(self, other: Self) -> Self {
+                Self(self.0.saturating_sub(other.0))
+            }
+
+            /// The number after this one.
+            pub fn next(self) -> Self {
+                self.plus(Self(1))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{}", $unit), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseQuantityError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.trim_end_matches($unit).parse().map(Self).map_err(ParseQuantityError)
+            }
+        }
+    )*};
+}
+
+quantity! {
+    /// A number of tokens.
+    TokenCount => " tok",
+    /// A number of bytes.
+    ByteCount => " B",
+    /// A rate of tokens.
+    TokensPerSecond => " tok/s",
+    /// The version of the settings tree; every accepted change raises it by one.
+    SettingsVersion => "",
+    /// Rises with each new holder of a lease; endpoints that check it refuse lower ones.
+    FencingNumber => "",
+    /// Rises with each start of an instance and each time it refutes a suspicion.
+    Incarnation => "",
+}
+
+impl TokensPerSecond {
+    /// How long `tokens` take at this rate; a zero rate counts as one token a second.
+    pub fn time_for(self, tokens: TokenCount) -> Duration {
+        Duration::from_secs_f64(tokens.0 as f64 / self.0.max(1) as f64)
+    }
+}
+
+/// Groups of prompt lengths by which time to first token is reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub enum PromptBucket {
+    /// Up to 3,000 tokens.
+    #[serde(rename = "1k")]
+    Thousand,
+    /// Up to 30,000 tokens.
+    #[serde(rename = "10k")]
+    TenThousand,
+    /// Up to 300,000 tokens.
+    #[serde(rename = "100k")]
+    HundredThousand,
+    /// Above 300,000 tokens.
+    #[serde(rename = "1m")]
+    Million,
+}
+
+impl PromptBucket {
+    /// All buckets, shortest first.
+    pub const ALL: [Self; 4] = [
+        Self::Thousand,
+        Self::TenThousand,
+        Self::HundredThousand,
+        Self::Million,
+    ];
+
+    /// The bucket of a prompt of `tokens`.
+    pub fn of(tokens: TokenCount) -> Self {
+        match tokens.0 {
+            0..=3_000 => Self::Thousand,
+            3_001..=30_000 => Self::TenThousand,
+            30_001..=300_000 => Self::HundredThousand,
+            _ => Self::Million,
+        }
+    }
+
+    /// The label used in reports and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Thousand => "1k",
+            Self::TenThousand => "10k",
+            Self::HundredThousand => "100k",
+            Self::Million => "1m",
+        }
+    }
+}
+
+impl fmt::Display for PromptBucket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.label())
+    }
+}
--- /dev/null
+++ b/crates/ringbend-types/src/seed.rs
@@ -0,0 +1,59 @@
+//! Seeds for random numbers and the mint of never-reused ids.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::{AttemptId, Incarnation, RequestId};
+
+/// The seed of every random decision in one process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seed(pub u64);
+
+impl Seed {
+    /// A generator for the part named by `stream`; parts do not disturb each other's sequence.
+    pub fn rng(self, stream: u64) -> ChaCha8Rng {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.0);
+        rng.set_stream(stream);
+        rng
+    }
+}
+
+/// Mints request and attempt ids that are unique to one incarnation of one instance.
+#[derive(Debug, Clone)]
+pub struct IdMint {
+    incarnation: u64,
+    sequence: u64,
+}
+
+impl IdMint {
+    /// A mint for `incarnation`, which must be unique over all instances and starts.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation: incarnation.0,
+            sequence: 0,
+        }
+    }
+
+    /// The next request id.
+    pub fn request(&mut self) -> RequestId {
+        let sequence = self.step();
+        RequestId {
+            incarnation: self.incarnation,
+            sequence,
+        }
+    }
+
+    /// The next attempt id.
+    pub fn attempt(&mut self) -> AttemptId {
+        let sequence = self.step();
+        AttemptId {
+            incarnation: self.incarnation,
+            sequence,
+        }
+    }
+
+    fn step(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+}
