--- /dev/null
+++ b/crates/ringbend-cli/src/commands.rs
@@ -0,0 +1,122 @@
+//! The commands; one `match` dispatches them.
+
+use std::path::Path;
+
+use ringbend_settings::{NodePath, SettingKey};
+use ringbend_types::{ChangeId, SettingsVersion};
+use serde_json::{Value, json};
+
+use crate::args::{Args, Command, SettingsCommand};
+use crate::client::{AdminClient, CliError};
+use crate::print;
+
+/// Runs one command.
+pub(crate) async fn run(args: Args) -> Result<(), CliError> {
+    if let Command::Certs(certs) = &args.command {
+        ringbend_cli::write_test_certificates(&certs.out).map_err(CliError::Certs)?;
+        println!(
+            "wrote authority.pem, peer.pem and peer.key to {}",
+            certs.out.display()
+        );
+        return Ok(());
+    }
+    let client = AdminClient::new(&args.admin, key(args.key_file.as_deref())?);
+    let value = match args.command {
+        Command::Status(_) => client.get("/v1/status", &[]).await?,
+        Command::Endpoints(_) => client.get("/v1/endpoints", &[]).await?,
+        Command::Drain(_) => client.post("/v1/drain", &Value::Null).await?,
+        Command::Settings(settings) => run_settings(&client, settings.command).await?,
+        Command::Certs(_) => return Ok(()),
+    };
+    print::value(&value, args.json);
+    Ok(())
+}
+
+async fn run_settings(client: &AdminClient, command: SettingsCommand) -> Result<Value, CliError> {
+    match command {
+        SettingsCommand::Get(args) => {
+            let value = client
+                .get("/v1/settings/effective", &at(&args.path))
+                .await?;
+            let Some(key) = args.key else {
+                return Ok(value);
+            };
+            let (feature, name) = key.parts();
+            Ok(value[feature][name].clone())
+        }
+        SettingsCommand::Set(args) => {
+            let value = serde_json::from_str(&args.value)
+                .unwrap_or_else(|_| Value::String(args.value.clone()));
+            let edit = edit(&args.path, &args.key, value);
+            change(client, args.change_id, args.base, edit).await
+        }
+        SettingsCommand::Unset(args) => {
+            let edit = edit(&args.path, &args.key, Value::Null);
+            change(client, args.change_id, args.base, edit).await
+        }
+        SettingsCommand::Apply(args) => {
+            client
+                .post("/v1/settings/changes", &read(&args.file)?)
+                .await
+        }
+        SettingsCommand::Validate(args) => {
+            client
+                .post("/v1/settings/validate", &read(&args.file)?)
+                .await
+        }
+        SettingsCommand::Diff(args) => {
+            let query = [
+                ("left", args.left.to_string()),
+                ("right", args.right.to_string()),
+            ];
+            client.get("/v1/settings/diff", &query).await
+        }
+        SettingsCommand::History(args) => {
+            client
+                .get("/v1/settings/history", &[("most", args.most.to_string())])
+                .await
+        }
+        SettingsCommand::Explain(args) => client.get("/v1/settings/explain", &at(&args.path)).await,
+        SettingsCommand::Schema(_) => client.get("/v1/settings/schema", &[]).await,
+    }
+}
+
+fn at(path: &NodePath) -> [(&'static str, String); 1] {
+    [("path", path.to_string())]
+}
+
+fn edit(path: &NodePath, key: &SettingKey, value: Value) -> Value {
+    json!({"path": path, "key": key, "value": value})
+}
+
+/// Sends a change under an id that is printed first, so that it can be asked for again.
+async fn change(
+    client: &AdminClient,
+    id: Option<ChangeId>,
+    base: Option<SettingsVersion>,
+    edit: Value,
+) -> Result<Value, CliError> {
+    let id = id.map_or_else(
+        || format!("cli-{:016x}", rand::random::<u64>()),
+        |id| id.to_string(),
+    );
+    eprintln!("change id {id}");
+    let author = std::env::var("USER").unwrap_or_else(|_| String::from("operator"));
+    let body = json!({"id": id, "author": author, "base": base, "edits": [edit]});
+    client.post("/v1/settings/changes", &body).await
+}
+
+fn read(file: &Path) -> Result<Value, CliError> {
+    let text = std::fs::read_to_string(file).map_err(CliError::File)?;
+    serde_json::from_str(&text).map_err(CliError::NotJson)
+}
+
+fn key(file: Option<&Path>) -> Result<String, CliError> {
+    match file {
+        Some(file) => {
+            let key = std::fs::read_to_string(file).map_err(CliError::File)?;
+            Ok(key.trim().to_owned())
+        }
+        None => std::env::var("RINGBEND_ADMIN_KEY").map_err(|_| CliError::NoKey),
+    }
+}
--- /dev/null
+++ b/crates/ringbend-cli/src/main.rs
@@ -0,0 +1,21 @@
+//! `ringbend`: the operators' tool. Exit codes are listed in `docs/OPERATIONS.md`.
+
+mod args;
+mod client;
+mod commands;
+mod print;
+
+use std::process::ExitCode;
+
+use args::Args;
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match actix_rt::System::new().block_on(commands::run(args)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("ringbend: {e}");
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
--- a/crates/ringbend-ledger/src/lease.rs
+++ b/crates/ringbend-ledger/src/lease.rs
@@ -23,6 +23,9 @@
     pub margin: Duration,
     /// How often the row is read, or renewed by its holder.
     pub renew_every: Duration,
+    /// After how long without renewal the service may delete the row; `None` keeps it, so that
+    /// fencing numbers rise for ever.
+    pub row_ttl: Option<Duration>,
 }
 
 impl Default for LeaseConfig {
@@ -31,6 +34,7 @@
             ttl: Duration::from_secs(10),
             margin: Duration::from_secs(5),
             renew_every: Duration::from_secs(3),
+            row_ttl: None,
         }
     }
 }
--- a/crates/ringbend-membership/src/membership.rs
+++ b/crates/ringbend-membership/src/membership.rs
@@ -133,6 +133,11 @@
         self.false_alarms
     }
 
+    /// A message that carries the settings version and some news, to be sent at once.
+    pub fn news(&mut self) -> Message {
+        self.message(Kind::News, 0)
+    }
+
     /// When [`Event::Tick`] is wanted next.
     pub fn next_wakeup(&self) -> Timestamp {
         let ack = self.probe.as_ref().map(|p| p.sent + self.cfg.ack_timeout);
--- a/crates/ringbend-policy/src/dispatcher.rs
+++ b/crates/ringbend-policy/src/dispatcher.rs
@@ -669,6 +669,26 @@
         }
     }
 
+    fn end_held_attempts(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let holds = |request: &Request| match &request.stage {
+            Stage::Running(running) => !running.held.is_empty(),
+            Stage::Collecting(collect) => !collect.held.is_empty(),
+            _ => false,
+        };
+        let holding = self.requests.iter().filter(|(_, request)| holds(request));
+        let holding: Vec<RequestId> = holding.map(|(id, _)| *id).collect();
+        for id in holding {
+            let Some(request) = self.requests.get_mut(&id) else {
+                continue;
+            };
+            if matches!(request.stage, Stage::Running(_)) {
+                request.ran = request.ran.max(RunState::MayHaveRun);
+            }
+            self.stop_attempt(now, id, None, true, out);
+            self.try_again(now, id, AttemptEnd::Broken, out);
+        }
+    }
+
     fn take_list(&mut self, entries: Vec<EndpointEntry>) {
         let listed: BTreeSet<EndpointId> = entries.iter().map(|e| e.id.clone()).collect();
         for entry in entries {
@@ -737,6 +757,7 @@
                 pump = false;
             }
             Event::Ended { attempt, end } => self.ended(now, attempt, end, &mut out),
+            Event::PresenceLapsed => self.end_held_attempts(now, &mut out),
             Event::Tick => {
                 self.fire_timers(now, &mut out);
                 if now >= self.next_age {
--- a/crates/ringbend-policy/src/event.rs
+++ b/crates/ringbend-policy/src/event.rs
@@ -83,6 +83,9 @@
         /// How.
         end: AttemptEnd,
     },
+    /// This instance could not renew its presence: memory it holds on engines may be swept, so
+    /// attempts that rest on it end.
+    PresenceLapsed,
     /// Time has passed.
     Tick,
 }
--- a/crates/ringbend-runtime/src/server.rs
+++ b/crates/ringbend-runtime/src/server.rs
@@ -1,5 +1,6 @@
 //! A listener that serves HTTP/1.1 and HTTP/2 on the thread that starts it.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -49,14 +50,36 @@
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
+    connections: Rc<Cell<usize>>,
     task: JoinHandle<()>,
 }
 
+/// Counts a connection for as long as it lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(connections: &Rc<Cell<usize>>) -> Self {
+        connections.set(connections.get() + 1);
+        Self(connections.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Server {
     /// The address it listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Connections open now.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
 }
 
 impl Drop for Server {
@@ -81,6 +104,7 @@
         .keep_alive(KeepAlive::Timeout(cfg.keep_alive))
         .client_request_timeout(cfg.head_timeout)
         .client_disconnect_timeout(Duration::from_secs(1))
+        .h1_allow_half_closed(false)
         .finish(fn_service(move |req: Request| {
             let handler = handler.clone();
             async move { Ok::<_, Infallible>(handler.handle(req).await) }
@@ -90,6 +114,8 @@
         Ok(service) => Rc::new(service),
         Err(()) => return Err(std::io::Error::other("the HTTP service did not start")),
     };
+    let connections = Rc::new(Cell::new(0));
+    let counted = connections.clone();
     let places = Rc::new(tokio::sync::Semaphore::new(cfg.max_connections));
     let task = tokio::task::spawn_local(async move {
         loop {
@@ -108,7 +134,9 @@
             };
             let _ = connection.set_nodelay(true);
             let (service, places) = (service.clone(), places.clone());
+            let count = Counted::new(&counted);
             tokio::task::spawn_local(async move {
+                let _count = count;
                 if let Err(e) = service.call(connection).await {
                     log::debug!("connection ended: {e}");
                 }
@@ -116,5 +144,9 @@
             });
         }
     });
-    Ok(Server { address, task })
+    Ok(Server {
+        address,
+        connections,
+        task,
+    })
 }
--- /dev/null
+++ b/crates/ringbend-telemetry/src/logs.rs
@@ -0,0 +1,143 @@
+//! Logs on standard error, as text or as one JSON object a line.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::kv::{Key, Value, VisitSource};
+use serde::{Deserialize, Serialize};
+
+/// How a line is written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// `TIME LEVEL TARGET MESSAGE key=value …`.
+    #[default]
+    Text,
+    /// One JSON object.
+    Json,
+}
+
+/// The text names no format.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseLogFormatError;
+
+impl fmt::Display for ParseLogFormatError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "expected text or json")
+    }
+}
+
+impl std::error::Error for ParseLogFormatError {}
+
+impl FromStr for LogFormat {
+    type Err = ParseLogFormatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(ParseLogFormatError),
+        }
+    }
+}
+
+/// What is logged and how.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LogConfig {
+    /// How a line is written.
+    pub format: LogFormat,
+    /// The least level written: `off`, `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: log::LevelFilter,
+}
+
+impl Default for LogConfig {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::Text,
+            level: log::LevelFilter::Info,
+        }
+    }
+}
+
+/// A logger was started before in this process.
+#[derive(Debug)]
+pub struct LogError(log::SetLoggerError);
+
+impl fmt::Display for LogError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "logs were started before: {}", self.0)
+    }
+}
+
+impl std::error::Error for LogError {}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    unix_ms: u128,
+    level: &'a str,
+    target: &'a str,
+    message: String,
+    #[serde(flatten)]
+    fields: Fields,
+}
+
+#[derive(Default, Serialize)]
+#[serde(transparent)]
+struct Fields(BTreeMap<String, String>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.0.insert(key.to_string(), value.to_string());
+        Ok(())
+    }
+}
+
+/// Starts the process's logger.
+///
+/// # Errors
+///
+/// A logger was started before.
+pub fn start_logs(cfg: &LogConfig) -> Result<(), LogError> {
+    let format = cfg.format;
+    fern::Dispatch::new()
+        .level(cfg.level)
+        .level_for("quinn", log::LevelFilter::Warn)
+        .level_for("quinn_proto", log::LevelFilter::Warn)
+        .format(move |out, message, record| {
+            let mut fields = Fields::default();
+            let _ = record.key_values().visit(&mut fields);
+            let unix_ms = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default()
+                .as_millis();
+            let (level, target) = (record.level().as_str(), record.target());
+            match format {
+                LogFormat::Json => {
+                    let message = message.to_string();
+                    let line = Line {
+                        unix_ms,
+                        level,
+                        target,
+                        message,
+                        fields,
+                    };
+                    let line = serde_json::to_string(&line).unwrap_or_default();
+                    out.finish(format_args!("{line}"));
+                }
+                LogFormat::Text => {
+                    let fields: String = fields
+                        .0
+                        .iter()
+                        .map(|(key, value)| format!(" {key}={value}"))
+                        .collect();
+                    out.finish(format_args!("{unix_ms} {level} {target} {message}{fields}"));
+                }
+            }
+        })
+        .chain(std::io::stderr())
+        .apply()
+        .map_err(LogError)
+}
--- /dev/null
+++ b/crates/ringbend-telemetry/src/traces.rs
@@ -0,0 +1,199 @@
+//! A span for each hop, with W3C trace context passed through.
+//!
+//! Without an OTLP address no spans are made and the caller's context is passed on as it came.
+
+use std::collections::HashMap;
+use std::fmt;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use opentelemetry::propagation::TextMapPropagator;
+use opentelemetry::trace::{Span, SpanContext, SpanKind, TraceContextExt, Tracer, TracerProvider};
+use opentelemetry::{Context, KeyValue};
+use opentelemetry_http::{HttpClient, HttpError};
+use opentelemetry_otlp::{ExporterBuildError, Protocol, WithExportConfig, WithHttpConfig};
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::trace::{SdkTracer, SdkTracerProvider};
+use opentelemetry_sdk::{Resource, trace::Span as SdkSpan};
+use tokio::sync::{mpsc, oneshot};
+
+/// The header that carries the trace context.
+const TRACEPARENT: &str = "traceparent";
+
+/// Exports waiting to be sent; more are dropped.
+const EXPORTS_WAITING: usize = 16;
+
+/// A trace context as it came with a request, or as it goes on.
+#[derive(Debug, Clone, Default)]
+pub struct TraceContext {
+    span: Option<SpanContext>,
+}
+
+impl TraceContext {
+    /// The context of a `traceparent` header; malformed ones count as none.
+    pub fn from_header(value: Option<&str>) -> Self {
+        let Some(value) = value else {
+            return Self::default();
+        };
+        let carrier = HashMap::from([(TRACEPARENT.to_owned(), value.to_owned())]);
+        let cx = TraceContextPropagator::new().extract_with_context(&Context::new(), &carrier);
+        let span = cx.span().span_context().clone();
+        Self {
+            span: span.is_valid().then_some(span),
+        }
+    }
+
+    /// The `traceparent` header to send on.
+    pub fn to_header(&self) -> Option<String> {
+        let span = self.span.as_ref()?;
+        let flags = span.trace_flags().to_u8();
+        Some(format!(
+            "00-{}-{}-{flags:02x}",
+            span.trace_id(),
+            span.span_id()
+        ))
+    }
+}
+
+/// Which side of a hop a span is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HopKind {
+    /// A request was taken.
+    Server,
+    /// A request was sent.
+    Client,
+    /// Work or waiting inside the instance.
+    Internal,
+}
+
+/// One hop's span. It ends when dropped.
+#[derive(Debug)]
+pub struct Hop {
+    span: Option<SdkSpan>,
+    context: TraceContext,
+}
+
+impl Hop {
+    /// The context for what this hop calls.
+    pub fn context(&self) -> &TraceContext {
+        &self.context
+    }
+
+    /// Notes an attribute.
+    pub fn note(&mut self, key: &'static str, value: impl fmt::Display) {
+        if let Some(span) = &mut self.span {
+            span.set_attribute(KeyValue::new(key, value.to_string()));
+        }
+    }
+}
+
+impl Drop for Hop {
+    fn drop(&mut self) {
+        if let Some(span) = &mut self.span {
+            span.end();
+        }
+    }
+}
+
+/// One OTLP request to be posted by the driver.
+#[derive(Debug)]
+pub struct Export {
+    /// The request.
+    pub request: http::Request<Bytes>,
+    /// Takes the response's status; dropping it means that the post failed.
+    pub done: oneshot::Sender<http::StatusCode>,
+}
+
+#[derive(Debug)]
+struct ExportClient {
+    tx: mpsc::Sender<Export>,
+}
+
+#[async_trait]
+impl HttpClient for ExportClient {
+    async fn send_bytes(
+        &self,
+        request: http::Request<Bytes>,
+    ) -> Result<http::Response<Bytes>, HttpError> {
+        let (done, status) = oneshot::channel();
+        self.tx.try_send(Export { request, done })?;
+        let mut response = http::Response::new(Bytes::new());
+        *response.status_mut() = status.await?;
+        Ok(response)
+    }
+}
+
+/// Makes spans.
+#[derive(Debug, Clone, Default)]
+pub struct Tracing {
+    tracer: Option<(SdkTracer, SdkTracerProvider)>,
+}
+
+impl Tracing {
+    /// Spans are made and exported to `otlp_url`, the collector's traces route; the driver posts
+    /// what comes out of the receiver.
+    ///
+    /// # Errors
+    ///
+    /// The address does not parse.
+    pub fn exporting(
+        otlp_url: &str,
+        instance: &str,
+    ) -> Result<(Self, mpsc::Receiver<Export>), ExporterBuildError> {
+        let (tx, rx) = mpsc::channel(EXPORTS_WAITING);
+        let exporter = opentelemetry_otlp::SpanExporter::builder()
+            .with_http()
+            .with_http_client(ExportClient { tx })
+            .with_protocol(Protocol::HttpBinary)
+            .with_endpoint(otlp_url)
+            .build()?;
+        let resource = Resource::builder()
+            .with_service_name("ringbendd")
+            .with_attribute(KeyValue::new("service.instance.id", instance.to_owned()))
+            .build();
+        let provider = SdkTracerProvider::builder()
+            .with_batch_exporter(exporter)
+            .with_resource(resource)
+            .build();
+        let tracer = provider.tracer("ringbendd");
+        Ok((
+            Self {
+                tracer: Some((tracer, provider)),
+            },
+            rx,
+        ))
+    }
+
+    /// Starts a hop below `parent`.
+    pub fn hop(&self, name: &'static str, kind: HopKind, parent: &TraceContext) -> Hop {
+        let Some((tracer, _)) = &self.tracer else {
+            return Hop {
+                span: None,
+                context: parent.clone(),
+            };
+        };
+        let kind = match kind {
+            HopKind::Server => SpanKind::Server,
+            HopKind::Client => SpanKind::Client,
+            HopKind::Internal => SpanKind::Internal,
+        };
+        let cx = match &parent.span {
+            Some(span) => Context::new().with_remote_span_context(span.clone()),
+            None => Context::new(),
+        };
+        let builder = tracer.span_builder(name).with_kind(kind);
+        let span = tracer.build_with_context(builder, &cx);
+        let context = TraceContext {
+            span: Some(span.span_context().clone()),
+        };
+        Hop {
+            span: Some(span),
+            context,
+        }
+    }
+
+    /// The provider, to be shut down off the driver's thread, which posts its last export.
+    pub fn provider(&self) -> Option<SdkTracerProvider> {
+        self.tracer.as_ref().map(|(_, provider)| provider.clone())
+    }
+}
--- /dev/null
+++ b/crates/ringbend-wire/src/map.rs
@@ -0,0 +1,272 @@
+//! Between generated messages and the types of the decision crates.
+
+use std::fmt;
+use std::net::AddrParseError;
+
+use ringbend_membership as gossip;
+use ringbend_policy as policy;
+use ringbend_settings::{LogEntry, Replica, Snapshot};
+use ringbend_types::{Incarnation, ParseIdError, SettingsVersion};
+
+use crate::generated as wire;
+
+/// Why a message of a peer is not understood.
+#[derive(Debug)]
+pub enum WireError {
+    /// An identifier is malformed.
+    Id(ParseIdError),
+    /// An address is malformed.
+    Address(AddrParseError),
+    /// An enum has a number this release does not know.
+    UnknownNumber(i32),
+    /// A required part is missing.
+    Missing(&'static str),
+    /// A settings entry or snapshot does not parse.
+    Settings(serde_json::Error),
+    /// The bytes are not a message.
+    Decode(prost::DecodeError),
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Id(e) => write!(f, "identifier: {e}"),
+            Self::Address(e) => write!(f, "address: {e}"),
+            Self::UnknownNumber(n) => write!(f, "unknown enum number {n}"),
+            Self::Missing(part) => write!(f, "{part} is missing"),
+            Self::Settings(e) => write!(f, "settings: {e}"),
+            Self::Decode(e) => write!(f, "not a message: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for WireError {}
+
+impl From<ParseIdError> for WireError {
+    fn from(e: ParseIdError) -> Self {
+        Self::Id(e)
+    }
+}
+
+impl From<AddrParseError> for WireError {
+    fn from(e: AddrParseError) -> Self {
+        Self::Address(e)
+    }
+}
+
+impl From<prost::DecodeError> for WireError {
+    fn from(e: prost::DecodeError) -> Self {
+        Self::Decode(e)
+    }
+}
+
+impl From<gossip::MemberState> for wire::MemberState {
+    fn from(state: gossip::MemberState) -> Self {
+        match state {
+            gossip::MemberState::Alive => Self::Alive,
+            gossip::MemberState::Suspect => Self::Suspect,
+            gossip::MemberState::Leaving => Self::Leaving,
+            gossip::MemberState::Dead => Self::Dead,
+        }
+    }
+}
+
+impl From<wire::MemberState> for gossip::MemberState {
+    fn from(state: wire::MemberState) -> Self {
+        match state {
+            wire::MemberState::Alive => Self::Alive,
+            wire::MemberState::Suspect => Self::Suspect,
+            wire::MemberState::Leaving => Self::Leaving,
+            wire::MemberState::Dead => Self::Dead,
+        }
+    }
+}
+
+impl From<&gossip::Update> for wire::Update {
+    fn from(update: &gossip::Update) -> Self {
+        let news = match update {
+            gossip::Update::EndpointLeaving(id) => {
+                wire::update::News::EndpointLeaving(id.to_string())
+            }
+            gossip::Update::Member {
+                id,
+                address,
+                incarnation,
+                state,
+            } => wire::update::News::Member(wire::Member {
+                id: id.to_string(),
+                address: address.to_string(),
+                incarnation: incarnation.0,
+                state: wire::MemberState::from(*state).into(),
+            }),
+        };
+        Self { news: Some(news) }
+    }
+}
+
+impl TryFrom<wire::Update> for gossip::Update {
+    type Error = WireError;
+
+    fn try_from(update: wire::Update) -> Result<Self, WireError> {
+        match update.news.ok_or(WireError::Missing("news"))? {
+            wire::update::News::EndpointLeaving(id) => Ok(Self::EndpointLeaving(id.parse()?)),
+            wire::update::News::Member(member) => {
+                let state = wire::MemberState::try_from(member.state)
+                    .map_err(|e| WireError::UnknownNumber(e.0))?;
+                Ok(Self::Member {
+                    id: member.id.parse()?,
+                    address: member.address.parse()?,
+                    incarnation: Incarnation(member.incarnation),
+                    state: state.into(),
+                })
+            }
+        }
+    }
+}
+
+impl From<&gossip::Message> for wire::Gossip {
+    fn from(message: &gossip::Message) -> Self {
+        let (kind, target) = match &message.kind {
+            gossip::Kind::Ping => (wire::GossipKind::Ping, String::new()),
+            gossip::Kind::Ack => (wire::GossipKind::Ack, String::new()),
+            gossip::Kind::PingRequest { target } => {
+                (wire::GossipKind::PingRequest, target.to_string())
+            }
+            gossip::Kind::Join => (wire::GossipKind::Join, String::new()),
+            gossip::Kind::News => (wire::GossipKind::News, String::new()),
+        };
+        Self {
+            from: message.from.to_string(),
+            from_address: message.from_address.to_string(),
+            incarnation: message.incarnation.0,
+            sequence: message.sequence,
+            kind: kind.into(),
+            target,
+            settings_version: message.settings.0,
+            updates: message.updates.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<wire::Gossip> for gossip::Message {
+    type Error = WireError;
+
+    fn try_from(message: wire::Gossip) -> Result<Self, WireError> {
+        let kind =
+            wire::GossipKind::try_from(message.kind).map_err(|e| WireError::UnknownNumber(e.0))?;
+        let kind = match kind {
+            wire::GossipKind::Ping => gossip::Kind::Ping,
+            wire::GossipKind::Ack => gossip::Kind::Ack,
+            wire::GossipKind::PingRequest => gossip::Kind::PingRequest {
+                target: message.target.parse()?,
+            },
+            wire::GossipKind::Join => gossip::Kind::Join,
+            wire::GossipKind::News => gossip::Kind::News,
+        };
+        // News of a kind that this release does not know is left out.
+        let updates = message.updates.into_iter().filter(|u| u.news.is_some());
+        Ok(Self {
+            from: message.from.parse()?,
+            from_address: message.from_address.parse()?,
+            incarnation: Incarnation(message.incarnation),
+            sequence: message.sequence,
+            kind,
+            settings: SettingsVersion(message.settings_version),
+            updates: updates.map(TryInto::try_into).collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl From<&policy::GrantRequest> for wire::GrantRequest {
+    fn from(request: &policy::GrantRequest) -> Self {
+        let demand = request
+            .demand
+            .iter()
+            .map(|(account, tokens_per_s)| wire::Demand {
+                account: account.to_string(),
+                tokens_per_s: *tokens_per_s,
+            });
+        Self {
+            from: request.from.to_string(),
+            demand: demand.collect(),
+        }
+    }
+}
+
+impl TryFrom<wire::GrantRequest> for policy::GrantRequest {
+    type Error = WireError;
+
+    fn try_from(request: wire::GrantRequest) -> Result<Self, WireError> {
+        let demand = request.demand.into_iter();
+        let demand = demand.map(|d| Ok((d.account.parse()?, d.tokens_per_s)));
+        Ok(Self {
+            from: request.from.parse()?,
+            demand: demand.collect::<Result<_, WireError>>()?,
+        })
+    }
+}
+
+impl From<&policy::GrantReply> for wire::GrantReply {
+    fn from(reply: &policy::GrantReply) -> Self {
+        let shares = reply.shares.iter();
+        let shares = shares.map(|(account, share)| wire::Share {
+            account: account.to_string(),
+            share: *share,
+        });
+        Self {
+            shares: shares.collect(),
+        }
+    }
+}
+
+impl TryFrom<wire::GrantReply> for policy::GrantReply {
+    type Error = WireError;
+
+    fn try_from(reply: wire::GrantReply) -> Result<Self, WireError> {
+        let shares = reply
+            .shares
+            .into_iter()
+            .map(|s| Ok((s.account.parse()?, s.share)));
+        Ok(Self {
+            shares: shares.collect::<Result<_, WireError>>()?,
+        })
+    }
+}
+
+impl wire::EntriesReply {
+    /// What a replica has after `version`.
+    pub fn after(replica: &Replica, version: SettingsVersion) -> Self {
+        let json = |entry: &LogEntry| serde_json::to_string(entry).unwrap_or_default();
+        match replica.entries_after(version) {
+            Some(entries) => Self {
+                entries: entries.iter().map(json).collect(),
+                snapshot: String::new(),
+            },
+            None => {
+                let snapshot = serde_json::to_string(replica.snapshot()).unwrap_or_default();
+                Self {
+                    entries: Vec::new(),
+                    snapshot,
+                }
+            }
+        }
+    }
+
+    /// Brings a replica up to what the reply holds.
+    ///
+    /// # Errors
+    ///
+    /// An entry or the snapshot does not parse; entries before it are applied.
+    pub fn bring_up(&self, replica: &mut Replica) -> Result<(), WireError> {
+        if !self.snapshot.is_empty() {
+            let snapshot: Snapshot =
+                serde_json::from_str(&self.snapshot).map_err(WireError::Settings)?;
+            replica.load(snapshot);
+        }
+        for entry in &self.entries {
+            let entry: LogEntry = serde_json::from_str(entry).map_err(WireError::Settings)?;
+            replica.apply(&entry);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ringbendd/src/callers/attempt.rs
@@ -0,0 +1,178 @@
+//! One try of a prompt at an engine.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::SizedStream;
+use awc::error::SendRequestError;
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use ringbend_platform::{EndpointEntry, LoadReport, headers};
+use ringbend_policy::{AttemptEnd, Dispatch};
+use ringbend_telemetry::TraceContext;
+use ringbend_types::EndpointId;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use super::prompt::PromptBody;
+use super::sse::{SseEvent, SseReader, TokenEvent};
+use crate::app::App;
+
+/// What an attempt tells the request's task.
+#[derive(Debug)]
+pub(crate) enum AttemptEvent {
+    /// A token of the right answer.
+    Token(TokenEvent),
+    /// A plain service's whole answer.
+    Response(super::plain::PlainResponse),
+    /// The engine says that the answer has another number of tokens than arrived.
+    Corrupt,
+    /// The attempt ended.
+    Ended(AttemptEnd),
+}
+
+/// What earlier attempts delivered of the answer.
+#[derive(Debug, Clone, Default, Serialize)]
+pub(crate) struct Delivered {
+    /// How many tokens.
+    pub(crate) tokens: u64,
+    /// Their text.
+    pub(crate) text: String,
+}
+
+/// Everything one attempt needs.
+pub(crate) struct PromptAttempt {
+    pub(crate) app: Rc<App>,
+    pub(crate) dispatch: Dispatch,
+    pub(crate) entry: EndpointEntry,
+    pub(crate) body: Rc<PromptBody>,
+    pub(crate) delivered: Delivered,
+    pub(crate) trace: TraceContext,
+    pub(crate) events: mpsc::Sender<AttemptEvent>,
+}
+
+impl PromptAttempt {
+    /// Runs the attempt; dropping the future closes its connection.
+    pub(crate) async fn run(self) {
+        let end = match self.send().await {
+            Ok(res) => self.read(res).await,
+            Err(end) => Some(end),
+        };
+        if let Some(end) = end {
+            let _ = self.events.send(AttemptEvent::Ended(end)).await;
+        }
+    }
+
+    async fn send(
+        &self,
+    ) -> Result<awc::ClientResponse<impl stream::Stream<Item = Chunk> + Unpin>, AttemptEnd> {
+        let Dispatch {
+            attempt,
+            request,
+            priority,
+            held,
+            ..
+        } = &self.dispatch;
+        let url = format!("http://{}{}", self.entry.address, self.body.path);
+        let borrowed: u64 = held.iter().map(|h| h.tokens.0).sum();
+        let mut req = self
+            .app
+            .pooled
+            .post(url)
+            .insert_header(("content-type", "application/json"))
+            .insert_header((headers::ATTEMPT_ID, attempt.to_string()))
+            .insert_header((headers::REQUEST_ID, request.to_string()))
+            .insert_header((headers::PRIORITY, priority.to_string()))
+            .insert_header((headers::BORROWED_TOKENS, borrowed.to_string()));
+        if let Some(trace) = self.trace.to_header() {
+            req = req.insert_header(("traceparent", trace));
+        }
+        let chunks = self.body.chunks(&self.delivered);
+        let length = chunks.iter().map(|c| c.len() as u64).sum();
+        let chunks = stream::iter(chunks.into_iter().map(Ok::<_, std::convert::Infallible>));
+        let res = req.send_body(SizedStream::new(length, chunks)).await;
+        let res = res.map_err(|e| match e {
+            SendRequestError::Connect(_) | SendRequestError::Url(_) => AttemptEnd::NotSent,
+            _ => AttemptEnd::Broken,
+        })?;
+        self.check_head(&res)?;
+        Ok(res)
+    }
+
+    fn check_head<S>(&self, res: &awc::ClientResponse<S>) -> Result<(), AttemptEnd> {
+        let header = |name| {
+            res.headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+        };
+        self.take_report(&self.entry.id, header(headers::LOAD_REPORT));
+        if header(headers::NOT_RUN).is_some() {
+            let seconds = header("retry-after").and_then(|value| value.parse().ok());
+            return Err(AttemptEnd::Refused {
+                retry_after: seconds.map(Duration::from_secs),
+            });
+        }
+        if !res.status().is_success() {
+            return Err(AttemptEnd::EndpointError);
+        }
+        let echo = header(headers::ATTEMPT_ID).and_then(|value| value.parse().ok());
+        if echo != Some(self.dispatch.attempt) {
+            log::warn!(attempt:% = self.dispatch.attempt; "an answer carries another attempt's id");
+            return Err(AttemptEnd::Broken);
+        }
+        Ok(())
+    }
+
+    fn take_report(&self, endpoint: &EndpointId, report: Option<&str>) {
+        let report: Option<LoadReport> = report.and_then(|r| serde_json::from_str(r).ok());
+        if let Some(report) = report {
+            self.app.decisions.load(&self.app, endpoint, report);
+        }
+    }
+
+    /// Reads the answer to its end. `None` when the end has been told otherwise.
+    async fn read(
+        &self,
+        mut res: awc::ClientResponse<impl stream::Stream<Item = Chunk> + Unpin>,
+    ) -> Option<AttemptEnd> {
+        let mut reader = SseReader::default();
+        let mut tokens = self.delivered.tokens;
+        let mut finished = false;
+        while let Some(chunk) = res.next().await {
+            let Ok(chunk) = chunk else { break };
+            reader.push(&chunk);
+            loop {
+                match reader.next() {
+                    Ok(Some(SseEvent::Token(token))) => {
+                        if token.id != self.dispatch.request.to_string() {
+                            log::warn!(attempt:% = self.dispatch.attempt; "a crossed event");
+                            return Some(AttemptEnd::Broken);
+                        }
+                        tokens += 1;
+                        if token.total.is_some_and(|total| total != tokens) {
+                            let _ = self.events.send(AttemptEvent::Corrupt).await;
+                            return None;
+                        }
+                        finished = token.finish.is_some();
+                        self.events.send(AttemptEvent::Token(token)).await.ok()?;
+                    }
+                    Ok(Some(SseEvent::Done(_))) if finished => {
+                        // Read on to the end, so that the connection can be used again.
+                        while let Some(Ok(_)) = res.next().await {}
+                        return Some(AttemptEnd::Complete);
+                    }
+                    Ok(Some(SseEvent::Done(_))) | Err(_) => return Some(AttemptEnd::Broken),
+                    Ok(None) => break,
+                }
+            }
+        }
+        // Cut after the last token: the answer is whole all the same.
+        Some(if finished {
+            AttemptEnd::Complete
+        } else {
+            AttemptEnd::Broken
+        })
+    }
+}
+
+type Chunk = Result<Bytes, actix_http::error::PayloadError>;
--- /dev/null
+++ b/crates/ringbendd/src/callers/life.rs
@@ -0,0 +1,606 @@
+//! The life of one request: admission, claim, attempts, answer.
+//!
+//! A task of its own listens to the policy's signals, the attempt under way and the caller, so
+//! that whichever ends first ends the others.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use bytes::{Bytes, BytesMut};
+use ringbend_ledger::{ClaimEvent, ClaimKey, HeldBy, Settlement};
+use ringbend_policy::{AttemptEnd, Dispatch, Event, RequestEnd, RequestProfile};
+use ringbend_runtime::{HttpResponse, json, stream, unix_millis};
+use ringbend_settings::{Effective, NodePath};
+use ringbend_telemetry::{Hop, HopKind, Outcome};
+use ringbend_types::{
+    AttemptId, PromptBucket, RequestId, RunState, ServiceName, Timestamp, TokenCount,
+};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+
+use super::attempt::{AttemptEvent, Delivered, PromptAttempt};
+use super::budget::BodyPermit;
+use super::failure::Failure;
+use super::headers::CallHeaders;
+use super::plain::{PlainAttempt, PlainCall, PlainResponse};
+use super::prompt::{PromptBody, digest};
+use super::side::{CallerGone, CallerSide};
+use super::sse::TokenEvent;
+use super::{Call, stored};
+use crate::app::App;
+use crate::decisions::Signal;
+
+/// Events of one attempt that wait for the caller.
+const EVENTS_WAITING: usize = 64;
+
+/// Chunks of an answer that wait for the connection.
+const STREAM_DEPTH: usize = 64;
+
+/// The end of a streamed answer.
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
+/// What kind of request it is, with what its attempts send.
+pub(crate) enum Kind {
+    Prompt {
+        body: Rc<PromptBody>,
+        stream: bool,
+        chat: bool,
+        model: ServiceName,
+    },
+    Plain {
+        call: Rc<PlainCall>,
+    },
+}
+
+/// The attempt under way. Dropping it closes the attempt's connection.
+struct Running {
+    attempt: AttemptId,
+    task: JoinHandle<()>,
+    events: mpsc::Receiver<AttemptEvent>,
+    _hop: Hop,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// One request.
+pub(crate) struct Life {
+    app: Rc<App>,
+    id: RequestId,
+    kind: Kind,
+    profile: Option<RequestProfile>,
+    prompt_tokens: TokenCount,
+    arrived: Timestamp,
+    deadline: Timestamp,
+    connect_timeout: Duration,
+    signals: mpsc::UnboundedReceiver<Signal>,
+    running: Option<Running>,
+    delivered: Delivered,
+    finish: Option<String>,
+    response: Option<PlainResponse>,
+    claim: Option<(ClaimKey, u64)>,
+    granted: bool,
+    /// What was streamed, kept while a claim needs it.
+    record: Option<BytesMut>,
+    admitted: bool,
+    dispatched: bool,
+    hop: Hop,
+    waiting: Option<Hop>,
+    _permit: BodyPermit,
+}
+
+/// The settings in force for a request.
+pub(crate) fn settings(app: &App, headers: &CallHeaders, service: &ServiceName) -> Arc<Effective> {
+    let account = headers.account.clone();
+    let path = match &headers.class {
+        Some(class) => NodePath::Class(account, service.clone(), class.clone()),
+        None => NodePath::Service(account, service.clone()),
+    };
+    app.settings.effective(&path)
+}
+
+/// When the answer must have ended.
+pub(crate) fn deadline(app: &App, headers: &CallHeaders, settings: &Effective) -> Timestamp {
+    let default = Duration::from_millis(settings.timeouts.deadline_ms);
+    let most = Duration::from_millis(settings.timeouts.max_deadline_ms);
+    app.now() + headers.deadline.unwrap_or(default).min(most)
+}
+
+impl Life {
+    pub(crate) fn new(
+        app: &Rc<App>,
+        call: Call,
+        profile: RequestProfile,
+        kind: Kind,
+        signals: mpsc::UnboundedReceiver<Signal>,
+    ) -> Self {
+        let Call {
+            req,
+            headers,
+            body,
+            permit,
+        } = call;
+        let mut hop = app.tracing.hop("caller", HopKind::Server, &headers.trace);
+        hop.note("request", profile.id);
+        hop.note("account", &profile.account);
+        let claim = headers.key.clone().map(|key| {
+            let digest = digest(req.method().as_str(), req.path(), &body, &headers);
+            (
+                ClaimKey {
+                    account: headers.account.clone(),
+                    key,
+                },
+                digest,
+            )
+        });
+        Self {
+            app: app.clone(),
+            id: profile.id,
+            kind,
+            prompt_tokens: profile.prompt_tokens,
+            arrived: app.now(),
+            deadline: profile.deadline,
+            connect_timeout: Duration::from_millis(profile.settings.timeouts.connect_ms),
+            profile: Some(profile),
+            signals,
+            running: None,
+            delivered: Delivered::default(),
+            finish: None,
+            response: None,
+            record: claim.is_some().then(BytesMut::new),
+            claim,
+            granted: false,
+            admitted: false,
+            dispatched: false,
+            hop,
+            waiting: None,
+            _permit: permit,
+        }
+    }
+
+    /// Runs the request in a task of its own and returns the head of its answer.
+    pub(crate) async fn run(self) -> Result<HttpResponse, Failure> {
+        let (tx, rx) = oneshot::channel();
+        tokio::task::spawn_local(self.live(CallerSide::Waiting(tx)));
+        Ok(rx
+            .await
+            .unwrap_or_else(|_| Failure::CutOff(RunState::MayHaveRun).into_response()))
+    }
+
+    async fn live(mut self, mut side: CallerSide) {
+        let app = self.app.clone();
+        if let Some(profile) = self.profile.take() {
+            if profile.settings.limits.tokens_per_s > 0 {
+                app.decisions
+                    .note_demand(&app, &profile.account, profile.cost().0);
+            }
+            app.decisions.decide(&app, Event::Arrived(profile));
+        }
+        loop {
+            let over = tokio::select! {
+                biased;
+                signal = self.signals.recv() => match signal {
+                    Some(signal) => self.on_signal(signal, &mut side).await,
+                    None => true,
+                },
+                () = side.gone() => self.caller_gone(),
+                event = next_event(&mut self.running) => self.on_event(event, &mut side).await,
+            };
+            if over {
+                break;
+            }
+        }
+        app.decisions.close(self.id);
+    }
+
+    async fn on_signal(&mut self, signal: Signal, side: &mut CallerSide) -> bool {
+        match signal {
+            Signal::Admitted => {
+                self.admitted = true;
+                self.start_claim();
+                false
+            }
+            Signal::Rejected { code, retry_after } => {
+                let run_state = RunState::NotRun;
+                self.app.metrics.ended(Outcome::Rejected);
+                self.fail(
+                    Failure::Policy {
+                        code,
+                        run_state,
+                        retry_after,
+                    },
+                    side,
+                )
+                .await
+            }
+            Signal::Granted => self.granted(side).await,
+            Signal::Held(by) => {
+                self.withdraw();
+                self.held(by, side).await
+            }
+            Signal::ClaimGivenUp => {
+                self.withdraw();
+                self.end(Outcome::Failed);
+                self.fail(Failure::NoClaim, side).await
+            }
+            Signal::Dispatch(dispatch) => {
+                self.dispatch(dispatch);
+                false
+            }
+            Signal::DropAttempt(attempt) => {
+                if self.running.as_ref().is_some_and(|r| r.attempt == attempt) {
+                    self.running = None;
+                }
+                false
+            }
+            Signal::Finish(end) => self.finished(end, side).await,
+            Signal::Cut => {
+                self.withdraw();
+                self.end(Outcome::Failed);
+                let run_state = if self.dispatched {
+                    RunState::MayHaveRun
+                } else {
+                    RunState::NotRun
+                };
+                self.settle_as(run_state);
+                self.fail(Failure::CutOff(run_state), side).await
+            }
+        }
+    }
+
+    fn start_claim(&mut self) {
+        let context = self.hop.context();
+        let Some((key, digest)) = self.claim.clone() else {
+            self.waiting = Some(self.app.tracing.hop("queue", HopKind::Internal, context));
+            return;
+        };
+        self.waiting = Some(self.app.tracing.hop("claim", HopKind::Internal, context));
+        self.app.metrics.claim();
+        let left = self.deadline.since(self.app.now());
+        let until_unix_ms = unix_millis() + u64::try_from(left.as_millis()).unwrap_or(u64::MAX / 2);
+        let (holder, give_up) = (self.id, self.deadline);
+        let event = ClaimEvent::Claim {
+            holder,
+            key,
+            digest,
+            until_unix_ms,
+            give_up,
+        };
+        self.app.claims.handle(&self.app, event);
+    }
+
+    /// The claim is this request's. Its deadline is looked at again: the claim may have taken
+    /// long, or this process may have been paused.
+    async fn granted(&mut self, side: &mut CallerSide) -> bool {
+        self.granted = true;
+        if self.app.now() >= self.deadline {
+            self.settle_as(RunState::NotRun);
+            self.withdraw();
+            self.end(Outcome::Failed);
+            return self.fail(Failure::NoClaim, side).await;
+        }
+        let context = self.hop.context();
+        self.waiting = Some(self.app.tracing.hop("queue", HopKind::Internal, context));
+        self.app
+            .decisions
+            .decide(&self.app, Event::Claimed(self.id));
+        false
+    }
+
+    async fn held(&mut self, by: HeldBy, side: &mut CallerSide) -> bool {
+        let failure = match by {
+            HeldBy::Answer(answer) => match stored::response(&self.app, &answer).await {
+                Some(res) => {
+                    self.end(Outcome::Answered);
+                    side.respond(res);
+                    return true;
+                }
+                None => Failure::EarlierMayHaveRun,
+            },
+            HeldBy::InProgress => Failure::InProgress,
+            HeldBy::MayHaveRun => Failure::EarlierMayHaveRun,
+            HeldBy::OtherRequest => Failure::KeyReused,
+        };
+        self.end(Outcome::Failed);
+        self.fail(failure, side).await
+    }
+
+    fn dispatch(&mut self, dispatch: Dispatch) {
+        self.waiting = None;
+        let (app, attempt) = (&self.app, dispatch.attempt);
+        // A process that was paused since the policy decided must not send after the deadline.
+        if app.now() >= self.deadline {
+            return app.decisions.decide(app, Event::Tick);
+        }
+        let Some(entry) = app.decisions.entry(&dispatch.endpoint) else {
+            let end = AttemptEnd::NotSent;
+            return app.decisions.decide(app, Event::Ended { attempt, end });
+        };
+        self.dispatched = true;
+        let mut hop = app
+            .tracing
+            .hop("attempt", HopKind::Client, self.hop.context());
+        hop.note("attempt", attempt);
+        hop.note("endpoint", &dispatch.endpoint);
+        hop.note("number", dispatch.number);
+        log::debug!(
+            request:% = self.id, attempt:% = attempt, endpoint:% = dispatch.endpoint; "dispatch"
+        );
+        let trace = hop.context().clone();
+        let (events, rx) = mpsc::channel(EVENTS_WAITING);
+        let task = match &self.kind {
+            Kind::Prompt { body, .. } => {
+                let attempt = PromptAttempt {
+                    app: app.clone(),
+                    dispatch,
+                    entry,
+                    body: body.clone(),
+                    delivered: self.delivered.clone(),
+                    trace,
+                    events,
+                };
+                tokio::task::spawn_local(attempt.run())
+            }
+            Kind::Plain { call } => {
+                let connect_timeout = self.connect_timeout;
+                let call = call.clone();
+                let attempt = PlainAttempt {
+                    dispatch,
+                    entry,
+                    call,
+                    connect_timeout,
+                    trace,
+                    events,
+                };
+                tokio::task::spawn_local(attempt.run())
+            }
+        };
+        self.running = Some(Running {
+            attempt,
+            task,
+            events: rx,
+            _hop: hop,
+        });
+    }
+
+    async fn on_event(&mut self, event: AttemptEvent, side: &mut CallerSide) -> bool {
+        let Some(attempt) = self.running.as_ref().map(|r| r.attempt) else {
+            return false;
+        };
+        match event {
+            AttemptEvent::Token(token) => self.token(attempt, token, side).await,
+            AttemptEvent::Response(response) => {
+                self.response = Some(response);
+                false
+            }
+            AttemptEvent::Corrupt => {
+                self.withdraw();
+                self.end(Outcome::Failed);
+                self.settle_as(RunState::Failed);
+                let code = ringbend_policy::FailureCode::EndpointFailed;
+                let failure = Failure::Policy {
+                    code,
+                    run_state: RunState::Failed,
+                    retry_after: None,
+                };
+                self.fail(failure, side).await
+            }
+            AttemptEvent::Ended(end) => {
+                self.running = None;
+                self.app
+                    .decisions
+                    .decide(&self.app, Event::Ended { attempt, end });
+                false
+            }
+        }
+    }
+
+    async fn token(
+        &mut self,
+        attempt: AttemptId,
+        token: TokenEvent,
+        side: &mut CallerSide,
+    ) -> bool {
+        if self.delivered.tokens == 0 {
+            let time = self.app.now().since(self.arrived);
+            self.app
+                .metrics
+                .first_token(PromptBucket::of(self.prompt_tokens), time);
+        }
+        self.delivered.tokens += 1;
+        self.delivered.text.push_str(&token.text);
+        self.finish = token.finish;
+        let tokens = self.delivered.tokens;
+        self.app
+            .decisions
+            .decide(&self.app, Event::Progress { attempt, tokens });
+        let Kind::Prompt { stream: true, .. } = self.kind else {
+            return false;
+        };
+        self.begin_stream(side);
+        match self.write(token.bytes, side).await {
+            Ok(()) => false,
+            Err(CallerGone) => self.caller_gone(),
+        }
+    }
+
+    fn begin_stream(&self, side: &mut CallerSide) {
+        if !side.is_waiting() {
+            return;
+        }
+        let (tx, mut res) = stream(StatusCode::OK, STREAM_DEPTH);
+        let events = HeaderValue::from_static("text/event-stream");
+        res.headers_mut().insert(CONTENT_TYPE, events);
+        side.begin(res, tx);
+    }
+
+    async fn write(&mut self, chunk: Bytes, side: &mut CallerSide) -> Result<(), CallerGone> {
+        if let Some(record) = &mut self.record {
+            record.extend_from_slice(&chunk);
+        }
+        side.write(chunk).await
+    }
+
+    async fn finished(&mut self, end: RequestEnd, side: &mut CallerSide) -> bool {
+        self.running = None;
+        match end {
+            RequestEnd::Answered => {
+                self.end(Outcome::Answered);
+                self.answer(side).await;
+                true
+            }
+            RequestEnd::Failed {
+                code,
+                run_state,
+                retry_after,
+            } => {
+                self.end(Outcome::Failed);
+                self.settle_as(run_state);
+                self.fail(
+                    Failure::Policy {
+                        code,
+                        run_state,
+                        retry_after,
+                    },
+                    side,
+                )
+                .await
+            }
+        }
+    }
+
+    async fn answer(&mut self, side: &mut CallerSide) {
+        match &self.kind {
+            Kind::Prompt { stream: true, .. } => {
+                self.begin_stream(side);
+                let _ = self.write(Bytes::from_static(DONE), side).await;
+                let record = self.record.take().map(BytesMut::freeze).unwrap_or_default();
+                self.settle_done(200, "text/event-stream", record).await;
+            }
+            Kind::Prompt { chat, model, .. } => {
+                let body = self.completion(*chat, model);
+                let bytes = serde_json::to_vec(&body).unwrap_or_default();
+                self.settle_done(200, "application/json", bytes.into())
+                    .await;
+                side.respond(json(StatusCode::OK, &body));
+            }
+            Kind::Plain { .. } => {
+                let Some(response) = self.response.take() else {
+                    return;
+                };
+                let content_type = response.headers.get(CONTENT_TYPE);
+                let content_type = content_type.and_then(|v| v.to_str().ok()).unwrap_or("");
+                let status = response.status.as_u16();
+                self.settle_done(status, content_type, response.body.clone())
+                    .await;
+                side.respond(stored::plain(response));
+            }
+        }
+    }
+
+    fn completion(&self, chat: bool, model: &ServiceName) -> serde_json::Value {
+        let Delivered { tokens, text } = &self.delivered;
+        let choice = if chat {
+            let message = serde_json::json!({"role": "assistant", "content": text});
+            serde_json::json!({"index": 0, "message": message, "finish_reason": self.finish})
+        } else {
+            serde_json::json!({"index": 0, "text": text, "finish_reason": self.finish})
+        };
+        let object = if chat {
+            "chat.completion"
+        } else {
+            "text_completion"
+        };
+        let prompt_tokens = self.prompt_tokens;
+        serde_json::json!({
+            "id": self.id,
+            "object": object,
+            "model": model,
+            "choices": [choice],
+            "usage": {"prompt_tokens": prompt_tokens, "completion_tokens": tokens},
+        })
+    }
+
+    /// Keeps the answer for later arrivals with the same key.
+    async fn settle_done(&mut self, status: u16, content_type: &str, body: Bytes) {
+        if !std::mem::take(&mut self.granted) {
+            return;
+        }
+        let settlement = match stored::keep(&self.app, self.id, status, content_type, body).await {
+            Some(answer) => Settlement::Done(answer),
+            None => Settlement::MayHaveRun,
+        };
+        let holder = self.id;
+        self.app
+            .claims
+            .handle(&self.app, ClaimEvent::Settle { holder, settlement });
+    }
+
+    fn settle_as(&mut self, run_state: RunState) {
+        if !std::mem::take(&mut self.granted) {
+            return;
+        }
+        let settlement = match run_state {
+            RunState::NotRun => Settlement::NotRun,
+            RunState::MayHaveRun | RunState::Failed => Settlement::MayHaveRun,
+        };
+        let holder = self.id;
+        self.app
+            .claims
+            .handle(&self.app, ClaimEvent::Settle { holder, settlement });
+    }
+
+    async fn fail(&mut self, failure: Failure, side: &mut CallerSide) -> bool {
+        self.running = None;
+        log::debug!(request:% = self.id, run_state:% = failure.run_state(); "{failure}");
+        self.app.metrics.failure(failure.code());
+        if side.is_waiting() {
+            side.respond(failure.into_response());
+        } else {
+            let _ = side.write(failure.into_event()).await;
+        }
+        true
+    }
+
+    fn caller_gone(&mut self) -> bool {
+        self.withdraw();
+        self.end(Outcome::CallerGone);
+        self.settle_as(if self.dispatched {
+            RunState::MayHaveRun
+        } else {
+            RunState::NotRun
+        });
+        true
+    }
+
+    fn withdraw(&mut self) {
+        self.running = None;
+        self.app
+            .decisions
+            .decide(&self.app, Event::Withdrawn(self.id));
+    }
+
+    /// Counts the end of an admitted request, once.
+    fn end(&mut self, outcome: Outcome) {
+        if std::mem::take(&mut self.admitted) {
+            self.app.metrics.ended(outcome);
+        }
+    }
+}
+
+async fn next_event(running: &mut Option<Running>) -> AttemptEvent {
+    match running {
+        Some(running) => match running.events.recv().await {
+            Some(event) => event,
+            // The attempt's task ended without a word; count it as broken.
+            None => AttemptEvent::Ended(AttemptEnd::Broken),
+        },
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/ringbendd/src/callers/mod.rs
@@ -0,0 +1,196 @@
+//! The API that callers speak: prompts, models, plain services.
+
+mod attempt;
+mod auth;
+mod budget;
+mod exact;
+mod failure;
+mod headers;
+mod life;
+mod plain;
+mod prompt;
+mod side;
+mod sse;
+mod stored;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{ConnectionType, HttpMessage, Method, StatusCode};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use ringbend_platform::EndpointKind;
+use ringbend_runtime::{Handler, HttpRequest, HttpResponse, json, read_body, text};
+use serde::Serialize;
+
+use crate::app::{App, Phase};
+use auth::Keys;
+pub(crate) use auth::bearer;
+use budget::{BodyBudget, BodyPermit};
+use failure::Failure;
+use headers::CallHeaders;
+
+/// Longest body of a request, in bytes: a prompt of a million tokens is about four million.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// All bodies held at once, in bytes.
+const MAX_HELD_BYTES: usize = 1 << 30;
+
+/// How long a body may take to arrive.
+const BODY_TIME: Duration = Duration::from_secs(60);
+
+/// Path prefix of plain services.
+const SERVICES: &str = "/services/";
+
+/// Serves callers.
+pub(crate) struct CallerApi {
+    app: Rc<App>,
+    keys: Keys,
+    budget: BodyBudget,
+}
+
+/// A request whose head and body have been taken in.
+struct Call {
+    req: HttpRequest,
+    headers: CallHeaders,
+    body: Bytes,
+    permit: BodyPermit,
+}
+
+#[derive(Serialize)]
+struct Models {
+    object: &'static str,
+    data: Vec<Model>,
+}
+
+#[derive(Serialize)]
+struct Model {
+    id: String,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+impl CallerApi {
+    pub(crate) fn new(app: Rc<App>) -> Self {
+        let keys = Keys::new(&app.cfg.callers);
+        Self {
+            app,
+            keys,
+            budget: BodyBudget::new(MAX_HELD_BYTES),
+        }
+    }
+
+    async fn answer(&self, req: HttpRequest) -> HttpResponse {
+        let mut res = self.answer_open(req).await;
+        if self.app.phase.get() >= Phase::Unready {
+            // The connection ends with this answer, so that a drain sees when it has left.
+            res.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        res
+    }
+
+    async fn answer_open(&self, req: HttpRequest) -> HttpResponse {
+        match (req.method().clone(), req.path()) {
+            (Method::GET, "/healthz") => text(StatusCode::OK, "text/plain", "ok\n"),
+            (Method::GET, "/readyz") => self.readiness(),
+            _ => match self.route(req).await {
+                Ok(res) => res,
+                Err(failure) => {
+                    self.app.metrics.failure(failure.code());
+                    failure.into_response()
+                }
+            },
+        }
+    }
+
+    fn readiness(&self) -> HttpResponse {
+        if self.app.phase.get() == Phase::Serving {
+            return text(StatusCode::OK, "text/plain", "ready\n");
+        }
+        text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n")
+    }
+
+    async fn route(&self, req: HttpRequest) -> Result<HttpResponse, Failure> {
+        let account = self
+            .keys
+            .account(req.headers())
+            .ok_or(Failure::Unauthorized)?;
+        match self.app.phase.get() {
+            Phase::Starting | Phase::Draining => return Err(Failure::NotReady),
+            Phase::Serving | Phase::Unready => {}
+        }
+        let path = req.path().to_owned();
+        match (req.method().clone(), path.as_str()) {
+            (Method::GET, "/v1/models") => Ok(self.models()),
+            (Method::POST, "/v1/completions") => {
+                let call = self.take(req, account).await?;
+                prompt::serve(&self.app, call, false).await
+            }
+            (Method::POST, "/v1/chat/completions") => {
+                let call = self.take(req, account).await?;
+                prompt::serve(&self.app, call, true).await
+            }
+            (_, path) if path.starts_with(SERVICES) => {
+                let call = self.take(req, account).await?;
+                plain::serve(&self.app, call).await
+            }
+            _ => Err(Failure::NotFound),
+        }
+    }
+
+    async fn take(
+        &self,
+        mut req: HttpRequest,
+        account: ringbend_types::ClientAccountId,
+    ) -> Result<Call, Failure> {
+        let headers = CallHeaders::read(req.headers(), account)?;
+        let announced = headers::content_length(req.headers())?;
+        if announced > MAX_BODY_BYTES {
+            return Err(Failure::BodyTooLarge(MAX_BODY_BYTES));
+        }
+        let permit = self
+            .budget
+            .take(announced.max(64 << 10))
+            .ok_or(Failure::NoMemory)?;
+        let body = read_body(req.take_payload(), MAX_BODY_BYTES, BODY_TIME).await?;
+        Ok(Call {
+            req,
+            headers,
+            body,
+            permit,
+        })
+    }
+
+    fn models(&self) -> HttpResponse {
+        let mut names: Vec<String> = self
+            .app
+            .decisions
+            .entries()
+            .iter()
+            .filter(|e| e.kind == EndpointKind::Engine)
+            .map(|e| e.service.to_string())
+            .collect();
+        names.sort();
+        names.dedup();
+        let model = |id| Model {
+            id,
+            object: "model",
+            owned_by: "ringbend",
+        };
+        let data = names.into_iter().map(model).collect();
+        json(
+            StatusCode::OK,
+            &Models {
+                object: "list",
+                data,
+            },
+        )
+    }
+}
+
+impl Handler for CallerApi {
+    fn handle(self: Rc<Self>, req: HttpRequest) -> LocalBoxFuture<'static, HttpResponse> {
+        async move { self.answer(req).await }.boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/ringbendd/src/callers/prompt.rs
@@ -0,0 +1,165 @@
+//! Prompts: `POST /v1/completions` and `/v1/chat/completions`.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use ringbend_platform::EndpointKind;
+use ringbend_policy::RequestProfile;
+use ringbend_runtime::HttpResponse;
+use ringbend_settings::Effective;
+use ringbend_types::{ServiceName, TokenCount};
+use serde_json::value::RawValue;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::attempt::Delivered;
+use super::failure::Failure;
+use super::life::{self, Kind, Life};
+use super::{Call, headers};
+use crate::app::App;
+
+/// Bytes of prompt per token, the estimate used throughout.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Bytes of a prompt whose hash stands for its prefix.
+const PREFIX_BYTES: usize = 8_192;
+
+/// Tokens generated when the request names no number.
+const DEFAULT_MAX_TOKENS: u64 = 16;
+
+/// A request's body, kept once; attempts send slices of it.
+pub(crate) struct PromptBody {
+    pub(crate) path: &'static str,
+    field: &'static str,
+    /// The other fields as JSON, each followed by a comma.
+    others: Bytes,
+    prompt: Bytes,
+}
+
+impl PromptBody {
+    /// The body of an attempt that continues after `delivered`.
+    pub(crate) fn chunks(&self, delivered: &Delivered) -> Vec<Bytes> {
+        let resume = if delivered.tokens > 0 {
+            let resume = serde_json::to_string(delivered).unwrap_or_default();
+            format!("\"resume\":{resume},")
+        } else {
+            String::new()
+        };
+        vec![
+            Bytes::from_static(b"{"),
+            self.others.clone(),
+            Bytes::from(format!("{resume}\"stream\":true,\"{}\":", self.field)),
+            self.prompt.clone(),
+            Bytes::from_static(b"}"),
+        ]
+    }
+}
+
+struct Parsed {
+    body: PromptBody,
+    model: ServiceName,
+    stream: bool,
+    max_tokens: u64,
+}
+
+/// Serves one prompt.
+pub(crate) async fn serve(app: &Rc<App>, call: Call, chat: bool) -> Result<HttpResponse, Failure> {
+    let parsed = parse(&call.body, chat)?;
+    let known = app.decisions.entries();
+    if !known
+        .iter()
+        .any(|e| e.kind == EndpointKind::Engine && e.service == parsed.model)
+    {
+        return Err(Failure::UnknownService(parsed.model.to_string()));
+    }
+    let settings = life::settings(app, &call.headers, &parsed.model);
+    check_output(&settings, parsed.max_tokens)?;
+    let (id, signals) = app.decisions.open();
+    let prompt = &parsed.body.prompt;
+    let profile = RequestProfile {
+        id,
+        account: call.headers.account.clone(),
+        service: parsed.model.clone(),
+        kind: EndpointKind::Engine,
+        prompt_tokens: TokenCount(prompt.len().div_ceil(BYTES_PER_TOKEN) as u64),
+        max_tokens: parsed.max_tokens,
+        prefix: xxh3_64(&prompt[..prompt.len().min(PREFIX_BYTES)]),
+        deadline: life::deadline(app, &call.headers, &settings),
+        repeatable: !call.headers.not_repeatable && call.headers.key.is_none(),
+        needs_claim: call.headers.key.is_some(),
+        settings,
+    };
+    let kind = Kind::Prompt {
+        body: Rc::new(parsed.body),
+        stream: parsed.stream,
+        chat,
+        model: parsed.model,
+    };
+    Life::new(app, call, profile, kind, signals).run().await
+}
+
+fn check_output(settings: &Effective, max_tokens: u64) -> Result<(), Failure> {
+    let most = settings.admission.max_output_tokens;
+    if max_tokens > most {
+        return Err(Failure::FieldTooLarge {
+            name: "max_tokens",
+            most,
+        });
+    }
+    Ok(())
+}
+
+/// Reads the few fields that matter and leaves the rest as it is; the prompt is never copied.
+fn parse(body: &Bytes, chat: bool) -> Result<Parsed, Failure> {
+    let mut fields: BTreeMap<String, &RawValue> =
+        serde_json::from_slice(body).map_err(Failure::BadBody)?;
+    let (field, path) = if chat {
+        ("messages", "/v1/chat/completions")
+    } else {
+        ("prompt", "/v1/completions")
+    };
+    let prompt = fields.remove(field).ok_or(Failure::MissingField(field))?;
+    let prompt = body.slice_ref(prompt.get().as_bytes());
+    let model: ServiceName = read(&fields, "model")?.ok_or(Failure::MissingField("model"))?;
+    let stream = read(&fields, "stream")?.unwrap_or(false);
+    let max_tokens = read(&fields, "max_tokens")?.unwrap_or(DEFAULT_MAX_TOKENS);
+    fields.remove("stream");
+    fields.remove("resume");
+    let mut others = String::new();
+    for (name, value) in &fields {
+        let name = serde_json::to_string(name).map_err(Failure::BadBody)?;
+        others.push_str(&name);
+        others.push(':');
+        others.push_str(value.get());
+        others.push(',');
+    }
+    let body = PromptBody {
+        path,
+        field,
+        others: others.into(),
+        prompt,
+    };
+    Ok(Parsed {
+        body,
+        model,
+        stream,
+        max_tokens,
+    })
+}
+
+fn read<T: for<'a> serde::Deserialize<'a>>(
+    fields: &BTreeMap<String, &RawValue>,
+    name: &str,
+) -> Result<Option<T>, Failure> {
+    let Some(value) = fields.get(name) else {
+        return Ok(None);
+    };
+    serde_json::from_str(value.get()).map_err(Failure::BadBody)
+}
+
+/// A request's identity for its key: the same key with another body is another request.
+pub(crate) fn digest(method: &str, path: &str, body: &[u8], headers: &headers::CallHeaders) -> u64 {
+    let class = headers.class.as_ref().map_or("", |class| class.as_str());
+    let head = format!("{method}\n{path}\n{class}\n");
+    xxhash_rust::xxh3::xxh3_64_with_seed(body, xxh3_64(head.as_bytes()))
+}
--- /dev/null
+++ b/crates/ringbendd/src/peers/quic.rs
@@ -0,0 +1,301 @@
+//! Peers over QUIC: gossip in datagrams, questions on streams, a hello first.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use quinn::{Connection, Endpoint, IdleTimeout, TransportConfig, VarInt};
+use ringbend_wire::{Envelope, Hello, Message, PROTOCOL, WireError, envelope};
+use tokio::sync::{mpsc, oneshot};
+
+use super::tls::{Identity, PEER_NAME};
+use super::{PeerError, PeerLink};
+use crate::app::App;
+
+/// Messages waiting for one peer; more are dropped.
+const QUEUE: usize = 128;
+
+/// Longest message on a stream, in bytes.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
+/// Bound of one question, connecting included.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A connection without traffic is closed after this long.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// A peer that cannot be reached is left alone this long; messages to it are dropped.
+const RECONNECT: Duration = Duration::from_millis(500);
+
+/// Close code of a peer that speaks another protocol.
+const WRONG_PROTOCOL: u32 = 1;
+
+enum Outgoing {
+    Send(Envelope),
+    Ask(Envelope, oneshot::Sender<Result<Envelope, PeerError>>),
+}
+
+type Links = RefCell<BTreeMap<SocketAddr, mpsc::Sender<Outgoing>>>;
+
+/// The QUIC endpoint and one queue per peer.
+pub(crate) struct QuicPeers {
+    endpoint: Endpoint,
+    hello: Hello,
+    links: Rc<Links>,
+}
+
+impl QuicPeers {
+    /// Listens for peers.
+    pub(crate) fn bind(
+        address: SocketAddr,
+        identity: Identity,
+        hello: Hello,
+    ) -> std::io::Result<Self> {
+        let mut transport = TransportConfig::default();
+        let idle = IdleTimeout::try_from(IDLE).ok();
+        transport.max_idle_timeout(idle);
+        let transport = Arc::new(transport);
+        let Identity {
+            mut server,
+            mut client,
+        } = identity;
+        server.transport_config(transport.clone());
+        client.transport_config(transport);
+        let mut endpoint = Endpoint::server(server, address)?;
+        endpoint.set_default_client_config(client);
+        Ok(Self {
+            endpoint,
+            hello,
+            links: Rc::default(),
+        })
+    }
+
+    pub(crate) fn address(&self) -> std::io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Takes peers' connections for as long as the instance lives.
+    pub(crate) fn accept(&self, app: Weak<App>) {
+        let endpoint = self.endpoint.clone();
+        let hello = self.hello.clone();
+        tokio::task::spawn_local(async move {
+            while let Some(incoming) = endpoint.accept().await {
+                let (app, hello) = (app.clone(), hello.clone());
+                tokio::task::spawn_local(async move {
+                    match incoming.await {
+                        Ok(connection) => serve(app, connection, hello).await,
+                        Err(e) => log::warn!("a peer was refused: {e}"),
+                    }
+                });
+            }
+        });
+    }
+
+    fn queue(&self, to: SocketAddr) -> mpsc::Sender<Outgoing> {
+        let mut links = self.links.borrow_mut();
+        if let Some(tx) = links.get(&to).filter(|tx| !tx.is_closed()) {
+            return tx.clone();
+        }
+        let (tx, rx) = mpsc::channel(QUEUE);
+        links.insert(to, tx.clone());
+        tokio::task::spawn_local(run_link(self.endpoint.clone(), to, self.hello.clone(), rx));
+        tx
+    }
+}
+
+impl Drop for QuicPeers {
+    fn drop(&mut self) {
+        self.endpoint.close(VarInt::from_u32(0), b"leaving");
+    }
+}
+
+impl PeerLink for QuicPeers {
+    fn send(&self, to: SocketAddr, envelope: Envelope) {
+        let _ = self.queue(to).try_send(Outgoing::Send(envelope));
+    }
+
+    fn ask(
+        &self,
+        to: SocketAddr,
+        envelope: Envelope,
+    ) -> LocalBoxFuture<'static, Result<Envelope, PeerError>> {
+        let (tx, rx) = oneshot::channel();
+        let queued = self.queue(to).try_send(Outgoing::Ask(envelope, tx)).is_ok();
+        async move {
+            if !queued {
+                return Err(PeerError::Unreachable);
+            }
+            match tokio::time::timeout(ASK_TIMEOUT, rx).await {
+                Ok(Ok(answer)) => answer,
+                _ => Err(PeerError::Unreachable),
+            }
+        }
+        .boxed_local()
+    }
+}
+
+/// Sends one peer's messages; ends when there are none for a while.
+async fn run_link(
+    endpoint: Endpoint,
+    to: SocketAddr,
+    hello: Hello,
+    mut rx: mpsc::Receiver<Outgoing>,
+) {
+    let mut connection: Option<Connection> = None;
+    while let Ok(Some(outgoing)) = tokio::time::timeout(IDLE * 2, rx.recv()).await {
+        let open = connection.take().filter(|c| c.close_reason().is_none());
+        let open = match open {
+            Some(open) => open,
+            None => match connect(&endpoint, to, &hello).await {
+                Ok(open) => open,
+                Err(e) => {
+                    log::debug!(peer:% = to; "cannot connect: {e:?}");
+                    actix_rt::time::sleep(RECONNECT).await;
+                    while rx.try_recv().is_ok() {}
+                    continue;
+                }
+            },
+        };
+        match outgoing {
+            Outgoing::Send(envelope) => send(&open, &envelope).await,
+            Outgoing::Ask(envelope, tx) => {
+                let open = open.clone();
+                tokio::task::spawn_local(async move {
+                    let _ = tx.send(ask(&open, &envelope).await);
+                });
+            }
+        }
+        connection = Some(open);
+    }
+}
+
+async fn connect(
+    endpoint: &Endpoint,
+    to: SocketAddr,
+    hello: &Hello,
+) -> Result<Connection, PeerError> {
+    let connecting = endpoint
+        .connect(to, PEER_NAME)
+        .map_err(|_| PeerError::Unreachable)?;
+    let connection = tokio::time::timeout(ASK_TIMEOUT, connecting).await;
+    let connection = match connection {
+        Ok(Ok(connection)) => connection,
+        _ => return Err(PeerError::Unreachable),
+    };
+    let greeting = Envelope {
+        body: Some(envelope::Body::Hello(hello.clone())),
+    };
+    let answer = tokio::time::timeout(ASK_TIMEOUT, ask(&connection, &greeting)).await;
+    match answer {
+        Ok(Ok(Envelope {
+            body: Some(envelope::Body::Hello(theirs)),
+        })) if theirs.protocol == PROTOCOL => Ok(connection),
+        _ => Err(PeerError::Unreachable),
+    }
+}
+
+async fn send(connection: &Connection, envelope: &Envelope) {
+    let bytes = Bytes::from(envelope.encode_to_vec());
+    let fits = connection
+        .max_datagram_size()
+        .is_some_and(|most| bytes.len() <= most);
+    if fits {
+        let _ = connection.send_datagram(bytes);
+        return;
+    }
+    if let Ok(mut stream) = connection.open_uni().await {
+        let _ = stream.write_all(&bytes).await;
+        let _ = stream.finish();
+    }
+}
+
+async fn ask(connection: &Connection, question: &Envelope) -> Result<Envelope, PeerError> {
+    let unreachable = |_| PeerError::Unreachable;
+    let (mut tx, mut rx) = connection.open_bi().await.map_err(unreachable)?;
+    let bytes = question.encode_to_vec();
+    tx.write_all(&bytes)
+        .await
+        .map_err(|_| PeerError::Unreachable)?;
+    tx.finish().map_err(|_| PeerError::Unreachable)?;
+    let answer = rx.read_to_end(MAX_MESSAGE_BYTES).await;
+    let answer = answer.map_err(|_| PeerError::Unreachable)?;
+    Envelope::decode(answer.as_slice()).map_err(|e| PeerError::Malformed(WireError::Decode(e)))
+}
+
+/// Serves one peer's connection. Its first stream must carry a hello of the same protocol.
+async fn serve(app: Weak<App>, connection: Connection, hello: Hello) {
+    if !greet(&connection, hello).await {
+        connection.close(VarInt::from_u32(WRONG_PROTOCOL), b"protocol");
+        return;
+    }
+    loop {
+        let received = tokio::select! {
+            datagram = connection.read_datagram() => match datagram {
+                Ok(bytes) => Some(bytes),
+                Err(_) => return,
+            },
+            stream = connection.accept_uni() => match stream {
+                Ok(mut stream) => {
+                    stream.read_to_end(MAX_MESSAGE_BYTES).await.ok().map(Bytes::from)
+                }
+                Err(_) => return,
+            },
+            streams = connection.accept_bi() => match streams {
+                Ok((tx, rx)) => {
+                    tokio::task::spawn_local(answer(app.clone(), tx, rx));
+                    None
+                }
+                Err(_) => return,
+            },
+        };
+        let Some(app) = app.upgrade() else { return };
+        let envelope = received.and_then(|bytes| Envelope::decode(bytes).ok());
+        if let Some(Envelope {
+            body: Some(envelope::Body::Gossip(gossip)),
+        }) = envelope
+        {
+            app.peers.received(&app, gossip);
+        }
+    }
+}
+
+async fn greet(connection: &Connection, hello: Hello) -> bool {
+    let Ok(Ok((mut tx, mut rx))) = tokio::time::timeout(ASK_TIMEOUT, connection.accept_bi()).await
+    else {
+        return false;
+    };
+    let Ok(bytes) = rx.read_to_end(MAX_MESSAGE_BYTES).await else {
+        return false;
+    };
+    let Ok(Envelope {
+        body: Some(envelope::Body::Hello(theirs)),
+    }) = Envelope::decode(bytes.as_slice())
+    else {
+        return false;
+    };
+    let ours = Envelope {
+        body: Some(envelope::Body::Hello(hello)),
+    };
+    let told = tx.write_all(&ours.encode_to_vec()).await.is_ok() && tx.finish().is_ok();
+    told && theirs.protocol == PROTOCOL
+}
+
+async fn answer(app: Weak<App>, mut tx: quinn::SendStream, mut rx: quinn::RecvStream) {
+    let Ok(bytes) = rx.read_to_end(MAX_MESSAGE_BYTES).await else {
+        return;
+    };
+    let Ok(question) = Envelope::decode(bytes.as_slice()) else {
+        return;
+    };
+    let Some(app) = app.upgrade() else { return };
+    if let Some(answer) = app.peers.answer(&app, question) {
+        let _ = tx.write_all(&answer.encode_to_vec()).await;
+        let _ = tx.finish();
+    }
+}
--- /dev/null
+++ b/crates/ringbendd/src/platform/http.rs
@@ -0,0 +1,81 @@
+//! Short calls with a bound, as the platform's clients make them.
+
+use std::fmt;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use awc::error::SendRequestError;
+use awc::http::Method;
+use bytes::Bytes;
+
+/// Longest response of a short call, in bytes.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
+/// Why a call has no response.
+#[derive(Debug)]
+pub(crate) enum CallError {
+    /// No byte was sent.
+    NotSent,
+    /// The call may have arrived.
+    Unknown,
+    /// The service answered with this status.
+    Status(StatusCode),
+    /// The response is not what was expected.
+    Malformed,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent => write!(f, "the connection could not be opened"),
+            Self::Unknown => write!(f, "no response arrived"),
+            Self::Status(status) => write!(f, "status {status}"),
+            Self::Malformed => write!(f, "the response is malformed"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// Makes short calls.
+#[derive(Clone)]
+pub(crate) struct HttpClient {
+    client: awc::Client,
+    timeout: Duration,
+}
+
+impl HttpClient {
+    pub(crate) fn new(client: awc::Client, timeout: Duration) -> Self {
+        Self { client, timeout }
+    }
+
+    /// Makes one call within the bound, the response's body included.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        url: &str,
+        body: impl Into<Bytes>,
+    ) -> Result<Bytes, CallError> {
+        let call = self.send(method, url, body.into());
+        match tokio::time::timeout(self.timeout, call).await {
+            Ok(response) => response,
+            Err(_) => Err(CallError::Unknown),
+        }
+    }
+
+    async fn send(&self, method: Method, url: &str, body: Bytes) -> Result<Bytes, CallError> {
+        let req = self.client.request(method, url).timeout(self.timeout);
+        let req = req.content_type("application/json");
+        let mut res = req.send_body(body).await.map_err(|e| match e {
+            SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::NotSent,
+            _ => CallError::Unknown,
+        })?;
+        if !res.status().is_success() {
+            return Err(CallError::Status(res.status()));
+        }
+        res.body()
+            .limit(MAX_RESPONSE_BYTES)
+            .await
+            .map_err(|_| CallError::Unknown)
+    }
+}
--- /dev/null
+++ b/crates/ringbendd/src/platform/table.rs
@@ -0,0 +1,54 @@
+//! The port of the table service, and its HTTP client.
+
+use std::sync::Arc;
+
+use actix_http::StatusCode;
+use async_trait::async_trait;
+use awc::http::Method;
+use ringbend_platform::{TableError, TableReply, TableRequest};
+use ringbend_telemetry::Metrics;
+
+use super::http::{CallError, HttpClient};
+
+/// The transactional table service.
+#[async_trait(?Send)]
+pub(crate) trait TableService {
+    /// Makes one call, within the service's bound.
+    async fn call(&self, request: TableRequest) -> Result<TableReply, TableError>;
+}
+
+/// The table service over HTTP: `POST URL/v1/call`, 503 and 429 when nothing was done.
+pub(crate) struct HttpTable {
+    http: HttpClient,
+    url: String,
+    metrics: Metrics,
+}
+
+impl HttpTable {
+    pub(crate) fn new(http: HttpClient, base: &Arc<str>, metrics: Metrics) -> Self {
+        Self {
+            http,
+            url: format!("{base}/v1/call"),
+            metrics,
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl TableService for HttpTable {
+    async fn call(&self, request: TableRequest) -> Result<TableReply, TableError> {
+        self.metrics.table_call();
+        let body = serde_json::to_vec(&request).unwrap_or_default();
+        match self.http.call(Method::POST, &self.url, body).await {
+            // A reply that breaks off does not parse.
+            Ok(reply) => serde_json::from_slice(&reply).map_err(|_| TableError::OutcomeUnknown),
+            Err(CallError::NotSent) => Err(TableError::NotApplied),
+            Err(CallError::Status(
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS,
+            )) => Err(TableError::NotApplied),
+            Err(CallError::Unknown | CallError::Status(_) | CallError::Malformed) => {
+                Err(TableError::OutcomeUnknown)
+            }
+        }
+    }
+}
