fix(models): start a waiting sequence when memory is given back

Cause: in the playground one 100k prompt in eight got its first token only after 36 s. The log showed its first attempt timing out and the second answering at once. The engine model started a step only on submit or at a step's end, so a sequence that waited for a reservation's memory slept on when the reservation was released on an otherwise idle engine. Ruled out: the policy's queue (the request was dispatched at once, by a trace of every placement), and stale reports. Change: release, cancel and orders take the time and start a step.

--- a/crates/ringbend-models/src/engine.rs
+++ b/crates/ringbend-models/src/engine.rs
@@ -219,7 +219,7 @@
     }
 
     /// Ends a sequence and frees its memory. Unknown attempts are ignored; returns whether one ended.
-    pub fn cancel(&mut self, attempt: AttemptId) -> bool {
+    pub fn cancel(&mut self, now: Timestamp, attempt: AttemptId) -> bool {
         let Some(place) = self.places.remove(&attempt) else {
             return false;
         };
@@ -227,6 +227,7 @@
         if let Some(sequence) = self.batch.remove(&place) {
             self.kv_used = self.kv_used.minus(sequence.submit.kv_need());
         }
+        self.start_step(now);
         true
     }
 
@@ -249,11 +250,12 @@
     }
 
     /// Frees the memory held for an attempt; returns whether there was any.
-    pub fn release(&mut self, attempt: AttemptId) -> bool {
+    pub fn release(&mut self, now: Timestamp, attempt: AttemptId) -> bool {
         let Some(tokens) = self.reservations.remove(&attempt) else {
             return false;
         };
         self.kv_used = self.kv_used.minus(tokens);
+        self.start_step(now);
         true
     }
 
@@ -267,7 +269,7 @@
     }
 
     /// Carries out an order, unless its fencing number is old and the engine checks.
-    pub fn order(&mut self, order: Order) -> OrderOutcome {
+    pub fn order(&mut self, now: Timestamp, order: Order) -> OrderOutcome {
         if self.spec.checks_fencing && order.fencing < self.highest_fencing {
             return Err(OrderRefusal {
                 highest: self.highest_fencing,
@@ -276,7 +278,7 @@
         self.highest_fencing = self.highest_fencing.max(order.fencing);
         if let OrderKind::FreeReservations { attempts } = &order.kind {
             for attempt in attempts {
-                self.release(*attempt);
+                self.release(now, *attempt);
             }
         }
         self.orders_done.push(order);
--- a/crates/ringbend-standins/src/engine_api.rs
+++ b/crates/ringbend-standins/src/engine_api.rs
@@ -126,11 +126,11 @@
                 })
             }
             (Method::DELETE, "reservations", attempt) => with_attempt(attempt, |attempt| {
-                model.borrow_mut().release(attempt);
+                self.driver.release(attempt);
                 empty(StatusCode::NO_CONTENT)
             }),
             (Method::POST, "orders", _) => {
-                parsed(body, |order: Order| match model.borrow_mut().order(order) {
+                parsed(body, |order: Order| match self.driver.order(order) {
                     Ok(()) => empty(StatusCode::NO_CONTENT),
                     Err(refusal) => json(StatusCode::CONFLICT, &refusal),
                 })
--- a/crates/ringbend-standins/src/engine_driver.rs
+++ b/crates/ringbend-standins/src/engine_driver.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ringbend_models::{EngineModel, EngineOutput, Submit, SubmitError};
-use ringbend_platform::{EndpointState, LoadReport};
+use ringbend_models::{EngineModel, EngineOutput, OrderOutcome, Submit, SubmitError};
+use ringbend_platform::{EndpointState, LoadReport, Order};
 use ringbend_runtime::Clock;
 use ringbend_types::{AttemptId, RequestId, Timestamp};
 use tokio::sync::{Notify, mpsc};
@@ -159,7 +159,20 @@
             return false;
         }
         self.answers.borrow_mut().remove(&attempt);
-        self.model.borrow_mut().cancel(attempt)
+        let ended = self.model.borrow_mut().cancel(self.clock.now(), attempt);
+        self.changed.notify_one();
+        ended
+    }
+
+    pub(crate) fn release(&self, attempt: AttemptId) {
+        self.model.borrow_mut().release(self.clock.now(), attempt);
+        self.changed.notify_one();
+    }
+
+    pub(crate) fn order(&self, order: Order) -> OrderOutcome {
+        let outcome = self.model.borrow_mut().order(self.clock.now(), order);
+        self.changed.notify_one();
+        outcome
     }
 
     pub(crate) fn model(&self) -> &RefCell<EngineModel> {
