--- a/crates/ringbend-models/src/engine.rs
+++ b/crates/ringbend-models/src/engine.rs
@@ -341,6 +341,11 @@
         self.cache.matched(blocks)
     }
 
+    /// Puts another prefix cache in place, as when an engine loses its own.
+    pub fn replace_cache(&mut self, cache: PrefixCache) {
+        self.cache = cache;
+    }
+
     /// Cache events after `sequence`.
     pub fn cache_events(&self, sequence: u64) -> Vec<CacheEvent> {
         self.cache.events_after(sequence)
--- a/crates/ringbend-policy/src/naive.rs
+++ b/crates/ringbend-policy/src/naive.rs
@@ -1,18 +1,31 @@
-//! The plain router that Ringbend is measured against: every request goes at once to the next
-//! endpoint in turn, and is tried again at once on any failure.
+//! The plain router that Ringbend is measured against: every request goes at once to an endpoint,
+//! by default the next in turn, and is tried again at once on any failure. It knows no limits, no
+//! claims, no priorities and no memory.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use ringbend_platform::EndpointEntry;
-use ringbend_types::{AttemptId, EndpointId, IdMint, Incarnation, RequestId, RunState, Timestamp};
+use rand_chacha::ChaCha8Rng;
+use ringbend_platform::{EndpointEntry, LoadReport};
+use ringbend_settings::configs::{ChoiceKind, RoutingConfig};
+use ringbend_types::{
+    AttemptId, EndpointId, IdMint, Incarnation, RequestId, RunState, Seed, Timestamp,
+};
 use smallvec::SmallVec;
 
+use crate::choice::{Candidate, EndpointChoice, choice_for};
 use crate::event::{Action, AttemptEnd, Dispatch, Event, FailureCode, Policy, RequestEnd};
 use crate::profile::RequestProfile;
 
 /// Attempts before the naive router gives up.
 const MAX_ATTEMPTS: u32 = 10;
 
+/// Prefill rate it takes every engine to have, in tokens a second.
+const ASSUMED_RATE: f64 = 20_000.0;
+
+/// Random stream of the naive router within a process.
+const RANDOM_STREAM: u64 = 3;
+
 #[derive(Debug, Clone)]
 struct Open {
     profile: RequestProfile,
@@ -21,36 +34,62 @@
     attempts: u32,
 }
 
-/// Round robin, retry on any error, no limits, no claims, no bound but the deadline.
-#[derive(Debug, Clone)]
+/// A plain router.
 pub struct NaivePolicy {
     mint: IdMint,
+    rng: ChaCha8Rng,
+    choice: Box<dyn EndpointChoice>,
     endpoints: Vec<EndpointEntry>,
-    next: usize,
+    reports: BTreeMap<EndpointId, LoadReport>,
     open: BTreeMap<RequestId, Open>,
     attempts: BTreeMap<AttemptId, RequestId>,
 }
 
 impl NaivePolicy {
     /// A router that knows no endpoints yet.
-    pub fn new(incarnation: Incarnation) -> Self {
+    pub fn new(incarnation: Incarnation, choice: ChoiceKind, seed: Seed) -> Self {
+        let routing = RoutingConfig {
+            choice,
+            ..RoutingConfig::default()
+        };
         Self {
             mint: IdMint::new(incarnation),
+            rng: seed.rng(RANDOM_STREAM),
+            choice: choice_for(&routing),
             endpoints: Vec::new(),
-            next: 0,
+            reports: BTreeMap::new(),
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
         }
     }
 
-    fn send(&mut self, profile: RequestProfile, attempts: u32, out: &mut Vec<Action>) {
-        let id = profile.id;
-        let fits: Vec<&EndpointEntry> = self
+    fn candidates(&self, profile: &RequestProfile) -> Vec<Candidate> {
+        let fits = self
             .endpoints
             .iter()
-            .filter(|e| e.service == profile.service)
-            .collect();
-        if fits.is_empty() || attempts >= MAX_ATTEMPTS {
+            .filter(|e| e.service == profile.service);
+        fits.map(|entry| {
+            let own = self.open.values().filter(|o| o.endpoint == entry.id);
+            let backlog = self
+                .reports
+                .get(&entry.id)
+                .map_or(0, |r| r.prefill_backlog.0);
+            Candidate {
+                endpoint: entry.id.clone(),
+                predicted: Duration::from_secs_f64(backlog as f64 / ASSUMED_RATE),
+                outstanding: own.count() as u32,
+            }
+        })
+        .collect()
+    }
+
+    fn send(&mut self, profile: RequestProfile, attempts: u32, out: &mut Vec<Action>) {
+        let id = profile.id;
+        let candidates = self.candidates(&profile);
+        let chosen = self
+            .choice
+            .choose(&candidates, profile.prefix, &mut self.rng);
+        let (Some(chosen), true) = (chosen, attempts < MAX_ATTEMPTS) else {
             let code = FailureCode::EndpointFailed;
             let run_state = RunState::NotRun;
             let end = RequestEnd::Failed {
@@ -60,9 +99,8 @@
             };
             out.push(Action::Finish { request: id, end });
             return;
-        }
-        self.next += 1;
-        let endpoint = fits[self.next % fits.len()].id.clone();
+        };
+        let endpoint = candidates[chosen].endpoint.clone();
         let attempt = self.mint.attempt();
         out.push(Action::Dispatch(Dispatch {
             request: id,
@@ -103,12 +141,11 @@
     }
 
     fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let late: Vec<RequestId> = self
+        let late = self
             .open
             .iter()
-            .filter(|(_, open)| open.profile.deadline <= now)
-            .map(|(id, _)| *id)
-            .collect();
+            .filter(|(_, open)| open.profile.deadline <= now);
+        let late: Vec<RequestId> = late.map(|(id, _)| *id).collect();
         for id in late {
             self.withdraw(id, out);
             let code = FailureCode::DeadlineExceeded;
@@ -138,6 +175,11 @@
         let mut out = Vec::new();
         match event {
             Event::Endpoints(entries) if self.endpoints.is_empty() => self.endpoints = entries,
+            Event::Load {
+                endpoint, report, ..
+            } => {
+                self.reports.insert(endpoint, report);
+            }
             Event::Arrived(profile) => {
                 out.push(Action::Admitted(profile.id));
                 self.send(profile, 0, &mut out);
