perf(membership, policy): refutations outrun suspicions; no lane for long prompts; faster shares

By the second and by the instance they fell into the joining storm: news of mere existence crowded out refutations, and a suspect often never heard that it was suspected. Change: a ping to a suspect carries the suspicion, urgent news goes first, refutations, settings, leaves and leaving endpoints are pushed on at once, probes every 500 ms, suspicion 5 s. The bench also counted the naive way: it dropped the actions of a settings event, mended. Cause, policy: 100k prompts waited longer than with least outstanding. Sharing: leases of 2 s asked for every 250 ms, demand half-life 0.5 s.

--- a/crates/ringbend-bench/src/gossip.rs
+++ b/crates/ringbend-bench/src/gossip.rs
@@ -251,6 +251,9 @@
         }
         let begun = self.spent.is_some().then(Instant::now);
         let actions = self.nodes[node].handle(self.now, event);
+        if let (Some(begun), Some(spent)) = (begun, &mut self.spent) {
+            *spent += begun.elapsed();
+        }
         for action in actions {
             match action {
                 Action::Send(to, message) => self.send(to, message),
@@ -263,21 +266,19 @@
                 Action::NewerSettings(_, version) => {
                     // The driver fetches the entries and then has them in force.
                     self.heard_version[node] = version;
-                    self.nodes[node].handle(self.now, Event::Settings(version));
+                    self.handle(node, Event::Settings(version));
                 }
                 Action::EndpointLeaving(endpoint) => {
                     if !std::mem::replace(&mut self.heard_leaving[node], true) {
-                        self.nodes[node].handle(self.now, Event::EndpointLeaving(endpoint));
+                        self.handle(node, Event::EndpointLeaving(endpoint));
                     }
                 }
             }
         }
-        if let (Some(begun), Some(spent)) = (begun, &mut self.spent) {
-            *spent += begun.elapsed();
-        }
     }
 
     fn send(&mut self, to: SocketAddr, message: Message) {
+        let begun = self.spent.is_some().then(Instant::now);
         let envelope = Envelope {
             body: Some(envelope::Body::Gossip(Gossip::from(&message))),
         };
@@ -289,6 +290,9 @@
         }
         let jitter = Duration::from_micros(self.rng.random_range(0..500));
         let decoded = Envelope::decode(bytes.as_slice()).ok().and_then(|e| e.body);
+        if let (Some(begun), Some(spent)) = (begun, &mut self.spent) {
+            *spent += begun.elapsed();
+        }
         if let Some(envelope::Body::Gossip(gossip)) = decoded
             && let Ok(message) = Message::try_from(gossip)
         {
--- a/crates/ringbend-bench/src/policies.rs
+++ b/crates/ringbend-bench/src/policies.rs
@@ -40,8 +40,6 @@
 /// Parts of Ringbend that can be switched off or changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Part {
-    /// Long prompts may go to every engine.
-    Lane,
     /// Several long prompts may be at one engine.
     LongCap,
     /// Two choices in place of the best prediction.
@@ -57,8 +55,7 @@
 }
 
 impl Part {
-    const ALL: [Self; 7] = [
-        Self::Lane,
+    const ALL: [Self; 6] = [
         Self::LongCap,
         Self::TwoChoices,
         Self::Affinity,
@@ -69,7 +66,6 @@
 
     fn as_str(self) -> &'static str {
         match self {
-            Self::Lane => "no-lane",
             Self::LongCap => "no-long-cap",
             Self::TwoChoices => "two-choices",
             Self::Affinity => "affinity",
@@ -81,7 +77,6 @@
 
     fn apply(self, settings: &mut Effective) {
         match self {
-            Self::Lane => settings.routing.long_engines_percent = 100,
             Self::LongCap => settings.routing.long_per_engine = 1_000,
             Self::TwoChoices => settings.routing.choice = ChoiceKind::TwoChoices,
             Self::Affinity => settings.routing.choice = ChoiceKind::PrefixAffinity,
--- a/crates/ringbend-membership/src/config.rs
+++ b/crates/ringbend-membership/src/config.rs
@@ -19,6 +19,10 @@
     pub updates_per_message: usize,
     /// Each update is sent this many times the logarithm of the number of members.
     pub transmit_factor: u32,
+    /// News that cannot wait is pushed to this many others at once.
+    pub eager_fanout: usize,
+    /// A refutation is passed on to this many others at once.
+    pub refutation_fanout: usize,
     /// A tick this late means that this instance itself was paused.
     pub own_pause: Duration,
 }
@@ -26,14 +30,16 @@
 impl Default for MembershipConfig {
     fn default() -> Self {
         Self {
-            probe_every: Duration::from_millis(200),
-            ack_timeout: Duration::from_millis(150),
-            indirect_probes: 2,
-            suspicion: Duration::from_secs(3),
+            probe_every: Duration::from_millis(500),
+            ack_timeout: Duration::from_millis(250),
+            indirect_probes: 3,
+            suspicion: Duration::from_secs(5),
             forget_after: Duration::from_secs(60),
             updates_per_message: 6,
             transmit_factor: 3,
-            own_pause: Duration::from_millis(600),
+            own_pause: Duration::from_millis(900),
+            eager_fanout: 4,
+            refutation_fanout: 2,
         }
     }
 }
--- a/crates/ringbend-membership/src/membership.rs
+++ b/crates/ringbend-membership/src/membership.rs
@@ -133,11 +133,6 @@
         self.false_alarms
     }
 
-    /// A message that carries the settings version and some news, to be sent at once.
-    pub fn news(&mut self) -> Message {
-        self.message(Kind::News, 0)
-    }
-
     /// When [`Event::Tick`] is wanted next.
     pub fn next_wakeup(&self) -> Timestamp {
         let ack = self.probe.as_ref().map(|p| p.sent + self.cfg.ack_timeout);
@@ -150,9 +145,16 @@
         match event {
             Event::Tick => self.tick(now, &mut actions),
             Event::Received(message) => self.receive(now, message, &mut actions),
-            Event::Settings(version) => self.settings = self.settings.max(version),
-            Event::EndpointLeaving(id) => self.rumours.add(Update::EndpointLeaving(id)),
-            Event::Leave => self.leave(&mut actions),
+            Event::Settings(version) => self.settings_in_force(version, &mut actions),
+            Event::EndpointLeaving(id) => {
+                self.rumours.add(Update::EndpointLeaving(id), true);
+                self.push(self.cfg.eager_fanout, &mut actions);
+            }
+            Event::Leave => {
+                self.state = MemberState::Leaving;
+                self.rumours.add(self.own_update(), true);
+                self.push(self.cfg.eager_fanout, &mut actions);
+            }
         }
         actions
     }
@@ -275,16 +277,24 @@
         self.sequence += 1;
         let sequence = self.sequence;
         let address = self.members[&target].address;
+        let suspected = self.suspected(&target);
         self.probe = Some(Probe {
             target,
             sequence,
             sent: now,
             indirect: false,
         });
-        let message = self.message(Kind::Ping, sequence);
+        let mut message = self.message(Kind::Ping, sequence);
+        message.updates.extend(suspected);
         actions.push(Action::Send(address, message));
     }
 
+    /// What a suspect is told with each ping, so that it hears of the suspicion and refutes it.
+    fn suspected(&self, target: &InstanceId) -> Option<Update> {
+        let member = self.members.get(target)?;
+        (member.state == MemberState::Suspect).then(|| as_update(member))
+    }
+
     fn join(&mut self, actions: &mut Vec<Action>) {
         let own = self.address;
         let seeds: Vec<SocketAddr> = self.seeds.iter().copied().filter(|s| *s != own).collect();
@@ -414,7 +424,7 @@
                 state,
                 ..
             } if *id == self.id => {
-                self.refute(*incarnation, *state);
+                self.refute(*incarnation, *state, actions);
             }
             Update::Member {
                 id,
@@ -429,6 +439,9 @@
                 if known.is_none() && *state == MemberState::Dead {
                     return;
                 }
+                let member_state = *state;
+                let cleared = known.is_some_and(|m| m.state == MemberState::Suspect)
+                    && *state == MemberState::Alive;
                 let member = Member {
                     id: id.clone(),
                     address: *address,
@@ -438,31 +451,43 @@
                 };
                 self.members.insert(id.clone(), member.clone());
                 actions.push(Action::Changed(member));
-                self.rumours.add(update);
+                self.rumours
+                    .add(update, cleared || member_state > MemberState::Alive);
+                if cleared {
+                    // A refutation has to outrun the suspicion.
+                    self.push(self.cfg.refutation_fanout, actions);
+                }
             }
         }
     }
 
-    fn refute(&mut self, incarnation: Incarnation, state: MemberState) {
+    fn refute(&mut self, incarnation: Incarnation, state: MemberState, actions: &mut Vec<Action>) {
         let about_now = incarnation >= self.incarnation;
         if state == MemberState::Alive || !about_now || self.state == MemberState::Leaving {
             return;
         }
         self.false_alarms += 1;
         self.incarnation = incarnation.next();
-        let update = self.own_update();
-        self.rumours.add(update);
+        self.rumours.add(self.own_update(), true);
+        self.push(self.cfg.eager_fanout, actions);
+    }
+
+    /// Newer settings are pushed on as soon as they are in force here, so that they reach all in
+    /// a few hops rather than a few rounds.
+    fn settings_in_force(&mut self, version: SettingsVersion, actions: &mut Vec<Action>) {
+        if version > self.settings {
+            self.settings = version;
+            self.push(self.cfg.eager_fanout, actions);
+        }
     }
 
-    fn leave(&mut self, actions: &mut Vec<Action>) {
-        self.state = MemberState::Leaving;
-        let update = self.own_update();
-        self.rumours.add(update);
+    /// Sends news to a few others at once.
+    fn push(&mut self, fanout: usize, actions: &mut Vec<Action>) {
         let live = self
             .members
             .values()
             .filter(|m| m.state <= MemberState::Suspect);
-        let told = live.choose_multiple(&mut self.rng, self.cfg.updates_per_message);
+        let told = live.choose_multiple(&mut self.rng, fanout);
         let told: Vec<SocketAddr> = told.into_iter().map(|m| m.address).collect();
         for address in told {
             let message = self.message(Kind::News, 0);
--- a/crates/ringbend-membership/src/rumours.rs
+++ b/crates/ringbend-membership/src/rumours.rs
@@ -15,6 +15,7 @@
 #[derive(Debug, Clone)]
 struct Rumour {
     update: Update,
+    urgent: bool,
     sent: u32,
 }
 
@@ -25,24 +26,28 @@
 }
 
 impl Rumours {
-    pub(crate) fn add(&mut self, update: Update) {
+    /// Adds news. Urgent news goes before news of instances that merely exist, which joining
+    /// instances learn from the list that they are sent.
+    pub(crate) fn add(&mut self, update: Update, urgent: bool) {
         let subject = match &update {
             Update::Member { id, .. } => Subject::Member(id.clone()),
             Update::EndpointLeaving(id) => Subject::Endpoint(id.clone()),
         };
-        self.rumours.insert(subject, Rumour { update, sent: 0 });
+        let rumour = Rumour {
+            update,
+            urgent,
+            sent: 0,
+        };
+        self.rumours.insert(subject, rumour);
     }
 
-    /// The `most` least sent updates; each is dropped after `transmissions`.
+    /// The `most` most urgent, then least sent, updates; each is dropped after `transmissions`.
     pub(crate) fn take(&mut self, most: usize, transmissions: u32) -> Vec<Update> {
-        let mut order: Vec<(u32, Subject)> = self
-            .rumours
-            .iter()
-            .map(|(subject, r)| (r.sent, subject.clone()))
-            .collect();
+        let place = |(subject, r): (&Subject, &Rumour)| (!r.urgent, r.sent, subject.clone());
+        let mut order: Vec<(bool, u32, Subject)> = self.rumours.iter().map(place).collect();
         order.sort();
         let mut updates = Vec::new();
-        for (_, subject) in order.into_iter().take(most) {
+        for (_, _, subject) in order.into_iter().take(most) {
             let Some(rumour) = self.rumours.get_mut(&subject) else {
                 continue;
             };
--- a/crates/ringbend-policy/src/placement.rs
+++ b/crates/ringbend-policy/src/placement.rs
@@ -131,16 +131,11 @@
         away: impl Fn(&EndpointId) -> bool,
     ) -> Vec<Candidate> {
         let long = profile.is_long();
-        let lane = if long {
-            self.lane(profile)
-        } else {
-            BTreeSet::new()
-        };
         let fits = |view: &&EndpointView| {
             let id = &view.entry.id;
             view.is_open(now)
                 && self.has_room(now, view, profile)
-                && (!long || lane.contains(id) && !collecting.contains(id))
+                && !(long && collecting.contains(id))
         };
         let candidate = |view: &EndpointView| {
             let prefill = view.uncached(profile.prompt_tokens, profile.prefix);
@@ -182,14 +177,6 @@
         view.ahead(now, false) / view.rate() <= MAX_AHEAD.as_secs_f64()
     }
 
-    /// The engines that may run long prompts: the first ones by rank.
-    fn lane(&self, profile: &RequestProfile) -> BTreeSet<EndpointId> {
-        let ranked = self.ranked(&profile.service);
-        let percent = profile.settings.routing.long_engines_percent as usize;
-        let most = (ranked.len() * percent).div_ceil(100);
-        ranked.into_iter().take(most).collect()
-    }
-
     fn ranked(&self, service: &ServiceName) -> Vec<EndpointId> {
         let mut ids: Vec<EndpointId> = self.of(service).map(|v| v.entry.id.clone()).collect();
         ids.sort_by_key(|id| (rank(id), id.clone()));
--- a/crates/ringbend-policy/src/shares.rs
+++ b/crates/ringbend-policy/src/shares.rs
@@ -29,10 +29,10 @@
 impl Default for ShareConfig {
     fn default() -> Self {
         Self {
-            every: Duration::from_millis(500),
-            lease: Duration::from_secs(2),
-            leased_part: 0.95,
-            half_life: Duration::from_secs(1),
+            every: Duration::from_millis(250),
+            lease: Duration::from_millis(2000),
+            leased_part: 0.98,
+            half_life: Duration::from_millis(500),
         }
     }
 }
--- a/crates/ringbend-settings/src/configs/routing.rs
+++ b/crates/ringbend-settings/src/configs/routing.rs
@@ -87,8 +87,6 @@
     pub long_prompt_tokens: u64,
     /// Most long prompts at one engine at once.
     pub long_per_engine: u32,
-    /// Most engines, in percent of those live, that run long prompts at once.
-    pub long_engines_percent: u32,
     /// Load over the mean, in percent, at which prefix affinity gives way.
     pub affinity_bound_percent: u32,
 }
@@ -99,7 +97,6 @@
             choice: ChoiceKind::PredictedFinish,
             long_prompt_tokens: 50_000,
             long_per_engine: 1,
-            long_engines_percent: 60,
             affinity_bound_percent: 125,
         }
     }
@@ -119,12 +116,6 @@
             1,
             1_000,
         )?;
-        in_range(
-            "routing.long_engines_percent",
-            self.long_engines_percent.into(),
-            1,
-            100,
-        )?;
         in_range(
             "routing.affinity_bound_percent",
             self.affinity_bound_percent.into(),
--- a/crates/ringbendd/src/peers/mod.rs
+++ b/crates/ringbendd/src/peers/mod.rs
@@ -28,9 +28,6 @@
 /// may be cut off and serve on, and limits are shared accordingly.
 const EXPECTED_FOR: Duration = Duration::from_secs(3_600);
 
-/// Most peers told at once of new settings; gossip reaches the rest.
-const PUSH_TO: usize = 16;
-
 /// Why a peer gave no answer.
 #[derive(Debug)]
 pub(crate) enum PeerError {
@@ -135,21 +132,6 @@
         self.handle(app, Event::Leave);
     }
 
-    /// Tells some peers at once that newer settings are in force here.
-    pub(crate) fn push_settings(&self, app: &Rc<App>) {
-        let told: Vec<SocketAddr> = self
-            .membership
-            .borrow()
-            .live()
-            .take(PUSH_TO)
-            .map(|m| m.address)
-            .collect();
-        let news = self.membership.borrow_mut().news();
-        for address in told {
-            self.send(app, address, &news);
-        }
-    }
-
     fn handle(&self, app: &Rc<App>, event: Event) {
         let actions = self.membership.borrow_mut().handle(app.now(), event);
         let mut changed = false;
--- a/crates/ringbendd/src/settings_sync.rs
+++ b/crates/ringbendd/src/settings_sync.rs
@@ -166,6 +166,5 @@
         if self.version() < version {
             self.poll(app).await;
         }
-        app.peers.push_settings(app);
     }
 }
