--- /dev/null
+++ b/crates/ringbend-wire/tests/messages.rs
@@ -0,0 +1,115 @@
+//! Messages survive the wire, of this release and of others.
+
+use quickcheck::{Gen, QuickCheck};
+use ringbend_membership as gossip;
+use ringbend_settings::{Change, Edit, LogEntry, Replica};
+use ringbend_types::{Incarnation, SettingsVersion};
+use ringbend_wire::{EntriesReply, Envelope, Gossip, Message, envelope};
+
+fn message(updates: Vec<gossip::Update>) -> gossip::Message {
+    gossip::Message {
+        from: "instance-1".parse().unwrap(),
+        from_address: "10.0.0.1:7000".parse().unwrap(),
+        incarnation: Incarnation(7),
+        sequence: 3,
+        kind: gossip::Kind::PingRequest { target: "instance-2".parse().unwrap() },
+        settings: SettingsVersion(9),
+        updates,
+    }
+}
+
+#[test]
+fn gossip_comes_back_as_it_was() {
+    let sent = message(vec![
+        gossip::Update::EndpointLeaving("engine-1".parse().unwrap()),
+        gossip::Update::Member {
+            id: "instance-3".parse().unwrap(),
+            address: "[::1]:9".parse().unwrap(),
+            incarnation: Incarnation(u64::MAX),
+            state: gossip::MemberState::Suspect,
+        },
+    ]);
+    let body = envelope::Body::Gossip(Gossip::from(&sent));
+    let bytes = Envelope { body: Some(body) }.encode_to_vec();
+    let Some(envelope::Body::Gossip(back)) = Envelope::decode(bytes.as_slice()).unwrap().body
+    else {
+        panic!("not gossip");
+    };
+    assert_eq!(gossip::Message::try_from(back).unwrap(), sent);
+}
+
+#[test]
+fn fields_and_news_of_a_later_release_are_ignored() {
+    let mut wire = Gossip::from(&message(Vec::new()));
+    wire.updates.push(ringbend_wire::Update { news: None });
+    let mut bytes = wire.encode_to_vec();
+    // Field 100, a varint.
+    bytes.extend_from_slice(&[0xa0, 0x06, 0x01]);
+    let back = Gossip::decode(bytes.as_slice()).unwrap();
+    assert_eq!(gossip::Message::try_from(back).unwrap(), message(Vec::new()));
+}
+
+#[test]
+fn malformed_text_is_an_error() {
+    let mut wire = Gossip::from(&message(Vec::new()));
+    wire.from = String::from("no spaces please");
+    assert!(gossip::Message::try_from(wire).is_err());
+}
+
+#[test]
+fn entries_bring_a_replica_up() {
+    let entry = |version: u64| LogEntry {
+        version: SettingsVersion(version),
+        change: Change {
+            id: format!("c{version}").parse().unwrap(),
+            author: "test".into(),
+            base: None,
+            edits: vec![Edit {
+                path: "/".parse().unwrap(),
+                key: "limits.weight".parse().unwrap(),
+                value: Some(version.into()),
+            }],
+        },
+    };
+    let (mut ahead, mut behind) = (Replica::default(), Replica::default());
+    (1..=5).for_each(|version| {
+        ahead.apply(&entry(version));
+    });
+    behind.apply(&entry(1));
+    EntriesReply::after(&ahead, behind.version()).bring_up(&mut behind).unwrap();
+    assert_eq!(behind.snapshot(), ahead.snapshot());
+    let mut far_behind = Replica::default();
+    let mut loaded = Replica::default();
+    loaded.load(ahead.snapshot().clone());
+    EntriesReply::after(&loaded, far_behind.version()).bring_up(&mut far_behind).unwrap();
+    assert_eq!(far_behind.version(), SettingsVersion(5));
+}
+
+/// No bytes make the decoder or the mapping panic.
+fn survives(bytes: Vec<u8>) -> bool {
+    if let Ok(Envelope { body: Some(envelope::Body::Gossip(gossip)) }) =
+        Envelope::decode(bytes.as_slice())
+    {
+        let _ = gossip::Message::try_from(gossip);
+    }
+    true
+}
+
+#[test]
+fn no_bytes_break_the_decoder() {
+    let seeded = Gen::from_size_and_seed(300, 7);
+    QuickCheck::new().tests(2_000).rng(seeded).quickcheck(survives as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn the_committed_code_is_what_the_generator_makes() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let files = protox::compile([root.join("proto/peer.proto")], [root.join("proto")]).unwrap();
+    let out = std::env::temp_dir().join(format!("ringbend-wire-test-{}", std::process::id()));
+    std::fs::create_dir_all(&out).unwrap();
+    prost_build::Config::new().out_dir(&out).compile_fds(files).unwrap();
+    let made = std::fs::read_to_string(out.join("ringbend.peer.v1.rs")).unwrap();
+    std::fs::remove_dir_all(&out).unwrap();
+    let committed = std::fs::read_to_string(root.join("src/generated.rs")).unwrap();
+    assert_eq!(made, committed);
+}
