--- a/crates/ringbend-bench/src/compare.rs
+++ b/crates/ringbend-bench/src/compare.rs
@@ -1,6 +1,7 @@
 //! Several policies, the same arrivals, several seeds.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::Serialize;
 use serde_json::{Map, Value};
@@ -17,6 +18,8 @@
     pub scenario: ScenarioName,
     /// Replaces the scenario's own load.
     pub load: Option<f64>,
+    /// Replaces the scenario's own time between load reports.
+    pub report_every: Option<Duration>,
     /// The policies.
     pub policies: Vec<PolicyKind>,
     /// The seeds.
@@ -47,7 +50,8 @@
 
 /// Runs the comparison.
 pub fn compare(cfg: &CompareConfig) -> CompareReport {
-    let scenario = Scenario::new(cfg.scenario, cfg.load);
+    let mut scenario = Scenario::new(cfg.scenario, cfg.load);
+    scenario.report_every = cfg.report_every.unwrap_or(scenario.report_every);
     let mut policies = BTreeMap::new();
     for kind in &cfg.policies {
         let by_seed: BTreeMap<u64, RunReport> =
--- a/crates/ringbend-bench/src/main.rs
+++ b/crates/ringbend-bench/src/main.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::str::FromStr;
+use std::time::Duration;
 
 use argh::FromArgs;
 use ringbend_bench::{
@@ -43,6 +44,9 @@
     /// offered load over capacity, in place of the scenario's
     #[argh(option)]
     load: Option<f64>,
+    /// milliseconds between load reports, in place of the scenario's
+    #[argh(option)]
+    report_ms: Option<u64>,
     /// print JSON
     #[argh(switch)]
     json: bool,
@@ -121,6 +125,7 @@
     let cfg = CompareConfig {
         scenario: args.scenario,
         load: args.load,
+        report_every: args.report_ms.map(Duration::from_millis),
         policies: args.policy.0,
         seeds: args.seeds.0,
     };
--- a/crates/ringbend-bench/src/metrics.rs
+++ b/crates/ringbend-bench/src/metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use ringbend_types::{PromptBucket, TokenCount};
+use ringbend_types::{PromptBucket, Timestamp, TokenCount};
 use serde::Serialize;
 
 use crate::scenario::Scenario;
@@ -43,7 +43,8 @@
     pub instance_lost: f64,
     /// Neither answered nor failed at the end.
     pub open_at_end: f64,
-    /// Prompt and answer tokens of requests answered in time, a second.
+    /// Prompt and answer tokens a second of answers that ended in time, and while requests were
+    /// still arriving.
     pub goodput_tokens_per_s: f64,
     /// Long requests that were admitted and not answered.
     pub long_dropped: f64,
@@ -70,17 +71,21 @@
 impl RunReport {
     /// The figures of a run.
     pub fn of(scenario: &Scenario, world: &WorldReport) -> Self {
-        let warm = Duration::ZERO + scenario.warm_up;
+        let warm = scenario.warm_up;
         let measured: Vec<&RequestRecord> = world
             .records
             .iter()
-            .filter(|r| r.arrival.at.since(ringbend_types::Timestamp::default()) >= warm)
+            .filter(|r| r.arrival.at.since(Timestamp::default()) >= warm)
             .collect();
         let count =
             |f: &dyn Fn(&RequestRecord) -> bool| measured.iter().filter(|r| f(r)).count() as f64;
         let in_time = |r: &RequestRecord| answered_in_time(scenario, r);
         let seconds = (scenario.duration - scenario.warm_up).as_secs_f64();
-        let good: u64 = measured.iter().filter(|r| in_time(r)).map(|r| cost(r)).sum();
+        let begin = Timestamp::default() + scenario.warm_up;
+        let end = Timestamp::default() + scenario.duration;
+        let within = |r: &RequestRecord| r.end.is_some_and(|(at, _)| at >= begin && at <= end);
+        let good = world.records.iter().filter(|r| in_time(r) && within(r));
+        let good: u64 = good.map(cost).sum();
         let admitted = count(&|r| r.admitted);
         let attempts: u32 = measured.iter().map(|r| r.attempts).sum();
         let ended = |r: &RequestRecord, f: fn(CallerEnd) -> bool| r.end.is_some_and(|(_, e)| f(e));
--- a/crates/ringbend-bench/src/world.rs
+++ b/crates/ringbend-bench/src/world.rs
@@ -37,8 +37,8 @@
 /// Blocks of a shared prefix.
 const PREFIX_BLOCKS: u64 = 8;
 
-/// Runs go on for this long after the last arrival.
-const RUN_OUT: Duration = Duration::from_secs(300);
+/// Runs go on for this long after the last arrival: longer than any deadline.
+const RUN_OUT: Duration = Duration::from_secs(3_700);
 
 /// How a caller saw its request end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- /dev/null
+++ b/crates/ringbend-playground/src/bin_load.rs
@@ -0,0 +1,161 @@
+//! `ringbend-load`: sends a steady load to one address and reports latency, and the processor
+//! time and memory that a process used meanwhile.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use futures_util::StreamExt;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Sends a steady load to one address.
+#[derive(FromArgs)]
+struct Args {
+    /// the address, IP:port
+    #[argh(option)]
+    target: SocketAddr,
+    /// the caller's key; an engine ignores it
+    #[argh(option, default = "String::from(\"caller-key\")")]
+    key: String,
+    /// how many requests
+    #[argh(option, default = "2000")]
+    requests: usize,
+    /// how many at once
+    #[argh(option, default = "16")]
+    at_once: usize,
+    /// prompt length in tokens
+    #[argh(option, default = "250")]
+    prompt_tokens: usize,
+    /// tokens to generate
+    #[argh(option, default = "1")]
+    max_tokens: u64,
+    /// the process whose processor time and memory are reported
+    #[argh(option)]
+    pid: Option<u32>,
+}
+
+/// What a process has used.
+#[derive(Clone, Copy, Default)]
+struct Usage {
+    cpu_ticks: u64,
+    resident_kb: u64,
+}
+
+#[derive(Serialize)]
+struct LoadReport {
+    requests: usize,
+    failed: usize,
+    seconds: f64,
+    requests_per_s: f64,
+    first_token_ms_p50: f64,
+    first_token_ms_p99: f64,
+    whole_ms_p50: f64,
+    whole_ms_p99: f64,
+    cpu_us_per_request: Option<f64>,
+    resident_kb_before: Option<u64>,
+    resident_kb_most: Option<u64>,
+}
+
+/// Kernel ticks a second, as /proc counts them.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Bytes of prompt per token.
+const BYTES_PER_TOKEN: usize = 4;
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let report = actix_rt::System::new().block_on(run(&args));
+    println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    if report.failed == 0 { ExitCode::SUCCESS } else { ExitCode::from(2) }
+}
+
+async fn run(args: &Args) -> LoadReport {
+    let prompt = "x".repeat(args.prompt_tokens * BYTES_PER_TOKEN);
+    let body = format!(
+        "{{\"model\":\"standin\",\"stream\":true,\"max_tokens\":{},\"prompt\":\"{prompt}\"}}",
+        args.max_tokens
+    );
+    let body: Rc<str> = body.into();
+    let connector = awc::Connector::new().limit(0);
+    let client = awc::Client::builder().connector(connector).disable_timeout().finish();
+    let before = args.pid.and_then(usage);
+    let begun = Instant::now();
+    let sends = (0..args.requests).map(|_| {
+        let (client, body) = (client.clone(), body.clone());
+        async move { send(args, client, &body).await }
+    });
+    let mut most = before.map_or(0, |u| u.resident_kb);
+    let mut ended = futures_util::stream::iter(sends).buffer_unordered(args.at_once);
+    let (Ok(mut first), Ok(mut whole)) = (Histogram::<u64>::new(3), Histogram::<u64>::new(3))
+    else {
+        unreachable!("three digits are allowed");
+    };
+    let mut failed = 0;
+    let mut look = tokio::time::interval(Duration::from_millis(50));
+    loop {
+        tokio::select! {
+            end = ended.next() => match end {
+                Some(Some((to_first, to_end))) => {
+                    let _ = first.record(to_first.as_micros() as u64);
+                    let _ = whole.record(to_end.as_micros() as u64);
+                }
+                Some(None) => failed += 1,
+                None => break,
+            },
+            _ = look.tick() => {
+                most = most.max(args.pid.and_then(usage).map_or(0, |u| u.resident_kb));
+            }
+        }
+    }
+    let seconds = begun.elapsed().as_secs_f64();
+    let after = args.pid.and_then(usage);
+    let ms = |h: &Histogram<u64>, q| h.value_at_quantile(q) as f64 / 1_000.0;
+    let cpu = before.zip(after).map(|(before, after)| {
+        let ticks = (after.cpu_ticks - before.cpu_ticks) as f64;
+        ticks / TICKS_PER_S * 1e6 / args.requests as f64
+    });
+    LoadReport {
+        requests: args.requests,
+        failed,
+        seconds,
+        requests_per_s: args.requests as f64 / seconds,
+        first_token_ms_p50: ms(&first, 0.5),
+        first_token_ms_p99: ms(&first, 0.99),
+        whole_ms_p50: ms(&whole, 0.5),
+        whole_ms_p99: ms(&whole, 0.99),
+        cpu_us_per_request: cpu,
+        resident_kb_before: before.map(|u| u.resident_kb),
+        resident_kb_most: args.pid.map(|_| most),
+    }
+}
+
+/// Sends one prompt; returns the times to the first token and to the end.
+async fn send(args: &Args, client: awc::Client, body: &str) -> Option<(Duration, Duration)> {
+    let begun = Instant::now();
+    let url = format!("http://{}/v1/completions", args.target);
+    let req = client.post(url).bearer_auth(&args.key);
+    let mut res = req.send_body(body.to_owned()).await.ok()?;
+    let mut first = None;
+    let mut last = Vec::new();
+    while let Some(chunk) = res.next().await {
+        first.get_or_insert_with(|| begun.elapsed());
+        last = chunk.ok()?.to_vec();
+    }
+    let whole = res.status().is_success() && last.ends_with(b"data: [DONE]\n\n");
+    whole.then_some((first?, begun.elapsed()))
+}
+
+/// Reads a process's counters from /proc.
+fn usage(pid: u32) -> Option<Usage> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // Fields after the program's name, which may hold spaces.
+    let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+    let cpu_ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let resident_kb = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(Usage { cpu_ticks, resident_kb })
+}
--- a/crates/ringbendd/src/config.rs
+++ b/crates/ringbendd/src/config.rs
@@ -95,7 +95,8 @@
     pub objects_url: Arc<str>,
     /// The instance list.
     pub instances_url: Arc<str>,
-    /// How often settings, list and loads are polled, in milliseconds.
+    /// How often the list, and engines that have not reported, are polled, in milliseconds.
+    /// Settings, which peers push, are polled half as often.
     #[serde(default = "PlatformConfig::default_poll_ms")]
     pub poll_ms: u64,
     /// Bound of one call, in milliseconds.
@@ -108,9 +109,9 @@
 }
 
 impl PlatformConfig {
-    /// Half a second.
+    /// One second.
     fn default_poll_ms() -> u64 {
-        500
+        1_000
     }
 
     /// One second.
--- a/crates/ringbendd/src/instance.rs
+++ b/crates/ringbendd/src/instance.rs
@@ -227,6 +227,7 @@
             loop {
                 app.settings.poll(&app).await;
                 pause(&app).await;
+                pause(&app).await;
             }
         })
     };
