--- /dev/null
+++ b/crates/ringbend-settings/tests/pages.rs
@@ -0,0 +1,24 @@
+//! The pages under `docs/features/` name every setting with its default.
+
+use ringbend_settings::{Effective, FEATURES};
+use serde_json::Value;
+
+#[test]
+fn every_page_has_every_option_with_its_default() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/features");
+    let defaults = serde_json::to_value(Effective::default()).unwrap();
+    for feature in FEATURES {
+        let page = std::fs::read_to_string(root.join(format!("{feature}.md"))).unwrap();
+        let options = defaults[feature].as_object().unwrap();
+        let rows = page.lines().filter(|line| line.starts_with("| `")).count();
+        assert_eq!(rows, options.len(), "{feature}: rows and options differ");
+        for (name, default) in options {
+            let shown = match default {
+                Value::String(text) => text.clone(),
+                other => other.to_string(),
+            };
+            let row = format!("| `{feature}.{name}` | {shown} |");
+            assert!(page.contains(&row), "{feature}: no row {row:?}");
+        }
+    }
+}
