feat(policy): leave engines that fall silent; the list by entity tag

Change: an engine that reported and is not heard of for 2.5 s, or three of its gaps, is taken only when there is no other, and repeatable requests leave it. A tick that is itself late forgives all. The list: 850 endpoints would be 187 KB a second for each poll; with a tag it is read when it changed.

--- a/crates/ringbend-bench/src/gossip.rs
+++ b/crates/ringbend-bench/src/gossip.rs
@@ -19,7 +19,7 @@
 const NETWORK: u64 = 21;
 
 /// Bytes that QUIC, UDP and IP add to a datagram.
-const DATAGRAM_OVERHEAD: u64 = 28 + 31;
+pub(crate) const DATAGRAM_OVERHEAD: u64 = 28 + 31;
 
 /// One way between instances.
 const LATENCY: Duration = Duration::from_micros(1_500);
--- a/crates/ringbend-bench/src/main.rs
+++ b/crates/ringbend-bench/src/main.rs
@@ -80,6 +80,9 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "limits")]
 struct LimitsArgs {
+    /// numbers of instances, with commas between
+    #[argh(option, default = "List(vec![9])")]
+    instances: List<usize>,
     /// print JSON
     #[argh(switch)]
     json: bool,
@@ -173,9 +176,11 @@
 
 fn run_limits(args: &LimitsArgs) {
     let mut runs: Vec<ShareRun> = Vec::new();
-    for scenario in ShareScenario::ALL {
-        runs.push(measure_shares(scenario, true));
-        runs.push(measure_shares(scenario, false));
+    for instances in &args.instances.0 {
+        for scenario in ShareScenario::ALL {
+            runs.push(measure_shares(scenario, true, *instances));
+            runs.push(measure_shares(scenario, false, *instances));
+        }
     }
     if args.json {
         return print_json(&runs);
--- a/crates/ringbend-policy/src/backoff.rs
+++ b/crates/ringbend-policy/src/backoff.rs
@@ -14,7 +14,7 @@
 const BUDGET_HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// Retries always allowed, so that a quiet instance can retry at all.
-const BUDGET_FLOOR: f64 = 3.0;
+const BUDGET_FLOOR: f64 = 10.0;
 
 /// The delay before an attempt.
 #[derive(Debug, Clone, Copy)]
--- a/crates/ringbend-policy/src/dispatcher.rs
+++ b/crates/ringbend-policy/src/dispatcher.rs
@@ -35,6 +35,9 @@
 /// How often waiting requests age.
 const AGE_EVERY: Duration = Duration::from_secs(1);
 
+/// A tick this late means that this instance itself was paused, or had nothing to do.
+const OWN_PAUSE: Duration = Duration::from_secs(1);
+
 /// Who this instance is.
 #[derive(Debug, Clone)]
 pub struct DispatcherConfig {
@@ -425,12 +428,10 @@
         };
         request.delivered = request.delivered.max(tokens);
         running.last_progress = now;
-        if !running.started {
-            running.started = true;
-            let prefix = request.profile.prefix;
-            if let Some(view) = self.endpoints.get_mut(&running.endpoint) {
-                view.started(now, attempt, prefix);
-            }
+        running.started = true;
+        let prefix = request.profile.prefix;
+        if let Some(view) = self.endpoints.get_mut(&running.endpoint) {
+            view.progressed(now, attempt, prefix);
         }
     }
 
@@ -617,6 +618,23 @@
         }
     }
 
+    /// Takes repeatable requests off engines that have fallen silent, rather than wait out their
+    /// time bounds there. Others wait: sending them elsewhere could run them twice.
+    fn leave_silent(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        for attempt in self.endpoints.attempts_in_silence(now) {
+            let id = self.attempts.get(&attempt).copied();
+            let request = id.and_then(|id| self.requests.get(&id));
+            let Some(Request { stage: Stage::Running(running), profile, .. }) = request else {
+                continue;
+            };
+            if running.attempt == attempt && profile.repeatable {
+                let endpoint = running.endpoint.clone();
+                out.push(Action::Cancel { attempt, endpoint });
+                self.ended(now, attempt, AttemptEnd::Broken, out);
+            }
+        }
+    }
+
     fn end_held_attempts(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let holds = |request: &Request| match &request.stage {
             Stage::Running(running) => !running.held.is_empty(),
@@ -677,7 +695,7 @@
             Event::Share { account: None, share } => self.limits.set_default_share(share),
             Event::Load { endpoint, report, at } => {
                 if let Some(view) = self.endpoints.get_mut(&endpoint) {
-                    view.report(report, at);
+                    view.report(now, report, at);
                 }
             }
             Event::Arrived(profile) => self.arrived(now, profile, &mut out),
@@ -695,8 +713,13 @@
             Event::Tick => {
                 self.fire_timers(now, &mut out);
                 if now >= self.next_age {
+                    if now.since(self.next_age) > OWN_PAUSE {
+                        // This instance stood still; nobody's silence says anything.
+                        self.endpoints.iter_mut().for_each(|view| view.forgive(now));
+                    }
                     self.next_age = now + AGE_EVERY;
                     self.queue.age(now);
+                    self.leave_silent(now, &mut out);
                 }
             }
         }
@@ -708,7 +731,8 @@
 
     fn next_wakeup(&self) -> Timestamp {
         let timer = self.timers.first().map_or(Timestamp::NEVER, |(due, _)| *due);
-        timer.min(self.look_at)
+        let age = if self.requests.is_empty() { Timestamp::NEVER } else { self.next_age };
+        timer.min(self.look_at).min(age)
     }
 }
 
--- a/crates/ringbend-policy/src/endpoint_view.rs
+++ b/crates/ringbend-policy/src/endpoint_view.rs
@@ -33,6 +33,13 @@
 /// The longest an endpoint is left alone.
 const SHUN_CAP: Duration = Duration::from_secs(8);
 
+/// An engine that is not heard of for this long is silent, or for three times as long as it lets
+/// pass between reports.
+const SILENT_AFTER: Duration = Duration::from_millis(2_500);
+
+/// Weight of a new sample of the time between reports.
+const GAP_GAIN: f64 = 0.2;
+
 #[derive(Debug, Clone)]
 struct Sent {
     at: Timestamp,
@@ -54,6 +61,8 @@
     failures: u32,
     shunned_until: Timestamp,
     prefixes: BTreeMap<u64, Timestamp>,
+    heard_at: Option<Timestamp>,
+    report_gap_s: f64,
 }
 
 impl EndpointView {
@@ -68,10 +77,34 @@
             failures: 0,
             shunned_until: Timestamp::default(),
             prefixes: BTreeMap::new(),
+            heard_at: None,
+            report_gap_s: 0.0,
         }
     }
 
-    pub(crate) fn report(&mut self, report: LoadReport, at: Timestamp) {
+    /// A report or a token arrived.
+    fn heard(&mut self, now: Timestamp) {
+        self.heard_at = Some(now);
+    }
+
+    /// Starts the wait for a sign anew.
+    pub(crate) fn forgive(&mut self, now: Timestamp) {
+        self.heard_at = self.heard_at.map(|_| now);
+    }
+
+    /// Whether an engine that used to report has not been heard of for too long.
+    pub(crate) fn is_silent(&self, now: Timestamp) -> bool {
+        let Some(heard_at) = self.heard_at else { return false };
+        let patience = SILENT_AFTER.max(Duration::from_secs_f64(3.0 * self.report_gap_s));
+        now.since(heard_at) > patience
+    }
+
+    pub(crate) fn report(&mut self, now: Timestamp, report: LoadReport, at: Timestamp) {
+        if let Some((_, before)) = &self.report {
+            let gap = at.since(*before).as_secs_f64();
+            self.report_gap_s += GAP_GAIN * (gap - self.report_gap_s);
+        }
+        self.heard(now);
         let newer = self.report.as_ref().is_none_or(|(_, before)| at >= *before);
         self.leaving |= report.state == EndpointState::Leaving;
         if newer {
@@ -175,8 +208,8 @@
         self.sent.insert(attempt, sent);
     }
 
-    /// The first token of an attempt: its prompt is prefilled, and tells the rate.
-    pub(crate) fn started(&mut self, now: Timestamp, attempt: AttemptId, prefix: u64) {
+    /// A token of an attempt. The first one says that its prompt is prefilled, and tells the rate.
+    pub(crate) fn progressed(&mut self, now: Timestamp, attempt: AttemptId, prefix: u64) {
         let Some(sent) = self.sent.get_mut(&attempt) else {
             return;
         };
@@ -209,6 +242,11 @@
         self.sent.remove(&attempt);
     }
 
+    /// Attempts under way there.
+    pub(crate) fn attempts(&self) -> Vec<AttemptId> {
+        self.sent.keys().copied().collect()
+    }
+
     /// The endpoint failed an attempt: leave it alone for a while.
     pub(crate) fn failed(&mut self, now: Timestamp, least: Option<Duration>) {
         self.failures += 1;
--- a/crates/ringbend-policy/src/placement.rs
+++ b/crates/ringbend-policy/src/placement.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ringbend_platform::EndpointKind;
-use ringbend_types::{EndpointId, InstanceId, ServiceName, Timestamp, TokenCount};
+use ringbend_types::{AttemptId, EndpointId, InstanceId, ServiceName, Timestamp, TokenCount};
 use smallvec::SmallVec;
 
 use crate::choice::{Candidate, rendezvous};
@@ -107,8 +107,13 @@
         self.of(service).map(EndpointView::rate).sum()
     }
 
-    /// Endpoints with room for a request that fits into one. Those in `avoid` are taken only when
-    /// there is no other.
+    /// Attempts at engines that have fallen silent.
+    pub(crate) fn attempts_in_silence(&self, now: Timestamp) -> Vec<AttemptId> {
+        let silent = self.views.values().filter(|v| v.is_silent(now));
+        silent.flat_map(EndpointView::attempts).collect()
+    }
+
+    /// Endpoints with room for a request that fits into one.
     pub(crate) fn candidates(
         &self,
         now: Timestamp,
@@ -133,10 +138,12 @@
             let endpoint = view.entry.id.clone();
             Candidate { endpoint, predicted, outstanding: view.outstanding() }
         };
-        let all: Vec<Candidate> = self.of(&profile.service).filter(fits).map(candidate).collect();
-        let others: Vec<Candidate> =
-            all.iter().filter(|c| Some(&c.endpoint) != avoid).cloned().collect();
-        if others.is_empty() { all } else { others }
+        let all: Vec<&EndpointView> = self.of(&profile.service).filter(fits).collect();
+        // A silent engine, or the one that just failed, is taken only when there is no other.
+        let better = |v: &&&EndpointView| Some(&v.entry.id) != avoid && !v.is_silent(now);
+        let others: Vec<&EndpointView> = all.iter().filter(better).copied().collect();
+        let best = if others.is_empty() { all } else { others };
+        best.into_iter().map(candidate).collect()
     }
 
     fn has_room(&self, now: Timestamp, view: &EndpointView, profile: &RequestProfile) -> bool {
@@ -175,7 +182,9 @@
         let free = |group: &[EndpointId]| -> u64 {
             group.iter().filter_map(|id| self.views.get(id)).map(|v| v.kv_free().0).sum()
         };
-        let open = |id: &EndpointId| self.is_open(now, id);
+        let open = |id: &EndpointId| {
+            self.views.get(id).is_some_and(|v| v.is_open(now) && !v.is_silent(now))
+        };
         let group = ranked
             .chunks(size)
             .filter(|group| group.len() >= need && !group.iter().any(|id| busy.contains(id)))
--- a/crates/ringbend-policy/src/shares.rs
+++ b/crates/ringbend-policy/src/shares.rs
@@ -16,10 +16,13 @@
 /// Times and sizes of the sharing.
 #[derive(Debug, Clone)]
 pub struct ShareConfig {
-    /// How often demand is told.
+    /// How often demand is told, among up to [`ShareConfig::few`] instances; among more, less
+    /// often in proportion, so that what an instance sends does not grow with their number.
     pub every: Duration,
-    /// How long a share lasts.
+    /// How long a share lasts; grows with the time between tellings.
     pub lease: Duration,
+    /// Up to this many instances are few.
+    pub few: usize,
     /// The part of the rate that owners give out; the rest covers instances without a share.
     pub leased_part: f64,
     /// Half-life of the demand estimate.
@@ -31,6 +34,7 @@
         Self {
             every: Duration::from_millis(250),
             lease: Duration::from_millis(2000),
+            few: 10,
             leased_part: 0.98,
             half_life: Duration::from_millis(500),
         }
@@ -159,6 +163,23 @@
         }
     }
 
+    /// How much longer the times are than among few instances.
+    fn stretch(&self) -> f64 {
+        (self.expected as f64 / self.cfg.few as f64).max(1.0)
+    }
+
+    fn half_life_s(&self) -> f64 {
+        self.cfg.half_life.as_secs_f64() * self.stretch()
+    }
+
+    fn every(&self) -> Duration {
+        self.cfg.every.mul_f64(self.stretch())
+    }
+
+    fn lease(&self) -> Duration {
+        self.cfg.lease.mul_f64(self.stretch())
+    }
+
     /// The owner of an account among the peers known.
     pub fn owner(&self, account: &ClientAccountId) -> &InstanceId {
         let key = rendezvous(account.as_str(), 0);
@@ -171,7 +192,7 @@
         account: ClientAccountId,
         cost: f64,
     ) -> Vec<ShareAction> {
-        let half_life = self.cfg.half_life.as_secs_f64();
+        let half_life = self.half_life_s();
         let new = !self.demand.contains_key(&account);
         let demand = self.demand.entry(account.clone()).or_insert(Demand { rate: 0.0, at: now });
         demand.rate = decayed(demand, now, half_life) + cost * std::f64::consts::LN_2 / half_life;
@@ -183,8 +204,8 @@
         if now < self.next {
             return Vec::new();
         }
-        self.next = now + self.cfg.every;
-        let half_life = self.cfg.half_life.as_secs_f64();
+        self.next = now + self.every();
+        let half_life = self.half_life_s();
         self.demand.retain(|_, d| decayed(d, now, half_life) >= 1.0);
         let accounts = self.demand.keys().cloned().collect();
         let mut actions = self.ask(now, accounts);
@@ -228,7 +249,7 @@
 
     fn ask(&mut self, now: Timestamp, accounts: Vec<ClientAccountId>) -> Vec<ShareAction> {
         self.asked = now;
-        let half_life = self.cfg.half_life.as_secs_f64();
+        let half_life = self.half_life_s();
         let mut by_owner: BTreeMap<InstanceId, Vec<(ClientAccountId, f64)>> = BTreeMap::new();
         for account in accounts {
             let rate = self.demand.get(&account).map_or(0.0, |d| decayed(d, now, half_life));
@@ -268,6 +289,7 @@
     ) -> f64 {
         let all = self.given_out();
         let equal = all / self.peers.len().max(1) as f64;
+        let lease = self.lease();
         let owned = self
             .owned
             .entry(account.clone())
@@ -278,10 +300,10 @@
             owned.given.iter().filter(|(i, _)| *i != to).map(|(_, g)| g.demand).sum();
         let fair = all * demand / (demand + wanted_by_others).max(1e-9);
         let since = owned.since.max(self.peers_since);
-        let young = self.peers.len() > 1 && now.since(since) < self.cfg.lease;
+        let young = self.peers.len() > 1 && now.since(since) < lease;
         let most = if young { equal } else { all };
         let share = fair.min(most).min((all - others).max(0.0));
-        let until = now + self.cfg.lease;
+        let until = now + lease;
         owned.given.insert(to.clone(), Given { share, demand, until });
         share
     }
@@ -289,7 +311,7 @@
     /// Shares last from when they were asked for, so that they end here before they do at the
     /// owner.
     fn take_shares(&mut self, reply: GrantReply) -> Vec<ShareAction> {
-        let until = self.asked + self.cfg.lease;
+        let until = self.asked + self.lease();
         let mut actions = Vec::new();
         for (account, share) in reply.shares {
             self.shares.insert(account.clone(), (share, until));
--- a/crates/ringbend-policy/tests/bounds.rs
+++ b/crates/ringbend-policy/tests/bounds.rs
@@ -34,6 +34,40 @@
     assert_eq!(cancels(&script.actions), [first.attempt]);
 }
 
+#[test]
+fn an_engine_that_stops_reporting_is_left_before_its_bound() {
+    let mut script = Script::new(2);
+    for _ in 0..5 {
+        script.pass(Duration::from_millis(500));
+        (0..2).for_each(|n| script.idle_report(n));
+    }
+    let first = dispatch(&script.arrive(request(1)));
+    let other = usize::from(first.endpoint == endpoint(0));
+    let mut moved = None;
+    for n in 1..=10 {
+        let sent = dispatches(&script.pass(Duration::from_millis(500)));
+        moved = moved.or(sent.first().map(|d| (n, d.endpoint.clone())));
+        script.idle_report(other);
+    }
+    let (halves, to) = moved.unwrap();
+    assert_eq!(to, endpoint(other));
+    assert!(halves <= 8, "moved after {halves} half seconds");
+}
+
+#[test]
+fn a_pause_of_its_own_takes_no_request_off_its_engine() {
+    let mut script = Script::new(2);
+    for _ in 0..5 {
+        script.pass(Duration::from_millis(500));
+        (0..2).for_each(|n| script.idle_report(n));
+    }
+    script.arrive(request(1));
+    // Nothing runs here for five seconds, then everything that was due at once.
+    script.now = script.now + Duration::from_secs(5);
+    let actions = script.give(Event::Tick);
+    assert!(cancels(&actions).is_empty(), "{actions:?}");
+}
+
 #[test]
 fn with_every_engine_frozen_the_request_fails_at_its_deadline_at_the_latest() {
     let mut script = Script::new(2);
--- a/crates/ringbendd/src/instance.rs
+++ b/crates/ringbendd/src/instance.rs
@@ -236,7 +236,8 @@
         tokio::task::spawn_local(async move {
             loop {
                 match app.list.read().await {
-                    Ok(list) => app.decisions.take_list(&app, list),
+                    Ok(Some(list)) => app.decisions.take_list(&app, list),
+                    Ok(None) => {}
                     Err(e) => log::debug!("the instance list was not read: {e}"),
                 }
                 pause(&app).await;
--- a/crates/ringbendd/src/platform/http.rs
+++ b/crates/ringbendd/src/platform/http.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
+use actix_http::header::{ETAG, IF_NONE_MATCH};
 use awc::error::SendRequestError;
 use awc::http::Method;
 use bytes::Bytes;
@@ -63,16 +64,46 @@
         }
     }
 
+    /// Reads what has changed since the entity tag; `None` when nothing has. Returns the body and
+    /// its tag.
+    pub(crate) async fn get_if_changed(
+        &self,
+        url: &str,
+        tag: Option<&str>,
+    ) -> Result<Option<(Bytes, Option<String>)>, CallError> {
+        let read = async {
+            let mut req = self.client.get(url).timeout(self.timeout);
+            if let Some(tag) = tag {
+                req = req.insert_header((IF_NONE_MATCH, tag));
+            }
+            let mut res = req.send().await.map_err(as_call_error)?;
+            if res.status() == StatusCode::NOT_MODIFIED {
+                return Ok(None);
+            }
+            if !res.status().is_success() {
+                return Err(CallError::Status(res.status()));
+            }
+            let tag = res.headers().get(ETAG).and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+            let body = res.body().limit(MAX_RESPONSE_BYTES).await;
+            Ok(Some((body.map_err(|_| CallError::Unknown)?, tag)))
+        };
+        tokio::time::timeout(self.timeout, read).await.unwrap_or(Err(CallError::Unknown))
+    }
+
     async fn send(&self, method: Method, url: &str, body: Bytes) -> Result<Bytes, CallError> {
         let req = self.client.request(method, url).timeout(self.timeout);
         let req = req.content_type("application/json");
-        let mut res = req.send_body(body).await.map_err(|e| match e {
-            SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::NotSent,
-            _ => CallError::Unknown,
-        })?;
+        let mut res = req.send_body(body).await.map_err(as_call_error)?;
         if !res.status().is_success() {
             return Err(CallError::Status(res.status()));
         }
         res.body().limit(MAX_RESPONSE_BYTES).await.map_err(|_| CallError::Unknown)
     }
 }
+
+fn as_call_error(e: SendRequestError) -> CallError {
+    match e {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::NotSent,
+        _ => CallError::Unknown,
+    }
+}
--- a/crates/ringbendd/src/platform/list.rs
+++ b/crates/ringbendd/src/platform/list.rs
@@ -1,10 +1,9 @@
 //! The port of the instance list, and its HTTP client.
 
+use std::cell::RefCell;
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use awc::http::Method;
-use bytes::Bytes;
 use ringbend_platform::EndpointEntry;
 
 use super::http::{CallError, HttpClient};
@@ -12,26 +11,33 @@
 /// The platform's list of endpoints; it lags.
 #[async_trait(?Send)]
 pub(crate) trait InstanceList {
-    /// Reads the whole list.
-    async fn read(&self) -> Result<Vec<EndpointEntry>, CallError>;
+    /// Reads the whole list; `None` when it is as it was at the last read.
+    async fn read(&self) -> Result<Option<Vec<EndpointEntry>>, CallError>;
 }
 
-/// The list over HTTP: `GET URL/v1/endpoints`.
+/// The list over HTTP: `GET URL/v1/endpoints`, with the entity tag of the last read, so that an
+/// unchanged list of hundreds of endpoints costs a few hundred bytes.
 pub(crate) struct HttpInstanceList {
     http: HttpClient,
     url: String,
+    tag: RefCell<Option<String>>,
 }
 
 impl HttpInstanceList {
     pub(crate) fn new(http: HttpClient, base: &Arc<str>) -> Self {
-        Self { http, url: format!("{base}/v1/endpoints") }
+        Self { http, url: format!("{base}/v1/endpoints"), tag: RefCell::default() }
     }
 }
 
 #[async_trait(?Send)]
 impl InstanceList for HttpInstanceList {
-    async fn read(&self) -> Result<Vec<EndpointEntry>, CallError> {
-        let list = self.http.call(Method::GET, &self.url, Bytes::new()).await?;
-        serde_json::from_slice(&list).map_err(|_| CallError::Malformed)
+    async fn read(&self) -> Result<Option<Vec<EndpointEntry>>, CallError> {
+        let tag = self.tag.borrow().clone();
+        let Some((list, tag)) = self.http.get_if_changed(&self.url, tag.as_deref()).await? else {
+            return Ok(None);
+        };
+        let list = serde_json::from_slice(&list).map_err(|_| CallError::Malformed)?;
+        *self.tag.borrow_mut() = tag;
+        Ok(Some(list))
     }
 }
