feat(policy): wait for busy engines; long prompts that were not run wait

Long prompts ended after four refused connections within 0.3 s; prompts of 10k tokens were broken off at engines that were serving others first, and lost their prefill up to four times. Change: a late first token at an engine that reports work is waited for; a long prompt that was not run is tried until its deadline. Tests were red first on the old policy's rules, and the naive router's drops are asserted.

--- a/crates/ringbend-bench/tests/bars.rs
+++ b/crates/ringbend-bench/tests/bars.rs
@@ -50,6 +50,16 @@
     assert!(naive.long_dropped > 0.0);
 }
 
+#[test]
+fn no_long_request_is_dropped_while_engines_die_or_regions_are_cut() {
+    for name in [ScenarioName::EngineDeath, ScenarioName::RegionCut] {
+        let (report, _) = run(&scenario(name, None), PolicyKind::Ringbend, false);
+        assert_eq!(report.long_dropped, 0.0, "{name}");
+        let (naive, _) = run(&scenario(name, None), PolicyKind::Naive, false);
+        assert!(naive.long_dropped > 0.0, "{name}");
+    }
+}
+
 #[test]
 fn what_must_not_be_repeated_runs_once_though_engines_die() {
     let scenario = scenario(ScenarioName::EngineDeath, None);
--- a/crates/ringbend-policy/src/dispatcher.rs
+++ b/crates/ringbend-policy/src/dispatcher.rs
@@ -472,8 +472,11 @@
             AttemptEnd::Refused { retry_after } => retry_after,
             _ => None,
         };
-        let allowed = request.attempts < retries.attempts
-            && self.budget.try_retry(now, retries.ratio_percent);
+        // A long prompt that was not run waits for as long as its deadline lets it.
+        let waits = request.profile.is_long() && run_state(end) == Some(RunState::NotRun);
+        let allowed = waits
+            || request.attempts < retries.attempts
+                && self.budget.try_retry(now, retries.ratio_percent);
         if !allowed {
             let wait = floor.unwrap_or(Duration::from_secs(1));
             return self.fail(id, FailureCode::EndpointFailed, Some(wait), out);
@@ -611,6 +614,9 @@
             Stage::Collecting(_) => self.collect(now, id, out),
             Stage::Running(running) => {
                 let (attempt, endpoint) = (running.attempt, running.endpoint.clone());
+                if !running.started && self.endpoints.is_busy(now, &endpoint) {
+                    return self.wait_longer(now, id);
+                }
                 out.push(Action::Cancel { attempt, endpoint });
                 self.ended(now, attempt, AttemptEnd::Broken, out);
             }
@@ -655,6 +661,17 @@
         }
     }
 
+    /// The engine lives and has others to serve first: what it has done for this request would be
+    /// lost by going elsewhere.
+    fn wait_longer(&mut self, now: Timestamp, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let patience = Duration::from_millis(request.profile.settings.timeouts.first_token_ms);
+        if let Stage::Running(running) = &mut request.stage {
+            running.first_token_by = now + patience;
+        }
+        self.set_timer(id);
+    }
+
     fn take_list(&mut self, entries: Vec<EndpointEntry>) {
         let listed: BTreeSet<EndpointId> = entries.iter().map(|e| e.id.clone()).collect();
         for entry in entries {
--- a/crates/ringbend-policy/src/endpoint_view.rs
+++ b/crates/ringbend-policy/src/endpoint_view.rs
@@ -242,6 +242,13 @@
         self.sent.remove(&attempt);
     }
 
+    /// Whether the endpoint reports, and has work by its latest report: what was sent there may be
+    /// waiting its turn.
+    pub(crate) fn is_busy(&self, now: Timestamp) -> bool {
+        let works = |r: &LoadReport| r.waiting > 0 || r.prefill_backlog.0 > 0;
+        !self.is_silent(now) && self.report.as_ref().is_some_and(|(r, _)| works(r))
+    }
+
     /// Attempts under way there.
     pub(crate) fn attempts(&self) -> Vec<AttemptId> {
         self.sent.keys().copied().collect()
--- a/crates/ringbend-policy/src/placement.rs
+++ b/crates/ringbend-policy/src/placement.rs
@@ -45,6 +45,10 @@
         self.views.get(id).is_some_and(|v| v.is_open(now))
     }
 
+    pub(crate) fn is_busy(&self, now: Timestamp, id: &EndpointId) -> bool {
+        self.views.get(id).is_some_and(|v| v.is_busy(now))
+    }
+
     pub(crate) fn insert(&mut self, view: EndpointView) {
         self.views.entry(view.entry.id.clone()).or_insert(view);
     }
--- a/crates/ringbend-policy/tests/bounds.rs
+++ b/crates/ringbend-policy/tests/bounds.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use quickcheck::{Gen, QuickCheck, TestResult};
+use ringbend_platform::{EndpointState, LoadReport};
 use ringbend_policy::{
     Action, AfterAttempt, AttemptEnd, Event, FailureCode, NaivePolicy, RequestEnd, after_attempt,
     run_state,
 };
 use ringbend_settings::configs::ChoiceKind;
-use ringbend_types::{Incarnation, RunState, Seed};
+use ringbend_types::{Incarnation, RunState, Seed, TokenCount};
 use support::{
     Script, cancels, dispatch, dispatches, endpoint, ends, request, seconds, with_settings,
 };
@@ -101,6 +102,44 @@
     assert_eq!(cancels(&script.actions), [first.attempt]);
 }
 
+#[test]
+fn an_engine_that_serves_others_first_is_waited_for() {
+    let mut script = Script::new(2);
+    let first = dispatch(&script.arrive(request(1)));
+    for _ in 0..50 {
+        let report = LoadReport {
+            running: 9,
+            waiting: 9,
+            prefill_backlog: TokenCount(90_000),
+            kv_used: TokenCount(100_000),
+            kv_capacity: TokenCount(400_000),
+            state: EndpointState::Live,
+        };
+        let at = script.now;
+        script.give(Event::Load { endpoint: first.endpoint.clone(), report, at });
+        script.pass(Duration::from_secs(1));
+    }
+    assert!(cancels(&script.actions).is_empty(), "{:?}", script.actions);
+}
+
+#[test]
+fn a_long_prompt_that_is_not_run_waits_and_is_not_dropped() {
+    let mut script = Script::new(2);
+    let mut long = request(1);
+    long.prompt_tokens = TokenCount(200_000);
+    long.deadline = seconds(600);
+    let mut next = dispatches(&script.arrive(long));
+    for _ in 0..40 {
+        if let Some(dispatch) = next.pop() {
+            let attempt = dispatch.attempt;
+            script.give(Event::Ended { attempt, end: AttemptEnd::NotSent });
+        }
+        next.extend(dispatches(&script.pass(Duration::from_secs(5))));
+    }
+    assert!(ends(&script.actions).is_empty(), "{:?}", ends(&script.actions));
+    assert!(dispatches(&script.actions).len() > 10);
+}
+
 #[test]
 fn an_engine_that_dies_in_mid_answer_is_continued_from_the_tokens_delivered() {
     let mut script = Script::new(2);
