--- a/crates/ringbend-runtime/src/body.rs
+++ b/crates/ringbend-runtime/src/body.rs
@@ -45,12 +45,21 @@
 
 async fn collect(mut payload: Payload, limit: usize) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
+    let mut only = None;
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(BodyError::Broken)?;
-        if body.len() + chunk.len() > limit {
+        if body.len() + only.as_ref().map_or(0, Bytes::len) + chunk.len() > limit {
             return Err(BodyError::TooLarge(limit));
         }
+        if body.is_empty() && only.is_none() {
+            // Most bodies are one chunk, which is kept as it is.
+            only = Some(chunk);
+            continue;
+        }
+        if let Some(first) = only.take() {
+            body.extend_from_slice(&first);
+        }
         body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    Ok(only.unwrap_or_else(|| body.freeze()))
 }
--- a/crates/ringbendd/src/decisions.rs
+++ b/crates/ringbendd/src/decisions.rs
@@ -46,6 +46,7 @@
     policy: RefCell<Dispatcher>,
     shares: RefCell<Shares>,
     requests: RefCell<BTreeMap<RequestId, mpsc::UnboundedSender<Signal>>>,
+    running: RefCell<BTreeMap<AttemptId, RequestId>>,
     entries: RefCell<BTreeMap<EndpointId, EndpointEntry>>,
     heard: RefCell<BTreeMap<EndpointId, Timestamp>>,
     timer: RefCell<Option<Subscription>>,
@@ -62,6 +63,7 @@
             policy: RefCell::new(policy),
             shares: RefCell::new(Shares::new(ShareConfig::default(), instance)),
             requests: RefCell::default(),
+            running: RefCell::default(),
             entries: RefCell::default(),
             heard: RefCell::default(),
             timer: RefCell::default(),
@@ -143,6 +145,9 @@
 
     /// Gives the policy an event and carries out what it wants.
     pub(crate) fn decide(&self, app: &Rc<App>, event: Event) {
+        if let Event::Ended { attempt, .. } = &event {
+            self.running.borrow_mut().remove(attempt);
+        }
         let actions = self.policy.borrow_mut().handle(app.now(), event);
         for action in actions {
             self.act(app, action);
@@ -168,6 +173,7 @@
             Action::Release { attempt, endpoint } => self.release(app, attempt, &endpoint),
             Action::Dispatch(dispatch) => {
                 app.metrics.attempt(dispatch.number);
+                self.running.borrow_mut().insert(dispatch.attempt, dispatch.request);
                 self.signal(dispatch.request, Signal::Dispatch(dispatch));
             }
             Action::Cancel { attempt, endpoint } => self.cancel(app, attempt, &endpoint),
@@ -215,9 +221,9 @@
     }
 
     fn cancel(&self, app: &Rc<App>, attempt: AttemptId, endpoint: &EndpointId) {
-        let requests = self.requests.borrow();
-        for tx in requests.values() {
-            let _ = tx.send(Signal::DropAttempt(attempt));
+        let request = self.running.borrow_mut().remove(&attempt);
+        if let Some(request) = request {
+            self.signal(request, Signal::DropAttempt(attempt));
         }
         let Some(entry) = self.entry(endpoint) else {
             return;
