--- a/crates/ringbend-bench/src/gossip.rs
+++ b/crates/ringbend-bench/src/gossip.rs
@@ -69,7 +69,9 @@
     pub settings_known_s: f64,
     /// Until every live instance knew of a leaving endpoint, in seconds.
     pub endpoint_leaving_known_s: f64,
-    /// Live instances taken for dead by another, one of them after a pause of a second.
+    /// Live instances taken for dead by another while all joined at once.
+    pub false_deaths_joining: u64,
+    /// Live instances taken for dead by another after that, one paused for a second.
     pub false_deaths: u64,
     /// Suspicions that a live instance had to refute.
     pub refuted: u64,
@@ -102,6 +104,7 @@
 pub fn measure_gossip(cfg: &GossipConfig) -> GossipReport {
     let mut net = Net::new(cfg);
     net.run_for(SETTLE);
+    let false_deaths_joining = std::mem::take(&mut net.false_deaths);
     net.bytes = 0;
     net.messages = 0;
     net.spent = cfg.processor_time.then_some(Duration::ZERO);
@@ -127,6 +130,7 @@
         leave_known_s,
         settings_known_s,
         endpoint_leaving_known_s,
+        false_deaths_joining,
         false_deaths: net.false_deaths,
         refuted: net.nodes.iter().map(Membership::false_alarms).sum(),
     }
--- a/crates/ringbend-ledger/src/sweep.rs
+++ b/crates/ringbend-ledger/src/sweep.rs
@@ -16,13 +16,13 @@
 pub struct SweepConfig {
     /// The longest any request may last, with some room.
     pub longest_hold: Duration,
-    /// How long a presence row must stand still.
+    /// How long a presence row must stand still: its lease's time to live and margin.
     pub presence_wait: Duration,
 }
 
 impl Default for SweepConfig {
     fn default() -> Self {
-        Self { longest_hold: Duration::from_secs(3_700), presence_wait: Duration::from_secs(15) }
+        Self { longest_hold: Duration::from_secs(3_700), presence_wait: Duration::from_secs(40) }
     }
 }
 
--- a/crates/ringbend-membership/src/lib.rs
+++ b/crates/ringbend-membership/src/lib.rs
@@ -8,6 +8,7 @@
 mod member;
 mod membership;
 mod message;
+mod ring;
 mod rumours;
 
 pub use config::MembershipConfig;
--- a/crates/ringbend-membership/src/membership.rs
+++ b/crates/ringbend-membership/src/membership.rs
@@ -10,6 +10,7 @@
 use crate::config::MembershipConfig;
 use crate::member::{Member, MemberState};
 use crate::message::{Kind, Message, Update};
+use crate::ring::Ring;
 use crate::rumours::Rumours;
 
 /// Random stream of membership within a process.
@@ -74,6 +75,7 @@
     settings: SettingsVersion,
     seeds: Vec<SocketAddr>,
     members: BTreeMap<InstanceId, Member>,
+    ring: Ring,
     rumours: Rumours,
     rng: ChaCha8Rng,
     sequence: u64,
@@ -104,6 +106,7 @@
             settings: SettingsVersion(0),
             seeds,
             members: BTreeMap::new(),
+            ring: Ring::default(),
             rumours: Rumours::default(),
             rng: seed.rng(RANDOM_STREAM),
             sequence: 0,
@@ -195,11 +198,12 @@
     }
 
     fn ask_others(&mut self, probe: &Probe, actions: &mut Vec<Action>) {
-        let candidates =
-            self.members.values().filter(|m| m.state == MemberState::Alive && m.id != probe.target);
-        let helpers = candidates.choose_multiple(&mut self.rng, self.cfg.indirect_probes);
-        let helpers: Vec<SocketAddr> = helpers.into_iter().map(|m| m.address).collect();
-        for address in helpers {
+        let mut candidates = self.partners();
+        candidates.retain(|id| *id != probe.target);
+        let helpers =
+            candidates.into_iter().choose_multiple(&mut self.rng, self.cfg.indirect_probes);
+        for helper in helpers {
+            let Some(address) = self.members.get(&helper).map(|m| m.address) else { continue };
             let kind = Kind::PingRequest { target: probe.target.clone() };
             let message = self.message(kind, probe.sequence);
             actions.push(Action::Send(address, message));
@@ -267,11 +271,17 @@
         }
     }
 
-    /// Goes through the members in a shuffled order, so that each is probed within a round.
+    /// The instances that this one probes and pushes news to.
+    fn partners(&mut self) -> Vec<InstanceId> {
+        let live = self.members.values().filter(|m| m.state <= MemberState::Suspect);
+        self.ring.partners(&self.id, live.map(|m| &m.id)).to_vec()
+    }
+
+    /// Goes through the partners in a shuffled order, so that each is probed within a round.
     fn next_target(&mut self) -> Option<InstanceId> {
         loop {
             if self.round.is_empty() {
-                self.round = self.live().map(|m| m.id.clone()).collect();
+                self.round = self.partners();
                 self.round.shuffle(&mut self.rng);
             }
             let id = self.round.pop()?;
@@ -387,6 +397,7 @@
                     since: now,
                 };
                 self.members.insert(id.clone(), member.clone());
+                self.ring.changed();
                 actions.push(Action::Changed(member));
                 self.rumours.add(update, cleared || member_state > MemberState::Alive);
                 if cleared {
@@ -419,10 +430,9 @@
 
     /// Sends news to a few others at once.
     fn push(&mut self, fanout: usize, actions: &mut Vec<Action>) {
-        let live = self.members.values().filter(|m| m.state <= MemberState::Suspect);
-        let told = live.choose_multiple(&mut self.rng, fanout);
-        let told: Vec<SocketAddr> = told.into_iter().map(|m| m.address).collect();
-        for address in told {
+        let told = self.partners().into_iter().choose_multiple(&mut self.rng, fanout);
+        for id in told {
+            let Some(address) = self.members.get(&id).map(|m| m.address) else { continue };
             let message = self.message(Kind::News, 0);
             actions.push(Action::Send(address, message));
         }
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -11,6 +11,9 @@
     pub incarnation: u64,
     #[prost(string, tag = "4")]
     pub data_centre: ::prost::alloc::string::String,
+    /// IP:port where the sender takes connections; this connection serves both ways.
+    #[prost(string, tag = "5")]
+    pub peers_address: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
--- a/crates/ringbendd/src/decisions.rs
+++ b/crates/ringbendd/src/decisions.rs
@@ -48,6 +48,8 @@
     requests: RefCell<BTreeMap<RequestId, mpsc::UnboundedSender<Signal>>>,
     running: RefCell<BTreeMap<AttemptId, RequestId>>,
     entries: RefCell<BTreeMap<EndpointId, EndpointEntry>>,
+    /// The whole list, of which `entries` is this instance's subset.
+    listed: RefCell<Vec<EndpointEntry>>,
     heard: RefCell<BTreeMap<EndpointId, Timestamp>>,
     timer: RefCell<Option<Subscription>>,
     share_timer: RefCell<Option<Subscription>>,
@@ -65,6 +67,7 @@
             requests: RefCell::default(),
             running: RefCell::default(),
             entries: RefCell::default(),
+            listed: RefCell::default(),
             heard: RefCell::default(),
             timer: RefCell::default(),
             share_timer: RefCell::default(),
@@ -134,6 +137,11 @@
         self.entries.borrow().values().cloned().collect()
     }
 
+    /// Every endpoint of the list, whether this instance uses it or not.
+    pub(crate) fn listed(&self) -> Vec<EndpointEntry> {
+        self.listed.borrow().clone()
+    }
+
     pub(crate) fn is_leaving(&self, id: &EndpointId) -> bool {
         self.policy.borrow().is_leaving(id)
     }
@@ -265,6 +273,7 @@
 
     /// Takes the instance list, reduced to this instance's subset.
     pub(crate) fn take_list(&self, app: &Rc<App>, list: Vec<EndpointEntry>) {
+        *self.listed.borrow_mut() = list.clone();
         let list = subset(list, app.cfg.platform.endpoint_subset, app.cfg.instance.as_str());
         let entries = list.iter().map(|e| (e.id.clone(), e.clone())).collect();
         *self.entries.borrow_mut() = entries;
--- a/crates/ringbendd/src/instance.rs
+++ b/crates/ringbendd/src/instance.rs
@@ -66,6 +66,7 @@
             instance: cfg.instance.to_string(),
             incarnation: incarnation.0,
             data_centre: cfg.data_centre.to_string(),
+            peers_address: String::new(),
         };
         let identity = load_identity(&cfg.tls)?;
         let link = QuicPeers::bind(cfg.peers_address, identity, hello)
--- a/crates/ringbendd/src/peers/quic.rs
+++ b/crates/ringbendd/src/peers/quic.rs
@@ -41,13 +41,20 @@
     Ask(Envelope, oneshot::Sender<Result<Envelope, PeerError>>),
 }
 
-type Links = RefCell<BTreeMap<SocketAddr, mpsc::Sender<Outgoing>>>;
+/// What all connections share.
+struct Shared {
+    endpoint: Endpoint,
+    hello: Hello,
+    app: RefCell<Weak<App>>,
+    /// Connections that peers opened, by the address where they take connections. They serve both
+    /// ways, so that two instances need one connection and not two.
+    opened_by_peers: RefCell<BTreeMap<SocketAddr, Connection>>,
+}
 
 /// The QUIC endpoint and one queue per peer.
 pub(crate) struct QuicPeers {
-    endpoint: Endpoint,
-    hello: Hello,
-    links: Rc<Links>,
+    shared: Rc<Shared>,
+    links: RefCell<BTreeMap<SocketAddr, mpsc::Sender<Outgoing>>>,
 }
 
 impl QuicPeers {
@@ -66,23 +73,30 @@
         client.transport_config(transport);
         let mut endpoint = Endpoint::server(server, address)?;
         endpoint.set_default_client_config(client);
-        Ok(Self { endpoint, hello, links: Rc::default() })
+        let peers_address = endpoint.local_addr()?.to_string();
+        let shared = Rc::new(Shared {
+            endpoint,
+            hello: Hello { peers_address, ..hello },
+            app: RefCell::default(),
+            opened_by_peers: RefCell::default(),
+        });
+        Ok(Self { shared, links: RefCell::default() })
     }
 
     pub(crate) fn address(&self) -> std::io::Result<SocketAddr> {
-        self.endpoint.local_addr()
+        self.shared.endpoint.local_addr()
     }
 
     /// Takes peers' connections for as long as the instance lives.
     pub(crate) fn accept(&self, app: Weak<App>) {
-        let endpoint = self.endpoint.clone();
-        let hello = self.hello.clone();
+        *self.shared.app.borrow_mut() = app;
+        let shared = self.shared.clone();
         tokio::task::spawn_local(async move {
-            while let Some(incoming) = endpoint.accept().await {
-                let (app, hello) = (app.clone(), hello.clone());
+            while let Some(incoming) = shared.endpoint.accept().await {
+                let shared = shared.clone();
                 tokio::task::spawn_local(async move {
                     match incoming.await {
-                        Ok(connection) => serve(app, connection, hello).await,
+                        Ok(connection) => shared.take(connection).await,
                         Err(e) => log::warn!("a peer was refused: {e}"),
                     }
                 });
@@ -92,19 +106,50 @@
 
     fn queue(&self, to: SocketAddr) -> mpsc::Sender<Outgoing> {
         let mut links = self.links.borrow_mut();
-        if let Some(tx) = links.get(&to).filter(|tx| !tx.is_closed()) {
+        links.retain(|_, tx| !tx.is_closed());
+        if let Some(tx) = links.get(&to) {
             return tx.clone();
         }
         let (tx, rx) = mpsc::channel(QUEUE);
         links.insert(to, tx.clone());
-        tokio::task::spawn_local(run_link(self.endpoint.clone(), to, self.hello.clone(), rx));
+        tokio::task::spawn_local(run_link(self.shared.clone(), to, rx));
         tx
     }
 }
 
+impl Shared {
+    /// Serves a connection that a peer opened. Its first stream must carry a hello of the same
+    /// protocol.
+    async fn take(&self, connection: Connection) {
+        let Some(theirs) = greet(&connection, self.hello.clone()).await else {
+            connection.close(VarInt::from_u32(WRONG_PROTOCOL), b"protocol");
+            return;
+        };
+        let address = theirs.peers_address.parse().ok();
+        if let Some(address) = address {
+            self.opened_by_peers.borrow_mut().insert(address, connection.clone());
+        }
+        let app = self.app.borrow().clone();
+        serve(app, connection.clone()).await;
+        let mut opened = self.opened_by_peers.borrow_mut();
+        opened.retain(|_, open| open.stable_id() != connection.stable_id());
+    }
+
+    /// An open connection to a peer, opened by it or now.
+    async fn connection(&self, to: SocketAddr) -> Result<Connection, PeerError> {
+        let opened = self.opened_by_peers.borrow().get(&to).cloned();
+        if let Some(opened) = opened.filter(|c| c.close_reason().is_none()) {
+            return Ok(opened);
+        }
+        let connection = connect(&self.endpoint, to, &self.hello).await?;
+        tokio::task::spawn_local(serve(self.app.borrow().clone(), connection.clone()));
+        Ok(connection)
+    }
+}
+
 impl Drop for QuicPeers {
     fn drop(&mut self) {
-        self.endpoint.close(VarInt::from_u32(0), b"leaving");
+        self.shared.endpoint.close(VarInt::from_u32(0), b"leaving");
     }
 }
 
@@ -134,18 +179,13 @@
 }
 
 /// Sends one peer's messages; ends when there are none for a while.
-async fn run_link(
-    endpoint: Endpoint,
-    to: SocketAddr,
-    hello: Hello,
-    mut rx: mpsc::Receiver<Outgoing>,
-) {
+async fn run_link(shared: Rc<Shared>, to: SocketAddr, mut rx: mpsc::Receiver<Outgoing>) {
     let mut connection: Option<Connection> = None;
     while let Ok(Some(outgoing)) = tokio::time::timeout(IDLE * 2, rx.recv()).await {
         let open = connection.take().filter(|c| c.close_reason().is_none());
         let open = match open {
             Some(open) => open,
-            None => match connect(&endpoint, to, &hello).await {
+            None => match shared.connection(to).await {
                 Ok(open) => open,
                 Err(e) => {
                     log::debug!(peer:% = to; "cannot connect: {e:?}");
@@ -215,12 +255,8 @@
     Envelope::decode(answer.as_slice()).map_err(|e| PeerError::Malformed(WireError::Decode(e)))
 }
 
-/// Serves one peer's connection. Its first stream must carry a hello of the same protocol.
-async fn serve(app: Weak<App>, connection: Connection, hello: Hello) {
-    if !greet(&connection, hello).await {
-        connection.close(VarInt::from_u32(WRONG_PROTOCOL), b"protocol");
-        return;
-    }
+/// Takes what a peer sends on one connection, until it closes.
+async fn serve(app: Weak<App>, connection: Connection) {
     loop {
         let received = tokio::select! {
             datagram = connection.read_datagram() => match datagram {
@@ -249,22 +285,20 @@
     }
 }
 
-async fn greet(connection: &Connection, hello: Hello) -> bool {
-    let Ok(Ok((mut tx, mut rx))) = tokio::time::timeout(ASK_TIMEOUT, connection.accept_bi()).await
-    else {
-        return false;
-    };
-    let Ok(bytes) = rx.read_to_end(MAX_MESSAGE_BYTES).await else {
-        return false;
-    };
+/// Exchanges hellos; `None` when the peer speaks another protocol or none.
+async fn greet(connection: &Connection, hello: Hello) -> Option<Hello> {
+    let streams = tokio::time::timeout(ASK_TIMEOUT, connection.accept_bi()).await;
+    let (mut tx, mut rx) = streams.ok()?.ok()?;
+    let bytes = rx.read_to_end(MAX_MESSAGE_BYTES).await.ok()?;
     let Ok(Envelope { body: Some(envelope::Body::Hello(theirs)) }) =
         Envelope::decode(bytes.as_slice())
     else {
-        return false;
+        return None;
     };
     let ours = Envelope { body: Some(envelope::Body::Hello(hello)) };
-    let told = tx.write_all(&ours.encode_to_vec()).await.is_ok() && tx.finish().is_ok();
-    told && theirs.protocol == PROTOCOL
+    tx.write_all(&ours.encode_to_vec()).await.ok()?;
+    tx.finish().ok()?;
+    (theirs.protocol == PROTOCOL).then_some(theirs)
 }
 
 async fn answer(app: Weak<App>, mut tx: quinn::SendStream, mut rx: quinn::RecvStream) {
--- a/crates/ringbendd/src/sweep.rs
+++ b/crates/ringbendd/src/sweep.rs
@@ -14,15 +14,28 @@
 
 use crate::app::App;
 
-/// How often the holder of the sweep lease looks at every engine.
+/// How often the holder of the sweep lease begins a round over every engine.
 const SWEEP_EVERY: Duration = Duration::from_secs(5);
 
+/// Between two engines of a round, so that a round over hundreds keeps to the budget.
+const BETWEEN_ENGINES: Duration = Duration::from_millis(60);
+
 /// An order's longest flight.
 const ORDER_FLIGHT: Duration = Duration::from_secs(2);
 
 /// How long the presence row of an instance that is gone may be kept.
 const PRESENCE_TTL: Duration = Duration::from_secs(24 * 3600);
 
+/// Presence is renewed seldom, since every instance does it: 32 commits a second at 320 instances.
+fn presence_config() -> LeaseConfig {
+    LeaseConfig {
+        ttl: Duration::from_secs(30),
+        margin: Duration::from_secs(10),
+        renew_every: Duration::from_secs(10),
+        row_ttl: Some(PRESENCE_TTL),
+    }
+}
+
 /// Runs a lease's machine for as long as the instance lives.
 fn drive(app: &Rc<App>, lease: Rc<RefCell<Lease>>, on_lapse: Option<Event>) {
     let app = app.clone();
@@ -49,8 +62,7 @@
 pub(crate) fn start(app: &Rc<App>) {
     let presence = format!("presence-{:016x}", app.incarnation.0);
     for (name, sweeps) in [(presence.as_str(), false), ("sweep", true)] {
-        let row_ttl = (!sweeps).then_some(PRESENCE_TTL);
-        let cfg = LeaseConfig { row_ttl, ..LeaseConfig::default() };
+        let cfg = if sweeps { LeaseConfig::default() } else { presence_config() };
         let Ok(name) = name.parse::<LeaseName>() else {
             continue;
         };
@@ -74,9 +86,10 @@
             sweeper = Sweeper::new(SweepConfig::default());
             continue;
         }
-        for engine in app.decisions.entries() {
+        for engine in app.decisions.listed() {
             if engine.kind == EndpointKind::Engine {
                 sweep_engine(app, lease, &mut sweeper, &engine).await;
+                actix_rt::time::sleep(BETWEEN_ENGINES).await;
             }
         }
     }
