--- a/crates/ringbend-bench/src/lib.rs
+++ b/crates/ringbend-bench/src/lib.rs
@@ -18,4 +18,4 @@
 pub use policies::{ParsePolicyError, PolicyKind};
 pub use scenario::{Arrival, Fault, ParseScenarioError, Scenario, ScenarioName};
 pub use shares::{ShareRun, ShareScenario, measure_shares};
-pub use world::{RequestRecord, World, WorldReport};
+pub use world::{CallerEnd, RequestRecord, World, WorldReport};
--- a/crates/ringbend-bench/src/world.rs
+++ b/crates/ringbend-bench/src/world.rs
@@ -1,7 +1,7 @@
 //! Policies before modelled engines, in virtual time.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -105,6 +105,7 @@
     Release { engine: usize, attempt: AttemptId },
     Report,
     Wake { instance: usize },
+    Resume { instance: usize },
     Fault(Fault),
     EngineBack { engine: usize },
     Refuse(bool),
@@ -118,6 +119,7 @@
     policy: Box<dyn Policy>,
     alive: bool,
     paused_until: Timestamp,
+    backlog: VecDeque<Event>,
     wake_at: Timestamp,
 }
 
@@ -297,6 +299,7 @@
                     self.deliver(instance, Event::Tick);
                 }
             }
+            Happening::Resume { instance } => self.resume(instance),
             Happening::Fault(fault) => self.fail(fault),
             Happening::EngineBack { engine } => self.engines[engine].alive = true,
             Happening::Refuse(refusing) => self.refusing = refusing,
@@ -346,8 +349,7 @@
             return;
         }
         if paused_until > self.now {
-            let event = Box::new(event);
-            self.at(paused_until, Happening::ToPolicy { instance, event });
+            self.instances[instance].backlog.push_back(event);
             return;
         }
         if let Event::Progress { attempt, tokens } = &event {
@@ -356,6 +358,16 @@
         self.tell(instance, event);
     }
 
+    /// A paused instance takes what arrived meanwhile, in order.
+    fn resume(&mut self, instance: usize) {
+        if self.instances[instance].paused_until > self.now {
+            return;
+        }
+        while let Some(event) = self.instances[instance].backlog.pop_front() {
+            self.deliver(instance, event);
+        }
+    }
+
     fn tell(&mut self, instance: usize, event: Event) {
         let actions = self.instances[instance].policy.handle(self.now, event);
         for action in actions {
@@ -629,7 +641,10 @@
             }
             Fault::InstanceDies(instance) => self.instance_dies(instance),
             Fault::InstancePauses(instance, time) => {
-                self.instances[instance].paused_until = self.now + time;
+                // Pauses that overlap end with the later one; events keep their order.
+                let until = self.instances[instance].paused_until.max(self.now + time);
+                self.instances[instance].paused_until = until;
+                self.at(until, Happening::Resume { instance });
             }
             Fault::Cut(time) => {
                 self.cut = true;
@@ -725,7 +740,8 @@
     let policy =
         kind.build(&id, incarnation, Seed(seed.wrapping_mul(1_000).wrapping_add(n as u64)));
     let never = Timestamp::NEVER;
-    Instance { id, policy, alive: true, paused_until: Timestamp::default(), wake_at: never }
+    let (paused_until, backlog) = (Timestamp::default(), VecDeque::new());
+    Instance { id, policy, alive: true, paused_until, backlog, wake_at: never }
 }
 
 fn new_record(arrival: Arrival) -> RequestRecord {
