refactor: small modules for the policy, the bench's world and a request's life; a span per peer question

Change: dispatcher is arrivals, placing, ends and timers; world is engines and faults; life is answer. Moves only, no rule changed. Questions to peers carry the span 'peer', and the trace test waits for it. Checked: clippy clean, policy and bench tests pass.

--- a/crates/ringbend-bench/src/world.rs
+++ b/crates/ringbend-bench/src/world.rs
@@ -1,17 +1,18 @@
 //! Policies before modelled engines, in virtual time.
 
+mod engines;
+mod faults;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use ringbend_models::{EngineModel, EngineOutput, PrefixCache, Submit, SubmitError};
-use ringbend_platform::{EndpointEntry, EndpointKind, EndpointState, Reservation};
+use ringbend_models::EngineModel;
+use ringbend_platform::EndpointKind;
 use ringbend_policy::{
-    Action, AttemptEnd, Dispatch, Event, FailureCode, HeldMemory, Policy, RequestEnd,
-    RequestProfile,
+    Action, Dispatch, Event, FailureCode, HeldMemory, Policy, RequestEnd, RequestProfile,
 };
 use ringbend_settings::Effective;
 use ringbend_types::{
@@ -335,13 +336,6 @@
         self.deliver(instance, Event::Arrived(profile));
     }
 
-    /// The balancer leaves out instances that are gone.
-    fn reachable_instance(&self, wanted: usize) -> usize {
-        let n = self.instances.len();
-        let alive = |at: &usize| self.instances[*at].alive;
-        (0..n).map(|step| (wanted + step) % n).find(alive).unwrap_or(wanted)
-    }
-
     /// Gives an instance an event and carries out its actions.
     fn deliver(&mut self, instance: usize, event: Event) {
         let paused_until = self.instances[instance].paused_until;
@@ -460,121 +454,6 @@
         known.end = Some((at, end));
     }
 
-    fn reaches(&self, instance: usize, engine: usize) -> bool {
-        let first_instance = instance < self.instances.len() / 2;
-        let first_engine = engine < self.engines.len() / 2;
-        !self.cut || first_instance == first_engine
-    }
-
-    fn submit(&mut self, instance: usize, dispatch: &Dispatch) {
-        let engine = engine_index(&dispatch.endpoint);
-        let attempt = dispatch.attempt;
-        let Some((record, _)) = self.requests.get(&dispatch.request).copied() else {
-            return;
-        };
-        if !self.engines[engine].alive || !self.reaches(instance, engine) {
-            return self.end_attempt(instance, attempt, AttemptEnd::NotSent);
-        }
-        if let Some(leaves_at) = self.engines[engine].leaves_at {
-            let late = self.now.since(leaves_at);
-            let known = self.report.late_to_leaving.unwrap_or_default();
-            self.report.late_to_leaving = Some(known.max(late));
-        }
-        if self.refusing {
-            let end = AttemptEnd::Refused { retry_after: Some(Duration::from_secs(1)) };
-            return self.end_attempt(instance, attempt, end);
-        }
-        let submit = self.as_submit(record, dispatch);
-        let need = submit.prompt_tokens.0 + submit.max_tokens - submit.borrowed.0;
-        let report = self.engines[engine].model.report();
-        if report.kv_used.0 + need > report.kv_capacity.0 {
-            self.report.overcommits += 1;
-        }
-        match self.engines[engine].model.submit(self.now, submit) {
-            Ok(()) => {
-                let next_index = dispatch.resume_from;
-                self.attempts.insert(attempt, Attempt { instance, engine, next_index });
-                self.heard.insert(attempt, record);
-                if dispatch.resume_from == 0 {
-                    self.records[record].runs += 1;
-                }
-                self.schedule_step(engine);
-            }
-            Err(SubmitError::Leaving) => {
-                let end = AttemptEnd::Refused { retry_after: None };
-                self.end_attempt(instance, attempt, end);
-            }
-            Err(_) => {
-                let end = AttemptEnd::Refused { retry_after: Some(Duration::from_millis(500)) };
-                self.end_attempt(instance, attempt, end);
-            }
-        }
-    }
-
-    fn as_submit(&self, record: usize, dispatch: &Dispatch) -> Submit {
-        let arrival = &self.records[record].arrival;
-        let blocks = (0..PREFIX_BLOCKS).map(|block| arrival.prefix * PREFIX_BLOCKS + block);
-        let fits = arrival.prompt / ringbend_models::BLOCK_TOKENS;
-        Submit {
-            attempt: dispatch.attempt,
-            prompt_tokens: TokenCount(arrival.prompt),
-            max_tokens: arrival.output,
-            resume_from: dispatch.resume_from,
-            priority: dispatch.priority,
-            blocks: blocks.take(fits as usize).collect(),
-            borrowed: TokenCount(dispatch.held.iter().map(|h| h.tokens.0).sum()),
-        }
-    }
-
-    fn end_attempt(&mut self, instance: usize, attempt: AttemptId, end: AttemptEnd) {
-        self.attempts.remove(&attempt);
-        let event = Box::new(Event::Ended { attempt, end });
-        self.after(self.scenario.latency, Happening::ToPolicy { instance, event });
-    }
-
-    fn schedule_step(&mut self, engine: usize) {
-        let frozen_until = self.engines[engine].frozen_until;
-        if let Some(due) = self.engines[engine].model.next_step() {
-            self.at(due.max(frozen_until), Happening::Step { engine });
-        }
-    }
-
-    fn step(&mut self, engine: usize) {
-        if self.engines[engine].frozen_until > self.now {
-            return;
-        }
-        let due = self.engines[engine].model.next_step();
-        if due.is_none_or(|due| due > self.now) {
-            return;
-        }
-        let outputs = self.engines[engine].model.advance(self.now);
-        for output in outputs {
-            self.output(output);
-        }
-        self.schedule_step(engine);
-    }
-
-    fn output(&mut self, output: EngineOutput) {
-        let Some(attempt) = self.attempts.get_mut(&output.attempt) else {
-            return;
-        };
-        let first = output.index == attempt.next_index;
-        let tokens = output.index + 1;
-        let (instance, id) = (attempt.instance, output.attempt);
-        if !self.reaches(instance, self.attempts[&id].engine) {
-            return;
-        }
-        if first || output.last || tokens.is_multiple_of(PROGRESS_EVERY) {
-            let event = Box::new(Event::Progress { attempt: id, tokens });
-            self.after(self.scenario.latency, Happening::ToPolicy { instance, event });
-        }
-        if output.last {
-            let event = Box::new(Event::Ended { attempt: id, end: AttemptEnd::Complete });
-            self.after(self.scenario.latency, Happening::ToPolicy { instance, event });
-            self.attempts.remove(&id);
-        }
-    }
-
     fn note_progress(&mut self, attempt: AttemptId, tokens: u64) {
         let Some(record) = self.heard.get(&attempt).copied() else {
             return;
@@ -589,145 +468,6 @@
         known.delivered = known.delivered.max(tokens);
     }
 
-    fn reserve(&mut self, instance: usize, attempt: AttemptId, memory: HeldMemory) {
-        let engine = engine_index(&memory.endpoint);
-        let reachable = self.engines[engine].alive && self.reaches(instance, engine);
-        let reservation = Reservation { attempt, tokens: memory.tokens };
-        let held = reachable && self.engines[engine].model.reserve(reservation).is_ok();
-        let endpoint = memory.endpoint;
-        let event = Box::new(Event::Reserved { attempt, endpoint, held });
-        self.after(self.scenario.latency, Happening::ToPolicy { instance, event });
-    }
-
-    fn send_reports(&mut self) {
-        self.after(self.scenario.report_every, Happening::Report);
-        for engine in 0..self.engines.len() {
-            if !self.engines[engine].alive || self.engines[engine].frozen_until > self.now {
-                continue;
-            }
-            let report = self.engines[engine].model.report();
-            let endpoint = self.engines[engine].id.clone();
-            for instance in 0..self.instances.len() {
-                let lost = self.rng.random_bool(self.scenario.report_loss);
-                if lost || !self.reaches(instance, engine) {
-                    continue;
-                }
-                let arrives = self.now + self.scenario.report_lag + self.scenario.latency;
-                let at = arrives - ASSUMED_REPORT_AGE;
-                let (endpoint, report) = (endpoint.clone(), report.clone());
-                let event = Box::new(Event::Load { endpoint, report, at });
-                self.at(arrives, Happening::ToPolicy { instance, event });
-            }
-        }
-    }
-
-    fn fail(&mut self, fault: Fault) {
-        match fault {
-            Fault::EngineDies(engine, away) => {
-                self.engine_dies(engine);
-                self.after(away, Happening::EngineBack { engine });
-            }
-            Fault::EngineFreezes(engine, time) => {
-                self.engines[engine].frozen_until = self.now + time;
-                self.after(time, Happening::Thaw { engine });
-            }
-            Fault::EngineLeaves(engine) => {
-                self.engines[engine].model.set_state(EndpointState::Leaving);
-                self.engines[engine].leaves_at = Some(self.now);
-            }
-            Fault::AllRefuse(time) => {
-                self.refusing = true;
-                self.after(time, Happening::Refuse(false));
-            }
-            Fault::InstanceDies(instance) => self.instance_dies(instance),
-            Fault::InstancePauses(instance, time) => {
-                // Pauses that overlap end with the later one; events keep their order.
-                let until = self.instances[instance].paused_until.max(self.now + time);
-                self.instances[instance].paused_until = until;
-                self.at(until, Happening::Resume { instance });
-            }
-            Fault::Cut(time) => {
-                self.cut = true;
-                self.after(DEATH_KNOWN_AFTER, Happening::PeersKnow);
-                self.after(time, Happening::Mend);
-            }
-            Fault::CachesLost => {
-                for engine in &mut self.engines {
-                    let blocks = engine.model.spec().cache_blocks;
-                    engine.model.replace_cache(PrefixCache::new(blocks));
-                }
-            }
-        }
-    }
-
-    fn engine_dies(&mut self, engine: usize) {
-        self.engines[engine].alive = false;
-        self.engines[engine].model = EngineModel::new(self.scenario.spec.clone());
-        let broken: Vec<(AttemptId, usize)> = self
-            .attempts
-            .iter()
-            .filter(|(_, a)| a.engine == engine)
-            .map(|(id, a)| (*id, a.instance))
-            .collect();
-        for (attempt, instance) in broken {
-            self.end_attempt(instance, attempt, AttemptEnd::Broken);
-        }
-    }
-
-    /// The callers of a dead instance see their connections break, and so do the engines, which
-    /// end the attempts. Reservations stay until they are swept.
-    fn instance_dies(&mut self, instance: usize) {
-        self.instances[instance].alive = false;
-        let at = self.now + self.scenario.caller_latency;
-        let lost: Vec<RequestId> =
-            self.requests.iter().filter(|(_, (_, i))| *i == instance).map(|(id, _)| *id).collect();
-        for id in lost {
-            if let Some((record, _)) = self.requests.remove(&id) {
-                self.records[record].end = Some((at, CallerEnd::InstanceLost));
-            }
-        }
-        let broken: Vec<(AttemptId, usize)> = self
-            .attempts
-            .iter()
-            .filter(|(_, a)| a.instance == instance)
-            .map(|(id, a)| (*id, a.engine))
-            .collect();
-        for (attempt, engine) in broken {
-            self.after(self.scenario.latency, Happening::Cancel { engine, attempt });
-        }
-        self.after(DEATH_KNOWN_AFTER, Happening::PeersKnow);
-    }
-
-    fn tell_peers(&mut self) {
-        for instance in 0..self.instances.len() {
-            let half = self.instances.len() / 2;
-            let same_side = |other: &InstanceId| {
-                let other = instance_index(other);
-                !self.cut || (other < half) == (instance < half)
-            };
-            let live = self.live_instances().into_iter().filter(same_side).collect();
-            self.deliver(instance, Event::Peers(live));
-        }
-    }
-
-    fn live_instances(&self) -> Vec<InstanceId> {
-        self.instances.iter().filter(|i| i.alive).map(|i| i.id.clone()).collect()
-    }
-
-    fn entries(&self) -> Vec<EndpointEntry> {
-        let entry = |engine: &Engine| EndpointEntry {
-            id: engine.id.clone(),
-            address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
-            data_centre: parsed("dc-1"),
-            kind: EndpointKind::Engine,
-            service: service(),
-            checks_fencing: true,
-            kv_capacity: self.scenario.spec.kv_capacity,
-            state: EndpointState::Live,
-        };
-        self.engines.iter().map(entry).collect()
-    }
-
     /// Which policy runs.
     pub fn policy(&self) -> PolicyKind {
         self.kind
--- a/crates/ringbend-playground/tests/traces.rs
+++ b/crates/ringbend-playground/tests/traces.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 use ringbend_playground::{Fleet, FleetConfig};
 use ringbend_runtime::{Handler, HttpRequest, HttpResponse, ServerConfig, empty, read_body, serve};
-use support::{call, keyed, run, small, until};
+use support::{call, keyed, run, set_everywhere, small, until};
 
 /// Name, trace id, span id, parent's span id.
 type SpanIds = (String, Vec<u8>, Vec<u8>, Vec<u8>);
@@ -56,10 +56,11 @@
         let body = "{\"model\": \"standin\", \"prompt\": \"x\", \"max_tokens\": 2}";
         assert_eq!(call(to, "/v1/completions", &headers, body).await.status, 200);
         assert_eq!(keyed(to, "traced").await.status, 200);
+        set_everywhere(&fleet, "limits.weight", 7.into()).await;
         until("the spans arrive", async || {
             let spans = collector.spans.borrow();
             let names: BTreeSet<&str> = spans.iter().map(|s| s.0.as_str()).collect();
-            names.is_superset(&BTreeSet::from(["caller", "queue", "claim", "attempt"]))
+            names.is_superset(&BTreeSet::from(["caller", "queue", "claim", "attempt", "peer"]))
         })
         .await;
         let spans = collector.spans.borrow();
--- /dev/null
+++ b/crates/ringbend-policy/src/dispatcher/ends.rs
@@ -0,0 +1,199 @@
+//! How attempts and requests end.
+
+use std::time::Duration;
+
+use ringbend_types::{AttemptId, RequestId, RunState, Timestamp};
+
+use super::{Dispatcher, Request, Stage};
+use crate::backoff::{Backoff, spread};
+use crate::event::{Action, AttemptEnd, FailureCode, HeldMemory, RequestEnd};
+use crate::outcome::{AfterAttempt, after_attempt, run_state};
+
+impl Dispatcher {
+    pub(super) fn progress(&mut self, now: Timestamp, attempt: AttemptId, tokens: u64) {
+        let Some(id) = self.attempts.get(&attempt) else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let Stage::Running(running) = &mut request.stage else {
+            return;
+        };
+        request.delivered = request.delivered.max(tokens);
+        running.last_progress = now;
+        running.started = true;
+        let prefix = request.profile.prefix;
+        if let Some(view) = self.endpoints.get_mut(&running.endpoint) {
+            view.progressed(now, attempt, prefix);
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptId,
+        end: AttemptEnd,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(id) = self.attempts.get(&attempt).copied() else {
+            return;
+        };
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if !matches!(&request.stage, Stage::Running(r) if r.attempt == attempt) {
+            return;
+        }
+        self.stop_attempt(now, id, Some(end), false, out);
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.ran = request.ran.max(run_state(end).unwrap_or(RunState::NotRun));
+        match after_attempt(end, request.profile.repeatable) {
+            AfterAttempt::Answered => self.finish(id, RequestEnd::Answered, out),
+            AfterAttempt::End => self.fail(id, FailureCode::EndpointFailed, None, out),
+            AfterAttempt::TryAgain => self.try_again(now, id, end, out),
+        }
+    }
+
+    pub(super) fn try_again(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        end: AttemptEnd,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let retries = &request.profile.settings.retries;
+        let floor = match end {
+            AttemptEnd::Refused { retry_after } => retry_after,
+            _ => None,
+        };
+        // A long prompt that was not run waits for as long as its deadline lets it.
+        let waits = request.profile.is_long() && run_state(end) == Some(RunState::NotRun);
+        let allowed = waits
+            || request.attempts < retries.attempts
+                && self.budget.try_retry(now, retries.ratio_percent);
+        if !allowed {
+            let wait = floor.unwrap_or(Duration::from_secs(1));
+            return self.fail(id, FailureCode::EndpointFailed, Some(wait), out);
+        }
+        // The endpoint that named the floor is left alone that long; others may be tried sooner.
+        let delay = Backoff::new(retries).delay(request.attempts, None, &mut self.rng);
+        request.stage = Stage::Waiting { until: now + delay };
+        self.set_timer(id);
+    }
+
+    /// Takes a running or collecting request off its endpoints, and gives held memory back.
+    pub(super) fn stop_attempt(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        end: Option<AttemptEnd>,
+        cancel: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let (attempt, held) = match std::mem::replace(&mut request.stage, Stage::Claiming) {
+            Stage::Running(running) => {
+                if let Some(view) = self.endpoints.get_mut(&running.endpoint) {
+                    view.ended(running.attempt);
+                    match end {
+                        Some(AttemptEnd::Broken | AttemptEnd::NotSent) => view.failed(now, None),
+                        Some(AttemptEnd::Refused { retry_after }) => view.refused(now, retry_after),
+                        _ => {}
+                    }
+                }
+                if cancel {
+                    let endpoint = running.endpoint;
+                    out.push(Action::Cancel { attempt: running.attempt, endpoint });
+                }
+                (running.attempt, running.held)
+            }
+            Stage::Collecting(collect) => (collect.attempt, collect.held.to_vec()),
+            Stage::Queued => {
+                self.queue.remove(id);
+                return;
+            }
+            Stage::Claiming | Stage::Waiting { .. } => return,
+        };
+        self.attempts.remove(&attempt);
+        for HeldMemory { endpoint, .. } in held {
+            out.push(Action::Release { attempt, endpoint });
+        }
+    }
+
+    pub(super) fn fail(
+        &mut self,
+        id: RequestId,
+        code: FailureCode,
+        wait: Option<Duration>,
+        out: &mut Vec<Action>,
+    ) {
+        let run_state = self.requests.get(&id).map_or(RunState::NotRun, |r| r.ran);
+        let retry_after = wait.map(|wait| spread(wait, &mut self.rng));
+        self.finish(id, RequestEnd::Failed { code, run_state, retry_after }, out);
+    }
+
+    pub(super) fn finish(&mut self, id: RequestId, end: RequestEnd, out: &mut Vec<Action>) {
+        if self.forget(id) {
+            out.push(Action::Finish { request: id, end });
+        }
+    }
+
+    pub(super) fn forget(&mut self, id: RequestId) -> bool {
+        let Some(request) = self.requests.remove(&id) else {
+            return false;
+        };
+        self.timers.remove(&(request.timer, id));
+        self.limits.ended(&request.profile.account, request.profile.cost());
+        true
+    }
+
+    pub(super) fn withdraw(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Action>) {
+        self.stop_attempt(now, id, None, true, out);
+        self.forget(id);
+    }
+
+    /// Takes repeatable requests off engines that have fallen silent, rather than wait out their
+    /// time bounds there. Others wait: sending them elsewhere could run them twice.
+    pub(super) fn leave_silent(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        for attempt in self.endpoints.attempts_in_silence(now) {
+            let id = self.attempts.get(&attempt).copied();
+            let request = id.and_then(|id| self.requests.get(&id));
+            let Some(Request { stage: Stage::Running(running), profile, .. }) = request else {
+                continue;
+            };
+            if running.attempt == attempt && profile.repeatable {
+                let endpoint = running.endpoint.clone();
+                out.push(Action::Cancel { attempt, endpoint });
+                self.ended(now, attempt, AttemptEnd::Broken, out);
+            }
+        }
+    }
+
+    pub(super) fn end_held_attempts(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let holds = |request: &Request| match &request.stage {
+            Stage::Running(running) => !running.held.is_empty(),
+            Stage::Collecting(collect) => !collect.held.is_empty(),
+            _ => false,
+        };
+        let holding = self.requests.iter().filter(|(_, request)| holds(request));
+        let holding: Vec<RequestId> = holding.map(|(id, _)| *id).collect();
+        for id in holding {
+            let Some(request) = self.requests.get_mut(&id) else {
+                continue;
+            };
+            if matches!(request.stage, Stage::Running(_)) {
+                request.ran = request.ran.max(RunState::MayHaveRun);
+            }
+            self.stop_attempt(now, id, None, true, out);
+            self.try_again(now, id, AttemptEnd::Broken, out);
+        }
+    }
+}
--- a/crates/ringbendd/src/peers/mod.rs
+++ b/crates/ringbendd/src/peers/mod.rs
@@ -15,6 +15,7 @@
 };
 use ringbend_policy::{GrantRequest, ShareEvent};
 use ringbend_runtime::Subscription;
+use ringbend_telemetry::{HopKind, TraceContext};
 use ringbend_types::{EndpointId, Incarnation, InstanceId, Seed, SettingsVersion, Timestamp};
 use ringbend_wire::{EntriesReply, EntriesRequest, Envelope, Gossip, WireError, envelope};
 
@@ -199,7 +200,10 @@
         let envelope = Envelope { body: Some(envelope::Body::GrantRequest(request.into())) };
         app.metrics.peer_bytes(ringbend_wire::Message::encoded_len(&envelope) as u64);
         let app = app.clone();
+        let mut hop = app.tracing.hop("peer", HopKind::Client, &TraceContext::default());
+        hop.note("peer", owner);
         tokio::task::spawn_local(async move {
+            let _hop = hop;
             let Ok(Envelope { body: Some(envelope::Body::GrantReply(reply)) }) =
                 link.ask(to, envelope).await
             else {
@@ -214,10 +218,13 @@
     /// Asks a peer for settings after a version.
     pub(crate) async fn entries(
         &self,
+        app: &App,
         peer: SocketAddr,
         after: SettingsVersion,
     ) -> Option<EntriesReply> {
         let link = self.link.borrow().clone()?;
+        let mut hop = app.tracing.hop("peer", HopKind::Client, &TraceContext::default());
+        hop.note("peer", peer);
         let request = EntriesRequest { after: after.0 };
         let envelope = Envelope { body: Some(envelope::Body::EntriesRequest(request)) };
         match link.ask(peer, envelope).await {
--- a/crates/ringbendd/src/settings_sync.rs
+++ b/crates/ringbendd/src/settings_sync.rs
@@ -90,7 +90,7 @@
         let app = app.clone();
         tokio::task::spawn_local(async move {
             let after = app.settings.version();
-            let reply = app.peers.entries(peer, after).await;
+            let reply = app.peers.entries(&app, peer, after).await;
             app.settings.fetching.set(false);
             if let Some(reply) = reply {
                 app.settings.take_entries(&app, &reply);
