test: a paused process, an instance cut off from peers, a claim granted too late

Three points that docs/PROOFS.md listed as not proved: a process stopped for 3 s while two changes are accepted catches up and never falls; an instance that knows no peers has a change in force from the table within 3 s; a claim that is granted after the caller's deadline is not used, the caller hears not-run and the key is free.

--- a/crates/ringbend-playground/src/fleet.rs
+++ b/crates/ringbend-playground/src/fleet.rs
@@ -214,6 +214,17 @@
         Ok(())
     }
 
+    /// Starts one more instance that knows no peers and is known to none, as if cut off.
+    ///
+    /// # Errors
+    ///
+    /// It does not start.
+    pub async fn add_isolated(&mut self, name: &str) -> Result<(), FleetError> {
+        let cfg = self.daemon_config(name, Vec::new());
+        self.instances.push(start_instance(cfg).await?);
+        Ok(())
+    }
+
     fn daemon_config(&self, name: &str, seeds: Vec<SocketAddr>) -> DaemonConfig {
         let url = |server: &Server| Arc::from(format!("http://{}", server.address()));
         let account = "peach".parse().unwrap_or_else(|_| unreachable!("a valid account"));
--- a/crates/ringbend-playground/tests/failures.rs
+++ b/crates/ringbend-playground/tests/failures.rs
@@ -263,6 +263,41 @@
     });
 }
 
+#[test]
+fn an_instance_cut_off_from_its_peers_takes_settings_from_the_table() {
+    run(async {
+        let mut fleet = Fleet::start(small()).await.unwrap();
+        fleet.add_isolated("alone").await.unwrap();
+        fleet.wait_ready().await.unwrap();
+        let accepted = change(fleet.instances[0].admin, "c", "/", "limits.weight", json!(9)).await;
+        assert_eq!(accepted.status, 200);
+        let begun = Instant::now();
+        until("in force", async || version(fleet.instances[2].admin).await == 1).await;
+        assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
+    });
+}
+
+#[test]
+fn a_claim_granted_after_the_deadline_is_not_used() {
+    run(async {
+        let fleet = Fleet::start(small()).await.unwrap();
+        let faults = format!("http://{}/faults", fleet.table.address());
+        put(faults.clone(), json!({"delay_ms": 900})).await;
+        let headers = [
+            ("x-ringbend-request-key", "count-7"),
+            ("x-call-key", "count-7"),
+            ("x-ringbend-deadline-ms", "300"),
+        ];
+        let to = fleet.instances[0].callers;
+        let late = call(to, "/services/dispatch/count", &headers, "one box").await;
+        assert_eq!(late.run_state(), "not-run", "{}", late.text);
+        put(faults, json!({})).await;
+        // The late grant is given back, and the key is free for the next try, which is the first run.
+        until("the key is free", async || keyed(to, "count-7").await.status == 200).await;
+        assert_eq!(runs(&fleet, "count-7").await, 1);
+    });
+}
+
 #[test]
 fn crossing_changes_and_lost_answers_leave_every_accepted_change_in_force() {
     run(async {
--- a/crates/ringbendd/tests/processes.rs
+++ b/crates/ringbendd/tests/processes.rs
@@ -366,3 +366,35 @@
         assert_eq!(get(stats, "/_stats").await.1["by_key"]["count"], 1);
     });
 }
+
+#[test]
+fn a_paused_process_catches_up_and_never_falls_back() {
+    run(async {
+        let world = World::start("pause", 2).await;
+        let set = |weight: &str| {
+            let args = ["settings", "set", "/x", "limits.weight", weight];
+            assert_eq!(ringbend(world.admin(0), &args).0, Some(0));
+        };
+        set("1");
+        until("in force", async || {
+            get(world.admin(1), "/v1/status").await.1["settings_version"] == 1
+        })
+        .await;
+        world.daemons[1].signal(Signal::SIGSTOP);
+        set("2");
+        set("3");
+        actix_rt::time::sleep(Duration::from_secs(3)).await;
+        world.daemons[1].signal(Signal::SIGCONT);
+        let mut highest = 1;
+        until("caught up", async || {
+            let status = get(world.admin(1), "/v1/status").await.1;
+            let version = status["settings_version"].as_u64().unwrap_or(highest);
+            assert!(version >= highest, "fell from {highest} to {version}");
+            highest = version;
+            version == 3
+        })
+        .await;
+        let (status, answer) = post(world.callers(1), "/v1/completions", prompt("p", 3)).await;
+        assert_eq!(status, 200, "{answer}");
+    });
+}
