style: guards on one line; refactor(ledger): late claims leave both queues one way

Read as a newcomer: 101 guards took three lines each, and the claims' give_up_late moved queues through a nested vector. No rule changed; clippy clean, the ledger's tests pass.

--- a/crates/ringbend-bench/src/gossip.rs
+++ b/crates/ringbend-bench/src/gossip.rs
@@ -298,9 +298,7 @@
     }
 
     fn spread_endpoint(&mut self) -> f64 {
-        let Ok(endpoint) = "engine-1".parse::<EndpointId>() else {
-            return 0.0;
-        };
+        let Ok(endpoint) = "engine-1".parse::<EndpointId>() else { return 0.0 };
         self.heard_leaving[0] = true;
         self.handle(0, Event::EndpointLeaving(endpoint));
         self.time_until(|net| net.heard_leaving.iter().all(|heard| *heard))
--- a/crates/ringbend-bench/src/main.rs
+++ b/crates/ringbend-bench/src/main.rs
@@ -195,9 +195,7 @@
 }
 
 fn print_outline(value: &serde_json::Value, depth: usize) {
-    let Some(fields) = value.as_object() else {
-        return;
-    };
+    let Some(fields) = value.as_object() else { return };
     for (name, field) in fields {
         let indent = "  ".repeat(depth);
         if field.is_object() {
--- a/crates/ringbend-bench/src/metrics.rs
+++ b/crates/ringbend-bench/src/metrics.rs
@@ -128,9 +128,7 @@
 /// Requests without a first token count as having waited for as long as the longest did.
 fn bucket(measured: &[&RequestRecord], bucket: PromptBucket) -> BucketReport {
     const MICROS_PER_MILLI: f64 = 1_000.0;
-    let Ok(mut histogram) = Histogram::<u64>::new(3) else {
-        return BucketReport::default();
-    };
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else { return BucketReport::default() };
     for record in measured {
         if PromptBucket::of(TokenCount(record.arrival.prompt)) != bucket {
             continue;
--- a/crates/ringbend-bench/src/world.rs
+++ b/crates/ringbend-bench/src/world.rs
@@ -410,9 +410,7 @@
     }
 
     fn rejected(&mut self, id: RequestId, code: FailureCode, wait: Option<Duration>) {
-        let Some((record, _)) = self.requests.remove(&id) else {
-            return;
-        };
+        let Some((record, _)) = self.requests.remove(&id) else { return };
         let known = &mut self.records[record];
         known.retry_after.extend(wait);
         if let Some((after, most)) = self.scenario.come_back
@@ -429,9 +427,7 @@
     }
 
     fn finished(&mut self, id: RequestId, end: RequestEnd) {
-        let Some((record, _)) = self.requests.remove(&id) else {
-            return;
-        };
+        let Some((record, _)) = self.requests.remove(&id) else { return };
         let at = self.now + self.scenario.caller_latency;
         let end = match end {
             RequestEnd::Answered => CallerEnd::Answered,
@@ -455,9 +451,7 @@
     }
 
     fn note_progress(&mut self, attempt: AttemptId, tokens: u64) {
-        let Some(record) = self.heard.get(&attempt).copied() else {
-            return;
-        };
+        let Some(record) = self.heard.get(&attempt).copied() else { return };
         let known = &mut self.records[record];
         if known.first_token.is_none() {
             known.first_token = Some(self.now + self.scenario.caller_latency);
--- a/crates/ringbend-bench/src/world/engines.rs
+++ b/crates/ringbend-bench/src/world/engines.rs
@@ -17,9 +17,7 @@
     pub(super) fn submit(&mut self, instance: usize, dispatch: &Dispatch) {
         let engine = engine_index(&dispatch.endpoint);
         let attempt = dispatch.attempt;
-        let Some((record, _)) = self.requests.get(&dispatch.request).copied() else {
-            return;
-        };
+        let Some((record, _)) = self.requests.get(&dispatch.request).copied() else { return };
         if !self.engines[engine].alive || !self.reaches(instance, engine) {
             return self.end_attempt(instance, attempt, AttemptEnd::NotSent);
         }
@@ -103,9 +101,7 @@
     }
 
     pub(super) fn output(&mut self, output: EngineOutput) {
-        let Some(attempt) = self.attempts.get_mut(&output.attempt) else {
-            return;
-        };
+        let Some(attempt) = self.attempts.get_mut(&output.attempt) else { return };
         let first = output.index == attempt.next_index;
         let tokens = output.index + 1;
         let (instance, id) = (attempt.instance, output.attempt);
--- a/crates/ringbend-cli/src/commands.rs
+++ b/crates/ringbend-cli/src/commands.rs
@@ -33,9 +33,7 @@
     match command {
         SettingsCommand::Get(args) => {
             let value = client.get("/v1/settings/effective", &at(&args.path)).await?;
-            let Some(key) = args.key else {
-                return Ok(value);
-            };
+            let Some(key) = args.key else { return Ok(value) };
             let (feature, name) = key.parts();
             Ok(value[feature][name].clone())
         }
--- a/crates/ringbend-ledger/src/claim_batcher.rs
+++ b/crates/ringbend-ledger/src/claim_batcher.rs
@@ -222,9 +222,7 @@
     }
 
     fn settle(&mut self, holder: RequestId, settlement: Settlement) {
-        let Some((key, mut claim)) = self.granted.remove(&holder) else {
-            return;
-        };
+        let Some((key, mut claim)) = self.granted.remove(&holder) else { return };
         let free = settlement == Settlement::NotRun;
         match settlement {
             Settlement::Done(answer) => claim.state = ClaimState::Done(answer),
@@ -237,23 +235,16 @@
     }
 
     fn give_up_late(&mut self, now: Timestamp, actions: &mut Vec<ClaimAction>) {
-        let mut late = Vec::new();
-        for queue in [&mut self.waiting, &mut self.uncertain] {
-            let (over, rest) = queue.drain(..).partition(|p| p.give_up <= now);
-            *queue = rest;
-            late.push(over);
-        }
-        let late: Vec<VecDeque<Pending>> = late;
-        for pending in late.into_iter().flatten() {
+        let mut late = take_late(&mut self.waiting, now);
+        late.extend(take_late(&mut self.uncertain, now));
+        for pending in late {
             self.abandon(pending, actions);
         }
     }
 
     fn start_calls(&mut self, now: Timestamp, actions: &mut Vec<ClaimAction>) {
         while now >= self.pause_until && self.calls.len() < self.cfg.calls_in_flight {
-            let Some((call, request)) = self.next_call() else {
-                return;
-            };
+            let Some((call, request)) = self.next_call() else { return };
             self.next_call += 1;
             let id = CallId(self.next_call);
             self.calls.insert(id, call);
@@ -421,9 +412,7 @@
         let mut ours = Vec::new();
         for settling in batch {
             let key = settling.key.row();
-            let Some(row) = rows.iter().find(|row| row.key == key) else {
-                continue;
-            };
+            let Some(row) = rows.iter().find(|row| row.key == key) else { continue };
             let held = serde_json::from_str::<Claim>(&row.value);
             if held.is_ok_and(|held| held.holder == settling.claim.holder) {
                 conditions.push(Condition::VersionIs(key.clone(), row.version));
@@ -441,6 +430,14 @@
     }
 }
 
+/// Takes the claims whose time is over out of a queue.
+fn take_late(queue: &mut VecDeque<Pending>, now: Timestamp) -> Vec<Pending> {
+    let (late, rest): (Vec<Pending>, Vec<Pending>) =
+        queue.drain(..).partition(|pending| pending.give_up <= now);
+    *queue = rest.into();
+    late
+}
+
 fn take<T>(queue: &mut VecDeque<T>, most: usize) -> Vec<T> {
     let n = queue.len().min(most);
     queue.drain(..n).collect()
--- a/crates/ringbend-ledger/src/lease.rs
+++ b/crates/ringbend-ledger/src/lease.rs
@@ -140,9 +140,7 @@
     }
 
     fn tick(&mut self, now: Timestamp) -> Option<LeaseAction> {
-        let Phase::Idle { until } = self.phase else {
-            return None;
-        };
+        let Phase::Idle { until } = self.phase else { return None };
         if now < until || self.leaving {
             return None;
         }
@@ -184,9 +182,7 @@
             let first = self.row(FencingNumber(1), 0);
             return self.write(now, Condition::Absent(self.key.clone()), first);
         };
-        let Ok(current) = serde_json::from_str::<LeaseRow>(&row.value) else {
-            return None;
-        };
+        let Ok(current) = serde_json::from_str::<LeaseRow>(&row.value) else { return None };
         let unchanged = Condition::VersionIs(self.key.clone(), row.version);
         if current.holder == self.holder && current.incarnation == self.incarnation {
             self.prove(&current);
--- a/crates/ringbend-membership/src/membership.rs
+++ b/crates/ringbend-membership/src/membership.rs
@@ -183,9 +183,7 @@
     }
 
     fn check_probe(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let Some(mut probe) = self.probe.take() else {
-            return;
-        };
+        let Some(mut probe) = self.probe.take() else { return };
         let waited = now.since(probe.sent);
         if waited >= self.cfg.ack_timeout * 3 {
             return self.suspect(now, &probe.target, actions);
@@ -211,9 +209,7 @@
     }
 
     fn suspect(&mut self, now: Timestamp, target: &InstanceId, actions: &mut Vec<Action>) {
-        let Some(member) = self.members.get(target) else {
-            return;
-        };
+        let Some(member) = self.members.get(target) else { return };
         if member.state == MemberState::Alive {
             let (address, incarnation) = (member.address, member.incarnation);
             let state = MemberState::Suspect;
@@ -243,9 +239,7 @@
         if self.probe.is_some() {
             return;
         }
-        let Some(target) = self.next_target() else {
-            return;
-        };
+        let Some(target) = self.next_target() else { return };
         self.sequence += 1;
         let sequence = self.sequence;
         let address = self.members[&target].address;
@@ -343,9 +337,7 @@
         asker_sequence: u64,
         actions: &mut Vec<Action>,
     ) {
-        let Some(address) = self.members.get(target).map(|m| m.address) else {
-            return;
-        };
+        let Some(address) = self.members.get(target).map(|m| m.address) else { return };
         let timeout = self.cfg.ack_timeout * 3;
         self.errands.retain(|e| now.since(e.sent) < timeout);
         self.sequence += 1;
--- a/crates/ringbend-membership/src/rumours.rs
+++ b/crates/ringbend-membership/src/rumours.rs
@@ -44,9 +44,7 @@
         order.sort();
         let mut updates = Vec::new();
         for (_, _, subject) in order.into_iter().take(most) {
-            let Some(rumour) = self.rumours.get_mut(&subject) else {
-                continue;
-            };
+            let Some(rumour) = self.rumours.get_mut(&subject) else { continue };
             updates.push(rumour.update.clone());
             rumour.sent += 1;
             if rumour.sent >= transmissions {
--- a/crates/ringbend-models/src/engine.rs
+++ b/crates/ringbend-models/src/engine.rs
@@ -211,9 +211,7 @@
 
     /// Ends a sequence and frees its memory. Unknown attempts are ignored; returns whether one ended.
     pub fn cancel(&mut self, now: Timestamp, attempt: AttemptId) -> bool {
-        let Some(place) = self.places.remove(&attempt) else {
-            return false;
-        };
+        let Some(place) = self.places.remove(&attempt) else { return false };
         self.waiting.remove(&place);
         if let Some(sequence) = self.batch.remove(&place) {
             self.kv_used = self.kv_used.minus(sequence.submit.kv_need());
@@ -241,9 +239,7 @@
 
     /// Frees the memory held for an attempt; returns whether there was any.
     pub fn release(&mut self, now: Timestamp, attempt: AttemptId) -> bool {
-        let Some(tokens) = self.reservations.remove(&attempt) else {
-            return false;
-        };
+        let Some(tokens) = self.reservations.remove(&attempt) else { return false };
         self.kv_used = self.kv_used.minus(tokens);
         self.start_step(now);
         true
@@ -366,9 +362,7 @@
 
     fn fill_batch(&mut self) {
         while self.batch.len() < self.spec.max_batch {
-            let Some(first) = self.waiting.first_entry() else {
-                return;
-            };
+            let Some(first) = self.waiting.first_entry() else { return };
             let used = self.kv_used.plus(first.get().submit.kv_need());
             if used > self.spec.kv_capacity {
                 return;
@@ -394,9 +388,7 @@
 
     fn finish_step(&mut self, step: &Step, outputs: &mut Vec<EngineOutput>) {
         for (place, chunk) in &step.prefill {
-            let Some(sequence) = self.batch.get_mut(place) else {
-                continue;
-            };
+            let Some(sequence) = self.batch.get_mut(place) else { continue };
             sequence.prefill_left -= chunk;
             if sequence.prefill_left == 0 {
                 self.cache.store(&sequence.submit.blocks);
--- a/crates/ringbend-models/src/prefix_cache.rs
+++ b/crates/ringbend-models/src/prefix_cache.rs
@@ -64,9 +64,7 @@
             self.touch(*block);
         }
         while self.used_at.len() > self.capacity {
-            let Some((_, block)) = self.by_use.pop_first() else {
-                break;
-            };
+            let Some((_, block)) = self.by_use.pop_first() else { break };
             self.used_at.remove(&block);
             self.emit(block, false);
         }
--- a/crates/ringbend-playground/src/load.rs
+++ b/crates/ringbend-playground/src/load.rs
@@ -140,9 +140,7 @@
             .insert_header(("x-ringbend-request-key", key))
             .insert_header((CALL_KEY, key));
         let lost = CallResult { bucket: None, verdict: Verdict::Lost, first_token: None };
-        let Ok(mut res) = req.send_body(body.to_owned()).await else {
-            return lost;
-        };
+        let Ok(mut res) = req.send_body(body.to_owned()).await else { return lost };
         let success = res.status().is_success();
         let answer = res.body().await.unwrap_or_default();
         if !success {
@@ -176,9 +174,7 @@
         if let Some(error) = event.strip_prefix("event: error\ndata: ") {
             return failure(error.as_bytes());
         }
-        let Some(data) = event.strip_prefix("data: ") else {
-            continue;
-        };
+        let Some(data) = event.strip_prefix("data: ") else { continue };
         if data == "[DONE]" {
             done = true;
             continue;
--- a/crates/ringbend-playground/src/report.rs
+++ b/crates/ringbend-playground/src/report.rs
@@ -96,9 +96,7 @@
             "p99 ms",
         );
         for bucket in PromptBucket::ALL {
-            let Some(line) = self.ttft_ms.get(bucket.label()) else {
-                continue;
-            };
+            let Some(line) = self.ttft_ms.get(bucket.label()) else { continue };
             text.push_str(&format!(
                 "{:>8} {:>8} {:>10.1} {:>10.1} {:>10.1}\n",
                 bucket, line.n, line.p50, line.p95, line.p99
@@ -110,9 +108,7 @@
 
 fn ttft(results: &[CallResult], bucket: PromptBucket) -> TtftLine {
     const MICROS_PER_MILLI: f64 = 1_000.0;
-    let Ok(mut histogram) = Histogram::<u64>::new(3) else {
-        return TtftLine::default();
-    };
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else { return TtftLine::default() };
     let of_bucket = results
         .iter()
         .filter(|r| r.bucket == Some(bucket) && r.verdict == Verdict::Answered)
--- a/crates/ringbend-policy/src/dispatcher/arrivals.rs
+++ b/crates/ringbend-policy/src/dispatcher/arrivals.rs
@@ -80,9 +80,7 @@
     }
 
     pub(super) fn enqueue(&mut self, now: Timestamp, id: RequestId) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = Stage::Queued;
         self.queue.push(now, &request.profile);
         self.set_timer(id);
@@ -93,9 +91,7 @@
         let mut full: BTreeSet<RoomKind> = BTreeSet::new();
         let waiting: Vec<RequestId> = self.queue.iter().collect();
         for id in waiting {
-            let Some(request) = self.requests.get(&id) else {
-                continue;
-            };
+            let Some(request) = self.requests.get(&id) else { continue };
             let kind = self.endpoints.room_kind(&request.profile);
             if full.contains(&kind) {
                 continue;
--- a/crates/ringbend-policy/src/dispatcher/ends.rs
+++ b/crates/ringbend-policy/src/dispatcher/ends.rs
@@ -11,15 +11,9 @@
 
 impl Dispatcher {
     pub(super) fn progress(&mut self, now: Timestamp, attempt: AttemptId, tokens: u64) {
-        let Some(id) = self.attempts.get(&attempt) else {
-            return;
-        };
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        let Stage::Running(running) = &mut request.stage else {
-            return;
-        };
+        let Some(id) = self.attempts.get(&attempt) else { return };
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let Stage::Running(running) = &mut request.stage else { return };
         request.delivered = request.delivered.max(tokens);
         running.last_progress = now;
         running.started = true;
@@ -36,19 +30,13 @@
         end: AttemptEnd,
         out: &mut Vec<Action>,
     ) {
-        let Some(id) = self.attempts.get(&attempt).copied() else {
-            return;
-        };
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
+        let Some(id) = self.attempts.get(&attempt).copied() else { return };
+        let Some(request) = self.requests.get(&id) else { return };
         if !matches!(&request.stage, Stage::Running(r) if r.attempt == attempt) {
             return;
         }
         self.stop_attempt(now, id, Some(end), false, out);
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.ran = request.ran.max(run_state(end).unwrap_or(RunState::NotRun));
         match after_attempt(end, request.profile.repeatable) {
             AfterAttempt::Answered => self.finish(id, RequestEnd::Answered, out),
@@ -64,9 +52,7 @@
         end: AttemptEnd,
         out: &mut Vec<Action>,
     ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         let retries = &request.profile.settings.retries;
         let floor = match end {
             AttemptEnd::Refused { retry_after } => retry_after,
@@ -96,9 +82,7 @@
         cancel: bool,
         out: &mut Vec<Action>,
     ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         let (attempt, held) = match std::mem::replace(&mut request.stage, Stage::Claiming) {
             Stage::Running(running) => {
                 if let Some(view) = self.endpoints.get_mut(&running.endpoint) {
@@ -147,9 +131,7 @@
     }
 
     pub(super) fn forget(&mut self, id: RequestId) -> bool {
-        let Some(request) = self.requests.remove(&id) else {
-            return false;
-        };
+        let Some(request) = self.requests.remove(&id) else { return false };
         self.timers.remove(&(request.timer, id));
         self.limits.ended(&request.profile.account, request.profile.cost());
         true
@@ -186,9 +168,7 @@
         let holding = self.requests.iter().filter(|(_, request)| holds(request));
         let holding: Vec<RequestId> = holding.map(|(id, _)| *id).collect();
         for id in holding {
-            let Some(request) = self.requests.get_mut(&id) else {
-                continue;
-            };
+            let Some(request) = self.requests.get_mut(&id) else { continue };
             if matches!(request.stage, Stage::Running(_)) {
                 request.ran = request.ran.max(RunState::MayHaveRun);
             }
--- a/crates/ringbend-policy/src/dispatcher/placing.rs
+++ b/crates/ringbend-policy/src/dispatcher/placing.rs
@@ -14,9 +14,7 @@
 impl Dispatcher {
     pub(super) fn place(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Action>) -> bool {
         let collecting = self.collecting();
-        let Some(request) = self.requests.get(&id) else {
-            return false;
-        };
+        let Some(request) = self.requests.get(&id) else { return false };
         let (own, peers) = (&self.cfg.instance, &self.peers);
         let away = |endpoint: &EndpointId| is_away(endpoint, own, peers);
         let avoid = request.last.as_ref();
@@ -51,12 +49,8 @@
         out: &mut Vec<Action>,
     ) -> bool {
         let busy = self.collecting();
-        let Some(request) = self.requests.get(&id) else {
-            return false;
-        };
-        let Some(group) = self.endpoints.group(now, &request.profile, &busy) else {
-            return false;
-        };
+        let Some(request) = self.requests.get(&id) else { return false };
+        let Some(group) = self.endpoints.group(now, &request.profile, &busy) else { return false };
         let attempt = self.mint.attempt();
         let need = request.profile.cost();
         self.queue.serve(id);
@@ -73,12 +67,8 @@
         if self.leave_broken_group(now, id, out) {
             return;
         }
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let Stage::Collecting(collect) = &mut request.stage else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Stage::Collecting(collect) = &mut request.stage else { return };
         if collect.asking || now < collect.retry_at {
             return;
         }
@@ -88,9 +78,7 @@
             self.set_timer(id);
             return;
         }
-        let Some(lead) = collect.lead().cloned() else {
-            return;
-        };
+        let Some(lead) = collect.lead().cloned() else { return };
         let (attempt, held) = (collect.attempt, collect.held.to_vec());
         self.dispatch(now, id, attempt, lead, held, out);
     }
@@ -155,13 +143,9 @@
         held: Vec<HeldMemory>,
         out: &mut Vec<Action>,
     ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         let profile = &request.profile;
-        let Some(view) = self.endpoints.get_mut(&endpoint) else {
-            return;
-        };
+        let Some(view) = self.endpoints.get_mut(&endpoint) else { return };
         let long = profile.is_long();
         let prefill = view.uncached(profile.prompt_tokens, profile.prefix);
         let predicted = view.predict(now, prefill, long);
--- a/crates/ringbend-policy/src/dispatcher/timers.rs
+++ b/crates/ringbend-policy/src/dispatcher/timers.rs
@@ -9,9 +9,7 @@
 
 impl Dispatcher {
     pub(super) fn set_timer(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         let idle = Duration::from_millis(request.profile.settings.timeouts.idle_ms);
         let due = match &request.stage {
             Stage::Claiming | Stage::Queued => Timestamp::NEVER,
@@ -46,9 +44,7 @@
     }
 
     pub(super) fn on_timer(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         if now >= request.profile.deadline {
             if matches!(request.stage, Stage::Running(_)) {
                 request.ran = request.ran.max(RunState::MayHaveRun);
--- a/crates/ringbend-policy/src/endpoint_view.rs
+++ b/crates/ringbend-policy/src/endpoint_view.rs
@@ -155,9 +155,7 @@
     }
 
     fn reported_backlog(&self, now: Timestamp) -> f64 {
-        let Some((report, at)) = &self.report else {
-            return 0.0;
-        };
+        let Some((report, at)) = &self.report else { return 0.0 };
         let done = self.rate * now.since(*at).as_secs_f64();
         (report.prefill_backlog.0 as f64 - done).max(0.0)
     }
@@ -210,9 +208,7 @@
 
     /// A token of an attempt. The first one says that its prompt is prefilled, and tells the rate.
     pub(crate) fn progressed(&mut self, now: Timestamp, attempt: AttemptId, prefix: u64) {
-        let Some(sent) = self.sent.get_mut(&attempt) else {
-            return;
-        };
+        let Some(sent) = self.sent.get_mut(&attempt) else { return };
         if sent.started {
             return;
         }
--- a/crates/ringbend-policy/src/limits.rs
+++ b/crates/ringbend-policy/src/limits.rs
@@ -76,9 +76,7 @@
 
     /// A request that was within the limits has ended.
     pub fn ended(&mut self, account: &ClientAccountId, cost: TokenCount) {
-        let Some(in_use) = self.in_use.get_mut(account) else {
-            return;
-        };
+        let Some(in_use) = self.in_use.get_mut(account) else { return };
         *in_use = in_use.saturating_sub(cost.0);
         if *in_use == 0 {
             self.in_use.remove(account);
--- a/crates/ringbend-policy/src/naive.rs
+++ b/crates/ringbend-policy/src/naive.rs
@@ -101,12 +101,8 @@
     }
 
     fn ended(&mut self, attempt: AttemptId, end: AttemptEnd, out: &mut Vec<Action>) {
-        let Some(id) = self.attempts.remove(&attempt) else {
-            return;
-        };
-        let Some(open) = self.open.remove(&id) else {
-            return;
-        };
+        let Some(id) = self.attempts.remove(&attempt) else { return };
+        let Some(open) = self.open.remove(&id) else { return };
         if end == AttemptEnd::Complete {
             out.push(Action::Finish { request: id, end: RequestEnd::Answered });
         } else {
--- a/crates/ringbend-policy/src/queue.rs
+++ b/crates/ringbend-policy/src/queue.rs
@@ -73,9 +73,7 @@
     }
 
     pub(crate) fn remove(&mut self, request: RequestId) -> bool {
-        let Some(waiting) = self.waiting.remove(&request) else {
-            return false;
-        };
+        let Some(waiting) = self.waiting.remove(&request) else { return false };
         self.order.remove(&waiting.place);
         self.tokens -= waiting.cost;
         true
--- a/crates/ringbend-runtime/src/server.rs
+++ b/crates/ringbend-runtime/src/server.rs
@@ -119,9 +119,7 @@
     let places = Rc::new(tokio::sync::Semaphore::new(cfg.max_connections));
     let task = tokio::task::spawn_local(async move {
         loop {
-            let Ok(place) = tokio::sync::Semaphore::acquire(&places).await else {
-                return;
-            };
+            let Ok(place) = tokio::sync::Semaphore::acquire(&places).await else { return };
             place.forget();
             let connection = match listener.accept().await {
                 Ok((connection, _)) => connection,
--- a/crates/ringbend-runtime/src/timers.rs
+++ b/crates/ringbend-runtime/src/timers.rs
@@ -69,13 +69,9 @@
 impl Subscription {
     /// Makes the callback due at `at`, when that is sooner than now planned.
     pub fn no_later_than(&self, at: Timestamp) {
-        let Some(shared) = self.shared.upgrade() else {
-            return;
-        };
+        let Some(shared) = self.shared.upgrade() else { return };
         let mut entries = shared.entries.borrow_mut();
-        let Some(entry) = entries.get_mut(&self.id) else {
-            return;
-        };
+        let Some(entry) = entries.get_mut(&self.id) else { return };
         if at < entry.due {
             entry.due = at;
             shared.changed.notify_one();
--- a/crates/ringbend-settings/src/sync.rs
+++ b/crates/ringbend-settings/src/sync.rs
@@ -51,9 +51,7 @@
 
     /// The step after a reply.
     pub fn on_reply(&mut self, replica: &mut Replica, reply: &TableReply) -> SyncStep {
-        let TableReply::Rows(found) = reply else {
-            return SyncStep::Failed;
-        };
+        let TableReply::Rows(found) = reply else { return SyncStep::Failed };
         match std::mem::replace(&mut self.state, State::Idle) {
             State::Idle => SyncStep::Failed,
             State::Head => self.on_head(replica, found),
--- a/crates/ringbend-settings/src/tree.rs
+++ b/crates/ringbend-settings/src/tree.rs
@@ -159,9 +159,7 @@
 
 /// Checks that the value alone has the setting's type.
 fn check_type(edit: &Edit) -> Result<(), SettingsError> {
-    let Some(value) = &edit.value else {
-        return Ok(());
-    };
+    let Some(value) = &edit.value else { return Ok(()) };
     let (feature, name) = edit.key.parts();
     let mut merged = serde_json::to_value(Effective::default()).unwrap_or(Value::Null);
     merged[feature][name] = value.clone();
--- a/crates/ringbend-standins/src/engine_driver.rs
+++ b/crates/ringbend-standins/src/engine_driver.rs
@@ -109,9 +109,7 @@
 
     fn deliver(&self, output: EngineOutput) {
         let mut answers = self.answers.borrow_mut();
-        let Some(answer) = answers.get(&output.attempt) else {
-            return;
-        };
+        let Some(answer) = answers.get(&output.attempt) else { return };
         let token = Token {
             request: answer.request,
             prompt_hash: answer.prompt_hash,
--- a/crates/ringbend-standins/src/instances.rs
+++ b/crates/ringbend-standins/src/instances.rs
@@ -56,9 +56,7 @@
             (Method::PUT, "/v1/endpoints") => self.put(&mut req).await,
             (Method::DELETE, path) => {
                 let id = path.strip_prefix("/v1/endpoints/").and_then(|id| id.parse().ok());
-                let Some(id) = id else {
-                    return empty(StatusCode::NOT_FOUND);
-                };
+                let Some(id) = id else { return empty(StatusCode::NOT_FOUND) };
                 self.model.borrow_mut().remove(now, id);
                 empty(StatusCode::NO_CONTENT)
             }
--- a/crates/ringbend-standins/src/table.rs
+++ b/crates/ringbend-standins/src/table.rs
@@ -60,9 +60,7 @@
         let method = req.method().clone();
         let path = req.path().to_owned();
         let body = read_body(req.take_payload(), MAX_CALL_BYTES, Duration::from_secs(10)).await;
-        let Ok(body) = body else {
-            return empty(StatusCode::BAD_REQUEST);
-        };
+        let Ok(body) = body else { return empty(StatusCode::BAD_REQUEST) };
         match (method, path.as_str()) {
             (Method::POST, "/v1/call") => match serde_json::from_slice(&body) {
                 Ok(call) => self.call(&call).await,
--- a/crates/ringbend-telemetry/src/traces.rs
+++ b/crates/ringbend-telemetry/src/traces.rs
@@ -32,9 +32,7 @@
 impl TraceContext {
     /// The context of a `traceparent` header; malformed ones count as none.
     pub fn from_header(value: Option<&str>) -> Self {
-        let Some(value) = value else {
-            return Self::default();
-        };
+        let Some(value) = value else { return Self::default() };
         let carrier = HashMap::from([(TRACEPARENT.to_owned(), value.to_owned())]);
         let cx = TraceContextPropagator::new().extract_with_context(&Context::new(), &carrier);
         let span = cx.span().span_context().clone();
--- a/crates/ringbendd/src/admin/mod.rs
+++ b/crates/ringbendd/src/admin/mod.rs
@@ -125,9 +125,7 @@
     }
 
     fn is_operator(&self, req: &HttpRequest) -> bool {
-        let Some(given) = bearer(req.headers()) else {
-            return false;
-        };
+        let Some(given) = bearer(req.headers()) else { return false };
         let mut known = false;
         for key in &self.app.cfg.admin.keys {
             known |= bool::from(key.as_bytes().ct_eq(given));
--- a/crates/ringbendd/src/callers/exact.rs
+++ b/crates/ringbendd/src/callers/exact.rs
@@ -42,9 +42,7 @@
     body: Bytes,
 ) -> Result<ExactResponse, AttemptEnd> {
     let connecting = tokio::time::timeout(connect_timeout, TcpStream::connect(to));
-    let Ok(Ok(io)) = connecting.await else {
-        return Err(AttemptEnd::NotSent);
-    };
+    let Ok(Ok(io)) = connecting.await else { return Err(AttemptEnd::NotSent) };
     let _ = io.set_nodelay(true);
     let mut framed = Framed::new(io, ClientCodec::default());
     let mut head = RequestHead::default();
@@ -60,9 +58,7 @@
         framed.send(Message::Chunk(Some(body))).await.map_err(broken)?;
         framed.send(Message::Chunk(None)).await.map_err(broken)?;
     }
-    let Some(Ok(head)) = framed.next().await else {
-        return Err(AttemptEnd::Broken);
-    };
+    let Some(Ok(head)) = framed.next().await else { return Err(AttemptEnd::Broken) };
     let body = match framed.codec_ref().message_type() {
         MessageType::None => Bytes::new(),
         MessageType::Payload | MessageType::Stream => {
--- a/crates/ringbendd/src/callers/headers.rs
+++ b/crates/ringbendd/src/callers/headers.rs
@@ -50,9 +50,7 @@
     expected: &'static str,
 ) -> Result<Option<T>, Failure> {
     let mut all = headers.get_all(name);
-    let Some(value) = all.next() else {
-        return Ok(None);
-    };
+    let Some(value) = all.next() else { return Ok(None) };
     let bad = || Failure::BadHeader { name, expected };
     if all.next().is_some() {
         return Err(bad());
--- a/crates/ringbendd/src/callers/life.rs
+++ b/crates/ringbendd/src/callers/life.rs
@@ -314,9 +314,7 @@
     }
 
     async fn on_event(&mut self, event: AttemptEvent, side: &mut CallerSide) -> bool {
-        let Some(attempt) = self.running.as_ref().map(|r| r.attempt) else {
-            return false;
-        };
+        let Some(attempt) = self.running.as_ref().map(|r| r.attempt) else { return false };
         match event {
             AttemptEvent::Token(token) => self.token(attempt, token, side).await,
             AttemptEvent::Response(response) => {
--- a/crates/ringbendd/src/callers/life/answer.rs
+++ b/crates/ringbendd/src/callers/life/answer.rs
@@ -31,9 +31,7 @@
         self.finish = token.finish;
         let tokens = self.delivered.tokens;
         self.app.decisions.decide(&self.app, Event::Progress { attempt, tokens });
-        let Kind::Prompt { stream: true, .. } = self.kind else {
-            return false;
-        };
+        let Kind::Prompt { stream: true, .. } = self.kind else { return false };
         self.begin_stream(side);
         match self.write(token.bytes, side).await {
             Ok(()) => false,
@@ -77,9 +75,7 @@
                 side.respond(json(StatusCode::OK, &body));
             }
             Kind::Plain { .. } => {
-                let Some(response) = self.response.take() else {
-                    return;
-                };
+                let Some(response) = self.response.take() else { return };
                 let content_type = response.headers.get(CONTENT_TYPE);
                 let content_type = content_type.and_then(|v| v.to_str().ok()).unwrap_or("");
                 let status = response.status.as_u16();
--- a/crates/ringbendd/src/callers/prompt.rs
+++ b/crates/ringbendd/src/callers/prompt.rs
@@ -132,9 +132,7 @@
     fields: &BTreeMap<String, &RawValue>,
     name: &str,
 ) -> Result<Option<T>, Failure> {
-    let Some(value) = fields.get(name) else {
-        return Ok(None);
-    };
+    let Some(value) = fields.get(name) else { return Ok(None) };
     serde_json::from_str(value.get()).map_err(Failure::BadBody)
 }
 
--- a/crates/ringbendd/src/callers/side.rs
+++ b/crates/ringbendd/src/callers/side.rs
@@ -54,9 +54,7 @@
 
     /// Passes a chunk on.
     pub(crate) async fn write(&mut self, chunk: Bytes) -> Result<(), CallerGone> {
-        let Self::Streaming(tx) = self else {
-            return Ok(());
-        };
+        let Self::Streaming(tx) = self else { return Ok(()) };
         match tokio::time::timeout(STALLED, tx.send(Ok(chunk))).await {
             Ok(Ok(())) => Ok(()),
             _ => Err(CallerGone),
--- a/crates/ringbendd/src/claims.rs
+++ b/crates/ringbendd/src/claims.rs
@@ -26,9 +26,7 @@
     pub(crate) fn start(app: &Rc<App>) {
         let weak = Rc::downgrade(app);
         let timer = app.timers.subscribe(Timestamp::NEVER, move |_| {
-            let Some(app) = weak.upgrade() else {
-                return Timestamp::NEVER;
-            };
+            let Some(app) = weak.upgrade() else { return Timestamp::NEVER };
             app.claims.handle(&app, ClaimEvent::Tick);
             app.claims.batcher.borrow().next_wakeup()
         });
--- a/crates/ringbendd/src/decisions.rs
+++ b/crates/ringbendd/src/decisions.rs
@@ -78,18 +78,14 @@
     pub(crate) fn start(app: &Rc<App>) {
         let weak = Rc::downgrade(app);
         let timer = app.timers.subscribe(Timestamp::default(), move |_| {
-            let Some(app) = weak.upgrade() else {
-                return Timestamp::NEVER;
-            };
+            let Some(app) = weak.upgrade() else { return Timestamp::NEVER };
             app.decisions.decide(&app, Event::Tick);
             app.decisions.policy.borrow().next_wakeup()
         });
         *app.decisions.timer.borrow_mut() = Some(timer);
         let weak = Rc::downgrade(app);
         let timer = app.timers.subscribe(Timestamp::default(), move |_| {
-            let Some(app) = weak.upgrade() else {
-                return Timestamp::NEVER;
-            };
+            let Some(app) = weak.upgrade() else { return Timestamp::NEVER };
             app.decisions.share(&app, ShareEvent::Tick);
             app.decisions.shares.borrow().next_wakeup()
         });
@@ -213,9 +209,7 @@
     }
 
     fn release(&self, app: &Rc<App>, attempt: AttemptId, endpoint: &EndpointId) {
-        let Some(entry) = self.entry(endpoint) else {
-            return;
-        };
+        let Some(entry) = self.entry(endpoint) else { return };
         let control = app.control.clone();
         tokio::task::spawn_local(async move {
             for _ in 0..CLEANUP_TRIES {
@@ -233,9 +227,7 @@
         if let Some(request) = request {
             self.signal(request, Signal::DropAttempt(attempt));
         }
-        let Some(entry) = self.entry(endpoint) else {
-            return;
-        };
+        let Some(entry) = self.entry(endpoint) else { return };
         if entry.kind == EndpointKind::Service {
             return;
         }
--- a/crates/ringbendd/src/instance.rs
+++ b/crates/ringbendd/src/instance.rs
@@ -178,9 +178,7 @@
 fn start_tracing(
     cfg: &DaemonConfig,
 ) -> Result<(Tracing, Option<mpsc::Receiver<Export>>), Report<DaemonError>> {
-    let Some(url) = &cfg.traces.otlp_url else {
-        return Ok((Tracing::default(), None));
-    };
+    let Some(url) = &cfg.traces.otlp_url else { return Ok((Tracing::default(), None)) };
     let (tracing, exports) =
         Tracing::exporting(url, cfg.instance.as_str()).change_context(DaemonError::Traces)?;
     Ok((tracing, Some(exports)))
--- a/crates/ringbendd/src/peers/mod.rs
+++ b/crates/ringbendd/src/peers/mod.rs
@@ -94,9 +94,7 @@
         app.peers.members_changed(app);
         let weak = Rc::downgrade(app);
         let timer = app.timers.subscribe(Timestamp::default(), move |_| {
-            let Some(app) = weak.upgrade() else {
-                return Timestamp::NEVER;
-            };
+            let Some(app) = weak.upgrade() else { return Timestamp::NEVER };
             app.peers.handle(&app, Event::Tick);
             app.peers.membership.borrow().next_wakeup()
         });
@@ -177,9 +175,7 @@
     }
 
     fn send(&self, app: &App, to: SocketAddr, message: &Message) {
-        let Some(link) = self.link.borrow().clone() else {
-            return;
-        };
+        let Some(link) = self.link.borrow().clone() else { return };
         let envelope = Envelope { body: Some(envelope::Body::Gossip(message.into())) };
         app.metrics.peer_bytes(ringbend_wire::Message::encoded_len(&envelope) as u64);
         link.send(to, envelope);
@@ -191,12 +187,8 @@
 
     /// Tells demand to the owner of a limit, and takes its answer.
     pub(crate) fn ask_owner(&self, app: &Rc<App>, owner: &InstanceId, request: &GrantRequest) {
-        let Some(link) = self.link.borrow().clone() else {
-            return;
-        };
-        let Some(to) = self.address_of(owner) else {
-            return;
-        };
+        let Some(link) = self.link.borrow().clone() else { return };
+        let Some(to) = self.address_of(owner) else { return };
         let envelope = Envelope { body: Some(envelope::Body::GrantRequest(request.into())) };
         app.metrics.peer_bytes(ringbend_wire::Message::encoded_len(&envelope) as u64);
         let app = app.clone();
--- a/crates/ringbendd/src/peers/quic.rs
+++ b/crates/ringbendd/src/peers/quic.rs
@@ -302,12 +302,8 @@
 }
 
 async fn answer(app: Weak<App>, mut tx: quinn::SendStream, mut rx: quinn::RecvStream) {
-    let Ok(bytes) = rx.read_to_end(MAX_MESSAGE_BYTES).await else {
-        return;
-    };
-    let Ok(question) = Envelope::decode(bytes.as_slice()) else {
-        return;
-    };
+    let Ok(bytes) = rx.read_to_end(MAX_MESSAGE_BYTES).await else { return };
+    let Ok(question) = Envelope::decode(bytes.as_slice()) else { return };
     let Some(app) = app.upgrade() else { return };
     if let Some(answer) = app.peers.answer(&app, question) {
         let _ = tx.write_all(&answer.encode_to_vec()).await;
--- a/crates/ringbendd/src/settings_sync.rs
+++ b/crates/ringbendd/src/settings_sync.rs
@@ -70,9 +70,7 @@
         let mut syncer = Syncer::default();
         let mut step = syncer.start();
         while let SyncStep::Call(call) = step {
-            let Ok(reply) = app.table.call(call).await else {
-                return;
-            };
+            let Ok(reply) = app.table.call(call).await else { return };
             let before = self.version();
             step = syncer.on_reply(&mut self.replica.borrow_mut(), &reply);
             self.took(app, before);
--- a/crates/ringbendd/src/sweep.rs
+++ b/crates/ringbendd/src/sweep.rs
@@ -63,9 +63,7 @@
     let presence = format!("presence-{:016x}", app.incarnation.0);
     for (name, sweeps) in [(presence.as_str(), false), ("sweep", true)] {
         let cfg = if sweeps { LeaseConfig::default() } else { presence_config() };
-        let Ok(name) = name.parse::<LeaseName>() else {
-            continue;
-        };
+        let Ok(name) = name.parse::<LeaseName>() else { continue };
         let holder = app.cfg.instance.clone();
         let lease = Lease::new(cfg, &name, holder, app.incarnation);
         let lease = Rc::new(RefCell::new(lease));
@@ -101,9 +99,7 @@
     sweeper: &mut Sweeper,
     engine: &EndpointEntry,
 ) {
-    let Ok(held) = app.control.reservations(engine.address).await else {
-        return;
-    };
+    let Ok(held) = app.control.reservations(engine.address).await else { return };
     let holders: BTreeSet<Incarnation> =
         held.iter().map(|r| Incarnation(r.attempt.incarnation)).collect();
     look_up(app, sweeper, &holders).await;
@@ -115,9 +111,7 @@
     }
     // The lease is looked at again right before the order leaves.
     let now: Timestamp = app.now();
-    let Some(fencing) = lease.borrow().fencing(now, ORDER_FLIGHT) else {
-        return;
-    };
+    let Some(fencing) = lease.borrow().fencing(now, ORDER_FLIGHT) else { return };
     log::info!(engine:% = engine.id, attempts = orphans.len(); "freeing memory of nobody");
     let kind = OrderKind::FreeReservations { attempts: orphans };
     if let Err(e) = app.control.order(engine.address, Order { fencing, kind }).await {
