--- a/crates/ringbend-playground/tests/path.rs
+++ b/crates/ringbend-playground/tests/path.rs
@@ -6,7 +6,9 @@
 use ringbend_playground::{CALLER_KEY, Fleet, FleetConfig, LoadConfig, Report, Verdict, run_load};
 use ringbend_types::PromptBucket;
 use serde_json::json;
-use support::{admin_get, call, change, expected, prompt, run, small, tokens, until, version};
+use support::{
+    admin_get, call, change, expected, prompt, run, send, small, tokens, until, version,
+};
 
 #[test]
 fn a_mixed_load_is_answered_whole_and_right() {
@@ -124,3 +126,23 @@
         assert_eq!(fleet.engines.iter().map(|e| e.stats().submitted).sum::<u64>(), 0);
     });
 }
+
+#[test]
+fn metrics_count_what_happened_with_units_in_their_names() {
+    run(async {
+        let fleet = Fleet::start(small()).await.unwrap();
+        let instance = &fleet.instances[0];
+        assert_eq!(prompt(instance.callers, "hello", 3).await.status, 200);
+        let url = format!("http://{}/metrics", instance.admin);
+        let text = send(awc::Client::default().get(url), String::new()).await.text;
+        for line in [
+            "ringbend_requests_admitted_total 1",
+            "ringbend_requests_total{outcome=\"Answered\"} 1",
+            "ringbend_time_to_first_token_seconds_count{prompt=\"1k\"} 1",
+            "ringbend_attempts_total 1",
+            "ringbend_live_instances 2",
+        ] {
+            assert!(text.contains(line), "no {line:?} in:\n{text}");
+        }
+    });
+}
--- a/crates/ringbendd/src/callers/life/answer.rs
+++ b/crates/ringbendd/src/callers/life/answer.rs
@@ -57,7 +57,8 @@
         if let Some(record) = &mut self.record {
             record.extend_from_slice(&chunk);
         }
-        side.write(chunk).await
+        let left = self.deadline.since(self.app.now());
+        side.write(chunk, left).await
     }
 
     pub(super) async fn answer(&mut self, side: &mut CallerSide) {
@@ -136,7 +137,8 @@
         if side.is_waiting() {
             side.respond(failure.into_response());
         } else {
-            let _ = side.write(failure.into_event()).await;
+            let left = self.deadline.since(self.app.now());
+            let _ = side.write(failure.into_event(), left).await;
         }
         true
     }
--- a/crates/ringbendd/src/callers/side.rs
+++ b/crates/ringbendd/src/callers/side.rs
@@ -52,10 +52,14 @@
         }
     }
 
-    /// Passes a chunk on.
-    pub(crate) async fn write(&mut self, chunk: Bytes) -> Result<(), CallerGone> {
+    /// Passes a chunk on, within `left`, the time until the request's deadline.
+    pub(crate) async fn write(&mut self, chunk: Bytes, left: Duration) -> Result<(), CallerGone> {
         let Self::Streaming(tx) = self else { return Ok(()) };
-        match tokio::time::timeout(STALLED, tx.send(Ok(chunk))).await {
+        if let Ok(place) = tx.try_reserve() {
+            place.send(Ok(chunk));
+            return Ok(());
+        }
+        match tokio::time::timeout(STALLED.min(left), tx.send(Ok(chunk))).await {
             Ok(Ok(())) => Ok(()),
             _ => Err(CallerGone),
         }
