--- a/crates/ringbend-bench/src/plot.rs
+++ b/crates/ringbend-bench/src/plot.rs
@@ -53,11 +53,16 @@
         .x_labels(4)
         .draw()
         .map_err(failed)?;
-    for (n, policy) in report.policies.values().enumerate() {
+    for (n, (name, policy)) in report.policies.iter().enumerate() {
         let points = BUCKETS.iter().enumerate();
         let points = points.map(|(x, bucket)| (x as f64, p95(&policy.mean, bucket)));
         let colour = Palette99::pick(n).stroke_width(2);
-        chart.draw_series(LineSeries::new(points, colour)).map_err(failed)?;
+        chart
+            .draw_series(LineSeries::new(points, colour))
+            .map_err(failed)?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], colour));
     }
+    chart.configure_series_labels().border_style(BLACK).draw().map_err(failed)?;
     root.present().map_err(failed)
 }
