--- a/crates/ringbend-ledger/src/sweep.rs
+++ b/crates/ringbend-ledger/src/sweep.rs
@@ -32,13 +32,13 @@
     cfg: SweepConfig,
     first_seen: BTreeMap<(EndpointId, AttemptId), Timestamp>,
     presence: BTreeMap<Incarnation, (Option<RowVersion>, Timestamp)>,
-    dead: BTreeSet<Incarnation>,
+    live: BTreeSet<Incarnation>,
 }
 
 impl Sweeper {
     /// A sweeper that has seen nothing.
     pub fn new(cfg: SweepConfig) -> Self {
-        Self { cfg, first_seen: BTreeMap::new(), presence: BTreeMap::new(), dead: BTreeSet::new() }
+        Self { cfg, first_seen: BTreeMap::new(), presence: BTreeMap::new(), live: BTreeSet::new() }
     }
 
     /// Takes the presence row of an incarnation as the table has it now; `None` is no row.
@@ -51,9 +51,9 @@
         }
     }
 
-    /// Takes the incarnations that membership has dead or unknown, of those holding memory.
-    pub fn dead(&mut self, dead: BTreeSet<Incarnation>) {
-        self.dead = dead;
+    /// Takes the incarnations that membership has alive, as they are after any refutations.
+    pub fn live(&mut self, live: BTreeSet<Incarnation>) {
+        self.live = live;
     }
 
     /// A failed read of the table: presence counts anew, for a row may have stood still only
@@ -84,6 +84,11 @@
         }
         let holder = Incarnation(attempt.incarnation);
         let still = self.presence.get(&holder).map(|(_, since)| now.since(*since));
-        still.is_some_and(|still| still >= self.cfg.presence_wait) && self.dead.contains(&holder)
+        still.is_some_and(|still| still >= self.cfg.presence_wait) && !self.is_live(holder)
+    }
+
+    /// Attempts carry the incarnation of their holder's start, which refutations have raised since.
+    fn is_live(&self, holder: Incarnation) -> bool {
+        self.live.iter().any(|live| live.started_unix_ms() == holder.started_unix_ms())
     }
 }
--- a/crates/ringbend-ledger/tests/sweep.rs
+++ b/crates/ringbend-ledger/tests/sweep.rs
@@ -7,7 +7,7 @@
 use ringbend_platform::{Reservation, RowVersion};
 use ringbend_types::{AttemptId, EndpointId, Incarnation, Timestamp, TokenCount};
 
-const HOLDER: Incarnation = Incarnation(7);
+const HOLDER: Incarnation = Incarnation(7 << Incarnation::RANDOM_BITS);
 
 fn held() -> [Reservation; 1] {
     let attempt = AttemptId { incarnation: HOLDER.0, sequence: 1 };
@@ -27,7 +27,7 @@
     let mut sweeper = Sweeper::new(SweepConfig::default());
     for n in (0..until).step_by(5) {
         sweeper.presence(seconds(n), HOLDER, version(n));
-        sweeper.dead(if dead { BTreeSet::from([HOLDER]) } else { BTreeSet::new() });
+        sweeper.live(if dead { BTreeSet::new() } else { BTreeSet::from([HOLDER]) });
         if !sweeper.reservations(seconds(n), &engine(), &held()).is_empty() {
             return Some(n);
         }
@@ -55,6 +55,17 @@
     assert_eq!(freed_at(false, |_| Some(RowVersion(3)), 3_000), None);
 }
 
+#[test]
+fn memory_of_an_instance_that_refuted_suspicions_is_kept() {
+    let mut sweeper = Sweeper::new(SweepConfig::default());
+    for n in (0..3_000).step_by(5) {
+        sweeper.presence(seconds(n), HOLDER, Some(RowVersion(3)));
+        sweeper.live(BTreeSet::from([Incarnation(HOLDER.0 + 3)]));
+        let freed = sweeper.reservations(seconds(n), &engine(), &held());
+        assert!(freed.is_empty(), "at {n} s");
+    }
+}
+
 #[test]
 fn memory_older_than_any_request_is_freed_in_any_case() {
     assert_eq!(freed_at(false, |n| Some(RowVersion(n)), 4_000), Some(3_700));
@@ -69,7 +80,7 @@
         } else {
             sweeper.presence(seconds(n), HOLDER, Some(RowVersion(3)));
         }
-        sweeper.dead(BTreeSet::from([HOLDER]));
+        sweeper.live(BTreeSet::new());
         let freed = !sweeper.reservations(seconds(n), &engine(), &held()).is_empty();
         assert_eq!(freed, n >= 55, "at {n} s");
     }
--- a/crates/ringbend-types/src/quantity.rs
+++ b/crates/ringbend-types/src/quantity.rs
@@ -84,6 +84,22 @@
     }
 }
 
+impl Incarnation {
+    /// Bits below the time of the start: random ones, which refutations count up from.
+    pub const RANDOM_BITS: u32 = 20;
+
+    /// The incarnation of a start at `unix_ms`; `random` makes starts within one millisecond differ.
+    pub fn of_start(unix_ms: u64, random: u64) -> Self {
+        Self((unix_ms << Self::RANDOM_BITS) | (random & ((1 << Self::RANDOM_BITS) - 1)))
+    }
+
+    /// When it started, in milliseconds since the Unix epoch. A refutation raises the incarnation
+    /// and leaves this as it is.
+    pub fn started_unix_ms(self) -> u64 {
+        self.0 >> Self::RANDOM_BITS
+    }
+}
+
 /// Groups of prompt lengths by which time to first token is reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 pub enum PromptBucket {
--- a/crates/ringbendd/src/instance.rs
+++ b/crates/ringbendd/src/instance.rs
@@ -31,9 +31,6 @@
 /// How long the last bytes may take to leave after the answers have ended.
 const LAST_BYTES: Duration = Duration::from_secs(6);
 
-/// Bits of an incarnation that are random; the rest is the start's time in milliseconds.
-const RANDOM_BITS: u32 = 20;
-
 /// One running instance. Dropping it stops it at once.
 pub struct Instance {
     app: Rc<App>,
@@ -171,8 +168,7 @@
 
 /// Unique over all instances and starts, and rising with time.
 fn new_incarnation() -> Incarnation {
-    let random = rand::rng().random_range(0..1_u64 << RANDOM_BITS);
-    Incarnation((unix_millis() << RANDOM_BITS) | random)
+    Incarnation::of_start(unix_millis(), rand::rng().random())
 }
 
 fn start_tracing(
--- a/crates/ringbendd/src/sweep.rs
+++ b/crates/ringbendd/src/sweep.rs
@@ -103,8 +103,7 @@
     let holders: BTreeSet<Incarnation> =
         held.iter().map(|r| Incarnation(r.attempt.incarnation)).collect();
     look_up(app, sweeper, &holders).await;
-    let live = app.peers.live_incarnations(app);
-    sweeper.dead(holders.into_iter().filter(|holder| !live.contains(holder)).collect());
+    sweeper.live(app.peers.live_incarnations(app));
     let orphans = sweeper.reservations(app.now(), &engine.id, &held);
     if orphans.is_empty() {
         return;
