fix(policy): a changed setting of the endpoint choice is in force at once

Cause, found on reading: the way of choosing was kept by its name, so a new affinity_bound_percent was not in force until a restart. The test was red, then green. Change: it is kept by all its settings, sixteen at most.

--- a/crates/ringbend-policy/src/dispatcher.rs
+++ b/crates/ringbend-policy/src/dispatcher.rs
@@ -10,7 +10,7 @@
 
 use rand_chacha::ChaCha8Rng;
 use ringbend_platform::EndpointEntry;
-use ringbend_settings::configs::ChoiceKind;
+use ringbend_settings::configs::RoutingConfig;
 use ringbend_types::{
     AttemptId, EndpointId, IdMint, Incarnation, InstanceId, RequestId, RunState, Seed, Timestamp,
 };
@@ -95,7 +95,7 @@
     limits: Limits,
     budget: RetryBudget,
     timers: BTreeSet<(Timestamp, RequestId)>,
-    choices: Vec<(ChoiceKind, Box<dyn EndpointChoice>)>,
+    choices: Vec<(RoutingConfig, Box<dyn EndpointChoice>)>,
     next_age: Timestamp,
     look_at: Timestamp,
 }
--- a/crates/ringbend-policy/src/dispatcher/placing.rs
+++ b/crates/ringbend-policy/src/dispatcher/placing.rs
@@ -3,29 +3,27 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use ringbend_settings::configs::RoutingConfig;
 use ringbend_types::{AttemptId, EndpointId, RequestId, Timestamp};
 
 use super::{Dispatcher, RESERVE_AGAIN, Request, Running, Stage, engine_priority};
-use crate::choice::choice_for;
+use crate::choice::{EndpointChoice, choice_for};
 use crate::collect::Collect;
 use crate::event::{Action, Dispatch, HeldMemory};
 use crate::placement::is_away;
 
 impl Dispatcher {
     pub(super) fn place(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let collecting = self.collecting();
         let Some(request) = self.requests.get(&id) else { return false };
+        let long = request.profile.is_long();
+        let collecting = if long { self.collecting() } else { BTreeSet::new() };
         let (own, peers) = (&self.cfg.instance, &self.peers);
         let away = |endpoint: &EndpointId| is_away(endpoint, own, peers);
         let avoid = request.last.as_ref();
         let profile = &request.profile;
         let candidates = self.endpoints.candidates(now, profile, avoid, &collecting, away);
-        let kind = profile.settings.routing.choice;
-        let at = self.choices.iter().position(|(k, _)| *k == kind).unwrap_or_else(|| {
-            self.choices.push((kind, choice_for(&profile.settings.routing)));
-            self.choices.len() - 1
-        });
-        let chosen = self.choices[at].1.choose(&candidates, profile.prefix, &mut self.rng);
+        let choice = choice_in_force(&mut self.choices, &profile.settings.routing);
+        let chosen = choice.choose(&candidates, profile.prefix, &mut self.rng);
         let Some(chosen) = chosen else { return false };
         let endpoint = candidates[chosen].endpoint.clone();
         self.queue.serve(id);
@@ -179,3 +177,23 @@
         self.set_timer(id);
     }
 }
+
+/// Settings of the choice kept ready at once; more are forgotten.
+const CHOICES_KEPT: usize = 16;
+
+/// The way of choosing that these settings name. It is kept between requests, since taking turns
+/// needs a memory, for as long as its settings stay as they are.
+fn choice_in_force<'a>(
+    choices: &'a mut Vec<(RoutingConfig, Box<dyn EndpointChoice>)>,
+    cfg: &RoutingConfig,
+) -> &'a mut dyn EndpointChoice {
+    let known = choices.iter().position(|(known, _)| known == cfg);
+    let at = known.unwrap_or_else(|| {
+        if choices.len() == CHOICES_KEPT {
+            choices.remove(0);
+        }
+        choices.push((cfg.clone(), choice_for(cfg)));
+        choices.len() - 1
+    });
+    choices[at].1.as_mut()
+}
--- a/crates/ringbend-policy/tests/bounds.rs
+++ b/crates/ringbend-policy/tests/bounds.rs
@@ -252,6 +252,25 @@
     }
 }
 
+#[test]
+fn a_changed_setting_of_the_choice_is_in_force_at_once() {
+    let mut script = Script::new(2);
+    let with_bound = |id, bound| {
+        let mut profile = with_settings(id, |s| {
+            s.routing.choice = ChoiceKind::PrefixAffinity;
+            s.routing.affinity_bound_percent = bound;
+        });
+        profile.prefix = 5;
+        profile
+    };
+    let home = dispatch(&script.arrive(with_bound(1, 1_000))).endpoint;
+    for id in 2..4 {
+        assert_eq!(dispatch(&script.arrive(with_bound(id, 1_000))).endpoint, home);
+    }
+    // Three at home are over the mean of two, so the lower bound sends the next one elsewhere.
+    assert_ne!(dispatch(&script.arrive(with_bound(4, 100))).endpoint, home);
+}
+
 #[test]
 fn a_withdrawn_request_is_cancelled_at_its_endpoint() {
     let mut script = Script::new(1);
