fix(ringbendd): a body of unannounced length counts as the longest allowed

Cause, found on reading: a chunked body took 64 KiB out of the budget of held bodies and could grow to 16 MiB, so many of them could pass the bound of 1 GiB. Change: it takes 16 MiB and gives the rest back when it has been read. No test forces the budget yet.

--- a/crates/ringbendd/src/callers/budget.rs
+++ b/crates/ringbendd/src/callers/budget.rs
@@ -27,6 +27,15 @@
     }
 }
 
+impl BodyPermit {
+    /// Gives back what is not needed beyond `bytes`.
+    pub(crate) fn shrink_to(&mut self, bytes: usize) {
+        let over = self.bytes.saturating_sub(bytes);
+        self.bytes -= over;
+        self.left.set(self.left.get() + over);
+    }
+}
+
 impl Drop for BodyPermit {
     fn drop(&mut self) {
         self.left.set(self.left.get() + self.bytes);
--- a/crates/ringbendd/src/callers/headers.rs
+++ b/crates/ringbendd/src/callers/headers.rs
@@ -59,16 +59,16 @@
     value.parse().map(Some).map_err(|_| bad())
 }
 
-/// The announced length of the body. Announcing it twice or beside a transfer encoding is how
+/// The announced length of the body, if it is announced. Announcing it twice or beside a transfer encoding is how
 /// requests are smuggled, and is refused.
-pub(crate) fn content_length(headers: &HeaderMap) -> Result<usize, Failure> {
+pub(crate) fn content_length(headers: &HeaderMap) -> Result<Option<usize>, Failure> {
     let expected = "one whole number, and no transfer-encoding beside it";
     let length = parsed(headers, "content-length", expected)?;
     if length.is_some() && headers.contains_key(TRANSFER_ENCODING) {
         return Err(Failure::BadHeader { name: CONTENT_LENGTH_NAME, expected });
     }
     debug_assert_eq!(CONTENT_LENGTH.as_str(), CONTENT_LENGTH_NAME);
-    Ok(length.unwrap_or(0))
+    Ok(length)
 }
 
 const CONTENT_LENGTH_NAME: &str = "content-length";
--- a/crates/ringbendd/src/callers/mod.rs
+++ b/crates/ringbendd/src/callers/mod.rs
@@ -138,12 +138,14 @@
         account: ringbend_types::ClientAccountId,
     ) -> Result<Call, Failure> {
         let headers = CallHeaders::read(req.headers(), account)?;
-        let announced = headers::content_length(req.headers())?;
-        if announced > MAX_BODY_BYTES {
+        // A body whose length is not announced may be as long as allowed.
+        let most = headers::content_length(req.headers())?.unwrap_or(MAX_BODY_BYTES);
+        if most > MAX_BODY_BYTES {
             return Err(Failure::BodyTooLarge(MAX_BODY_BYTES));
         }
-        let permit = self.budget.take(announced.max(64 << 10)).ok_or(Failure::NoMemory)?;
+        let mut permit = self.budget.take(most).ok_or(Failure::NoMemory)?;
         let body = read_body(req.take_payload(), MAX_BODY_BYTES, BODY_TIME).await?;
+        permit.shrink_to(body.len());
         Ok(Call { req, headers, body, permit })
     }
 
