--- a/crates/ringbend-bench/src/world.rs
+++ b/crates/ringbend-bench/src/world.rs
@@ -2,6 +2,7 @@
 
 mod engines;
 mod faults;
+mod names;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -16,10 +17,11 @@
 };
 use ringbend_settings::Effective;
 use ringbend_types::{
-    AttemptId, ClientAccountId, EndpointId, Incarnation, InstanceId, RequestId, RunState, Seed,
-    ServiceName, Timestamp, TokenCount,
+    AttemptId, EndpointId, Incarnation, InstanceId, RequestId, RunState, Seed, Timestamp,
+    TokenCount,
 };
 
+use self::names::{account_id, endpoint_id, engine_index, parsed, service};
 use crate::policies::PolicyKind;
 use crate::scenario::{Arrival, Fault, Scenario};
 
@@ -492,27 +494,3 @@
         retry_after: Vec::new(),
     }
 }
-
-fn parsed<T: std::str::FromStr>(text: &str) -> T {
-    text.parse().unwrap_or_else(|_| unreachable!("{text} is a valid id"))
-}
-
-fn service() -> ServiceName {
-    parsed("assistant")
-}
-
-fn account_id(n: usize) -> ClientAccountId {
-    parsed(&format!("account-{n}"))
-}
-
-fn endpoint_id(n: usize) -> EndpointId {
-    parsed(&format!("engine-{n}"))
-}
-
-fn engine_index(id: &EndpointId) -> usize {
-    id.as_str().trim_start_matches("engine-").parse().unwrap_or(0)
-}
-
-fn instance_index(id: &InstanceId) -> usize {
-    id.as_str().trim_start_matches("instance-").parse().unwrap_or(0)
-}
--- a/crates/ringbend-bench/src/world/engines.rs
+++ b/crates/ringbend-bench/src/world/engines.rs
@@ -8,10 +8,8 @@
 use ringbend_policy::{AttemptEnd, Dispatch, Event, HeldMemory};
 use ringbend_types::{AttemptId, TokenCount};
 
-use super::{
-    ASSUMED_REPORT_AGE, Attempt, Engine, Happening, PREFIX_BLOCKS, PROGRESS_EVERY, World,
-    engine_index, parsed, service,
-};
+use super::names::{engine_index, parsed, service};
+use super::{ASSUMED_REPORT_AGE, Attempt, Engine, Happening, PREFIX_BLOCKS, PROGRESS_EVERY, World};
 
 impl World {
     pub(super) fn submit(&mut self, instance: usize, dispatch: &Dispatch) {
--- a/crates/ringbend-bench/src/world/faults.rs
+++ b/crates/ringbend-bench/src/world/faults.rs
@@ -5,7 +5,8 @@
 use ringbend_policy::{AttemptEnd, Event};
 use ringbend_types::{AttemptId, InstanceId, RequestId};
 
-use super::{CallerEnd, DEATH_KNOWN_AFTER, Happening, World, instance_index};
+use super::names::instance_index;
+use super::{CallerEnd, DEATH_KNOWN_AFTER, Happening, World};
 use crate::scenario::Fault;
 
 impl World {
