--- /dev/null
+++ b/crates/ringbend-gateway/src/attempts.rs
@@ -0,0 +1,114 @@
+//! What one request does after each of its sends: send again, pass on or give up.
+
+use std::time::Duration;
+
+use ringbend_types::{EndpointId, RunState, ServiceName, Timestamp};
+use smallvec::SmallVec;
+
+use crate::budget::RepeatBudget;
+use crate::snapshot::Repeat;
+
+/// How a send ended without the whole answer that was hoped for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendEnd {
+    /// No byte of the request left this instance.
+    NotSent,
+    /// The endpoint says that it did not run the request.
+    NotRun,
+    /// Bytes left, and no answer says what came of them.
+    Unknown,
+    /// The endpoint ran the request and answered with a failure.
+    FailedAnswer,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Send the request to another endpoint.
+    SendAgain,
+    /// Pass the endpoint's failure on to the caller.
+    PassOn,
+    /// End it; the caller hears which of the three words holds.
+    GiveUp(RunState),
+}
+
+/// Sends that provably ran nothing do not count as runs, but there is an end to them: an instance
+/// that meets this many refusals in a row has a wrong picture of the fleet.
+const MAX_IDLE_SENDS: u8 = 3;
+
+/// The sends of one request so far.
+#[derive(Debug, Clone)]
+pub struct Attempts {
+    repeat: Repeat,
+    max_runs: u8,
+    deadline: Timestamp,
+    runs: u8,
+    idle_sends: u8,
+    tried: SmallVec<[EndpointId; 4]>,
+}
+
+impl Attempts {
+    /// A request that may run on `max_runs` endpoints and must end by `deadline`.
+    pub fn new(repeat: Repeat, max_runs: u8, deadline: Timestamp) -> Self {
+        let tried = SmallVec::new();
+        Self { repeat, max_runs: max_runs.max(1), deadline, runs: 0, idle_sends: 0, tried }
+    }
+
+    /// When the request must have ended.
+    pub fn deadline(&self) -> Timestamp {
+        self.deadline
+    }
+
+    /// The time left.
+    pub fn left(&self, now: Timestamp) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// Endpoints that this request was sent to.
+    pub fn tried(&self) -> &[EndpointId] {
+        &self.tried
+    }
+
+    /// What a caller would be told if the request ended now.
+    pub fn run_state(&self) -> RunState {
+        if self.runs == 0 { RunState::NotRun } else { RunState::MayHaveRun }
+    }
+
+    /// Notes that the request is about to be sent to `endpoint`.
+    pub fn sending(&mut self, endpoint: &EndpointId) {
+        self.tried.push(endpoint.clone());
+    }
+
+    /// Decides what follows a send that ended. A repeat is taken out of `budget`, unless nothing
+    /// had reached an endpoint yet.
+    pub fn ended(
+        &mut self,
+        now: Timestamp,
+        end: SendEnd,
+        service: &ServiceName,
+        budget: &mut RepeatBudget,
+    ) -> Next {
+        match end {
+            SendEnd::NotSent | SendEnd::NotRun => self.idle_sends += 1,
+            SendEnd::Unknown | SendEnd::FailedAnswer => self.runs += 1,
+        }
+        let may_send = self.may_send_again() && now < self.deadline;
+        if may_send && (end == SendEnd::NotSent || budget.take(now, service)) {
+            return Next::SendAgain;
+        }
+        match end {
+            SendEnd::FailedAnswer => Next::PassOn,
+            _ => Next::GiveUp(self.run_state()),
+        }
+    }
+
+    /// Whether a run whose end is unknown may be followed by another.
+    pub fn may_run_again(&self) -> bool {
+        self.runs + 1 < self.max_runs
+    }
+
+    fn may_send_again(&self) -> bool {
+        let repeat_allowed = self.runs == 0 || self.repeat.may_repeat();
+        repeat_allowed && self.runs < self.max_runs && self.idle_sends <= MAX_IDLE_SENDS
+    }
+}
--- /dev/null
+++ b/crates/ringbend-gateway/src/budget.rs
@@ -0,0 +1,102 @@
+//! The budget of repeats that all instances share.
+//!
+//! In any window a service may get a number of arrivals beyond the first of each request: a ratio of
+//! its requests plus a fixed allowance, over all instances together. Each instance keeps to the
+//! ratio of its own requests and to an even part of the allowance, so nobody has to be asked.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use ringbend_types::{ServiceName, Timestamp};
+
+/// The bounds of the budget over all instances.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetBounds {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// The window over which both are counted.
+    pub window: Duration,
+    /// Repeats allowed besides.
+    pub allowance: f64,
+}
+
+/// The part of the ratio that an instance spends, so that windows that do not line up stay within it.
+const RATIO_SHARE: f64 = 0.8;
+
+/// How many more instances than are known share the allowance; some may just have been added.
+const UNKNOWN_INSTANCES: f64 = 1.35;
+
+/// The fewest instances that are taken to share the allowance.
+const FEWEST_INSTANCES: f64 = 12.0;
+
+#[derive(Debug, Clone, Default)]
+struct Counts {
+    requests: VecDeque<Timestamp>,
+    repeats: VecDeque<Timestamp>,
+}
+
+/// One instance's part of the budget.
+#[derive(Debug, Clone)]
+pub struct RepeatBudget {
+    bounds: BudgetBounds,
+    instances: usize,
+    services: BTreeMap<ServiceName, Counts>,
+}
+
+impl RepeatBudget {
+    /// A budget within `bounds`.
+    pub fn new(bounds: BudgetBounds) -> Self {
+        Self { bounds, instances: 0, services: BTreeMap::new() }
+    }
+
+    /// Puts new bounds in force; what was counted stays.
+    pub fn set_bounds(&mut self, bounds: BudgetBounds) {
+        self.bounds = bounds;
+    }
+
+    /// Sets how many instances are known to share it, this one included.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.instances = instances;
+    }
+
+    /// Counts a caller's request for `service`.
+    pub fn request(&mut self, now: Timestamp, service: &ServiceName) {
+        let window = self.bounds.window;
+        let counts = self.counts(service);
+        counts.requests.push_back(now);
+        forget(&mut counts.requests, now, window);
+    }
+
+    /// Takes one repeat for `service` out of the budget, if there is one.
+    pub fn take(&mut self, now: Timestamp, service: &ServiceName) -> bool {
+        let BudgetBounds { ratio, window, .. } = self.bounds;
+        let part = self.allowance_part();
+        let counts = self.counts(service);
+        forget(&mut counts.requests, now, window);
+        forget(&mut counts.repeats, now, window);
+        let most = counts.requests.len() as f64 * ratio * RATIO_SHARE + part;
+        if counts.repeats.len() as f64 + 1.0 > most {
+            return false;
+        }
+        counts.repeats.push_back(now);
+        true
+    }
+
+    fn allowance_part(&self) -> f64 {
+        let instances = (self.instances as f64 * UNKNOWN_INSTANCES).max(FEWEST_INSTANCES);
+        (self.bounds.allowance / instances).floor()
+    }
+
+    fn counts(&mut self, service: &ServiceName) -> &mut Counts {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), Counts::default());
+        }
+        self.services.get_mut(service).expect("inserted above")
+    }
+}
+
+fn forget(times: &mut VecDeque<Timestamp>, now: Timestamp, window: Duration) {
+    while times.front().is_some_and(|at| now.since(*at) > window) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -0,0 +1,34 @@
+//! Decisions of the opaque path: requests and answers whose bodies are passed through unread.
+//!
+//! Routes by host and path, keys to accounts, endpoints from a watched list, placement on engines
+//! and services, repeats within a shared budget, and the age of everything that decides. No I/O, no
+//! clock and no thread: the driver passes the time in.
+
+mod attempts;
+mod budget;
+mod choice;
+mod directory;
+mod engine;
+mod events;
+mod freshness;
+mod gate;
+mod load;
+mod replica;
+mod snapshot;
+mod trust;
+
+pub use attempts::{Attempts, Next, SendEnd};
+pub use budget::{BudgetBounds, RepeatBudget};
+pub use choice::{Demand, Placement, View, place_on_engines, place_on_service};
+pub use directory::{Directory, Endpoint, EndpointChange, RETURN_TIME};
+pub use engine::EngineProfile;
+pub use events::{Event, EventCutter, EventId, EventTooLong};
+pub use freshness::{Freshness, Proof};
+pub use gate::{Admitted, Arrival, Denied, GateBounds, admit};
+pub use load::{EndpointLoad, LoadBook, Work, WorkId};
+pub use replica::{Adopted, Replica};
+pub use snapshot::{
+    Account, CallerLimits, ConfigVersion, Repeat, Route, RouteEntry, Service, Snapshot,
+    SnapshotParts, Split,
+};
+pub use trust::{TrustBook, TrustEvent};
--- /dev/null
+++ b/crates/ringbend-gateway/src/replica.rs
@@ -0,0 +1,64 @@
+//! An instance's copy of the configuration: only rises, and knows how old it may be.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ringbend_types::Timestamp;
+
+use crate::freshness::{Freshness, Proof};
+use crate::snapshot::{ConfigVersion, Snapshot};
+
+/// What became of a configuration that was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Adopted {
+    /// It is in force now.
+    Newer {
+        /// The version it replaces.
+        before: Option<ConfigVersion>,
+    },
+    /// It is the one in force.
+    Same,
+    /// It is older than the one in force and was ignored.
+    Older,
+}
+
+/// The configuration in force on this instance.
+#[derive(Debug, Clone, Default)]
+pub struct Replica {
+    snapshot: Option<Arc<Snapshot>>,
+    freshness: Freshness,
+}
+
+impl Replica {
+    /// Takes in a configuration; one that is older than the one in force is ignored.
+    pub fn offer(&mut self, snapshot: Snapshot) -> Adopted {
+        let before = self.version();
+        match before {
+            Some(version) if snapshot.version < version => return Adopted::Older,
+            Some(version) if snapshot.version == version => return Adopted::Same,
+            _ => {}
+        }
+        self.snapshot = Some(Arc::new(snapshot));
+        Adopted::Newer { before }
+    }
+
+    /// Notes an answer of the store that showed nothing newer than what has been offered.
+    pub fn prove(&mut self, proof: Proof, paired: bool) {
+        self.freshness.prove(proof, paired);
+    }
+
+    /// The configuration in force.
+    pub fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    /// Its version.
+    pub fn version(&self) -> Option<ConfigVersion> {
+        self.snapshot.as_ref().map(|s| s.version)
+    }
+
+    /// How long ago it was last proved to be the newest.
+    pub fn age(&self, now: Timestamp) -> Option<Duration> {
+        self.freshness.age(now)
+    }
+}
--- /dev/null
+++ b/crates/ringbend-relay/src/callers.rs
@@ -0,0 +1,118 @@
+//! A caller's request from its head to the first bytes of its answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use actix_http::ConnectionType;
+use futures_util::future::LocalBoxFuture;
+use rand::Rng;
+use ringbend_gateway::{Admitted, Arrival, Attempts, admit};
+use ringbend_runtime::{Handler, HttpRequest, HttpResponse, read_body};
+use ringbend_types::Timestamp;
+
+use crate::life::{Life, Origin};
+use crate::node::Node;
+use crate::ports::Call;
+use crate::refusal::Refusal;
+
+/// Answers callers.
+pub(crate) struct Callers {
+    pub(crate) node: Rc<Node>,
+}
+
+impl Handler for Callers {
+    fn handle(self: Rc<Self>, req: HttpRequest) -> LocalBoxFuture<'static, HttpResponse> {
+        Box::pin(async move { self.answer(req).await })
+    }
+}
+
+impl Callers {
+    async fn answer(&self, req: HttpRequest) -> HttpResponse {
+        let arrived = self.node.clock.now();
+        let call = match self.node.dialect.call(req.head()) {
+            Ok(call) => call,
+            Err(e) => {
+                log::info!(target: "request", error:% = e; "head refused");
+                return self.closing(Refusal::BadHead.answer(None));
+            }
+        };
+        let id: Arc<str> = call.request_id.clone().unwrap_or_else(|| "-".into());
+        let res = match self.serve(req, &call, arrived).await {
+            Ok(res) => res,
+            Err(refusal) => {
+                let version = self.node.replica.borrow().version().unwrap_or_default();
+                let age = self.node.replica.borrow().age(arrived);
+                let age_ms = age.map(|age| age.as_millis() as u64);
+                let code = refusal.code();
+                log::info!(
+                    target: "request", id:%, code, config:% = version, config_age_ms:? = age_ms;
+                    "refused"
+                );
+                self.node.metrics.failure(code);
+                let mut res = refusal.answer(None);
+                self.node.dialect.own_answer(&call, res.headers_mut());
+                res
+            }
+        };
+        self.closing(res)
+    }
+
+    /// While the instance stops, each answer is the last one of its connection.
+    fn closing(&self, mut res: HttpResponse) -> HttpResponse {
+        if self.node.stopping.get() {
+            res.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        res
+    }
+
+    async fn serve(
+        &self,
+        mut req: HttpRequest,
+        call: &Call,
+        arrived: Timestamp,
+    ) -> Result<HttpResponse, Refusal> {
+        let open = self.node.open();
+        let admitted = self.admit(&req, call, arrived)?;
+        let limits = admitted.snapshot.limits;
+        let deadline = arrived + admitted.route.timeout.min(patience(call));
+        let time = deadline.since(self.node.clock.now());
+        let body = read_body(req.take_payload(), limits.body_bytes, time).await;
+        let body = body.map_err(|e| Refusal::from(&e))?;
+        let draw = self.node.rng.borrow_mut().random::<f64>();
+        let service = admitted.route.pick_service(draw).ok_or(Refusal::NoService)?.clone();
+        let service = admitted.snapshot.service(&service).ok_or(Refusal::NoService)?.clone();
+        self.node.budget.borrow_mut().request(self.node.clock.now(), &service.name);
+        let Admitted { route, account, snapshot } = admitted;
+        let attempts = Attempts::new(route.repeat, route.max_runs, deadline);
+        let origin = Origin { head: req.head().clone(), body };
+        let life = Life::new(
+            self.node.clone(),
+            call.clone(),
+            origin,
+            crate::life::Terms { route, account, service, version: snapshot.version },
+            attempts,
+            arrived,
+            open,
+        );
+        Ok(life.run().await)
+    }
+
+    fn admit(
+        &self,
+        req: &HttpRequest,
+        call: &Call,
+        arrived: Timestamp,
+    ) -> Result<Admitted, Refusal> {
+        let head = req.head();
+        let host = head.headers().get("host").and_then(|host| host.to_str().ok());
+        let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+        let arrival = Arrival { host, path: head.uri.path(), key: call.key.as_deref() };
+        let bounds = self.node.cfg.borrow().bounds.gate();
+        admit(&self.node.replica.borrow(), arrived, &bounds, arrival).map_err(Refusal::Denied)
+    }
+}
+
+/// How long the caller waits; as long as the route allows when it does not say.
+fn patience(call: &Call) -> std::time::Duration {
+    call.patience.unwrap_or(std::time::Duration::MAX)
+}
--- /dev/null
+++ b/crates/ringbend-relay/src/config.rs
@@ -0,0 +1,186 @@
+//! The settings file of one relay: addresses, its place, and the bounds it keeps to.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use ringbend_gateway::{BudgetBounds, GateBounds};
+use ringbend_telemetry::LogConfig;
+use ringbend_types::{DataCentre, InstanceId};
+use serde::{Deserialize, Serialize};
+
+/// Why settings cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RelayConfigError {
+    /// The file cannot be read.
+    Unreadable,
+    /// It is no TOML, or a value has the wrong type.
+    Malformed,
+    /// A value lies outside its range.
+    OutOfRange {
+        /// The setting.
+        setting: &'static str,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+}
+
+impl fmt::Display for RelayConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable => write!(f, "the settings file cannot be read"),
+            Self::Malformed => write!(f, "the settings file is malformed"),
+            Self::OutOfRange { setting, allowed } => write!(f, "{setting} must be {allowed}"),
+        }
+    }
+}
+
+impl std::error::Error for RelayConfigError {}
+
+/// One relay's settings.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayConfig {
+    /// This instance's name.
+    pub instance: InstanceId,
+    /// Where it runs.
+    pub data_centre: DataCentre,
+    /// Where it listens.
+    pub listen: ListenConfig,
+    /// Where the store of configuration and endpoints is.
+    pub store: StoreConfig,
+    /// Bounds that it keeps to.
+    #[serde(default)]
+    pub bounds: BoundsConfig,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogConfig,
+    /// Settings that this version does not know.
+    #[serde(flatten, skip_serializing)]
+    pub unknown: BTreeMap<String, toml::Value>,
+}
+
+/// Where a relay listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListenConfig {
+    /// Callers' requests, TCP.
+    pub callers: SocketAddrV4,
+    /// The balancer's question whether this instance takes requests, TCP.
+    pub ready: SocketAddrV4,
+    /// Metrics, TCP; none are served when left out.
+    pub metrics: Option<SocketAddrV4>,
+    /// Other instances, UDP; load is not shared when left out.
+    pub peers: Option<SocketAddrV4>,
+}
+
+/// The store that is watched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreConfig {
+    /// Its address.
+    pub address: SocketAddrV4,
+}
+
+/// Bounds on time and repeats, as agreed with those who run the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct BoundsConfig {
+    /// Milliseconds after which a key that was taken away must be refused; zero for no bound.
+    pub key_revoked_ms: f64,
+    /// Milliseconds within which a configuration is in force.
+    pub config_apply_ms: f64,
+    /// Seconds from a stop signal to the end of the process.
+    pub grace_s: f64,
+    /// Repeats allowed for each request of a service.
+    pub repeat_ratio: f64,
+    /// Seconds over which repeats are counted.
+    pub repeat_window_s: f64,
+    /// Repeats allowed besides, over all instances.
+    pub repeat_allowance: f64,
+}
+
+impl Default for BoundsConfig {
+    fn default() -> Self {
+        // What holds until an operator says otherwise; the ratio is the field's usual fifth.
+        Self {
+            key_revoked_ms: 5_000.0,
+            config_apply_ms: 2_000.0,
+            grace_s: 8.0,
+            repeat_ratio: 0.2,
+            repeat_window_s: 10.0,
+            repeat_allowance: 50.0,
+        }
+    }
+}
+
+/// The part of the bound on revoked keys after which a copy of the configuration lets no key in.
+/// What is left covers the call that is on its way when the copy was last proved current.
+const KEY_AGE_SHARE: f64 = 0.7;
+
+impl RelayConfig {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be read, is malformed or holds a value out of range.
+    pub fn read(path: &Path) -> Result<Self, Report<RelayConfigError>> {
+        let text = std::fs::read_to_string(path).change_context(RelayConfigError::Unreadable)?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// They are malformed or hold a value out of range.
+    pub fn parse(text: &str) -> Result<Self, Report<RelayConfigError>> {
+        let cfg: Self = toml::from_str(text).change_context(RelayConfigError::Malformed)?;
+        cfg.bounds.check()?;
+        Ok(cfg)
+    }
+}
+
+impl BoundsConfig {
+    fn check(&self) -> Result<(), Report<RelayConfigError>> {
+        let checks = [
+            ("bounds.key_revoked_ms", "zero or more", self.key_revoked_ms >= 0.0),
+            ("bounds.config_apply_ms", "zero or more", self.config_apply_ms >= 0.0),
+            ("bounds.grace_s", "above zero", self.grace_s > 0.0),
+            ("bounds.repeat_ratio", "between 0 and 1", (0.0..=1.0).contains(&self.repeat_ratio)),
+            ("bounds.repeat_window_s", "above zero", self.repeat_window_s > 0.0),
+            ("bounds.repeat_allowance", "zero or more", self.repeat_allowance >= 0.0),
+        ];
+        match checks.into_iter().find(|(_, _, holds)| !holds) {
+            Some((setting, allowed, _)) => {
+                Err(Report::new(RelayConfigError::OutOfRange { setting, allowed }))
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// The bounds of the repeat budget.
+    pub(crate) fn budget(&self) -> BudgetBounds {
+        BudgetBounds {
+            ratio: self.repeat_ratio,
+            window: Duration::from_secs_f64(self.repeat_window_s),
+            allowance: self.repeat_allowance,
+        }
+    }
+
+    /// The bounds on how old the configuration may be.
+    pub(crate) fn gate(&self) -> GateBounds {
+        let revoked = millis(self.key_revoked_ms);
+        let key_age = (self.key_revoked_ms > 0.0).then(|| revoked.mul_f64(KEY_AGE_SHARE));
+        GateBounds { key_age, denial_age: millis(self.config_apply_ms) }
+    }
+
+    /// The time from a stop signal to the end of the process.
+    pub(crate) fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1_000.0)
+}
--- /dev/null
+++ b/crates/ringbend-relay/src/copies.rs
@@ -0,0 +1,89 @@
+//! What the two watched tables feed: the configuration and the directory of endpoints.
+
+use ringbend_gateway::{Adopted, Endpoint, EndpointChange, Proof, Snapshot, SnapshotParts};
+
+use crate::node::Node;
+use crate::watch::Copy;
+
+/// Feeds the configuration.
+pub(crate) struct ConfigCopy;
+
+impl ConfigCopy {
+    fn offer(node: &Node, parts: SnapshotParts) {
+        let snapshot = Snapshot::new(parts);
+        let (version, routes) = (snapshot.version, snapshot.route_count());
+        match node.replica.borrow_mut().offer(snapshot) {
+            Adopted::Newer { before } => {
+                let before = before.map_or(0, |v| v.0);
+                node.metrics.settings_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
+                log::info!(target: "config", version = version.0, before, routes; "in force");
+            }
+            Adopted::Same => {}
+            Adopted::Older => {
+                log::warn!(target: "config", version = version.0; "older than the one in force");
+            }
+        }
+    }
+}
+
+impl Copy<SnapshotParts, SnapshotParts> for ConfigCopy {
+    const NAME: &'static str = "config";
+
+    fn replace(&self, node: &Node, items: Vec<SnapshotParts>) {
+        self.apply(node, items);
+    }
+
+    fn apply(&self, node: &Node, items: Vec<SnapshotParts>) {
+        items.into_iter().for_each(|parts| Self::offer(node, parts));
+    }
+
+    fn prove(&self, node: &Node, proof: Proof, paired: bool) {
+        node.replica.borrow_mut().prove(proof, paired);
+    }
+
+    fn regained(&self, _: &Node) {}
+}
+
+/// Feeds the directory.
+pub(crate) struct EndpointCopy;
+
+impl EndpointCopy {
+    fn log(change: &EndpointChange) {
+        match change {
+            EndpointChange::Present(e) => {
+                let (id, service, leaving) = (&e.id, &e.service, e.leaving);
+                log::info!(target: "endpoints", endpoint:% = id, service:%, leaving; "registered");
+            }
+            EndpointChange::Gone(id) => {
+                log::info!(target: "endpoints", endpoint:% = id; "entry gone");
+            }
+        }
+    }
+}
+
+impl Copy<Endpoint, EndpointChange> for EndpointCopy {
+    const NAME: &'static str = "endpoints";
+
+    fn replace(&self, node: &Node, items: Vec<Endpoint>) {
+        let now = node.clock.now();
+        let (before, count) = (node.directory.borrow().len(), items.len());
+        log::info!(target: "endpoints", before, count; "read whole");
+        node.directory.borrow_mut().replace(now, items);
+    }
+
+    fn apply(&self, node: &Node, items: Vec<EndpointChange>) {
+        let now = node.clock.now();
+        for change in items {
+            Self::log(&change);
+            node.directory.borrow_mut().apply(now, change);
+        }
+        let directory = node.directory.borrow();
+        node.trust.borrow_mut().retain(|id| directory.get(id).is_some());
+    }
+
+    fn prove(&self, _: &Node, _: Proof, _: bool) {}
+
+    fn regained(&self, node: &Node) {
+        node.directory.borrow_mut().regained(node.clock.now());
+    }
+}
--- /dev/null
+++ b/crates/ringbend-relay/src/lib.rs
@@ -0,0 +1,25 @@
+//! The driver of the opaque path: it carries out what `ringbend-gateway` decides.
+//!
+//! Callers come in over HTTP/1.1; each send to an endpoint has a connection of its own; two watched
+//! tables keep configuration and endpoints current. The words on the wire and the store's protocol
+//! belong to an adapter that implements [`Dialect`] and [`Source`].
+
+mod callers;
+mod config;
+mod copies;
+mod doors;
+mod exchange;
+mod life;
+mod node;
+mod ports;
+mod refusal;
+mod relay;
+mod streams;
+mod watch;
+
+pub use config::{BoundsConfig, ListenConfig, RelayConfig, RelayConfigError, StoreConfig};
+pub use ports::{
+    AnswerFacts, BadCall, BadRow, Batch, Call, ConfigSource, Cursor, Dialect, EndpointSource,
+    SendOrder, Source, SourceError,
+};
+pub use relay::{Ports, Relay, RelayError, Stopped};
--- /dev/null
+++ b/crates/ringbend-relay/src/node.rs
@@ -0,0 +1,120 @@
+//! What all parts of one relay share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::ServiceConfig;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use ringbend_gateway::{Directory, LoadBook, RepeatBudget, Replica, TrustBook, Work, WorkId};
+use ringbend_runtime::Clock;
+use ringbend_telemetry::Metrics;
+
+use crate::config::RelayConfig;
+use crate::ports::Dialect;
+
+/// One relay's state. It lives on one thread.
+pub(crate) struct Node {
+    pub(crate) cfg: RefCell<RelayConfig>,
+    pub(crate) clock: Clock,
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) replica: RefCell<Replica>,
+    pub(crate) directory: RefCell<Directory>,
+    pub(crate) load: RefCell<LoadBook>,
+    pub(crate) trust: RefCell<TrustBook>,
+    pub(crate) budget: RefCell<RepeatBudget>,
+    pub(crate) rng: RefCell<SmallRng>,
+    pub(crate) metrics: Metrics,
+    pub(crate) http: ServiceConfig,
+    /// Whether a stop was asked for.
+    pub(crate) stopping: Cell<bool>,
+    /// Requests that were read and have not ended.
+    pub(crate) open: Cell<usize>,
+    incarnation: u64,
+    work: Cell<u64>,
+}
+
+/// A copy of the configuration older than this makes an instance not ready, so that the balancer
+/// prefers others; callers are owed nothing by an instance without contact for three seconds.
+const READY_AGE: Duration = Duration::from_millis(2_900);
+
+impl Node {
+    pub(crate) fn new(cfg: RelayConfig, clock: Clock, dialect: Rc<dyn Dialect>) -> Rc<Self> {
+        let incarnation = rand::random();
+        let budget = RepeatBudget::new(cfg.bounds.budget());
+        Rc::new(Self {
+            cfg: RefCell::new(cfg),
+            clock,
+            dialect,
+            replica: RefCell::default(),
+            directory: RefCell::default(),
+            load: RefCell::default(),
+            trust: RefCell::default(),
+            budget: RefCell::new(budget),
+            rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
+            metrics: Metrics::default(),
+            http: ServiceConfig::default(),
+            stopping: Cell::new(false),
+            open: Cell::new(0),
+            incarnation,
+            work: Cell::new(0),
+        })
+    }
+
+    /// This start's own number.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Whether new callers should come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let age = self.replica.borrow().age(self.clock.now());
+        let known = !self.directory.borrow().is_empty();
+        !self.stopping.get() && known && age.is_some_and(|age| age < READY_AGE)
+    }
+
+    /// Notes work that is about to be sent; it is on the book until the guard is dropped.
+    pub(crate) fn place(self: &Rc<Self>, work: Work) -> Placed {
+        self.work.set(self.work.get() + 1);
+        let id = WorkId { instance: self.incarnation, sequence: self.work.get() };
+        self.load.borrow_mut().place(self.clock.now(), id, work);
+        Placed { node: self.clone(), id }
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub(crate) fn open(self: &Rc<Self>) -> Open {
+        self.open.set(self.open.get() + 1);
+        Open { node: self.clone() }
+    }
+}
+
+/// Work on the load book. Dropping it takes the work off.
+pub(crate) struct Placed {
+    node: Rc<Node>,
+    id: WorkId,
+}
+
+impl Placed {
+    /// Notes that the prompt has been read.
+    pub(crate) fn first_event(&self) {
+        self.node.load.borrow_mut().first_event(self.id);
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        self.node.load.borrow_mut().end(self.node.clock.now(), self.id);
+    }
+}
+
+/// A request that was read. Dropping it counts it as ended.
+pub(crate) struct Open {
+    node: Rc<Node>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.node.open.set(self.node.open.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/ringbend-relay/src/ports.rs
@@ -0,0 +1,163 @@
+//! What the relay asks of the world around it; an adapter implements these.
+
+use std::fmt;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::{RequestHead, StatusCode};
+use async_trait::async_trait;
+use ringbend_gateway::{Demand, Endpoint, EndpointChange, EventId, SnapshotParts};
+use ringbend_types::{ClientAccountId, EndpointId};
+use smallvec::SmallVec;
+
+/// What a caller's head says, beside method and path.
+#[derive(Debug, Clone, Default)]
+pub struct Call {
+    /// The caller's id of this request; endpoints echo it.
+    pub request_id: Option<Arc<str>>,
+    /// The caller's key.
+    pub key: Option<Arc<str>>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The event after which a stream is to be continued.
+    pub last_event: Option<EventId>,
+    /// What the request asks of an engine; none for plain requests.
+    pub demand: Option<Demand>,
+}
+
+/// A head holds a value that cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadCall {
+    /// Which value.
+    pub what: &'static str,
+}
+
+impl fmt::Display for BadCall {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the request's {} cannot be read", self.what)
+    }
+}
+
+impl std::error::Error for BadCall {}
+
+/// What is told to the endpoint beside what the caller sent.
+#[derive(Debug, Clone)]
+pub struct SendOrder {
+    /// The endpoint that is meant; another one at its address refuses.
+    pub endpoint: EndpointId,
+    /// The account that the caller's key belongs to.
+    pub account: Option<ClientAccountId>,
+    /// How long the endpoint may take.
+    pub time_left: Duration,
+    /// The event after which to go on.
+    pub last_event: Option<EventId>,
+    /// Engines that help to read the prompt.
+    pub helpers: SmallVec<[SocketAddrV4; 4]>,
+    /// Rank among the requests of the endpoint; zero goes first, none where it has no ranks.
+    pub priority: Option<u8>,
+}
+
+/// What an endpoint's head says, beside its status.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// The request id that it answers.
+    pub request_id: Option<Arc<str>>,
+    /// It states that the request was not run.
+    pub not_run: bool,
+    /// When it may have room again.
+    pub retry_after: Option<Duration>,
+    /// The engine that was at fault, where another than the one that answers.
+    pub at_fault: Option<SocketAddrV4>,
+}
+
+/// Reads and writes heads in the words that callers and endpoints use.
+pub trait Dialect {
+    /// Reads a caller's head.
+    ///
+    /// # Errors
+    ///
+    /// A value cannot be read.
+    fn call(&self, head: &RequestHead) -> Result<Call, BadCall>;
+
+    /// Turns the caller's headers into those that the endpoint gets.
+    fn forward(&self, order: &SendOrder, headers: &mut HeaderMap);
+
+    /// Reads an endpoint's head.
+    fn answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+
+    /// Marks an answer that the relay makes itself.
+    fn own_answer(&self, call: &Call, headers: &mut HeaderMap);
+}
+
+/// A place in a watched table's history.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Cursor(pub u64);
+
+/// A row that cannot be decoded; the rows beside it still count.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadRow {
+    /// Its key.
+    pub key: Arc<str>,
+    /// What is wrong with it.
+    pub why: Arc<str>,
+}
+
+/// One answer of a watched table.
+#[derive(Debug, Clone)]
+pub struct Batch<T> {
+    /// What it holds, or what has changed, in order.
+    pub items: Vec<T>,
+    /// Rows that could not be decoded.
+    pub bad: Vec<BadRow>,
+    /// Where to go on.
+    pub cursor: Cursor,
+    /// The store's steady clock as it made the answer.
+    pub store_clock: Duration,
+}
+
+/// Why a watched table gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceError {
+    /// No connection, or it broke.
+    Unreachable,
+    /// The store refused, with this status.
+    Refused(u16),
+    /// The history that was asked for is gone; read everything again.
+    HistoryGone,
+    /// The answer cannot be decoded.
+    Malformed,
+    /// No answer in time.
+    TimedOut,
+}
+
+impl fmt::Display for SourceError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable => write!(f, "unreachable"),
+            Self::Refused(status) => write!(f, "refused with status {status}"),
+            Self::HistoryGone => write!(f, "the history is gone"),
+            Self::Malformed => write!(f, "malformed answer"),
+            Self::TimedOut => write!(f, "no answer in time"),
+        }
+    }
+}
+
+impl std::error::Error for SourceError {}
+
+/// A table that can be read whole and watched for changes.
+#[async_trait(?Send)]
+pub trait Source<Whole, Change> {
+    /// Reads everything.
+    async fn read_all(&self) -> Result<Batch<Whole>, SourceError>;
+
+    /// Reads what has changed since `after`, waiting at most `wait` for a first change.
+    async fn changes(&self, after: Cursor, wait: Duration) -> Result<Batch<Change>, SourceError>;
+}
+
+/// The configuration's table.
+pub type ConfigSource = dyn Source<SnapshotParts, SnapshotParts>;
+
+/// The endpoints' table.
+pub type EndpointSource = dyn Source<Endpoint, EndpointChange>;
--- /dev/null
+++ b/crates/ringbend-relay/src/relay.rs
@@ -0,0 +1,149 @@
+//! Starts a relay, keeps its settings current and stops it.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use ringbend_gateway::{Endpoint, EndpointChange, SnapshotParts};
+use ringbend_runtime::{Clock, Server, ServerConfig, serve};
+use tokio::task::JoinHandle;
+
+use crate::callers::Callers;
+use crate::config::RelayConfig;
+use crate::copies::{ConfigCopy, EndpointCopy};
+use crate::doors::{MetricsPage, Ready};
+use crate::node::Node;
+use crate::ports::{ConfigSource, Dialect, EndpointSource};
+use crate::watch::Watch;
+
+/// Why a relay did not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayError {
+    /// An address cannot be listened on.
+    Listen(SocketAddr),
+}
+
+impl fmt::Display for RelayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(address) => write!(f, "cannot listen on {address}"),
+        }
+    }
+}
+
+impl std::error::Error for RelayError {}
+
+/// What an adapter brings.
+pub struct Ports {
+    /// The words on the wire.
+    pub dialect: Rc<dyn Dialect>,
+    /// The configuration's table.
+    pub config: Rc<ConfigSource>,
+    /// The endpoints' table.
+    pub endpoints: Rc<EndpointSource>,
+}
+
+/// How many requests a stop cut off.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Stopped {
+    /// Requests that had not ended.
+    pub cut: usize,
+}
+
+/// A running relay.
+pub struct Relay {
+    node: Rc<Node>,
+    servers: Vec<Server>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// How long callers' connections may be idle. Callers reuse them for less time than their own limit
+/// says, so this only has to lie above it.
+const KEEP_ALIVE: Duration = Duration::from_secs(90);
+
+/// How long a stopping instance goes on taking connections: the balancer asks once a second and
+/// needs two misses.
+const NOTICE: Duration = Duration::from_millis(3_200);
+
+/// What is left of the grace time for the process to end by itself.
+const EXIT_RESERVE: Duration = Duration::from_millis(400);
+
+/// How often a stopping instance looks whether it is done.
+const STOP_STEP: Duration = Duration::from_millis(50);
+
+impl Relay {
+    /// Starts a relay on this thread.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be listened on.
+    pub async fn start(cfg: RelayConfig, ports: Ports) -> Result<Self, Report<RelayError>> {
+        let clock = Clock::start();
+        let listen = cfg.listen;
+        let node = Node::new(cfg, clock, ports.dialect);
+        let mut servers = Vec::new();
+        let callers = Rc::new(Callers { node: node.clone() });
+        servers.push(open(listen.callers.into(), callers).await?);
+        servers.push(open(listen.ready.into(), Rc::new(Ready { node: node.clone() })).await?);
+        if let Some(address) = listen.metrics {
+            let page = Rc::new(MetricsPage { node: node.clone() });
+            servers.push(open(address.into(), page).await?);
+        }
+        let config =
+            Watch::<SnapshotParts, SnapshotParts, _>::new(node.clone(), ports.config, ConfigCopy);
+        let endpoints =
+            Watch::<Endpoint, EndpointChange, _>::new(node.clone(), ports.endpoints, EndpointCopy);
+        let tasks =
+            vec![tokio::task::spawn_local(config.run()), tokio::task::spawn_local(endpoints.run())];
+        let incarnation = node.incarnation();
+        log::info!(target: "relay", incarnation, callers:% = listen.callers; "started");
+        Ok(Self { node, servers, tasks })
+    }
+
+    /// Puts new settings in force. Addresses stay as they were at the start.
+    pub fn reload(&self, path: &Path) {
+        match RelayConfig::read(path) {
+            Ok(cfg) if cfg == *self.node.cfg.borrow() => {}
+            Ok(cfg) => {
+                self.node.budget.borrow_mut().set_bounds(cfg.bounds.budget());
+                *self.node.cfg.borrow_mut() = cfg;
+                log::info!(target: "relay", path:? = path; "settings reloaded");
+            }
+            Err(e) => {
+                log::error!(target: "relay", path:? = path, error:? = e; "settings kept: new ones are bad");
+            }
+        }
+    }
+
+    /// Stops taking new callers, lets open requests end within the grace time, and returns.
+    pub async fn stop(self) -> Stopped {
+        let began = self.node.clock.now();
+        let grace = self.node.cfg.borrow().bounds.grace().saturating_sub(EXIT_RESERVE);
+        self.node.stopping.set(true);
+        log::info!(target: "relay", open = self.node.open.get(); "stopping");
+        loop {
+            let passed = self.node.clock.now().since(began);
+            let idle = self.node.open.get() == 0 && passed >= NOTICE;
+            if idle || passed >= grace {
+                break;
+            }
+            tokio::time::sleep(STOP_STEP).await;
+        }
+        let cut = self.node.open.get();
+        self.tasks.iter().for_each(JoinHandle::abort);
+        drop(self.servers);
+        log::info!(target: "relay", cut; "stopped");
+        Stopped { cut }
+    }
+}
+
+async fn open(
+    address: SocketAddr,
+    handler: Rc<dyn ringbend_runtime::Handler>,
+) -> Result<Server, Report<RelayError>> {
+    let cfg = ServerConfig { keep_alive: KEEP_ALIVE, ..ServerConfig::default() };
+    serve(address, cfg, handler).await.change_context(RelayError::Listen(address))
+}
--- /dev/null
+++ b/crates/ringbend-relay/src/streams.rs
@@ -0,0 +1,190 @@
+//! Passing an event stream on, and continuing it at another engine when it breaks.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use actix_http::ResponseHead;
+use bytes::Bytes;
+use ringbend_gateway::{Endpoint, Event, EventCutter, EventId, Next, SendEnd};
+use ringbend_runtime::{HttpResponse, StreamError, StreamReply, stream};
+use ringbend_types::Timestamp;
+
+use crate::exchange::{Answer, ExchangeError};
+use crate::life::{Broken, Failed, Life, copy_headers};
+use crate::node::Placed;
+
+/// Events that may wait for a slow caller.
+const DEPTH: usize = 64;
+
+/// The shortest silence between events that counts as a failure.
+const GAP_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// How many times the longest pause that is on time counts as a failure.
+const GAP_FACTOR: u32 = 4;
+
+/// The events of one answer.
+pub(crate) struct Events {
+    answer: Answer,
+    cutter: EventCutter,
+    ready: VecDeque<Event>,
+    last: Option<EventId>,
+}
+
+impl Events {
+    pub(crate) fn new(answer: Answer, last: Option<EventId>) -> Self {
+        Self { answer, cutter: EventCutter::default(), ready: VecDeque::new(), last }
+    }
+
+    /// The next event that was not passed on before; none once the stream has ended whole.
+    pub(crate) async fn next(&mut self) -> Result<Option<Event>, ExchangeError> {
+        loop {
+            while let Some(event) = self.ready.pop_front() {
+                let is_new = event.id.is_none_or(|id| self.last.is_none_or(|last| id > last));
+                if is_new {
+                    self.last = event.id.or(self.last);
+                    return Ok(Some(event));
+                }
+            }
+            match self.answer.chunk().await? {
+                Some(chunk) => match self.cutter.push(&chunk) {
+                    Ok(events) => self.ready.extend(events),
+                    Err(e) => {
+                        log::warn!(target: "request", error:% = e; "stream is no event stream");
+                        return Err(ExchangeError::Truncated);
+                    }
+                },
+                None if self.cutter.is_between_events() => return Ok(None),
+                None => return Err(ExchangeError::Truncated),
+            }
+        }
+    }
+}
+
+/// A stream whose first event has come.
+pub(crate) struct Relayed {
+    pub(crate) head: ResponseHead,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) placed: Placed,
+    pub(crate) events: Events,
+    pub(crate) first: Option<Event>,
+}
+
+/// Begins the caller's answer and passes the rest on in a task of its own.
+pub(crate) fn relay(life: Life, relayed: Relayed) -> HttpResponse {
+    let (tx, mut res) = stream(relayed.head.status, DEPTH);
+    copy_headers(&relayed.head, res.headers_mut());
+    tokio::task::spawn_local(async move {
+        let mut life = life;
+        let end = tokio::select! {
+            end = pass_on(&mut life, relayed, &tx) => end,
+            () = tx.closed() => return,
+        };
+        if let Err(cut) = end {
+            life.log_end(cut.word());
+            // The caller must see that the answer is not whole.
+            if tx.send(Err(StreamError)).await.is_err() {
+                log::debug!(target: "request", id = life.id(); "caller left before the cut");
+            }
+            return;
+        }
+        life.log_end("streamed");
+    });
+    res
+}
+
+/// Why a stream was cut.
+enum Cut {
+    Deadline,
+    Broken,
+}
+
+impl Cut {
+    fn word(&self) -> &'static str {
+        match self {
+            Self::Deadline => "cut-late",
+            Self::Broken => "cut-broken",
+        }
+    }
+}
+
+async fn pass_on(life: &mut Life, relayed: Relayed, tx: &StreamReply) -> Result<(), Cut> {
+    let Relayed { mut endpoint, mut placed, mut events, first, .. } = relayed;
+    let Some(first) = first else { return Ok(()) };
+    let mut last = first.id.or(life.call.last_event);
+    deliver(tx, first).await;
+    loop {
+        let by = gap_limit(life);
+        match life.timed(by, events.next()).await {
+            Ok(Some(event)) => {
+                last = event.id.or(last);
+                deliver(tx, event).await;
+            }
+            Ok(None) => return Ok(()),
+            Err(why) => {
+                let end = match life.broken(&endpoint, &why) {
+                    Failed::Send(end) => end,
+                    Failed::NoEndpoint => SendEnd::Unknown,
+                };
+                drop((placed, events));
+                (endpoint, placed, events) = resume(life, end, last).await?;
+            }
+        }
+    }
+}
+
+async fn deliver(tx: &StreamReply, event: Event) {
+    if tx.send(Ok(Bytes::from(event.bytes))).await.is_err() {
+        // The task ends as soon as it sees that the caller has left.
+        std::future::pending::<()>().await;
+    }
+}
+
+fn gap_limit(life: &Life) -> Timestamp {
+    let deadline = life.attempts.deadline();
+    let gap = life.terms.route.gap_aim.unwrap_or(life.terms.route.aim);
+    deadline.min(life.node.clock.now() + (gap * GAP_FACTOR).max(GAP_SILENCE))
+}
+
+/// Goes on after `last` at another engine.
+async fn resume(
+    life: &mut Life,
+    mut end: SendEnd,
+    last: Option<EventId>,
+) -> Result<(Endpoint, Placed, Events), Cut> {
+    loop {
+        if life.node.clock.now() >= life.attempts.deadline() {
+            return Err(Cut::Deadline);
+        }
+        if last.is_none() || life.next(end) != Next::SendAgain {
+            return Err(Cut::Broken);
+        }
+        let (endpoint, placement) = life.choose().ok_or(Cut::Broken)?;
+        match life.exchange(&endpoint, &placement, last).await {
+            Ok((placed, answer, facts)) => {
+                let status = answer.head.status;
+                match life.check(&endpoint, &facts, status) {
+                    Ok(()) if status.is_success() => {
+                        placed.first_event();
+                        return Ok((endpoint, placed, Events::new(answer, last)));
+                    }
+                    Ok(()) => end = SendEnd::FailedAnswer,
+                    Err(failed) => end = send_end(failed),
+                }
+            }
+            Err(failed) => end = send_end(failed),
+        }
+    }
+}
+
+fn send_end(failed: Failed) -> SendEnd {
+    match failed {
+        Failed::Send(end) => end,
+        Failed::NoEndpoint => SendEnd::Unknown,
+    }
+}
+
+impl From<Broken> for Cut {
+    fn from(_: Broken) -> Self {
+        Self::Broken
+    }
+}
--- /dev/null
+++ b/crates/ringbend-relay/src/watch.rs
@@ -0,0 +1,136 @@
+//! Keeps a copy of a watched table current: reads it whole, then follows its changes, and tells
+//! when the store is lost and regained.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use ringbend_gateway::Proof;
+use ringbend_types::Timestamp;
+
+use crate::node::Node;
+use crate::ports::{Batch, Cursor, Source, SourceError};
+
+/// How long the store may take beyond the time it was asked to wait. Its answers take some
+/// milliseconds; a slow store takes up to a third of a second.
+const CALL_TIME: Duration = Duration::from_millis(1_000);
+
+/// How long the store is asked to wait for a change. Shorter finds a hanging connection sooner,
+/// longer makes fewer calls: with `CALL_TIME` it stays under the three seconds after which callers
+/// are owed nothing by an instance without contact.
+const WAIT: Duration = Duration::from_millis(1_500);
+
+/// The shortest and longest pause after a failed call; drawn between them so that instances that
+/// lost the store together do not return together.
+const BACKOFF_MS: std::ops::Range<u64> = 150..450;
+
+/// What a watch does with what it reads.
+pub(crate) trait Copy<Whole, Change> {
+    /// The table's name in logs.
+    const NAME: &'static str;
+
+    /// Takes in everything.
+    fn replace(&self, node: &Node, items: Vec<Whole>);
+
+    /// Takes in changes.
+    fn apply(&self, node: &Node, items: Vec<Change>);
+
+    /// Notes that the table was current.
+    fn prove(&self, node: &Node, proof: Proof, paired: bool);
+
+    /// Notes that the store answers again.
+    fn regained(&self, node: &Node);
+}
+
+/// Follows one table for as long as the process lives.
+pub(crate) struct Watch<Whole, Change, C> {
+    node: Rc<Node>,
+    source: Rc<dyn Source<Whole, Change>>,
+    copy: C,
+    lost_at: Option<Timestamp>,
+}
+
+impl<Whole, Change, C: Copy<Whole, Change>> Watch<Whole, Change, C> {
+    pub(crate) fn new(node: Rc<Node>, source: Rc<dyn Source<Whole, Change>>, copy: C) -> Self {
+        Self { node, source, copy, lost_at: None }
+    }
+
+    pub(crate) async fn run(mut self) {
+        loop {
+            let cursor = self.read_all().await;
+            self.follow(cursor).await;
+        }
+    }
+
+    async fn read_all(&mut self) -> Cursor {
+        loop {
+            let sent = self.node.clock.now();
+            match bounded(CALL_TIME, self.source.read_all()).await {
+                Ok(batch) => {
+                    self.answered();
+                    let cursor = batch.cursor;
+                    let proof = Proof { sent, store_clock: batch.store_clock };
+                    log_bad_rows(C::NAME, &batch);
+                    self.copy.replace(&self.node, batch.items);
+                    self.copy.prove(&self.node, proof, true);
+                    return cursor;
+                }
+                Err(e) => self.failed(e).await,
+            }
+        }
+    }
+
+    /// Follows changes until the history is gone.
+    async fn follow(&mut self, mut cursor: Cursor) {
+        loop {
+            // After a failure the first call does not wait, so that contact is proved at once.
+            let wait = if self.lost_at.is_some() { Duration::ZERO } else { WAIT };
+            let sent = self.node.clock.now();
+            let call = self.source.changes(cursor, wait);
+            match bounded(wait + CALL_TIME, call).await {
+                Ok(batch) => {
+                    self.answered();
+                    cursor = cursor.max(batch.cursor);
+                    let proof = Proof { sent, store_clock: batch.store_clock };
+                    log_bad_rows(C::NAME, &batch);
+                    self.copy.apply(&self.node, batch.items);
+                    self.copy.prove(&self.node, proof, wait.is_zero());
+                }
+                Err(SourceError::HistoryGone) => {
+                    log::info!(target: "store", table = C::NAME; "history gone, reading anew");
+                    return;
+                }
+                Err(e) => self.failed(e).await,
+            }
+        }
+    }
+
+    fn answered(&mut self) {
+        let Some(lost_at) = self.lost_at.take() else { return };
+        let away_ms = self.node.clock.now().since(lost_at).as_millis() as u64;
+        log::info!(target: "store", table = C::NAME, away_ms; "regained");
+        self.copy.regained(&self.node);
+    }
+
+    async fn failed(&mut self, e: SourceError) {
+        if self.lost_at.is_none() {
+            self.lost_at = Some(self.node.clock.now());
+            log::warn!(target: "store", table = C::NAME, error:% = e; "lost");
+        }
+        let pause = self.node.rng.borrow_mut().random_range(BACKOFF_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+async fn bounded<T>(
+    time: Duration,
+    call: impl Future<Output = Result<T, SourceError>>,
+) -> Result<T, SourceError> {
+    tokio::time::timeout(time, call).await.unwrap_or(Err(SourceError::TimedOut))
+}
+
+fn log_bad_rows<T>(table: &'static str, batch: &Batch<T>) {
+    for row in &batch.bad {
+        log::warn!(target: "store", table, key:% = row.key, why:% = row.why; "row left out");
+    }
+}
--- a/crates/ringbend-telemetry/src/logs.rs
+++ b/crates/ringbend-telemetry/src/logs.rs
@@ -1,4 +1,4 @@
-//! Logs on standard error, as text or as one JSON object a line.
+//! Logs as text or as one JSON object a line, on standard output or standard error.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -8,6 +8,8 @@
 use log::kv::{Key, Value, VisitSource};
 use serde::{Deserialize, Serialize};
 
+use crate::lines::LineQueue;
+
 /// How a line is written.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -19,6 +21,17 @@
     Json,
 }
 
+/// Where lines go.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogOutput {
+    /// Standard output.
+    Stdout,
+    /// Standard error, for programs whose standard output says something else.
+    #[default]
+    Stderr,
+}
+
 /// The text names no format.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseLogFormatError;
@@ -51,11 +64,13 @@
     pub format: LogFormat,
     /// The least level written: `off`, `error`, `warn`, `info`, `debug` or `trace`.
     pub level: log::LevelFilter,
+    /// Where lines go.
+    pub output: LogOutput,
 }
 
 impl Default for LogConfig {
     fn default() -> Self {
-        Self { format: LogFormat::Text, level: log::LevelFilter::Info }
+        Self { format: LogFormat::Text, level: log::LevelFilter::Info, output: LogOutput::Stdout }
     }
 }
 
@@ -92,13 +107,15 @@
     }
 }
 
-/// Starts the process's logger.
+/// Starts the process's logger. Lines are written by a thread of their own; those that come while
+/// its queue is full are left out and counted, so that no request waits for a reader of the logs.
 ///
 /// # Errors
 ///
 /// A logger was started before.
 pub fn start_logs(cfg: &LogConfig) -> Result<(), LogError> {
     let format = cfg.format;
+    let queue = LineQueue::start(cfg.output);
     fern::Dispatch::new()
         .level(cfg.level)
         .level_for("quinn", log::LevelFilter::Warn)
@@ -123,7 +140,7 @@
                 }
             }
         })
-        .chain(std::io::stderr())
+        .chain(fern::Output::call(move |record| queue.push(record.args().to_string())))
         .apply()
         .map_err(LogError)
 }
