feat(gateway, relay): place by expected lateness; share load among instances

Cause: half of the short prompts were late because parts of long ones were read in the same passes, and each instance knew only a ninth of what ran. Change: a placement is chosen by what it makes late for all requests on the engines, weighed by stake; instances tell each other their placements by datagram and find each other by a presence row. A stopping instance takes no request after 2.5 s.

--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -13,19 +13,21 @@
 mod freshness;
 mod gate;
 mod load;
+mod peers;
 mod replica;
 mod snapshot;
 mod trust;
 
 pub use attempts::{Attempts, Next, SendEnd};
 pub use budget::{BudgetBounds, RepeatBudget};
-pub use choice::{Demand, Placement, View, place_on_engines, place_on_service};
+pub use choice::{Demand, Placement, View, Wish, place_on_engines, place_on_service, stake};
 pub use directory::{Directory, Endpoint, EndpointChange, RETURN_TIME};
 pub use engine::EngineProfile;
 pub use events::{Event, EventCutter, EventId, EventTooLong};
 pub use freshness::{Freshness, Proof};
 pub use gate::{Admitted, Arrival, Denied, GateBounds, admit};
-pub use load::{EndpointLoad, LoadBook, Work, WorkId};
+pub use load::{EndpointLoad, LoadBook, Work, WorkId, Writer};
+pub use peers::{HEARTBEAT, Heard, Outbox, Peers, SILENCE};
 pub use replica::{Adopted, Replica};
 pub use snapshot::{
     Account, CallerLimits, ConfigVersion, Repeat, Route, RouteEntry, Service, Snapshot,
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -24,42 +24,81 @@
     pub helpers: SmallVec<[EndpointId; 4]>,
     /// How long each of them reads.
     pub part: Duration,
-    /// How long the answer is expected to be written.
-    pub write: Duration,
+    /// Memory that it takes on the lead, in tokens.
+    pub memory_tokens: u64,
     /// The longest pause between events that its caller takes for on time.
     pub gap: Duration,
+    /// When its first event is due.
+    pub first_by: Timestamp,
+    /// What is lost if it is late, against a request of the usual small size.
+    pub stake: f64,
     /// When it must have ended; forgotten then if nobody tells of its end.
     pub until: Timestamp,
 }
 
-#[derive(Debug, Clone)]
-struct Open {
-    work: Work,
-    writing: bool,
-    placed: Timestamp,
+impl Work {
+    fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
+        std::iter::once(&self.lead).chain(&self.helpers)
+    }
+}
+
+/// A request that writes on an endpoint, or will once its prompt is read.
+#[derive(Debug, Clone, Copy)]
+pub struct Writer {
+    id: WorkId,
+    /// Whether its first event has come.
+    pub writing: bool,
+    /// The longest pause that its caller takes for on time.
+    pub gap: Duration,
+    /// When its first event is due.
+    pub first_by: Timestamp,
+    /// What is lost if it is late.
+    pub stake: f64,
 }
 
 /// What is believed of one endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointLoad {
     /// When it will have read all prompts that it was given.
-    pub read_until: Timestamp,
-    /// Requests that write on it, or will once their prompt is read.
-    pub open: u32,
-    /// The gap that each open request's caller takes, by request.
-    writers: SmallVec<[(WorkId, Duration); 8]>,
+    read_until: Timestamp,
+    /// The longest part that it was lately given, and when.
+    part: (Duration, Timestamp),
+    writers: SmallVec<[Writer; 8]>,
+    memory_tokens: u64,
 }
 
+/// How fast the memory of a long part fades: half of it after this time.
+const PART_HALF_LIFE: Duration = Duration::from_secs(1);
+
 impl EndpointLoad {
     /// How long it still reads.
     pub fn backlog(&self, now: Timestamp) -> Duration {
         self.read_until.since(now)
     }
 
-    /// The gaps that the callers of its open requests take.
-    pub fn gaps(&self) -> impl Iterator<Item = Duration> + '_ {
-        self.writers.iter().map(|(_, gap)| *gap)
+    /// The requests that write on it or will.
+    pub fn writers(&self) -> &[Writer] {
+        &self.writers
     }
+
+    /// Memory taken, in tokens.
+    pub fn memory_tokens(&self) -> u64 {
+        self.memory_tokens
+    }
+
+    /// The longest part that it was lately given, fading with time: a guess at what is to come.
+    pub fn usual_part(&self, now: Timestamp) -> Duration {
+        let (part, at) = self.part;
+        let halvings = now.since(at).as_secs_f64() / PART_HALF_LIFE.as_secs_f64();
+        part.mul_f64(0.5f64.powf(halvings))
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Open {
+    work: Work,
+    writing: bool,
+    placed: Timestamp,
 }
 
 /// The load of all endpoints.
@@ -85,36 +124,43 @@
     pub fn place(&mut self, now: Timestamp, id: WorkId, work: Work) {
         self.sweep(now);
         self.end(now, id);
-        for endpoint in std::iter::once(&work.lead).chain(&work.helpers) {
+        for endpoint in work.endpoints() {
             let load = self.endpoints.entry(endpoint.clone()).or_default();
             load.read_until = load.read_until.max(now) + work.part;
+            if load.usual_part(now) < work.part {
+                load.part = (work.part, now);
+            }
         }
         let lead = self.endpoints.entry(work.lead.clone()).or_default();
-        lead.open += 1;
-        lead.writers.push((id, work.gap));
+        let Work { gap, first_by, stake, .. } = work;
+        lead.writers.push(Writer { id, writing: false, gap, first_by, stake });
+        lead.memory_tokens += work.memory_tokens;
         self.open.insert(id, Open { work, writing: false, placed: now });
     }
 
     /// Notes that a request's first event has come, so its prompt has been read.
     pub fn first_event(&mut self, id: WorkId) {
-        if let Some(open) = self.open.get_mut(&id) {
-            open.writing = true;
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.writing = true;
+        let Some(load) = self.endpoints.get_mut(&open.work.lead) else { return };
+        if let Some(writer) = load.writers.iter_mut().find(|w| w.id == id) {
+            writer.writing = true;
         }
     }
 
     /// Notes that a request has ended, however it did.
     pub fn end(&mut self, now: Timestamp, id: WorkId) {
-        let Some(open) = self.open.remove(&id) else { return };
-        if let Some(load) = self.endpoints.get_mut(&open.work.lead) {
-            load.open = load.open.saturating_sub(1);
-            load.writers.retain(|(writer, _)| *writer != id);
+        let Some(Open { work, writing, placed }) = self.open.remove(&id) else { return };
+        if let Some(load) = self.endpoints.get_mut(&work.lead) {
+            load.writers.retain(|writer| writer.id != id);
+            load.memory_tokens = load.memory_tokens.saturating_sub(work.memory_tokens);
         }
-        if open.writing {
+        if writing {
             return;
         }
         // What it had not read yet will not be read.
-        let unread = open.work.part.saturating_sub(now.since(open.placed));
-        for endpoint in std::iter::once(&open.work.lead).chain(&open.work.helpers) {
+        let unread = work.part.saturating_sub(now.since(placed));
+        for endpoint in work.endpoints() {
             if let Some(load) = self.endpoints.get_mut(endpoint) {
                 load.read_until = (load.read_until - unread).max(now);
             }
@@ -123,13 +169,18 @@
 
     /// Forgets all that one instance placed, as it has ended.
     pub fn forget_instance(&mut self, now: Timestamp, instance: u64) {
-        let gone: Vec<WorkId> =
-            self.open.keys().filter(|id| id.instance == instance).copied().collect();
-        for id in gone {
+        let ids = self.open.keys().filter(|id| id.instance == instance).copied();
+        for id in ids.collect::<Vec<_>>() {
             self.end(now, id);
         }
     }
 
+    /// The open work of one instance, with whether its prompt has been read.
+    pub fn of_instance(&self, instance: u64) -> impl Iterator<Item = (WorkId, &Work, bool)> {
+        let mine = self.open.iter().filter(move |(id, _)| id.instance == instance);
+        mine.map(|(id, open)| (*id, &open.work, open.writing))
+    }
+
     /// How many requests are open.
     pub fn open_requests(&self) -> usize {
         self.open.len()
@@ -140,14 +191,10 @@
             return;
         }
         self.swept_at = now;
-        let late: Vec<WorkId> =
-            self.open.iter().filter(|(_, o)| o.work.until < now).map(|(id, _)| *id).collect();
-        for id in late {
+        let late = self.open.iter().filter(|(_, o)| o.work.until < now).map(|(id, _)| *id);
+        for id in late.collect::<Vec<_>>() {
             self.end(now, id);
         }
-        let (open, endpoints) = (&self.open, &mut self.endpoints);
-        if open.is_empty() {
-            endpoints.clear();
-        }
+        self.endpoints.retain(|_, load| !load.writers.is_empty() || load.read_until > now);
     }
 }
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -59,7 +59,7 @@
 
     /// While the instance stops, each answer is the last one of its connection.
     fn closing(&self, mut res: HttpResponse) -> HttpResponse {
-        if self.node.stopping.get() {
+        if self.node.stopping.get().is_some() {
             res.head_mut().set_connection_type(ConnectionType::Close);
         }
         res
@@ -71,6 +71,9 @@
         call: &Call,
         arrived: Timestamp,
     ) -> Result<HttpResponse, Refusal> {
+        if self.node.is_past_last_call() {
+            return Err(Refusal::Stopping);
+        }
         let open = self.node.open();
         let admitted = self.admit(&req, call, arrived)?;
         let limits = admitted.snapshot.limits;
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod life;
 mod node;
+mod peers;
 mod ports;
 mod refusal;
 mod relay;
@@ -20,6 +21,6 @@
 pub use config::{BoundsConfig, ListenConfig, RelayConfig, RelayConfigError, StoreConfig};
 pub use ports::{
     AnswerFacts, BadCall, BadRow, Batch, Call, ConfigSource, Cursor, Dialect, EndpointSource,
-    SendOrder, Source, SourceError,
+    Presence, SendOrder, Source, SourceError,
 };
 pub use relay::{Ports, Relay, RelayError, Stopped};
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -9,8 +9,8 @@
 use actix_http::{RequestHead, Response, ResponseHead, StatusCode};
 use bytes::Bytes;
 use ringbend_gateway::{
-    Account, Attempts, ConfigVersion, Endpoint, Next, Placement, Route, SendEnd, Service,
-    TrustEvent, View, Work, place_on_engines, place_on_service,
+    Account, Attempts, ConfigVersion, Demand, Endpoint, Next, Placement, Route, SendEnd, Service,
+    TrustEvent, View, Wish, Work, place_on_engines, place_on_service, stake,
 };
 use ringbend_runtime::HttpResponse;
 use ringbend_types::Timestamp;
@@ -231,7 +231,10 @@
         let tried = self.attempts.tried();
         let view = View { now, home: &cfg.data_centre, load: &load, trust: &trust, tried };
         let placement = match (&self.terms.service.engine, self.call.demand) {
-            (Some(engine), Some(demand)) => place_on_engines(view, engine, &candidates, demand)?,
+            (Some(engine), Some(demand)) => {
+                let wish = Wish { demand, first_in: self.first_by().since(now), gap: self.gap() };
+                place_on_engines(view, engine, &candidates, &wish)?
+            }
             _ => place_on_service(view, &candidates)?,
         };
         let endpoint = directory.get(&placement.lead)?.clone();
@@ -239,7 +242,8 @@
         let (id, version, helpers) = (self.id(), self.terms.version, placement.helpers.len());
         log::info!(
             target: "request", id, route:% = self.terms.route.name, endpoint:% = endpoint.id,
-            config:% = version, backlog_ms, helpers, candidates = candidates.len();
+            config:% = version, backlog_ms, helpers, first_ms:? = placement.first_ms as u64,
+            cost:? = (placement.cost * 100.0) as i64, candidates = candidates.len();
             "sent"
         );
         Some((endpoint, placement))
@@ -325,17 +329,26 @@
         }
     }
 
+    /// The longest pause between events that is on time.
+    fn gap(&self) -> Duration {
+        self.terms.route.gap_aim.unwrap_or(self.terms.route.aim)
+    }
+
+    /// When the first event is due.
+    fn first_by(&self) -> Timestamp {
+        self.arrived + self.terms.route.aim
+    }
+
     fn work(&self, placement: &Placement) -> Work {
-        let pass = self.terms.service.engine.map_or(0.0, |engine| engine.pass_ms(8));
-        let steps = self.terms.service.engine.map_or(1, |e| e.steps_per_pass).max(1);
-        let tokens = self.call.demand.map_or(0, |d| d.answer_tokens) as f64;
-        let write = Duration::from_secs_f64(tokens / f64::from(steps) * pass / 1_000.0);
+        let demand = self.call.demand.unwrap_or(Demand { prompt_tokens: 0, answer_tokens: 0 });
         Work {
             lead: placement.lead.clone(),
             helpers: placement.helpers.clone(),
             part: placement.part,
-            write,
-            gap: self.terms.route.gap_aim.unwrap_or(self.terms.route.aim),
+            memory_tokens: demand.prompt_tokens + demand.answer_tokens,
+            gap: self.gap(),
+            first_by: self.first_by(),
+            stake: stake(demand.prompt_tokens),
             until: self.attempts.deadline(),
         }
     }
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -7,11 +7,15 @@
 use actix_http::ServiceConfig;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use ringbend_gateway::{Directory, LoadBook, RepeatBudget, Replica, TrustBook, Work, WorkId};
+use ringbend_gateway::{
+    Directory, LoadBook, Outbox, Peers, RepeatBudget, Replica, TrustBook, Work, WorkId,
+};
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
+use ringbend_types::Timestamp;
 
 use crate::config::RelayConfig;
+use crate::peers::Signals;
 use crate::ports::Dialect;
 
 /// One relay's state. It lives on one thread.
@@ -25,10 +29,14 @@
     pub(crate) trust: RefCell<TrustBook>,
     pub(crate) budget: RefCell<RepeatBudget>,
     pub(crate) rng: RefCell<SmallRng>,
+    pub(crate) peers: RefCell<Peers>,
+    /// What other instances have not been told yet.
+    pub(crate) outbox: RefCell<Outbox>,
+    pub(crate) signals: Signals,
     pub(crate) metrics: Metrics,
     pub(crate) http: ServiceConfig,
-    /// Whether a stop was asked for.
-    pub(crate) stopping: Cell<bool>,
+    /// When a stop was asked for.
+    pub(crate) stopping: Cell<Option<Timestamp>>,
     /// Requests that were read and have not ended.
     pub(crate) open: Cell<usize>,
     incarnation: u64,
@@ -39,6 +47,10 @@
 /// prefers others; callers are owed nothing by an instance without contact for three seconds.
 const READY_AGE: Duration = Duration::from_millis(2_900);
 
+/// How long a stopping instance goes on taking requests. The balancer takes some two seconds to send
+/// new callers elsewhere; what is taken later may not end within the grace time.
+const LAST_CALL: Duration = Duration::from_millis(2_500);
+
 impl Node {
     pub(crate) fn new(cfg: RelayConfig, clock: Clock, dialect: Rc<dyn Dialect>) -> Rc<Self> {
         let incarnation = rand::random();
@@ -53,9 +65,12 @@
             trust: RefCell::default(),
             budget: RefCell::new(budget),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
+            peers: RefCell::default(),
+            outbox: RefCell::default(),
+            signals: Signals::default(),
             metrics: Metrics::default(),
             http: ServiceConfig::default(),
-            stopping: Cell::new(false),
+            stopping: Cell::new(None),
             open: Cell::new(0),
             incarnation,
             work: Cell::new(0),
@@ -71,7 +86,12 @@
     pub(crate) fn is_ready(&self) -> bool {
         let age = self.replica.borrow().age(self.clock.now());
         let known = !self.directory.borrow().is_empty();
-        !self.stopping.get() && known && age.is_some_and(|age| age < READY_AGE)
+        self.stopping.get().is_none() && known && age.is_some_and(|age| age < READY_AGE)
+    }
+
+    /// Whether the instance is stopping and takes no more requests, also from kept connections.
+    pub(crate) fn is_past_last_call(&self) -> bool {
+        self.stopping.get().is_some_and(|at| self.clock.now().since(at) >= LAST_CALL)
     }
 
     /// Notes work that is about to be sent; it is on the book until the guard is dropped.
@@ -79,6 +99,8 @@
         self.work.set(self.work.get() + 1);
         let id = WorkId { instance: self.incarnation, sequence: self.work.get() };
         self.load.borrow_mut().place(self.clock.now(), id, work);
+        self.outbox.borrow_mut().placed.push(id);
+        self.signals.now.notify_one();
         Placed { node: self.clone(), id }
     }
 
@@ -99,12 +121,16 @@
     /// Notes that the prompt has been read.
     pub(crate) fn first_event(&self) {
         self.node.load.borrow_mut().first_event(self.id);
+        self.node.outbox.borrow_mut().writing.push(self.id);
+        self.node.signals.soon.notify_one();
     }
 }
 
 impl Drop for Placed {
     fn drop(&mut self) {
         self.node.load.borrow_mut().end(self.node.clock.now(), self.id);
+        self.node.outbox.borrow_mut().ended.push(self.id);
+        self.node.signals.soon.notify_one();
     }
 }
 
--- /dev/null
+++ b/crates/ringbend-relay/src/peers.rs
@@ -0,0 +1,227 @@
+//! Tells other instances what this one puts on endpoints, and listens to them.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use ringbend_gateway::{HEARTBEAT, Heard, Outbox, WorkId};
+use ringbend_types::Timestamp;
+use ringbend_wire::{LoadDigest, Message, PlacedWork, placed_work, work_of};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::node::Node;
+use crate::ports::Presence;
+
+/// How long the end of a request may wait to be told together with others. New work is told at once.
+const GATHER: Duration = Duration::from_millis(15);
+
+/// The most work told in one datagram, so that it fits a packet.
+const WORK_PER_DATAGRAM: usize = 8;
+
+/// The longest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 8 << 10;
+
+/// How often this instance asks the store for others until it has been told.
+const PRESENCE_RETRY: Duration = Duration::from_millis(700);
+
+/// Wakes the sender.
+#[derive(Default)]
+pub(crate) struct Signals {
+    /// New work was placed.
+    pub(crate) now: Notify,
+    /// Work has begun to write or ended.
+    pub(crate) soon: Notify,
+}
+
+/// The link to all other instances.
+pub(crate) struct PeerLink {
+    node: Rc<Node>,
+    socket: UdpSocket,
+}
+
+impl PeerLink {
+    pub(crate) async fn open(node: Rc<Node>, address: SocketAddrV4) -> std::io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Rc::new(Self { node, socket }))
+    }
+
+    /// Writes this instance's presence, then reads that of others: of two that start together, the
+    /// later reader sees the other and greets it.
+    pub(crate) async fn join(self: Rc<Self>, presence: Rc<dyn Presence>) {
+        loop {
+            match self.announce(&*presence).await {
+                Ok(count) => {
+                    log::info!(target: "peers", told = count; "joined");
+                    return;
+                }
+                Err(e) => {
+                    log::info!(target: "peers", error:% = e; "presence not written, trying again");
+                    tokio::time::sleep(PRESENCE_RETRY).await;
+                }
+            }
+        }
+    }
+
+    async fn announce(&self, presence: &dyn Presence) -> Result<usize, crate::SourceError> {
+        presence.announce().await?;
+        let others = presence.others().await?;
+        let now = self.node.clock.now();
+        let hello = LoadDigest { hello: true, ..self.digest() };
+        for address in &others {
+            self.node.peers.borrow_mut().told(now, *address);
+            self.tell(&hello, *address);
+        }
+        Ok(others.len())
+    }
+
+    /// Sends digests for as long as the process lives.
+    pub(crate) async fn send(self: Rc<Self>) {
+        let signals = &self.node.signals;
+        loop {
+            tokio::select! {
+                () = signals.now.notified() => {}
+                () = signals.soon.notified() => tokio::time::sleep(GATHER).await,
+                () = tokio::time::sleep(HEARTBEAT) => {}
+            }
+            self.sweep();
+            let outbox = std::mem::take(&mut *self.node.outbox.borrow_mut());
+            self.broadcast(&outbox);
+        }
+    }
+
+    /// Tells all peers that this instance stops.
+    pub(crate) fn bye(&self) {
+        let digest = LoadDigest { bye: true, ..self.digest() };
+        let addresses: Vec<_> = self.node.peers.borrow().addresses().collect();
+        addresses.into_iter().for_each(|address| self.tell(&digest, address));
+    }
+
+    fn sweep(&self) {
+        let now = self.node.clock.now();
+        let mut peers = self.node.peers.borrow_mut();
+        for start in peers.sweep(now) {
+            self.node.load.borrow_mut().forget_instance(now, start);
+        }
+        let instances = peers.instances(now);
+        if self.node.metrics.live_instances.get() != instances as i64 {
+            log::info!(target: "peers", instances; "instances");
+            self.node.metrics.live_instances.set(instances as i64);
+            self.node.budget.borrow_mut().set_instances(instances);
+        }
+    }
+
+    fn digest(&self) -> LoadDigest {
+        LoadDigest { incarnation: self.node.incarnation(), ..LoadDigest::default() }
+    }
+
+    fn broadcast(&self, outbox: &Outbox) {
+        let sequences = |ids: &[WorkId]| ids.iter().map(|id| id.sequence).collect();
+        let placed = self.placed(|id| outbox.placed.contains(&id));
+        let first = LoadDigest {
+            writing: sequences(&outbox.writing),
+            ended: sequences(&outbox.ended),
+            ..self.digest()
+        };
+        let addresses: Vec<_> = self.node.peers.borrow().addresses().collect();
+        for digest in self.split(first, placed) {
+            addresses.iter().for_each(|address| self.tell(&digest, *address));
+        }
+    }
+
+    /// This instance's open work that is asked for.
+    fn placed(&self, is_asked: impl Fn(WorkId) -> bool) -> Vec<PlacedWork> {
+        let (now, load) = (self.node.clock.now(), self.node.load.borrow());
+        let mine = load.of_instance(self.node.incarnation());
+        mine.filter(|(id, _, _)| is_asked(*id))
+            .map(|(id, work, writing)| placed_work(now, id, work, writing))
+            .collect()
+    }
+
+    fn split(&self, first: LoadDigest, placed: Vec<PlacedWork>) -> Vec<LoadDigest> {
+        let mut digests = vec![first];
+        for (at, work) in placed.into_iter().enumerate() {
+            if at > 0 && at % WORK_PER_DATAGRAM == 0 {
+                digests.push(self.digest());
+            }
+            digests.last_mut().expect("has a first").placed.push(work);
+        }
+        digests
+    }
+
+    fn tell(&self, digest: &LoadDigest, address: SocketAddrV4) {
+        let bytes = digest.encode_to_vec();
+        match self.socket.try_send_to(&bytes, address.into()) {
+            Ok(sent) => self.node.metrics.peer_bytes(sent as u64),
+            // A full link or a dead peer: the digest is a hint and goes without.
+            Err(e) => log::debug!(target: "peers", peer:% = address, error:% = e; "not told"),
+        }
+    }
+
+    /// Takes in digests for as long as the process lives.
+    pub(crate) async fn receive(self: Rc<Self>) {
+        let mut buf = vec![0; MAX_DATAGRAM];
+        loop {
+            let (len, from) = match self.socket.recv_from(&mut buf).await {
+                Ok(received) => received,
+                Err(e) => {
+                    log::debug!(target: "peers", error:% = e; "nothing received");
+                    continue;
+                }
+            };
+            let SocketAddr::V4(from) = from else { continue };
+            match LoadDigest::decode(&buf[..len]) {
+                Ok(digest) => self.take_in(from, &digest),
+                Err(e) => {
+                    log::warn!(target: "peers", peer:% = from, error:% = e; "digest refused");
+                }
+            }
+        }
+    }
+
+    fn take_in(&self, from: SocketAddrV4, digest: &LoadDigest) {
+        let now = self.node.clock.now();
+        let start = digest.incarnation;
+        if start == self.node.incarnation() {
+            return;
+        }
+        if digest.bye {
+            self.node.peers.borrow_mut().left(from);
+            self.node.load.borrow_mut().forget_instance(now, start);
+            log::info!(target: "peers", peer:% = from, start; "left");
+            return;
+        }
+        let heard = self.node.peers.borrow_mut().heard(now, from, start);
+        if let Heard::New { replaced } = heard {
+            log::info!(target: "peers", peer:% = from, start; "heard");
+            if let Some(replaced) = replaced {
+                self.node.load.borrow_mut().forget_instance(now, replaced);
+            }
+        }
+        if digest.hello || heard != Heard::Known {
+            let all = self.placed(|_| true);
+            for digest in self.split(self.digest(), all) {
+                self.tell(&digest, from);
+            }
+        }
+        self.note(now, start, digest);
+    }
+
+    fn note(&self, now: Timestamp, instance: u64, digest: &LoadDigest) {
+        let mut load = self.node.load.borrow_mut();
+        let id = |sequence: u64| WorkId { instance, sequence };
+        for placed in &digest.placed {
+            match work_of(now, placed) {
+                Ok(work) => {
+                    load.place(now, id(placed.sequence), work);
+                    if placed.writing {
+                        load.first_event(id(placed.sequence));
+                    }
+                }
+                Err(e) => log::warn!(target: "peers", instance, error:% = e; "work refused"),
+            }
+        }
+        digest.writing.iter().for_each(|sequence| load.first_event(id(*sequence)));
+        digest.ended.iter().for_each(|sequence| load.end(now, id(*sequence)));
+    }
+}
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -161,3 +161,16 @@
 
 /// The endpoints' table.
 pub type EndpointSource = dyn Source<Endpoint, EndpointChange>;
+
+/// Where instances find each other.
+#[async_trait(?Send)]
+pub trait Presence {
+    /// Writes where this instance listens for others. Writing it again changes nothing.
+    async fn announce(&self) -> Result<(), SourceError>;
+
+    /// Where other instances listen; some may be gone.
+    async fn others(&self) -> Result<Vec<SocketAddrV4>, SourceError>;
+
+    /// Removes what `announce` wrote.
+    async fn withdraw(&self) -> Result<(), SourceError>;
+}
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -14,6 +14,8 @@
 pub(crate) enum Refusal {
     /// Not let in.
     Denied(Denied),
+    /// The instance stops and could not see the request to its end.
+    Stopping,
     /// The head holds a value that cannot be read.
     BadHead,
     /// The body is too large.
@@ -70,6 +72,7 @@
             Self::Denied(Denied::StaleConfig) => "stale-config",
             Self::Denied(Denied::NoRoute) => "no-route",
             Self::Denied(Denied::BadKey) => "bad-key",
+            Self::Stopping => "stopping",
             Self::BadHead => "bad-head",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyBroken => "body-broken",
@@ -99,6 +102,7 @@
     fn come_back(self, hint: Option<Duration>) -> Option<Duration> {
         match self {
             Self::Denied(Denied::NoConfig | Denied::StaleConfig) => Some(COME_BACK_STALE),
+            Self::Stopping => Some(Duration::ZERO),
             Self::NoService | Self::NoEndpoint | Self::NotTaken | Self::LateNotRun => {
                 Some(hint.unwrap_or(COME_BACK))
             }
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -16,7 +16,8 @@
 use crate::copies::{ConfigCopy, EndpointCopy};
 use crate::doors::{MetricsPage, Ready};
 use crate::node::Node;
-use crate::ports::{ConfigSource, Dialect, EndpointSource};
+use crate::peers::PeerLink;
+use crate::ports::{ConfigSource, Dialect, EndpointSource, Presence};
 use crate::watch::Watch;
 
 /// Why a relay did not start.
@@ -44,6 +45,8 @@
     pub config: Rc<ConfigSource>,
     /// The endpoints' table.
     pub endpoints: Rc<EndpointSource>,
+    /// Where other instances are found.
+    pub presence: Rc<dyn Presence>,
 }
 
 /// How many requests a stop cut off.
@@ -58,6 +61,8 @@
     node: Rc<Node>,
     servers: Vec<Server>,
     tasks: Vec<JoinHandle<()>>,
+    peers: Option<Rc<PeerLink>>,
+    presence: Rc<dyn Presence>,
 }
 
 /// How long callers' connections may be idle. Callers reuse them for less time than their own limit
@@ -71,6 +76,10 @@
 /// What is left of the grace time for the process to end by itself.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
+/// How long withdrawing this instance's presence may take. What stays behind is only an address that
+/// nobody answers at.
+const WITHDRAW_TIME: Duration = Duration::from_millis(150);
+
 /// How often a stopping instance looks whether it is done.
 const STOP_STEP: Duration = Duration::from_millis(50);
 
@@ -96,11 +105,20 @@
             Watch::<SnapshotParts, SnapshotParts, _>::new(node.clone(), ports.config, ConfigCopy);
         let endpoints =
             Watch::<Endpoint, EndpointChange, _>::new(node.clone(), ports.endpoints, EndpointCopy);
-        let tasks =
+        let mut tasks =
             vec![tokio::task::spawn_local(config.run()), tokio::task::spawn_local(endpoints.run())];
+        let mut peers = None;
+        if let Some(address) = listen.peers {
+            let link = PeerLink::open(node.clone(), address).await;
+            let link = link.change_context(RelayError::Listen(address.into()))?;
+            tasks.push(tokio::task::spawn_local(link.clone().receive()));
+            tasks.push(tokio::task::spawn_local(link.clone().send()));
+            tasks.push(tokio::task::spawn_local(link.clone().join(ports.presence.clone())));
+            peers = Some(link);
+        }
         let incarnation = node.incarnation();
         log::info!(target: "relay", incarnation, callers:% = listen.callers; "started");
-        Ok(Self { node, servers, tasks })
+        Ok(Self { node, servers, tasks, peers, presence: ports.presence })
     }
 
     /// Puts new settings in force. Addresses stay as they were at the start.
@@ -122,7 +140,7 @@
     pub async fn stop(self) -> Stopped {
         let began = self.node.clock.now();
         let grace = self.node.cfg.borrow().bounds.grace().saturating_sub(EXIT_RESERVE);
-        self.node.stopping.set(true);
+        self.node.stopping.set(Some(began));
         log::info!(target: "relay", open = self.node.open.get(); "stopping");
         loop {
             let passed = self.node.clock.now().since(began);
@@ -132,6 +150,7 @@
             }
             tokio::time::sleep(STOP_STEP).await;
         }
+        self.leave().await;
         let cut = self.node.open.get();
         self.tasks.iter().for_each(JoinHandle::abort);
         drop(self.servers);
@@ -140,6 +159,22 @@
     }
 }
 
+impl Relay {
+    /// Tells other instances, and whoever starts later, that this one is gone.
+    async fn leave(&self) {
+        if let Some(peers) = &self.peers {
+            peers.bye();
+        }
+        match tokio::time::timeout(WITHDRAW_TIME, self.presence.withdraw()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => log::info!(target: "peers", error:% = e; "presence not withdrawn"),
+            Err(_) => {
+                log::info!(target: "peers", time_ms:? = WITHDRAW_TIME.as_millis(); "presence not withdrawn")
+            }
+        }
+    }
+}
+
 async fn open(
     address: SocketAddr,
     handler: Rc<dyn ringbend_runtime::Handler>,
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -128,6 +128,62 @@
         EntriesReply(super::EntriesReply),
     }
 }
+/// One request's work on endpoints, as the instance that placed it knows it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PlacedWork {
+    /// Counts up within the sender's incarnation.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// Writes the answer.
+    #[prost(string, tag = "2")]
+    pub lead: ::prost::alloc::string::String,
+    /// Read a part of the prompt each.
+    #[prost(string, repeated, tag = "3")]
+    pub helpers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// How long each of them reads, in microseconds.
+    #[prost(uint64, tag = "4")]
+    pub part_us: u64,
+    /// Memory on the lead, in tokens.
+    #[prost(uint64, tag = "5")]
+    pub memory_tokens: u64,
+    /// The longest pause between events that is on time, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub gap_ms: u64,
+    /// The time left until the first event is late, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub first_in_ms: u64,
+    /// The time left until it has ended for sure, in milliseconds.
+    #[prost(uint64, tag = "8")]
+    pub left_ms: u64,
+    /// What is lost if it is late.
+    #[prost(double, tag = "9")]
+    pub stake: f64,
+    /// Whether its prompt has been read.
+    #[prost(bool, tag = "10")]
+    pub writing: bool,
+}
+/// What an instance has placed on endpoints since its last digest. One datagram each; one that is
+/// lost makes for a worse guess and nothing else.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LoadDigest {
+    /// The sender's start.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub placed: ::prost::alloc::vec::Vec<PlacedWork>,
+    /// Work whose first event has come.
+    #[prost(uint64, repeated, tag = "3")]
+    pub writing: ::prost::alloc::vec::Vec<u64>,
+    /// Work that has ended.
+    #[prost(uint64, repeated, tag = "4")]
+    pub ended: ::prost::alloc::vec::Vec<u64>,
+    /// The sender is new here and asks for all that the receiver has placed.
+    #[prost(bool, tag = "5")]
+    pub hello: bool,
+    /// The sender stops; all that it placed has ended.
+    #[prost(bool, tag = "6")]
+    pub bye: bool,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum MemberState {
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! mapped here to the types of the decision crates. Text that does not parse is an error, never a
 //! default.
 
+mod load;
 mod map;
 
 /// Generated messages; see `proto/peer.proto` for what each field holds.
@@ -11,8 +12,9 @@
 
 pub use generated::{
     Demand, EntriesReply, EntriesRequest, Envelope, Gossip, GossipKind, GrantReply, GrantRequest,
-    Hello, Member, MemberState, Share, Update, envelope, update,
+    Hello, LoadDigest, Member, MemberState, PlacedWork, Share, Update, envelope, update,
 };
+pub use load::{placed_work, work_of};
 pub use map::WireError;
 pub use prost::Message;
 
--- /dev/null
+++ b/crates/ringbend-wire/src/load.rs
@@ -0,0 +1,48 @@
+//! Between load digests and the load book's types.
+
+use std::time::Duration;
+
+use ringbend_gateway::{Work, WorkId};
+use ringbend_types::{EndpointId, ParseIdError, Timestamp};
+
+use crate::generated::PlacedWork;
+use crate::map::WireError;
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Work as told to peers at `now`.
+pub fn placed_work(now: Timestamp, id: WorkId, work: &Work, writing: bool) -> PlacedWork {
+    PlacedWork {
+        sequence: id.sequence,
+        lead: work.lead.to_string(),
+        helpers: work.helpers.iter().map(EndpointId::to_string).collect(),
+        part_us: u64::try_from(work.part.as_micros()).unwrap_or(u64::MAX),
+        memory_tokens: work.memory_tokens,
+        gap_ms: millis(work.gap),
+        first_in_ms: millis(work.first_by.since(now)),
+        left_ms: millis(work.until.since(now)),
+        stake: work.stake,
+        writing,
+    }
+}
+
+/// Work as told by a peer and received at `now`.
+///
+/// # Errors
+///
+/// An endpoint's id is malformed.
+pub fn work_of(now: Timestamp, placed: &PlacedWork) -> Result<Work, WireError> {
+    let helpers = placed.helpers.iter().map(|id| id.parse());
+    Ok(Work {
+        lead: placed.lead.parse()?,
+        helpers: helpers.collect::<Result<_, ParseIdError>>()?,
+        part: Duration::from_micros(placed.part_us),
+        memory_tokens: placed.memory_tokens,
+        gap: Duration::from_millis(placed.gap_ms),
+        first_by: now + Duration::from_millis(placed.first_in_ms),
+        stake: placed.stake,
+        until: now + Duration::from_millis(placed.left_ms),
+    })
+}
