--- a/crates/ringbend-gateway/src/attempts.rs
+++ b/crates/ringbend-gateway/src/attempts.rs
@@ -102,6 +102,22 @@
         }
     }
 
+    /// Whether a run that has been silent for long is given up for another one. If not, it is waited
+    /// for: silence alone is no reason to end an answer.
+    pub fn replace_silent(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        budget: &mut RepeatBudget,
+    ) -> bool {
+        let may = self.repeat.may_repeat() && self.may_run_again() && now < self.deadline;
+        if may && budget.take(now, service) {
+            self.runs += 1;
+            return true;
+        }
+        false
+    }
+
     /// Whether a run whose end is unknown may be followed by another.
     pub fn may_run_again(&self) -> bool {
         self.runs + 1 < self.max_runs
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -13,7 +13,7 @@
     TrustEvent, View, Wish, Work, place_on_engines, place_on_service, stake,
 };
 use ringbend_runtime::HttpResponse;
-use ringbend_types::Timestamp;
+use ringbend_types::{PromptBucket, Timestamp, TokenCount};
 use smallvec::SmallVec;
 
 use crate::exchange::{self, Answer, ExchangeError};
@@ -49,9 +49,18 @@
     /// When an endpoint said that it may have room.
     hint: Option<Duration>,
     ended: bool,
+    pace: Pace,
     _open: Open,
 }
 
+/// When events reached the caller.
+#[derive(Debug, Clone, Copy, Default)]
+struct Pace {
+    first: Option<Timestamp>,
+    last: Option<Timestamp>,
+    longest_gap: Duration,
+}
+
 /// How one send went well.
 enum Reply {
     /// A whole answer.
@@ -94,8 +103,20 @@
         open: Open,
     ) -> Self {
         node.metrics.admitted();
-        let (failed, hint, ended) = (None, None, false);
-        Self { node, call, origin, terms, attempts, arrived, failed, hint, ended, _open: open }
+        let (failed, hint, ended, pace) = (None, None, false, Pace::default());
+        Self {
+            node,
+            call,
+            origin,
+            terms,
+            attempts,
+            arrived,
+            failed,
+            hint,
+            ended,
+            pace,
+            _open: open,
+        }
     }
 
     /// Sends the request until an endpoint answers or it is given up.
@@ -104,6 +125,7 @@
             let (end, left_out) = match self.send().await {
                 Ok(Reply::Whole(res, status)) => return self.finish(res, status.as_str()),
                 Ok(Reply::Stream(relayed)) => return crate::streams::relay(self, *relayed),
+                Err(Failed::Replaced) => continue,
                 Err(Failed::Send(end)) => (end, false),
                 Err(Failed::NoEndpoint) => (SendEnd::NotSent, true),
             };
@@ -158,13 +180,32 @@
         res
     }
 
+    /// Notes that an event was passed on.
+    pub(crate) fn passed_on(&mut self) {
+        let now = self.node.clock.now();
+        match self.pace.last {
+            Some(last) => self.pace.longest_gap = self.pace.longest_gap.max(now.since(last)),
+            None => {
+                self.pace.first = Some(now);
+                let tokens = TokenCount(self.call.demand.map_or(0, |d| d.prompt_tokens));
+                let bucket = PromptBucket::of(tokens);
+                self.node.metrics.first_token(bucket, now.since(self.arrived));
+            }
+        }
+        self.pace.last = Some(now);
+    }
+
     /// Writes the line of the request's end.
     pub(crate) fn log_end(&mut self, outcome: &str) {
         self.ended = true;
         let ms = self.node.clock.now().since(self.arrived).as_millis() as u64;
         let sends = self.attempts.tried().len();
         let (id, route) = (self.id(), &self.terms.route.name);
-        log::info!(target: "request", id, route:%, outcome, ms, sends; "ended");
+        let first_ms = self.pace.first.map(|at| at.since(self.arrived).as_millis() as u64);
+        let gap_ms = self.pace.longest_gap.as_millis() as u64;
+        log::info!(
+            target: "request", id, route:%, outcome, ms, sends, first_ms:?, gap_ms; "ended"
+        );
     }
 
     pub(crate) fn id(&self) -> &str {
@@ -201,7 +242,7 @@
         let head = clone_head(&answer.head);
         let mut events = Events::new(answer, self.call.last_event);
         let by = self.silence_limit();
-        let first = self.timed(by, events.next()).await;
+        let first = self.patient(by, events.next()).await;
         let first = first.map_err(|why| self.broken(&endpoint, &why))?;
         placed.first_event();
         self.trust(&endpoint, TrustEvent::Good);
@@ -310,6 +351,10 @@
     /// Notes a send that broke.
     pub(crate) fn broken(&self, endpoint: &Endpoint, why: &Broken) -> Failed {
         self.trust(endpoint, TrustEvent::Bad);
+        if matches!(why, Broken::Replaced) {
+            log::warn!(target: "request", id = self.id(), endpoint:% = endpoint.id, why:%; "left");
+            return Failed::Replaced;
+        }
         let end = if why.nothing_sent() { SendEnd::NotSent } else { SendEnd::Unknown };
         log::warn!(
             target: "request", id = self.id(), endpoint:% = endpoint.id, why:%, end:? = end;
@@ -318,6 +363,30 @@
         Failed::Send(end)
     }
 
+    /// Waits until `by`, and until the deadline if no other run can take this one's place.
+    pub(crate) async fn patient<T>(
+        &mut self,
+        by: Timestamp,
+        work: impl Future<Output = Result<T, ExchangeError>>,
+    ) -> Result<T, Broken> {
+        let mut work = std::pin::pin!(work);
+        let deadline = self.attempts.deadline();
+        if by < deadline {
+            match self.timed(by, &mut work).await {
+                Err(Broken::Late) if self.replace_silent() => return Err(Broken::Replaced),
+                Err(Broken::Late) => {}
+                done => return done,
+            }
+        }
+        self.timed(deadline, work).await
+    }
+
+    fn replace_silent(&mut self) -> bool {
+        let now = self.node.clock.now();
+        let budget = &mut self.node.budget.borrow_mut();
+        self.attempts.replace_silent(now, &self.terms.service.name, budget)
+    }
+
     pub(crate) async fn timed<T>(
         &self,
         by: Timestamp,
@@ -325,7 +394,7 @@
     ) -> Result<T, Broken> {
         match tokio::time::timeout_at(self.node.clock.instant(by), work).await {
             Ok(done) => done.map_err(Broken::Exchange),
-            Err(_) => Err(Broken::Silent),
+            Err(_) => Err(Broken::Late),
         }
     }
 
@@ -392,6 +461,8 @@
 pub(crate) enum Failed {
     /// No endpoint was left to send to.
     NoEndpoint,
+    /// Another send takes its place.
+    Replaced,
     /// It ended like this.
     Send(SendEnd),
 }
@@ -401,8 +472,10 @@
 pub(crate) enum Broken {
     /// It broke.
     Exchange(ExchangeError),
-    /// The endpoint was silent for too long.
-    Silent,
+    /// The endpoint was silent for long and another one takes its place.
+    Replaced,
+    /// The time is up.
+    Late,
 }
 
 impl Broken {
@@ -415,7 +488,8 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Exchange(e) => e.fmt(f),
-            Self::Silent => write!(f, "silent for too long"),
+            Self::Replaced => write!(f, "silent for long, replaced"),
+            Self::Late => write!(f, "the time is up"),
         }
     }
 }
--- a/crates/ringbend-relay/src/peers.rs
+++ b/crates/ringbend-relay/src/peers.rs
@@ -25,6 +25,10 @@
 /// How often this instance asks the store for others until it has been told.
 const PRESENCE_RETRY: Duration = Duration::from_millis(700);
 
+/// How long writing and reading presence may take. A slow store takes up to a third of a second a
+/// call; an answer that was lost never comes.
+const PRESENCE_TIME: Duration = Duration::from_millis(1_500);
+
 /// Wakes the sender.
 #[derive(Default)]
 pub(crate) struct Signals {
@@ -38,19 +42,22 @@
 pub(crate) struct PeerLink {
     node: Rc<Node>,
     socket: UdpSocket,
+    address: SocketAddrV4,
 }
 
 impl PeerLink {
     pub(crate) async fn open(node: Rc<Node>, address: SocketAddrV4) -> std::io::Result<Rc<Self>> {
         let socket = UdpSocket::bind(address).await?;
-        Ok(Rc::new(Self { node, socket }))
+        let address = SocketAddrV4::new(*address.ip(), socket.local_addr()?.port());
+        Ok(Rc::new(Self { node, socket, address }))
     }
 
     /// Writes this instance's presence, then reads that of others: of two that start together, the
     /// later reader sees the other and greets it.
     pub(crate) async fn join(self: Rc<Self>, presence: Rc<dyn Presence>) {
         loop {
-            match self.announce(&*presence).await {
+            let announced = tokio::time::timeout(PRESENCE_TIME, self.announce(&*presence)).await;
+            match announced.unwrap_or(Err(crate::SourceError::TimedOut)) {
                 Ok(count) => {
                     log::info!(target: "peers", told = count; "joined");
                     return;
@@ -64,8 +71,9 @@
     }
 
     async fn announce(&self, presence: &dyn Presence) -> Result<usize, crate::SourceError> {
-        presence.announce().await?;
-        let others = presence.others().await?;
+        presence.announce(self.address).await?;
+        let mut others = presence.all().await?;
+        others.retain(|address| *address != self.address);
         let now = self.node.clock.now();
         let hello = LoadDigest { hello: true, ..self.digest() };
         for address in &others {
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -166,10 +166,10 @@
 #[async_trait(?Send)]
 pub trait Presence {
     /// Writes where this instance listens for others. Writing it again changes nothing.
-    async fn announce(&self) -> Result<(), SourceError>;
+    async fn announce(&self, own: SocketAddrV4) -> Result<(), SourceError>;
 
-    /// Where other instances listen; some may be gone.
-    async fn others(&self) -> Result<Vec<SocketAddrV4>, SourceError>;
+    /// Where instances listen, this one included; some may be gone.
+    async fn all(&self) -> Result<Vec<SocketAddrV4>, SourceError>;
 
     /// Removes what `announce` wrote.
     async fn withdraw(&self) -> Result<(), SourceError>;
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -65,6 +65,11 @@
     presence: Rc<dyn Presence>,
 }
 
+/// Places in the list of servers.
+const CALLERS: usize = 0;
+const READY: usize = 1;
+const METRICS: usize = 2;
+
 /// How long callers' connections may be idle. Callers reuse them for less time than their own limit
 /// says, so this only has to lie above it.
 const KEEP_ALIVE: Duration = Duration::from_secs(90);
@@ -121,6 +126,46 @@
         Ok(Self { node, servers, tasks, peers, presence: ports.presence })
     }
 
+    /// Where callers connect.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.servers[CALLERS].address()
+    }
+
+    /// Where the balancer asks.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.servers[READY].address()
+    }
+
+    /// Where metrics are served.
+    pub fn metrics_address(&self) -> Option<SocketAddr> {
+        self.servers.get(METRICS).map(Server::address)
+    }
+
+    /// Whether new callers should come here.
+    pub fn is_ready(&self) -> bool {
+        self.node.is_ready()
+    }
+
+    /// The version of the configuration in force; zero before the first.
+    pub fn config_version(&self) -> u64 {
+        self.node.replica.borrow().version().unwrap_or_default().0
+    }
+
+    /// How many endpoints are registered, leaving ones included.
+    pub fn endpoints(&self) -> usize {
+        self.node.directory.borrow().len()
+    }
+
+    /// How many instances are known to be there, this one included.
+    pub fn instances(&self) -> usize {
+        self.node.peers.borrow().instances(self.node.clock.now())
+    }
+
+    /// How many requests are known to be open on endpoints, those of other instances included.
+    pub fn known_work(&self) -> usize {
+        self.node.load.borrow().open_requests()
+    }
+
     /// Puts new settings in force. Addresses stay as they were at the start.
     pub fn reload(&self, path: &Path) {
         match RelayConfig::read(path) {
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -10,7 +10,7 @@
 use ringbend_types::Timestamp;
 
 use crate::exchange::{Answer, ExchangeError};
-use crate::life::{Broken, Failed, Life, copy_headers};
+use crate::life::{Failed, Life, copy_headers};
 use crate::node::Placed;
 
 /// Events that may wait for a slow caller.
@@ -112,21 +112,20 @@
     let Some(first) = first else { return Ok(()) };
     let mut last = first.id.or(life.call.last_event);
     deliver(tx, first).await;
+    life.passed_on();
     loop {
         let by = gap_limit(life);
-        match life.timed(by, events.next()).await {
+        match life.patient(by, events.next()).await {
             Ok(Some(event)) => {
                 last = event.id.or(last);
                 deliver(tx, event).await;
+                life.passed_on();
             }
             Ok(None) => return Ok(()),
             Err(why) => {
-                let end = match life.broken(&endpoint, &why) {
-                    Failed::Send(end) => end,
-                    Failed::NoEndpoint => SendEnd::Unknown,
-                };
+                let failed = life.broken(&endpoint, &why);
                 drop((placed, events));
-                (endpoint, placed, events) = resume(life, end, last).await?;
+                (endpoint, placed, events) = resume(life, failed, last).await?;
             }
         }
     }
@@ -148,43 +147,34 @@
 /// Goes on after `last` at another engine.
 async fn resume(
     life: &mut Life,
-    mut end: SendEnd,
+    mut failed: Failed,
     last: Option<EventId>,
 ) -> Result<(Endpoint, Placed, Events), Cut> {
     loop {
         if life.node.clock.now() >= life.attempts.deadline() {
             return Err(Cut::Deadline);
         }
-        if last.is_none() || life.next(end) != Next::SendAgain {
+        let goes_on = match failed {
+            Failed::Replaced => true,
+            Failed::Send(end) => life.next(end) == Next::SendAgain,
+            Failed::NoEndpoint => false,
+        };
+        if !goes_on || last.is_none() {
             return Err(Cut::Broken);
         }
         let (endpoint, placement) = life.choose().ok_or(Cut::Broken)?;
-        match life.exchange(&endpoint, &placement, last).await {
+        failed = match life.exchange(&endpoint, &placement, last).await {
+            Err(failed) => failed,
             Ok((placed, answer, facts)) => {
-                let status = answer.head.status;
-                match life.check(&endpoint, &facts, status) {
-                    Ok(()) if status.is_success() => {
+                match life.check(&endpoint, &facts, answer.head.status) {
+                    Err(failed) => failed,
+                    Ok(()) if answer.head.status.is_success() => {
                         placed.first_event();
                         return Ok((endpoint, placed, Events::new(answer, last)));
                     }
-                    Ok(()) => end = SendEnd::FailedAnswer,
-                    Err(failed) => end = send_end(failed),
+                    Ok(()) => Failed::Send(SendEnd::FailedAnswer),
                 }
             }
-            Err(failed) => end = send_end(failed),
-        }
-    }
-}
-
-fn send_end(failed: Failed) -> SendEnd {
-    match failed {
-        Failed::Send(end) => end,
-        Failed::NoEndpoint => SendEnd::Unknown,
-    }
-}
-
-impl From<Broken> for Cut {
-    fn from(_: Broken) -> Self {
-        Self::Broken
+        };
     }
 }
--- a/crates/ringbend-runtime/src/reply.rs
+++ b/crates/ringbend-runtime/src/reply.rs
@@ -1,6 +1,7 @@
 //! Building responses.
 
 use std::fmt;
+use std::task::Poll;
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
@@ -55,9 +56,26 @@
 
 /// A streamed response that holds at most `depth` chunks. Its sender is closed when the reader
 /// has gone.
+///
+/// An error that cuts the answer is told one poll late: the server writes out what it holds only
+/// when the body has nothing ready, and throws it away on an error. Without the pause the reader
+/// would miss chunks that were sent just before the cut.
 pub fn stream(status: StatusCode, depth: usize) -> (StreamReply, HttpResponse) {
     let (tx, mut rx) = mpsc::channel(depth);
-    let chunks = stream::poll_fn(move |cx| rx.poll_recv(cx));
+    let mut cut = None;
+    let chunks = stream::poll_fn(move |cx| {
+        if let Some(error) = cut.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match rx.poll_recv(cx) {
+            Poll::Ready(Some(Err(error))) => {
+                cut = Some(error);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            other => other,
+        }
+    });
     let head: Response<()> = Response::with_body(status, ());
     let body = BodyStream::new(chunks).boxed();
     let res = head.map_body(|_: &mut ResponseHead, ()| body);
