--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -6,6 +6,7 @@
 //! placement is chosen by what it is expected to cost all of them together with the request itself,
 //! each weighed by its stake: how much is lost if it is late.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use ringbend_types::{DataCentre, EndpointId, Timestamp};
@@ -13,7 +14,7 @@
 
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
-use crate::load::{EndpointLoad, LoadBook, Writer};
+use crate::load::{EndpointLoad, Held, LoadBook, Writer};
 use crate::trust::TrustBook;
 
 /// What is asked of the endpoints.
@@ -45,6 +46,8 @@
     pub helpers: SmallVec<[EndpointId; 4]>,
     /// How long each of them reads.
     pub part: Duration,
+    /// Memory to be held on helpers, where the lead has too little.
+    pub held: SmallVec<[Held; 2]>,
     /// What it is expected to cost, in stakes.
     pub cost: f64,
     /// When the first event is expected, in milliseconds.
@@ -60,6 +63,8 @@
     pub home: &'a DataCentre,
     /// What runs where.
     pub load: &'a LoadBook,
+    /// This instance's own number, by which its choices differ from those of others.
+    pub seed: u64,
     /// Which endpoints answered well.
     pub trust: &'a TrustBook,
     /// Endpoints that this request was sent to before.
@@ -104,6 +109,15 @@
 /// prompts, in stakes.
 const OPEN_COST: f64 = 0.3;
 
+/// The gap of tight requests that are still to come.
+const TIGHT_GAP_USUAL: Duration = Duration::from_millis(200);
+
+/// How many tight requests are expected soon for each that is open.
+const TIGHT_GROWTH: f64 = 1.3;
+
+/// Tight requests that are expected beside those.
+const TIGHT_SPARE: f64 = 4.0;
+
 /// The share of an engine's places that tight requests fill before another engine is opened.
 const FULL_SHARE: f64 = 0.8;
 
@@ -122,9 +136,19 @@
 /// The share of an engine's memory that is planned with.
 const MEMORY_SHARE: f64 = 0.95;
 
-/// What a lead without memory costs, in stakes.
+/// What it costs if neither the lead nor helpers have the memory, in stakes.
 const NO_MEMORY_COST: f64 = 50.0;
 
+/// What it costs to hold all of a prompt's memory on helpers, in stakes.
+const HOLD_COST: f64 = 0.5;
+
+/// The least memory that is held on a helper, in tokens; less is not worth an order.
+const LEAST_HELD: u64 = 20_000;
+
+/// What instances that choose at the same moment differ by, in parts of the stake: without it they
+/// would put two long prompts on the same idle engine.
+const SPREAD: f64 = 0.05;
+
 /// What a lead without a free place costs, in stakes.
 const NO_PLACE_COST: f64 = 3.0;
 
@@ -153,8 +177,12 @@
     base_ms: f64,
     backlog_ms: f64,
     tight: usize,
+    /// Tight requests that it is kept free for; zero on engines that long prompts may fill.
+    kept_for: f64,
     /// What choosing it costs whatever its part.
     fixed: f64,
+    /// Differs from instance to instance.
+    spread: f64,
 }
 
 impl<'a> Engine<'a> {
@@ -168,8 +196,10 @@
             load,
             base_ms: profile.pass_ms(load.writers().len() as u32),
             backlog_ms: millis(load.backlog(view.now)),
+            kept_for: 0.0,
             tight: load.writers().iter().filter(|w| w.gap <= TIGHT_GAP).count(),
             fixed: far + tried + distrust,
+            spread: spread(view.seed, &endpoint.id),
         }
     }
 
@@ -187,7 +217,10 @@
             writer.stake * (lateness(after, limit) - lateness(before, limit))
         };
         let now_late: f64 = self.load.writers().iter().map(of_writer).sum();
-        now_late + self.tight as f64 * part_ms / 100.0 * READ_WEIGHT
+        let tight = millis(TIGHT_GAP_USUAL);
+        let to_come = (self.kept_for - self.tight as f64).max(0.0);
+        let soon_late = to_come * (lateness(after, tight) - lateness(before, tight));
+        now_late + soon_late + self.tight as f64 * part_ms / 100.0 * READ_WEIGHT
     }
 
     /// When a part will have been read.
@@ -196,25 +229,28 @@
         under_way + self.pass_ms(part_ms)
     }
 
+    /// Memory that is free, in tokens.
+    fn room(&self, profile: &EngineProfile) -> u64 {
+        let planned = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
+        planned.saturating_sub(self.load.memory_tokens())
+    }
+
     /// What it costs to have it write the answer.
     fn lead_cost(&self, now: Timestamp, profile: &EngineProfile, wish: &Wish, stake: f64) -> f64 {
         let places = f64::from(profile.slots.max(1));
         let taken = self.load.writers().len() as f64;
         let memory = wish.demand.prompt_tokens + wish.demand.answer_tokens;
-        let room = profile.memory_tokens as f64 * MEMORY_SHARE;
-        let mut cost = 0.0;
+        let missing = memory.saturating_sub(self.room(profile));
+        let mut cost = missing as f64 / memory.max(1) as f64 * HOLD_COST;
         if taken >= places {
             cost += NO_PLACE_COST * (1.0 + taken - places);
         }
-        if self.load.memory_tokens() as f64 + memory as f64 > room {
-            cost += NO_MEMORY_COST;
-        }
         // Parts such as it lately got will come again while the answer is written.
         let usual = self.base_ms + millis(self.load.usual_part(now));
         cost += stake * lateness(usual, millis(wish.gap)) * 0.5;
         if wish.gap <= TIGHT_GAP {
             let share = self.tight as f64 / places;
-            cost += if self.tight == 0 { OPEN_COST } else { 0.0 };
+            cost += if self.kept_for == 0.0 { OPEN_COST } else { 0.0 };
             cost += (share - FULL_SHARE).max(0.0) * 3.0 * OPEN_COST;
         }
         cost
@@ -228,8 +264,9 @@
     candidates: &[&Endpoint],
     wish: &Wish,
 ) -> Option<Placement> {
-    let engines: Vec<Engine<'_>> =
+    let mut engines: Vec<Engine<'_>> =
         candidates.iter().map(|e| Engine::new(view, profile, e)).collect();
+    keep_for_tight(profile, &mut engines);
     let read_ms = profile.read_ms(wish.demand.prompt_tokens);
     let most = if read_ms <= WHOLE_MS { 1 } else { engines.len().min(MOST_HELPERS + 1) };
     let tries = PARTS.iter().copied().filter(|parts| *parts <= most);
@@ -237,6 +274,41 @@
     placements.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
+/// Keeps as many engines for tight requests as they need, those first that have most of them.
+fn keep_for_tight(profile: &EngineProfile, engines: &mut [Engine<'_>]) {
+    let places = f64::from(profile.slots.max(1)) * FULL_SHARE;
+    let tight: usize = engines.iter().map(|e| e.tight).sum();
+    let needed = (tight as f64 * TIGHT_GROWTH + TIGHT_SPARE) / places;
+    let mut order: Vec<usize> = (0..engines.len()).collect();
+    order.sort_by_key(|at| std::cmp::Reverse(engines[*at].tight));
+    for at in order.into_iter().take(needed.ceil() as usize) {
+        engines[at].kept_for = places;
+    }
+}
+
+/// What one engine costs as a part of a placement, in stakes.
+#[derive(Clone, Copy)]
+struct Price {
+    /// To the requests on it.
+    harm: f64,
+    /// To the request itself, by the time that its part takes.
+    own: f64,
+    /// More, if it writes the answer.
+    lead: f64,
+    /// Tells engines apart that cost the same; no part of the cost.
+    spread: f64,
+}
+
+impl Price {
+    fn as_lead(&self) -> f64 {
+        self.harm + self.own + self.lead + self.spread
+    }
+
+    fn as_helper(&self) -> f64 {
+        self.harm + self.own + self.spread
+    }
+}
+
 /// The best placement on exactly `parts` engines.
 fn place_parts(
     view: View<'_>,
@@ -248,34 +320,65 @@
     let part_ms = profile.read_ms(wish.demand.prompt_tokens) / parts as f64;
     let stake = stake(wish.demand.prompt_tokens);
     let aim_ms = millis(wish.first_in);
-    // What a part on the engine costs others, and what its wait costs this request.
-    let part_cost = |e: &Engine<'_>| {
+    let price = |e: &Engine<'_>| {
         let first = e.first_ms(part_ms);
-        let own = stake * (lateness(first, aim_ms) + FIRST_WEIGHT * first / aim_ms.max(1.0));
-        (e.harm(view.now, part_ms) + e.fixed, own)
+        Price {
+            harm: e.harm(view.now, part_ms) + e.fixed,
+            own: stake * (lateness(first, aim_ms) + FIRST_WEIGHT * first / aim_ms.max(1.0)),
+            lead: e.lead_cost(view.now, profile, wish, stake),
+            spread: if wish.gap <= TIGHT_GAP { 0.0 } else { SPREAD * stake * e.spread },
+        }
+    };
+    let prices: Vec<Price> = engines.iter().map(price).collect();
+    let by_lead = |a: &usize, b: &usize| prices[*a].as_lead().total_cmp(&prices[*b].as_lead());
+    let lead = (0..engines.len()).min_by(by_lead)?;
+    let mut helpers: Vec<usize> = (0..engines.len()).filter(|at| *at != lead).collect();
+    helpers.sort_by(|a, b| prices[*a].as_helper().total_cmp(&prices[*b].as_helper()));
+    helpers.truncate(parts - 1);
+    let all = || helpers.iter().copied().chain([lead]);
+    let own = all().map(|at| prices[at].own).fold(0.0, f64::max);
+    let harm: f64 = all().map(|at| prices[at].harm).sum();
+    let memory = wish.demand.prompt_tokens + wish.demand.answer_tokens;
+    let missing = memory.saturating_sub(engines[lead].room(profile));
+    let rooms = helpers.iter().map(|at| (&engines[*at].endpoint.id, engines[*at].room(profile)));
+    let (held, no_memory) = match hold(missing, rooms.collect()) {
+        Some(held) => (held, 0.0),
+        None => (SmallVec::new(), NO_MEMORY_COST),
     };
-    let costs: Vec<(f64, f64)> = engines.iter().map(part_cost).collect();
-    let lead_costs = engines.iter().map(|e| e.lead_cost(view.now, profile, wish, stake));
-    let of_lead: Vec<f64> =
-        lead_costs.zip(&costs).map(|(lead, (harm, own))| lead + harm + own).collect();
-    let lead = (0..engines.len()).min_by(|a, b| of_lead[*a].total_cmp(&of_lead[*b]))?;
-    let mut others: Vec<usize> = (0..engines.len()).filter(|at| *at != lead).collect();
-    others.sort_by(|a, b| (costs[*a].0 + costs[*a].1).total_cmp(&(costs[*b].0 + costs[*b].1)));
-    let helpers = &others[..(parts - 1).min(others.len())];
-    let slowest =
-        |of: &dyn Fn(usize) -> f64| helpers.iter().map(|at| of(*at)).fold(of(lead), f64::max);
-    let own = slowest(&|at| costs[at].1);
-    let harm: f64 =
-        helpers.iter().map(|at| costs[*at].0).sum::<f64>() + of_lead[lead] - costs[lead].1;
     Some(Placement {
         lead: engines[lead].endpoint.id.clone(),
         helpers: helpers.iter().map(|at| engines[*at].endpoint.id.clone()).collect(),
         part: profile.part_time(wish.demand.prompt_tokens, parts),
-        cost: harm + own + HELPER_COST * helpers.len() as f64,
-        first_ms: slowest(&|at| engines[at].first_ms(part_ms)),
+        held,
+        cost: harm + own + prices[lead].lead + no_memory + HELPER_COST * helpers.len() as f64,
+        first_ms: all().map(|at| engines[at].first_ms(part_ms)).fold(0.0, f64::max),
     })
 }
 
+/// Shares `missing` tokens out among helpers, those with most room first; none if they have too
+/// little.
+fn hold(missing: u64, mut rooms: Vec<(&EndpointId, u64)>) -> Option<SmallVec<[Held; 2]>> {
+    let mut held = SmallVec::new();
+    let mut left = missing;
+    rooms.sort_by_key(|(_, room)| std::cmp::Reverse(*room));
+    for (endpoint, room) in rooms {
+        if left == 0 || room < LEAST_HELD {
+            break;
+        }
+        let tokens = left.max(LEAST_HELD).min(room);
+        held.push(Held { endpoint: endpoint.clone(), tokens });
+        left = left.saturating_sub(tokens);
+    }
+    (left == 0).then_some(held)
+}
+
+/// A number between zero and one that is the same for an instance and an endpoint at all times.
+fn spread(seed: u64, endpoint: &EndpointId) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (seed, endpoint.as_str()).hash(&mut hasher);
+    (hasher.finish() % 1_000) as f64 / 1_000.0
+}
+
 /// Places a request on a plain service: on the endpoint with most free places, near ones first.
 pub fn place_on_service(view: View<'_>, candidates: &[&Endpoint]) -> Option<Placement> {
     let cost = |e: &Endpoint| {
@@ -288,5 +391,6 @@
     let costs = candidates.iter().map(|e| (cost(e), *e));
     let (cost, best) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
     let (lead, helpers) = (best.id.clone(), SmallVec::new());
-    Some(Placement { lead, helpers, part: Duration::ZERO, cost, first_ms: 0.0 })
+    let held = SmallVec::new();
+    Some(Placement { lead, helpers, part: Duration::ZERO, held, cost, first_ms: 0.0 })
 }
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod load;
 mod peers;
 mod replica;
+mod reservation;
 mod snapshot;
 mod trust;
 
@@ -26,9 +27,10 @@
 pub use events::{Event, EventCutter, EventId, EventTooLong};
 pub use freshness::{Freshness, Proof};
 pub use gate::{Admitted, Arrival, Denied, GateBounds, admit};
-pub use load::{EndpointLoad, LoadBook, Work, WorkId, Writer};
+pub use load::{EndpointLoad, Held, LoadBook, Work, WorkId, Writer};
 pub use peers::{HEARTBEAT, Heard, Outbox, Peers, SILENCE};
 pub use replica::{Adopted, Replica};
+pub use reservation::{HOLD, OrderAnswer, RENEW, Ticket, TicketId};
 pub use snapshot::{
     Account, CallerLimits, ConfigVersion, Repeat, Route, RouteEntry, Service, Snapshot,
     SnapshotParts, Split,
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -26,6 +26,8 @@
     pub part: Duration,
     /// Memory that it takes on the lead, in tokens.
     pub memory_tokens: u64,
+    /// Memory that is held for it on helpers.
+    pub held: SmallVec<[Held; 2]>,
     /// The longest pause between events that its caller takes for on time.
     pub gap: Duration,
     /// When its first event is due.
@@ -36,6 +38,15 @@
     pub until: Timestamp,
 }
 
+/// Memory on a helper that holds a part of a prompt which is too large for its lead.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// The helper.
+    pub endpoint: EndpointId,
+    /// How much, in tokens.
+    pub tokens: u64,
+}
+
 impl Work {
     fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
         std::iter::once(&self.lead).chain(&self.helpers)
@@ -135,6 +146,10 @@
         let Work { gap, first_by, stake, .. } = work;
         lead.writers.push(Writer { id, writing: false, gap, first_by, stake });
         lead.memory_tokens += work.memory_tokens;
+        for held in &work.held {
+            let load = self.endpoints.entry(held.endpoint.clone()).or_default();
+            load.memory_tokens += held.tokens;
+        }
         self.open.insert(id, Open { work, writing: false, placed: now });
     }
 
@@ -155,6 +170,11 @@
             load.writers.retain(|writer| writer.id != id);
             load.memory_tokens = load.memory_tokens.saturating_sub(work.memory_tokens);
         }
+        for held in &work.held {
+            if let Some(load) = self.endpoints.get_mut(&held.endpoint) {
+                load.memory_tokens = load.memory_tokens.saturating_sub(held.tokens);
+            }
+        }
         if writing {
             return;
         }
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod doors;
 mod exchange;
 mod life;
+mod memory;
 mod node;
 mod peers;
 mod ports;
@@ -21,6 +22,6 @@
 pub use config::{BoundsConfig, ListenConfig, RelayConfig, RelayConfigError, StoreConfig};
 pub use ports::{
     AnswerFacts, BadCall, BadRow, Batch, Call, ConfigSource, Cursor, Dialect, EndpointSource,
-    Presence, SendOrder, Source, SourceError,
+    Helper, MemoryOrder, OrderCall, Presence, SendOrder, Source, SourceError,
 };
 pub use relay::{Ports, Relay, RelayError, Stopped};
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -10,15 +10,17 @@
 use bytes::Bytes;
 use ringbend_gateway::{
     Account, Attempts, ConfigVersion, Demand, Endpoint, Next, Placement, Route, SendEnd, Service,
-    TrustEvent, View, Wish, Work, place_on_engines, place_on_service, stake,
+    Ticket, TicketId, TrustEvent, View, Wish, Work, WorkId, place_on_engines, place_on_service,
+    stake,
 };
 use ringbend_runtime::HttpResponse;
 use ringbend_types::{PromptBucket, Timestamp, TokenCount};
 use smallvec::SmallVec;
 
 use crate::exchange::{self, Answer, ExchangeError};
+use crate::memory::{HeldMemory, Place};
 use crate::node::{Node, Open, Placed};
-use crate::ports::{AnswerFacts, Call, SendOrder};
+use crate::ports::{AnswerFacts, Call, Helper, SendOrder};
 use crate::refusal::Refusal;
 use crate::streams::{Events, Relayed};
 
@@ -50,6 +52,8 @@
     hint: Option<Duration>,
     ended: bool,
     pace: Pace,
+    /// How long the last placement was expected to take to the first event.
+    expected: Duration,
     _open: Open,
 }
 
@@ -80,6 +84,22 @@
 /// after two seconds at the earliest.
 const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(1_300);
 
+/// How long to wait before memory is asked for again. The largest prompts run for some seconds.
+const MEMORY_RETRY: Duration = Duration::from_millis(200);
+
+/// Requests that are due later than these wait behind those that are due sooner.
+const PATIENT_AIMS: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(2_000)];
+
+/// How many ranks at an engine lie between two priorities of the configuration.
+const RANKS_PER_PRIORITY: u8 = 3;
+
+/// The last rank that engines know.
+const LAST_RANK: u8 = 9;
+
+/// How many times the expected time to the first event counts as a failure: reading a long prompt a
+/// second time costs the fleet more than waiting.
+const EXPECTED_FACTOR: u32 = 4;
+
 /// Headers that concern one connection only.
 const HOP_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -103,7 +123,7 @@
         open: Open,
     ) -> Self {
         node.metrics.admitted();
-        let (failed, hint, ended, pace) = (None, None, false, Pace::default());
+        let (failed, hint, ended) = (None, None, false);
         Self {
             node,
             call,
@@ -114,7 +134,8 @@
             failed,
             hint,
             ended,
-            pace,
+            pace: Pace::default(),
+            expected: Duration::ZERO,
             _open: open,
         }
     }
@@ -126,6 +147,10 @@
                 Ok(Reply::Whole(res, status)) => return self.finish(res, status.as_str()),
                 Ok(Reply::Stream(relayed)) => return crate::streams::relay(self, *relayed),
                 Err(Failed::Replaced) => continue,
+                Err(Failed::NoMemory) => match self.wait_for_memory().await {
+                    true => continue,
+                    false => (SendEnd::NotSent, true),
+                },
                 Err(Failed::Send(end)) => (end, false),
                 Err(Failed::NoEndpoint) => (SendEnd::NotSent, true),
             };
@@ -150,6 +175,16 @@
         }
     }
 
+    /// Waits a little for memory to be freed; false once it is no use.
+    pub(crate) async fn wait_for_memory(&self) -> bool {
+        let now = self.node.clock.now();
+        if now + MEMORY_RETRY >= self.first_by().min(self.attempts.deadline()) {
+            return false;
+        }
+        tokio::time::sleep(MEMORY_RETRY).await;
+        true
+    }
+
     /// Decides what follows a send that ended badly.
     pub(crate) fn next(&mut self, end: SendEnd) -> Next {
         let now = self.node.clock.now();
@@ -257,7 +292,7 @@
             return deadline;
         }
         let least = if self.terms.route.streaming { FIRST_EVENT_SILENCE } else { PLAIN_SILENCE };
-        let limit = (self.terms.route.aim * 2).max(least);
+        let limit = (self.terms.route.aim * 2).max(least).max(self.expected * EXPECTED_FACTOR);
         deadline.min(self.node.clock.now() + limit)
     }
 
@@ -270,7 +305,8 @@
         let (cfg, load, trust) =
             (self.node.cfg.borrow(), self.node.load.borrow(), self.node.trust.borrow());
         let tried = self.attempts.tried();
-        let view = View { now, home: &cfg.data_centre, load: &load, trust: &trust, tried };
+        let seed = self.node.incarnation();
+        let view = View { now, home: &cfg.data_centre, load: &load, seed, trust: &trust, tried };
         let placement = match (&self.terms.service.engine, self.call.demand) {
             (Some(engine), Some(demand)) => {
                 let wish = Wish { demand, first_in: self.first_by().since(now), gap: self.gap() };
@@ -279,17 +315,56 @@
             _ => place_on_service(view, &candidates)?,
         };
         let endpoint = directory.get(&placement.lead)?.clone();
+        let prompt = self.call.demand.map_or(0, |d| d.prompt_tokens);
         let backlog_ms = load.of(&endpoint.id).backlog(now).as_millis() as u64;
+        self.expected = Duration::from_secs_f64(placement.first_ms.max(0.0) / 1e3);
         let (id, version, helpers) = (self.id(), self.terms.version, placement.helpers.len());
         log::info!(
             target: "request", id, route:% = self.terms.route.name, endpoint:% = endpoint.id,
-            config:% = version, backlog_ms, helpers, first_ms:? = placement.first_ms as u64,
+            config:% = version, prompt, backlog_ms, helpers, first_ms:? = placement.first_ms as u64,
             cost:? = (placement.cost * 100.0) as i64, candidates = candidates.len();
             "sent"
         );
         Some((endpoint, placement))
     }
 
+    /// Puts the request on the load book, and holds memory for it where the lead has too little.
+    async fn place(&mut self, placement: &Placement) -> Result<Placed, Failed> {
+        let id = self.node.next_work();
+        let mut placed = self.node.place(id, self.work(placement));
+        if placement.held.is_empty() {
+            return Ok(placed);
+        }
+        match HeldMemory::hold(self.node.clone(), self.places(id, placement)).await {
+            Ok(memory) => {
+                placed.memory = Some(memory);
+                Ok(placed)
+            }
+            Err(ticket) => {
+                let (id, endpoint) = (self.id(), &ticket.endpoint);
+                log::info!(target: "request", id, endpoint:% = endpoint, tokens = ticket.tokens; "no memory");
+                self.node.trust.borrow_mut().note(
+                    self.node.clock.now(),
+                    endpoint,
+                    TrustEvent::Full,
+                );
+                Err(Failed::NoMemory)
+            }
+        }
+    }
+
+    fn places(&self, work: WorkId, placement: &Placement) -> Vec<Place> {
+        let directory = self.node.directory.borrow();
+        let held = placement.held.iter().zip(1..);
+        held.filter_map(|(held, number)| {
+            let address = directory.get(&held.endpoint)?.address;
+            let (endpoint, tokens) = (held.endpoint.clone(), held.tokens);
+            let ticket = Ticket { id: TicketId { work, number }, endpoint, tokens };
+            Some(Place { ticket, address })
+        })
+        .collect()
+    }
+
     /// Sends the request to one endpoint and reads the head of its answer.
     pub(crate) async fn exchange(
         &mut self,
@@ -297,8 +372,8 @@
         placement: &Placement,
         last_event: Option<ringbend_gateway::EventId>,
     ) -> Result<(Placed, Answer, AnswerFacts), Failed> {
-        let head = self.request_head(endpoint, placement, last_event);
-        let placed = self.node.place(self.work(placement));
+        let placed = self.place(placement).await?;
+        let head = self.request_head(endpoint, placement, placed.memory.as_ref(), last_event);
         self.attempts.sending(&endpoint.id);
         self.node.metrics.attempt(self.attempts.tried().len() as u32);
         let by = self.silence_limit();
@@ -403,6 +478,15 @@
         self.terms.route.gap_aim.unwrap_or(self.terms.route.aim)
     }
 
+    /// The rank among requests that wait at an engine: by account or route, then by how soon the
+    /// first event is due, so that a long prompt that waits for memory does not hold up short ones.
+    fn rank(&self) -> u8 {
+        let account = self.terms.account.as_ref().and_then(|account| account.priority);
+        let urgency = account.unwrap_or(self.terms.route.priority);
+        let patience = PATIENT_AIMS.iter().filter(|aim| self.terms.route.aim > **aim).count() as u8;
+        urgency.saturating_mul(RANKS_PER_PRIORITY).saturating_add(patience).min(LAST_RANK)
+    }
+
     /// When the first event is due.
     fn first_by(&self) -> Timestamp {
         self.arrived + self.terms.route.aim
@@ -410,11 +494,13 @@
 
     fn work(&self, placement: &Placement) -> Work {
         let demand = self.call.demand.unwrap_or(Demand { prompt_tokens: 0, answer_tokens: 0 });
+        let memory = demand.prompt_tokens + demand.answer_tokens;
         Work {
             lead: placement.lead.clone(),
             helpers: placement.helpers.clone(),
             part: placement.part,
-            memory_tokens: demand.prompt_tokens + demand.answer_tokens,
+            memory_tokens: memory.saturating_sub(placement.held.iter().map(|h| h.tokens).sum()),
+            held: placement.held.clone(),
             gap: self.gap(),
             first_by: self.first_by(),
             stake: stake(demand.prompt_tokens),
@@ -426,6 +512,7 @@
         &self,
         endpoint: &Endpoint,
         placement: &Placement,
+        memory: Option<&HeldMemory>,
         last_event: Option<ringbend_gateway::EventId>,
     ) -> RequestHead {
         let mut head = RequestHead::default();
@@ -433,15 +520,19 @@
         head.uri = self.origin.head.uri.clone();
         head.headers = end_to_end(&self.origin.head.headers);
         let directory = self.node.directory.borrow();
-        let helpers: SmallVec<_> =
-            placement.helpers.iter().filter_map(|id| Some(directory.get(id)?.address)).collect();
+        let helper = |id| {
+            let address = directory.get(id)?.address;
+            let ticket = memory.and_then(|memory| memory.ticket_at(address));
+            Some(Helper { address, ticket })
+        };
+        let helpers: SmallVec<_> = placement.helpers.iter().filter_map(helper).collect();
         let order = SendOrder {
             endpoint: endpoint.id.clone(),
             account: self.terms.account.as_ref().map(|a| a.id.clone()),
             time_left: self.attempts.left(self.node.clock.now()),
             last_event: last_event.or(self.call.last_event),
             helpers,
-            priority: None,
+            priority: self.terms.service.engine.map(|_| self.rank()),
         };
         self.node.dialect.forward(&order, &mut head.headers);
         head.set_connection_type(actix_http::ConnectionType::Close);
@@ -461,6 +552,8 @@
 pub(crate) enum Failed {
     /// No endpoint was left to send to.
     NoEndpoint,
+    /// Engines had too little memory to hold; nothing was sent.
+    NoMemory,
     /// Another send takes its place.
     Replaced,
     /// It ended like this.
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -15,6 +15,7 @@
 use ringbend_types::Timestamp;
 
 use crate::config::RelayConfig;
+use crate::memory::HeldMemory;
 use crate::peers::Signals;
 use crate::ports::Dialect;
 
@@ -94,14 +95,18 @@
         self.stopping.get().is_some_and(|at| self.clock.now().since(at) >= LAST_CALL)
     }
 
-    /// Notes work that is about to be sent; it is on the book until the guard is dropped.
-    pub(crate) fn place(self: &Rc<Self>, work: Work) -> Placed {
+    /// A name for new work.
+    pub(crate) fn next_work(&self) -> WorkId {
         self.work.set(self.work.get() + 1);
-        let id = WorkId { instance: self.incarnation, sequence: self.work.get() };
+        WorkId { instance: self.incarnation, sequence: self.work.get() }
+    }
+
+    /// Notes work that is about to be sent; it is on the book until the guard is dropped.
+    pub(crate) fn place(self: &Rc<Self>, id: WorkId, work: Work) -> Placed {
         self.load.borrow_mut().place(self.clock.now(), id, work);
         self.outbox.borrow_mut().placed.push(id);
         self.signals.now.notify_one();
-        Placed { node: self.clone(), id }
+        Placed { node: self.clone(), id, memory: None }
     }
 
     /// Counts a request as open until the guard is dropped.
@@ -115,6 +120,8 @@
 pub(crate) struct Placed {
     node: Rc<Node>,
     id: WorkId,
+    /// Memory that is held for it.
+    pub(crate) memory: Option<HeldMemory>,
 }
 
 impl Placed {
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -8,7 +8,10 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 use async_trait::async_trait;
-use ringbend_gateway::{Demand, Endpoint, EndpointChange, EventId, SnapshotParts};
+use bytes::Bytes;
+use ringbend_gateway::{
+    Demand, Endpoint, EndpointChange, EventId, OrderAnswer, SnapshotParts, Ticket, TicketId,
+};
 use ringbend_types::{ClientAccountId, EndpointId};
 use smallvec::SmallVec;
 
@@ -42,6 +45,35 @@
 
 impl std::error::Error for BadCall {}
 
+/// An engine that helps to read a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Helper {
+    /// Where it listens.
+    pub address: SocketAddrV4,
+    /// The memory that it holds for the prompt.
+    pub ticket: Option<TicketId>,
+}
+
+/// What an engine is asked about its memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MemoryOrder<'a> {
+    /// Hold it, or go on holding it, for so long from now.
+    Hold(&'a Ticket, Duration),
+    /// Let it go.
+    Release(&'a Ticket),
+}
+
+/// An order as the engine takes it.
+#[derive(Debug, Clone)]
+pub struct OrderCall {
+    /// The path that it is posted to.
+    pub path: &'static str,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
 /// What is told to the endpoint beside what the caller sent.
 #[derive(Debug, Clone)]
 pub struct SendOrder {
@@ -54,7 +86,7 @@
     /// The event after which to go on.
     pub last_event: Option<EventId>,
     /// Engines that help to read the prompt.
-    pub helpers: SmallVec<[SocketAddrV4; 4]>,
+    pub helpers: SmallVec<[Helper; 4]>,
     /// Rank among the requests of the endpoint; zero goes first, none where it has no ranks.
     pub priority: Option<u8>,
 }
@@ -87,6 +119,12 @@
     /// Reads an endpoint's head.
     fn answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
 
+    /// Writes an order on an engine's memory.
+    fn order(&self, order: &MemoryOrder<'_>) -> OrderCall;
+
+    /// Reads what an engine says to an order.
+    fn order_answer(&self, status: StatusCode) -> OrderAnswer;
+
     /// Marks an answer that the relay makes itself.
     fn own_answer(&self, call: &Call, headers: &mut HeaderMap);
 }
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -157,6 +157,7 @@
         let goes_on = match failed {
             Failed::Replaced => true,
             Failed::Send(end) => life.next(end) == Next::SendAgain,
+            Failed::NoMemory => life.wait_for_memory().await,
             Failed::NoEndpoint => false,
         };
         if !goes_on || last.is_none() {
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -161,6 +161,17 @@
     /// Whether its prompt has been read.
     #[prost(bool, tag = "10")]
     pub writing: bool,
+    /// Memory held for it on helpers.
+    #[prost(message, repeated, tag = "11")]
+    pub held: ::prost::alloc::vec::Vec<HeldMemory>,
+}
+/// Memory on a helper that holds a part of a prompt.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HeldMemory {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
 }
 /// What an instance has placed on endpoints since its last digest. One datagram each; one that is
 /// lost makes for a worse guess and nothing else.
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -12,7 +12,8 @@
 
 pub use generated::{
     Demand, EntriesReply, EntriesRequest, Envelope, Gossip, GossipKind, GrantReply, GrantRequest,
-    Hello, LoadDigest, Member, MemberState, PlacedWork, Share, Update, envelope, update,
+    HeldMemory, Hello, LoadDigest, Member, MemberState, PlacedWork, Share, Update, envelope,
+    update,
 };
 pub use load::{placed_work, work_of};
 pub use map::WireError;
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use ringbend_gateway::{Work, WorkId};
+use ringbend_gateway::{Held, Work, WorkId};
 use ringbend_types::{EndpointId, ParseIdError, Timestamp};
 
-use crate::generated::PlacedWork;
+use crate::generated::{HeldMemory, PlacedWork};
 use crate::map::WireError;
 
 fn millis(span: Duration) -> u64 {
@@ -25,9 +25,18 @@
         left_ms: millis(work.until.since(now)),
         stake: work.stake,
         writing,
+        held: work.held.iter().map(held_memory).collect(),
     }
 }
 
+fn held_memory(held: &Held) -> HeldMemory {
+    HeldMemory { endpoint: held.endpoint.to_string(), tokens: held.tokens }
+}
+
+fn held_of(held: &HeldMemory) -> Result<Held, ParseIdError> {
+    Ok(Held { endpoint: held.endpoint.parse()?, tokens: held.tokens })
+}
+
 /// Work as told by a peer and received at `now`.
 ///
 /// # Errors
@@ -40,6 +49,7 @@
         helpers: helpers.collect::<Result<_, ParseIdError>>()?,
         part: Duration::from_micros(placed.part_us),
         memory_tokens: placed.memory_tokens,
+        held: placed.held.iter().map(held_of).collect::<Result<_, _>>()?,
         gap: Duration::from_millis(placed.gap_ms),
         first_by: now + Duration::from_millis(placed.first_in_ms),
         stake: placed.stake,
