feat(gateway): engines read the newest part of a split prompt first; place by that

Cause: reviews were late by seconds on engines that the book took for idle. Change: each engine's parts and whole prompts are kept in the order in which they will be read; a part costs what it delays those before it. Engines are kept for tight requests by their number. Weights are settings.

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -16,6 +16,7 @@
 use crate::engine::EngineProfile;
 use crate::load::{EndpointLoad, Held, LoadBook, Writer};
 use crate::trust::TrustBook;
+use crate::weights::PlacementWeights;
 
 /// What is asked of the endpoints.
 #[derive(Debug, Clone, Copy)]
@@ -65,6 +66,8 @@
     pub load: &'a LoadBook,
     /// This instance's own number, by which its choices differ from those of others.
     pub seed: u64,
+    /// What counts how much.
+    pub weights: &'a PlacementWeights,
     /// Which endpoints answered well.
     pub trust: &'a TrustBook,
     /// Endpoints that this request was sent to before.
@@ -77,53 +80,18 @@
 /// Numbers of engines that are tried for one prompt.
 const PARTS: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
 
-/// Prompts that one engine reads in this many milliseconds are not split.
-const WHOLE_MS: f64 = 30.0;
-
 /// The prompt whose stake is one, in tokens.
 const STAKE_TOKENS: f64 = 5_000.0;
 
-/// How the stake grows with the prompt. Operators value a review of 42 times the tokens at some 17
-/// times a quick question.
-const STAKE_POWER: f64 = 0.75;
-
 /// The least stake.
 const LEAST_STAKE: f64 = 0.5;
 
-/// Lateness is counted from this share of a limit on, and fully at `LATE_AT`.
-const LATE_FROM: f64 = 0.75;
-
-/// See `LATE_FROM`.
-const LATE_AT: f64 = 1.1;
-
-/// What a placement costs for its time to the first event even if on time, in stakes at the limit.
-const FIRST_WEIGHT: f64 = 0.2;
-
-/// What each helper costs, in stakes: more engines on which the request depends.
-const HELPER_COST: f64 = 0.01;
-
 /// Gaps up to this make a request one that long reads disturb.
 const TIGHT_GAP: Duration = Duration::from_millis(300);
 
-/// What it costs to put a tight request on an engine without others, which is then lost to long
-/// prompts, in stakes.
-const OPEN_COST: f64 = 0.3;
-
 /// The gap of tight requests that are still to come.
 const TIGHT_GAP_USUAL: Duration = Duration::from_millis(200);
 
-/// How many tight requests are expected soon for each that is open.
-const TIGHT_GROWTH: f64 = 1.3;
-
-/// Tight requests that are expected beside those.
-const TIGHT_SPARE: f64 = 4.0;
-
-/// The share of an engine's places that tight requests fill before another engine is opened.
-const FULL_SHARE: f64 = 0.8;
-
-/// What 100 ms of reading cost for each tight writer, in stakes, beside what it makes late now.
-const READ_WEIGHT: f64 = 0.03;
-
 /// What an endpoint in another data centre costs over one at home, in stakes.
 const FAR_COST: f64 = 0.002;
 
@@ -139,30 +107,31 @@
 /// What it costs if neither the lead nor helpers have the memory, in stakes.
 const NO_MEMORY_COST: f64 = 50.0;
 
-/// What it costs to hold all of a prompt's memory on helpers, in stakes.
-const HOLD_COST: f64 = 0.5;
-
 /// The least memory that is held on a helper, in tokens; less is not worth an order.
 const LEAST_HELD: u64 = 20_000;
 
-/// What instances that choose at the same moment differ by, in parts of the stake: without it they
-/// would put two long prompts on the same idle engine.
-const SPREAD: f64 = 0.05;
+/// Filling an engine by this share of its places beyond its fill costs as much as taking another
+/// engine for tight requests.
+const FULL_STEP: f64 = 0.1;
+
+/// How long a request waits for a place for each that is before it, in milliseconds: an answer takes
+/// some 1.7 s to write, and sixteen are written at once.
+const PLACE_MS: f64 = 110.0;
 
 /// What a lead without a free place costs, in stakes.
 const NO_PLACE_COST: f64 = 3.0;
 
 /// What is lost if a request with this prompt is late.
-pub fn stake(prompt_tokens: u64) -> f64 {
-    (prompt_tokens as f64 / STAKE_TOKENS).powf(STAKE_POWER).max(LEAST_STAKE)
+pub fn stake(w: &PlacementWeights, prompt_tokens: u64) -> f64 {
+    (prompt_tokens as f64 / STAKE_TOKENS).powf(w.stake_power).max(LEAST_STAKE)
 }
 
 /// How late something is expected to be: from zero well below its limit to one above.
-fn lateness(ms: f64, limit_ms: f64) -> f64 {
+fn lateness(w: &PlacementWeights, ms: f64, limit_ms: f64) -> f64 {
     if limit_ms <= 0.0 {
         return 1.0;
     }
-    ((ms / limit_ms - LATE_FROM) / (LATE_AT - LATE_FROM)).clamp(0.0, 1.0)
+    ((ms / limit_ms - w.late_from) / (w.late_at - w.late_from)).clamp(0.0, 1.0)
 }
 
 fn millis(duration: Duration) -> f64 {
@@ -175,6 +144,8 @@
     load: &'a EndpointLoad,
     /// A pass without reading.
     base_ms: f64,
+    /// Requests that it processes at once.
+    places: f64,
     backlog_ms: f64,
     tight: usize,
     /// Tight requests that it is kept free for; zero on engines that long prompts may fill.
@@ -195,7 +166,8 @@
             endpoint,
             load,
             base_ms: profile.pass_ms(load.writers().len() as u32),
-            backlog_ms: millis(load.backlog(view.now)),
+            places: f64::from(profile.slots.max(1)),
+            backlog_ms: millis(load.backlog()),
             kept_for: 0.0,
             tight: load.writers().iter().filter(|w| w.gap <= TIGHT_GAP).count(),
             fixed: far + tried + distrust,
@@ -208,25 +180,43 @@
         self.base_ms + self.backlog_ms + part_ms
     }
 
-    /// What a part costs the requests that are on the engine.
-    fn harm(&self, now: Timestamp, part_ms: f64) -> f64 {
+    /// What reading costs the requests that are on the engine. A part goes before all that waits.
+    fn harm(&self, w: &PlacementWeights, now: Timestamp, part_ms: f64, is_part: bool) -> f64 {
         let (before, after) = (self.pass_ms(0.0), self.pass_ms(part_ms));
-        let of_writer = |writer: &Writer| {
-            let limit = if writer.writing { writer.gap } else { writer.first_by.since(now) };
-            let limit = millis(limit);
-            writer.stake * (lateness(after, limit) - lateness(before, limit))
+        let to_writer = |writer: &Writer| {
+            let limit = millis(writer.gap);
+            writer.stake * (lateness(w, after, limit) - lateness(w, before, limit))
         };
-        let now_late: f64 = self.load.writers().iter().map(of_writer).sum();
+        let writing = self.load.writers().iter().filter(|writer| writer.writing);
+        let now_late: f64 = writing.map(to_writer).sum();
         let tight = millis(TIGHT_GAP_USUAL);
         let to_come = (self.kept_for - self.tight as f64).max(0.0);
-        let soon_late = to_come * (lateness(after, tight) - lateness(before, tight));
-        now_late + soon_late + self.tight as f64 * part_ms / 100.0 * READ_WEIGHT
+        let soon_late = to_come * (lateness(w, after, tight) - lateness(w, before, tight));
+        let delays = if is_part { self.delays(w, now, part_ms) } else { 0.0 };
+        now_late + soon_late + delays + self.tight as f64 * part_ms / 100.0 * w.read
     }
 
-    /// When a part will have been read.
-    fn first_ms(&self, part_ms: f64) -> f64 {
+    /// What it costs those that wait to be read that a part goes before them.
+    fn delays(&self, w: &PlacementWeights, now: Timestamp, part_ms: f64) -> f64 {
+        let mut done = self.base_ms;
+        let mut cost = 0.0;
+        for reader in self.load.readers() {
+            done += millis(reader.left);
+            let limit = millis(reader.first_by.since(now));
+            let later = lateness(w, done + part_ms, limit) - lateness(w, done, limit);
+            let delay = (w.delay * part_ms / limit.max(1.0)).min(1.0);
+            cost += reader.stake * (later + delay);
+        }
+        cost
+    }
+
+    /// When what it is given will have been read.
+    fn first_ms(&self, part_ms: f64, is_part: bool, leads: bool) -> f64 {
+        let waiting = (self.load.writers().len() as f64 + 1.0 - self.places).max(0.0);
+        let place = if leads { waiting * PLACE_MS } else { 0.0 };
         let under_way = if self.load.writers().is_empty() { 0.0 } else { self.base_ms / 2.0 };
-        under_way + self.pass_ms(part_ms)
+        let before = if is_part { 0.0 } else { self.backlog_ms };
+        under_way + self.base_ms + before + part_ms + place
     }
 
     /// Memory that is free, in tokens.
@@ -236,22 +226,23 @@
     }
 
     /// What it costs to have it write the answer.
-    fn lead_cost(&self, now: Timestamp, profile: &EngineProfile, wish: &Wish, stake: f64) -> f64 {
+    fn lead_cost(&self, view: View<'_>, profile: &EngineProfile, wish: &Wish, stake: f64) -> f64 {
+        let w = view.weights;
         let places = f64::from(profile.slots.max(1));
         let taken = self.load.writers().len() as f64;
         let memory = wish.demand.prompt_tokens + wish.demand.answer_tokens;
         let missing = memory.saturating_sub(self.room(profile));
-        let mut cost = missing as f64 / memory.max(1) as f64 * HOLD_COST;
+        let mut cost = missing as f64 / memory.max(1) as f64 * w.hold;
         if taken >= places {
             cost += NO_PLACE_COST * (1.0 + taken - places);
         }
         // Parts such as it lately got will come again while the answer is written.
-        let usual = self.base_ms + millis(self.load.usual_part(now));
-        cost += stake * lateness(usual, millis(wish.gap)) * 0.5;
+        let usual = self.base_ms + millis(self.load.usual_part(view.now));
+        cost += stake * lateness(w, usual, millis(wish.gap)) * 0.5;
         if wish.gap <= TIGHT_GAP {
             let share = self.tight as f64 / places;
-            cost += if self.kept_for == 0.0 { OPEN_COST } else { 0.0 };
-            cost += (share - FULL_SHARE).max(0.0) * 3.0 * OPEN_COST;
+            cost += if self.kept_for == 0.0 { w.open } else { 0.0 };
+            cost += (share - w.full_share).max(0.0) / FULL_STEP * w.open;
         }
         cost
     }
@@ -264,21 +255,22 @@
     candidates: &[&Endpoint],
     wish: &Wish,
 ) -> Option<Placement> {
+    let w = view.weights;
     let mut engines: Vec<Engine<'_>> =
         candidates.iter().map(|e| Engine::new(view, profile, e)).collect();
-    keep_for_tight(profile, &mut engines);
+    keep_for_tight(w, profile, &mut engines);
     let read_ms = profile.read_ms(wish.demand.prompt_tokens);
-    let most = if read_ms <= WHOLE_MS { 1 } else { engines.len().min(MOST_HELPERS + 1) };
+    let most = if read_ms <= w.whole_ms { 1 } else { engines.len().min(MOST_HELPERS + 1) };
     let tries = PARTS.iter().copied().filter(|parts| *parts <= most);
     let placements = tries.filter_map(|parts| place_parts(view, profile, &engines, wish, parts));
     placements.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
 /// Keeps as many engines for tight requests as they need, those first that have most of them.
-fn keep_for_tight(profile: &EngineProfile, engines: &mut [Engine<'_>]) {
-    let places = f64::from(profile.slots.max(1)) * FULL_SHARE;
+fn keep_for_tight(w: &PlacementWeights, profile: &EngineProfile, engines: &mut [Engine<'_>]) {
+    let places = f64::from(profile.slots.max(1)) * w.full_share;
     let tight: usize = engines.iter().map(|e| e.tight).sum();
-    let needed = (tight as f64 * TIGHT_GROWTH + TIGHT_SPARE) / places;
+    let needed = (tight as f64 * w.tight_growth + w.tight_spare) / places;
     let mut order: Vec<usize> = (0..engines.len()).collect();
     order.sort_by_key(|at| std::cmp::Reverse(engines[*at].tight));
     for at in order.into_iter().take(needed.ceil() as usize) {
@@ -291,8 +283,10 @@
 struct Price {
     /// To the requests on it.
     harm: f64,
-    /// To the request itself, by the time that its part takes.
+    /// To the request itself, by the time that its part takes if the engine helps.
     own: f64,
+    /// The same if it leads.
+    own_as_lead: f64,
     /// More, if it writes the answer.
     lead: f64,
     /// Tells engines apart that cost the same; no part of the cost.
@@ -301,7 +295,7 @@
 
 impl Price {
     fn as_lead(&self) -> f64 {
-        self.harm + self.own + self.lead + self.spread
+        self.harm + self.own_as_lead + self.lead + self.spread
     }
 
     fn as_helper(&self) -> f64 {
@@ -318,15 +312,20 @@
     parts: usize,
 ) -> Option<Placement> {
     let part_ms = profile.read_ms(wish.demand.prompt_tokens) / parts as f64;
-    let stake = stake(wish.demand.prompt_tokens);
+    let w = view.weights;
+    let stake = stake(w, wish.demand.prompt_tokens);
     let aim_ms = millis(wish.first_in);
     let price = |e: &Engine<'_>| {
-        let first = e.first_ms(part_ms);
+        let own = |leads| {
+            let first = e.first_ms(part_ms, parts > 1, leads);
+            stake * (lateness(w, first, aim_ms) + w.first * first / aim_ms.max(1.0))
+        };
         Price {
-            harm: e.harm(view.now, part_ms) + e.fixed,
-            own: stake * (lateness(first, aim_ms) + FIRST_WEIGHT * first / aim_ms.max(1.0)),
-            lead: e.lead_cost(view.now, profile, wish, stake),
-            spread: if wish.gap <= TIGHT_GAP { 0.0 } else { SPREAD * stake * e.spread },
+            harm: e.harm(w, view.now, part_ms, parts > 1) + e.fixed,
+            own: own(false),
+            own_as_lead: own(true),
+            lead: e.lead_cost(view, profile, wish, stake),
+            spread: if wish.gap <= TIGHT_GAP { 0.0 } else { w.spread * stake * e.spread },
         }
     };
     let prices: Vec<Price> = engines.iter().map(price).collect();
@@ -335,12 +334,13 @@
     let mut helpers: Vec<usize> = (0..engines.len()).filter(|at| *at != lead).collect();
     helpers.sort_by(|a, b| prices[*a].as_helper().total_cmp(&prices[*b].as_helper()));
     helpers.truncate(parts - 1);
-    let all = || helpers.iter().copied().chain([lead]);
-    let own = all().map(|at| prices[at].own).fold(0.0, f64::max);
-    let harm: f64 = all().map(|at| prices[at].harm).sum();
+    let helping = || helpers.iter().copied();
+    let own = helping().map(|at| prices[at].own).fold(prices[lead].own_as_lead, f64::max);
+    let harm = prices[lead].harm + helping().map(|at| prices[at].harm).sum::<f64>();
+    let first_as_lead = engines[lead].first_ms(part_ms, parts > 1, true);
     let memory = wish.demand.prompt_tokens + wish.demand.answer_tokens;
     let missing = memory.saturating_sub(engines[lead].room(profile));
-    let rooms = helpers.iter().map(|at| (&engines[*at].endpoint.id, engines[*at].room(profile)));
+    let rooms = helping().map(|at| (&engines[at].endpoint.id, engines[at].room(profile)));
     let (held, no_memory) = match hold(missing, rooms.collect()) {
         Some(held) => (held, 0.0),
         None => (SmallVec::new(), NO_MEMORY_COST),
@@ -350,8 +350,10 @@
         helpers: helpers.iter().map(|at| engines[*at].endpoint.id.clone()).collect(),
         part: profile.part_time(wish.demand.prompt_tokens, parts),
         held,
-        cost: harm + own + prices[lead].lead + no_memory + HELPER_COST * helpers.len() as f64,
-        first_ms: all().map(|at| engines[at].first_ms(part_ms)).fold(0.0, f64::max),
+        cost: harm + own + prices[lead].lead + no_memory + w.helper * helpers.len() as f64,
+        first_ms: helping()
+            .map(|at| engines[at].first_ms(part_ms, true, false))
+            .fold(first_as_lead, f64::max),
     })
 }
 
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod reservation;
 mod snapshot;
 mod trust;
+mod weights;
 
 pub use attempts::{Attempts, Next, SendEnd};
 pub use budget::{BudgetBounds, RepeatBudget};
@@ -27,7 +28,7 @@
 pub use events::{Event, EventCutter, EventId, EventTooLong};
 pub use freshness::{Freshness, Proof};
 pub use gate::{Admitted, Arrival, Denied, GateBounds, admit};
-pub use load::{EndpointLoad, Held, LoadBook, Work, WorkId, Writer};
+pub use load::{EndpointLoad, Held, LoadBook, Reader, Work, WorkId, Writer};
 pub use peers::{HEARTBEAT, Heard, Outbox, Peers, SILENCE};
 pub use replica::{Adopted, Replica};
 pub use reservation::{HOLD, OrderAnswer, RENEW, Ticket, TicketId};
@@ -36,3 +37,4 @@
     SnapshotParts, Split,
 };
 pub use trust::{TrustBook, TrustEvent};
+pub use weights::PlacementWeights;
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -48,6 +48,11 @@
 }
 
 impl Work {
+    /// How many engines read the prompt.
+    fn part_count(&self) -> f64 {
+        (self.helpers.len() + 1) as f64
+    }
+
     fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
         std::iter::once(&self.lead).chain(&self.helpers)
     }
@@ -63,28 +68,70 @@
     pub gap: Duration,
     /// When its first event is due.
     pub first_by: Timestamp,
-    /// What is lost if it is late.
+    /// What is lost if it is late, or later still.
+    pub stake: f64,
+    /// Whether it is expected to be late already.
+    late: bool,
+}
+
+impl Writer {
+    /// How long the engine may read from `now` on before this request is late.
+    pub fn limit(&self, now: Timestamp) -> Duration {
+        if self.writing { self.gap } else { self.first_by.since(now) }
+    }
+}
+
+/// A prompt, or a part of one, that waits to be read or is being read.
+#[derive(Debug, Clone, Copy)]
+pub struct Reader {
+    id: WorkId,
+    /// How long it takes to read what is left.
+    pub left: Duration,
+    /// When its request's first event is due.
+    pub first_by: Timestamp,
+    /// What is lost if it is late, shared out among the parts of the prompt.
     pub stake: f64,
 }
 
 /// What is believed of one endpoint.
+///
+/// Engines read parts of split prompts first, the newest of them before all others, and whole
+/// prompts afterwards in the order in which they came. Runs with few engines showed this.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointLoad {
-    /// When it will have read all prompts that it was given.
-    read_until: Timestamp,
+    /// Parts of split prompts, the oldest first.
+    parts: Vec<Reader>,
+    /// Whole prompts, the oldest first.
+    wholes: Vec<Reader>,
+    /// Up to when reading has been taken off.
+    advanced: Timestamp,
     /// The longest part that it was lately given, and when.
     part: (Duration, Timestamp),
     writers: SmallVec<[Writer; 8]>,
     memory_tokens: u64,
 }
 
+/// What a late request still has to lose, as a share of its stake: its caller may leave.
+const LATE_STAKE: f64 = 0.3;
+
+/// A pass that reads nothing takes about this long on the engines that were measured.
+const SHORT_PASS: Duration = Duration::from_millis(45);
+
 /// How fast the memory of a long part fades: half of it after this time.
 const PART_HALF_LIFE: Duration = Duration::from_secs(1);
 
+/// The share of its time that an engine reads while it has something to read and writes as well.
+const READ_SHARE: f64 = 0.85;
+
 impl EndpointLoad {
     /// How long it still reads.
-    pub fn backlog(&self, now: Timestamp) -> Duration {
-        self.read_until.since(now)
+    pub fn backlog(&self) -> Duration {
+        self.parts.iter().chain(&self.wholes).map(|reader| reader.left).sum()
+    }
+
+    /// What waits to be read, in the order in which it will be.
+    pub fn readers(&self) -> impl Iterator<Item = &Reader> {
+        self.parts.iter().rev().chain(&self.wholes)
     }
 
     /// The requests that write on it or will.
@@ -103,13 +150,51 @@
         let halvings = now.since(at).as_secs_f64() / PART_HALF_LIFE.as_secs_f64();
         part.mul_f64(0.5f64.powf(halvings))
     }
+
+    /// Takes off what has been read until `now`.
+    fn advance(&mut self, now: Timestamp) {
+        let share = if self.writers.is_empty() { 1.0 } else { READ_SHARE };
+        let mut time = now.since(self.advanced).mul_f64(share);
+        self.advanced = now;
+        for reader in self.parts.iter_mut().rev().chain(&mut self.wholes) {
+            let read = reader.left.min(time);
+            reader.left -= read;
+            time -= read;
+        }
+        self.parts.retain(|reader| !reader.left.is_zero());
+        self.wholes.retain(|reader| !reader.left.is_zero());
+    }
+
+    fn add(&mut self, now: Timestamp, reader: Reader, is_part: bool) {
+        if self.usual_part(now) < reader.left {
+            self.part = (reader.left, now);
+        }
+        let readers = if is_part { &mut self.parts } else { &mut self.wholes };
+        readers.push(reader);
+    }
+
+    fn remove_reader(&mut self, id: WorkId) {
+        self.parts.retain(|reader| reader.id != id);
+        self.wholes.retain(|reader| reader.id != id);
+    }
+
+    /// Notes which requests are late by what waits to be read: they have less to lose, so further
+    /// long prompts had better go where they are.
+    fn spoil(&mut self, now: Timestamp) {
+        let pass = self.backlog() + SHORT_PASS;
+        for writer in &mut self.writers {
+            if !writer.late && pass > writer.limit(now) {
+                writer.late = true;
+                writer.stake *= LATE_STAKE;
+            }
+        }
+    }
 }
 
 #[derive(Debug, Clone)]
 struct Open {
     work: Work,
     writing: bool,
-    placed: Timestamp,
 }
 
 /// The load of all endpoints.
@@ -126,7 +211,12 @@
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
 impl LoadBook {
-    /// The load of an endpoint.
+    /// Takes off what endpoints have read until `now`.
+    pub fn advance(&mut self, now: Timestamp) {
+        self.endpoints.values_mut().for_each(|load| load.advance(now));
+    }
+
+    /// The load of an endpoint, as of the last `advance`.
     pub fn of(&self, id: &EndpointId) -> &EndpointLoad {
         self.endpoints.get(id).unwrap_or(&self.idle)
     }
@@ -135,28 +225,35 @@
     pub fn place(&mut self, now: Timestamp, id: WorkId, work: Work) {
         self.sweep(now);
         self.end(now, id);
+        let Work { part: left, first_by, stake, .. } = work;
+        let is_part = !work.helpers.is_empty();
+        let reader = Reader { id, left, first_by, stake: stake / work.part_count().sqrt() };
         for endpoint in work.endpoints() {
             let load = self.endpoints.entry(endpoint.clone()).or_default();
-            load.read_until = load.read_until.max(now) + work.part;
-            if load.usual_part(now) < work.part {
-                load.part = (work.part, now);
-            }
+            load.advance(now);
+            load.add(now, reader, is_part);
+            load.spoil(now);
         }
         let lead = self.endpoints.entry(work.lead.clone()).or_default();
         let Work { gap, first_by, stake, .. } = work;
-        lead.writers.push(Writer { id, writing: false, gap, first_by, stake });
+        lead.writers.push(Writer { id, writing: false, gap, first_by, stake, late: false });
         lead.memory_tokens += work.memory_tokens;
         for held in &work.held {
             let load = self.endpoints.entry(held.endpoint.clone()).or_default();
             load.memory_tokens += held.tokens;
         }
-        self.open.insert(id, Open { work, writing: false, placed: now });
+        self.open.insert(id, Open { work, writing: false });
     }
 
     /// Notes that a request's first event has come, so its prompt has been read.
     pub fn first_event(&mut self, id: WorkId) {
         let Some(open) = self.open.get_mut(&id) else { return };
         open.writing = true;
+        for endpoint in open.work.endpoints() {
+            if let Some(load) = self.endpoints.get_mut(endpoint) {
+                load.remove_reader(id);
+            }
+        }
         let Some(load) = self.endpoints.get_mut(&open.work.lead) else { return };
         if let Some(writer) = load.writers.iter_mut().find(|w| w.id == id) {
             writer.writing = true;
@@ -165,7 +262,7 @@
 
     /// Notes that a request has ended, however it did.
     pub fn end(&mut self, now: Timestamp, id: WorkId) {
-        let Some(Open { work, writing, placed }) = self.open.remove(&id) else { return };
+        let Some(Open { work, writing }) = self.open.remove(&id) else { return };
         if let Some(load) = self.endpoints.get_mut(&work.lead) {
             load.writers.retain(|writer| writer.id != id);
             load.memory_tokens = load.memory_tokens.saturating_sub(work.memory_tokens);
@@ -179,10 +276,10 @@
             return;
         }
         // What it had not read yet will not be read.
-        let unread = work.part.saturating_sub(now.since(placed));
         for endpoint in work.endpoints() {
             if let Some(load) = self.endpoints.get_mut(endpoint) {
-                load.read_until = (load.read_until - unread).max(now);
+                load.advance(now);
+                load.remove_reader(id);
             }
         }
     }
@@ -215,6 +312,6 @@
         for id in late.collect::<Vec<_>>() {
             self.end(now, id);
         }
-        self.endpoints.retain(|_, load| !load.writers.is_empty() || load.read_until > now);
+        self.endpoints.retain(|_, load| !load.writers.is_empty() || !load.backlog().is_zero());
     }
 }
--- /dev/null
+++ b/crates/ringbend-gateway/src/weights.rs
@@ -0,0 +1,61 @@
+//! What counts how much when a request is placed on engines.
+
+use serde::{Deserialize, Serialize};
+
+/// Weights of placement. Costs are in stakes: one is what is lost if a request with a prompt of
+/// 5,000 tokens is late. The defaults come from runs on two deployments; see
+/// `docs/design/placement.md`.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PlacementWeights {
+    /// How the stake grows with the prompt, as a power of its tokens.
+    pub stake_power: f64,
+    /// Lateness is counted from this share of a limit on.
+    pub late_from: f64,
+    /// Lateness is counted in full from this share of a limit on.
+    pub late_at: f64,
+    /// What the time to the first event costs even if on time, at its limit.
+    pub first: f64,
+    /// What it costs to delay a request that waits for its first event by all the time it has left.
+    pub delay: f64,
+    /// Prompts that one engine reads in this many milliseconds are not split.
+    pub whole_ms: f64,
+    /// What each helper costs: one more engine on which the request depends.
+    pub helper: f64,
+    /// What it costs to put a tight request on an engine that is not kept for them.
+    pub open: f64,
+    /// How many tight requests are expected soon for each that is open.
+    pub tight_growth: f64,
+    /// Tight requests that are expected beside those.
+    pub tight_spare: f64,
+    /// The share of an engine's places that tight requests fill before the next one is taken.
+    pub full_share: f64,
+    /// What 100 ms of reading cost for each tight request, beside what it makes late now.
+    pub read: f64,
+    /// What it costs to hold all of a prompt's memory on helpers.
+    pub hold: f64,
+    /// What instances that choose at the same moment differ by, in parts of the stake: without it
+    /// they would put two long prompts on the same idle engine.
+    pub spread: f64,
+}
+
+impl Default for PlacementWeights {
+    fn default() -> Self {
+        Self {
+            stake_power: 0.75,
+            late_from: 0.75,
+            late_at: 1.1,
+            first: 0.1,
+            delay: 1.0,
+            whole_ms: 30.0,
+            helper: 0.01,
+            open: 0.3,
+            tight_growth: 1.0,
+            tight_spare: 0.0,
+            full_share: 0.8,
+            read: 0.03,
+            hold: 0.5,
+            spread: 0.0,
+        }
+    }
+}
--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use ringbend_gateway::{BudgetBounds, GateBounds};
+use ringbend_gateway::{BudgetBounds, GateBounds, PlacementWeights};
 use ringbend_telemetry::LogConfig;
 use ringbend_types::{DataCentre, InstanceId};
 use serde::{Deserialize, Serialize};
@@ -54,6 +54,9 @@
     /// Bounds that it keeps to.
     #[serde(default)]
     pub bounds: BoundsConfig,
+    /// What counts how much when a request is placed on engines.
+    #[serde(default)]
+    pub placement: PlacementWeights,
     /// Logs.
     #[serde(default)]
     pub log: LogConfig,
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -96,10 +96,13 @@
 /// The last rank that engines know.
 const LAST_RANK: u8 = 9;
 
-/// How many times the expected time to the first event counts as a failure: reading a long prompt a
-/// second time costs the fleet more than waiting.
+/// How many times the expected time to the first event counts as a failure.
 const EXPECTED_FACTOR: u32 = 4;
 
+/// Prompts that one engine would read for longer are not read a second time because of silence: it
+/// costs all others more than waiting costs this one.
+const MOST_READ_TWICE: Duration = Duration::from_millis(400);
+
 /// Headers that concern one connection only.
 const HOP_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -288,7 +291,8 @@
     /// may be run again.
     pub(crate) fn silence_limit(&self) -> Timestamp {
         let deadline = self.attempts.deadline();
-        if !self.terms.route.repeat.may_repeat() || !self.attempts.may_run_again() {
+        let may_repeat = self.terms.route.repeat.may_repeat() && self.attempts.may_run_again();
+        if !may_repeat || self.read_time() > MOST_READ_TWICE {
             return deadline;
         }
         let least = if self.terms.route.streaming { FIRST_EVENT_SILENCE } else { PLAIN_SILENCE };
@@ -296,9 +300,17 @@
         deadline.min(self.node.clock.now() + limit)
     }
 
+    /// How long one engine would read the prompt.
+    fn read_time(&self) -> Duration {
+        let (engine, demand) = (&self.terms.service.engine, self.call.demand);
+        let ms = engine.zip(demand).map_or(0.0, |(e, d)| e.read_ms(d.prompt_tokens));
+        Duration::from_secs_f64(ms / 1_000.0)
+    }
+
     /// Picks endpoints and writes the line of that decision.
     pub(crate) fn choose(&mut self) -> Option<(Endpoint, Placement)> {
         let now = self.node.clock.now();
+        self.node.load.borrow_mut().advance(now);
         let directory = self.node.directory.borrow();
         let candidates: Vec<&Endpoint> =
             directory.of_service(now, &self.terms.service.name).collect();
@@ -306,7 +318,9 @@
             (self.node.cfg.borrow(), self.node.load.borrow(), self.node.trust.borrow());
         let tried = self.attempts.tried();
         let seed = self.node.incarnation();
-        let view = View { now, home: &cfg.data_centre, load: &load, seed, trust: &trust, tried };
+        let weights = &cfg.placement;
+        let home = &cfg.data_centre;
+        let view = View { now, home, load: &load, seed, weights, trust: &trust, tried };
         let placement = match (&self.terms.service.engine, self.call.demand) {
             (Some(engine), Some(demand)) => {
                 let wish = Wish { demand, first_in: self.first_by().since(now), gap: self.gap() };
@@ -316,12 +330,16 @@
         };
         let endpoint = directory.get(&placement.lead)?.clone();
         let prompt = self.call.demand.map_or(0, |d| d.prompt_tokens);
-        let backlog_ms = load.of(&endpoint.id).backlog(now).as_millis() as u64;
+        let backlog_ms = load.of(&endpoint.id).backlog().as_millis() as u64;
+        let lead = load.of(&endpoint.id);
+        let part_ms = placement.part.as_millis() as u64;
+        let with: String = placement.helpers.iter().map(|id| format!("{id} ")).collect();
+        let (lead_memory, lead_writers) = (lead.memory_tokens(), lead.writers().len());
         self.expected = Duration::from_secs_f64(placement.first_ms.max(0.0) / 1e3);
         let (id, version, helpers) = (self.id(), self.terms.version, placement.helpers.len());
         log::info!(
             target: "request", id, route:% = self.terms.route.name, endpoint:% = endpoint.id,
-            config:% = version, prompt, backlog_ms, helpers, first_ms:? = placement.first_ms as u64,
+            config:% = version, prompt, backlog_ms, helpers, with, part_ms, lead_memory, lead_writers, first_ms:? = placement.first_ms as u64,
             cost:? = (placement.cost * 100.0) as i64, candidates = candidates.len();
             "sent"
         );
@@ -503,7 +521,7 @@
             held: placement.held.clone(),
             gap: self.gap(),
             first_by: self.first_by(),
-            stake: stake(demand.prompt_tokens),
+            stake: stake(&self.node.cfg.borrow().placement, demand.prompt_tokens),
             until: self.attempts.deadline(),
         }
     }
