--- a/crates/ringbend-bench/tests/proofs_page.rs
+++ b/crates/ringbend-bench/tests/proofs_page.rs
@@ -27,6 +27,7 @@
             sources(&tests, &mut files);
         }
     }
+    sources(&root.join("platform/tests"), &mut files);
     let code: String = files.iter().map(|f| std::fs::read_to_string(f).unwrap()).collect();
     let is_name = |word: &&str| {
         word.len() >= SHORTEST_NAME && word.chars().all(|c| c.is_ascii_lowercase() || c == '_')
--- /dev/null
+++ b/crates/ringbend-gateway/tests/directory.rs
@@ -0,0 +1,62 @@
+//! Which endpoints take new work, around an outage of the store.
+
+mod support;
+
+use ringbend_gateway::{Directory, Endpoint, EndpointChange, RETURN_TIME};
+use ringbend_types::Timestamp;
+use support::{at, endpoint, fleet, service};
+
+fn ready(directory: &Directory, now: Timestamp) -> usize {
+    directory.of_service(now, &service("engines")).count()
+}
+
+fn leaving(number: usize) -> EndpointChange {
+    EndpointChange::Present(Endpoint { leaving: true, ..endpoint(number) })
+}
+
+fn gone(number: usize) -> EndpointChange {
+    EndpointChange::Gone(endpoint(number).id)
+}
+
+fn two() -> Directory {
+    let mut directory = Directory::default();
+    directory.replace(at(0), fleet(2));
+    directory
+}
+
+#[test]
+fn a_leaving_or_vanished_endpoint_takes_no_new_work() {
+    let mut directory = two();
+    directory.apply(at(1), leaving(1));
+    assert_eq!(ready(&directory, at(1)), 1);
+    directory.apply(at(2), gone(2));
+    assert_eq!(ready(&directory, at(2)), 0);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_believed_in_until_it_must_be_back() {
+    let mut directory = two();
+    directory.regained(at(1_000));
+    directory.replace(at(1_000), vec![endpoint(1)]);
+    assert_eq!(ready(&directory, at(1_100)), 2);
+    assert_eq!(ready(&directory, at(1_000) + RETURN_TIME), 1);
+}
+
+#[test]
+fn an_entry_that_is_back_in_time_stays() {
+    let mut directory = two();
+    directory.regained(at(1_000));
+    directory.apply(at(1_000), gone(2));
+    directory.apply(at(2_000), EndpointChange::Present(endpoint(2)));
+    assert_eq!(ready(&directory, at(9_000)), 2);
+}
+
+#[test]
+fn an_endpoint_that_was_leaving_is_not_believed_in() {
+    let mut directory = two();
+    directory.apply(at(900), leaving(2));
+    directory.regained(at(1_000));
+    directory.apply(at(1_000), gone(2));
+    assert_eq!(ready(&directory, at(1_001)), 1);
+    assert_eq!(directory.len(), 1);
+}
--- /dev/null
+++ b/crates/ringbend-gateway/tests/placement.rs
@@ -0,0 +1,149 @@
+//! Placement by what it makes late, against choosing the least loaded engines.
+
+mod support;
+
+use ringbend_gateway::{
+    Demand, Endpoint, LoadBook, Placement, PlacementWeights, TrustBook, TrustEvent, View, Wish,
+    Work, place_on_engines, stake,
+};
+use ringbend_types::DataCentre;
+use support::{at, endpoint, fleet, ms, profile, work, work_id};
+
+struct Scene {
+    fleet: Vec<Endpoint>,
+    load: LoadBook,
+    trust: TrustBook,
+    weights: PlacementWeights,
+    home: DataCentre,
+}
+
+impl Scene {
+    fn new(engines: usize) -> Self {
+        Self {
+            fleet: fleet(engines),
+            load: LoadBook::default(),
+            trust: TrustBook::default(),
+            weights: PlacementWeights::default(),
+            home: "z1".parse().unwrap(),
+        }
+    }
+
+    /// Puts requests that write on an engine, with the gap of quick questions.
+    fn writing(&mut self, engine: usize, count: u64) {
+        for n in 0..count {
+            let id = work_id(engine as u64 * 100 + n);
+            self.load.place(at(0), id, work(engine, ms(1)));
+            self.load.first_event(id);
+        }
+    }
+
+    fn place(&mut self, prompt_tokens: u64, first_in_ms: u64, gap_ms: u64) -> Placement {
+        self.load.advance(at(0));
+        let demand = Demand { prompt_tokens, answer_tokens: 1_000 };
+        let wish = Wish { demand, first_in: ms(first_in_ms), gap: ms(gap_ms) };
+        let (home, load, trust, weights) = (&self.home, &self.load, &self.trust, &self.weights);
+        let view = View { now: at(0), home, load, seed: 1, weights, trust, tried: &[] };
+        let candidates: Vec<&Endpoint> = self.fleet.iter().collect();
+        place_on_engines(view, &profile(), &candidates, &wish).unwrap()
+    }
+}
+
+fn engines(placement: &Placement) -> Vec<String> {
+    let all = std::iter::once(&placement.lead).chain(&placement.helpers);
+    let mut all: Vec<String> = all.map(|id| id.to_string()).collect();
+    all.sort();
+    all
+}
+
+#[test]
+fn a_quick_question_joins_others_rather_than_taking_an_idle_engine() {
+    let mut scene = Scene::new(4);
+    scene.writing(3, 5);
+    assert_eq!(engines(&scene.place(3_000, 300, 200)), ["e-03"]);
+}
+
+#[test]
+fn a_full_engine_is_not_joined() {
+    let mut scene = Scene::new(4);
+    scene.writing(3, 16);
+    assert!(!engines(&scene.place(3_000, 300, 200)).contains(&"e-03".to_owned()));
+}
+
+#[test]
+fn a_long_prompt_leaves_engines_alone_on_which_it_would_make_streams_late() {
+    let mut scene = Scene::new(8);
+    (1..=3).for_each(|engine| scene.writing(engine, 10));
+    let chosen = engines(&scene.place(210_000, 3_000, 800));
+    assert!(chosen.len() > 2, "{chosen:?}");
+    assert!(!chosen.iter().any(|id| ["e-01", "e-02", "e-03"].contains(&id.as_str())), "{chosen:?}");
+}
+
+#[test]
+fn a_part_is_kept_off_an_engine_where_another_prompt_would_be_late_by_it() {
+    let mut scene = Scene::new(4);
+    // Due in 500 ms with 400 ms to read, on two engines.
+    let reading = Work {
+        helpers: [endpoint(2).id].into_iter().collect(),
+        first_by: at(500),
+        stake: stake(&scene.weights, 210_000),
+        ..work(1, ms(400))
+    };
+    scene.load.place(at(0), work_id(1), reading);
+    let chosen = engines(&scene.place(210_000, 3_000, 800));
+    assert!(!chosen.iter().any(|id| ["e-01", "e-02"].contains(&id.as_str())), "{chosen:?}");
+}
+
+#[test]
+fn a_newer_part_is_read_before_an_older_one_and_whole_prompts_last() {
+    let mut load = LoadBook::default();
+    let helped = |part| Work { helpers: [endpoint(2).id].into_iter().collect(), ..work(1, part) };
+    load.place(at(0), work_id(1), work(1, ms(30)));
+    load.place(at(0), work_id(2), helped(ms(100)));
+    load.place(at(0), work_id(3), helped(ms(200)));
+    let order: Vec<u128> =
+        load.of(&endpoint(1).id).readers().map(|reader| reader.left.as_millis()).collect();
+    assert_eq!(order, [200, 100, 30]);
+    // Requests wait to write on it, so it reads for most and not all of its time.
+    load.advance(at(200));
+    let left = load.of(&endpoint(1).id).backlog();
+    assert!(left > ms(130) && left < ms(180), "{left:?}");
+    load.first_event(work_id(3));
+    load.end(at(200), work_id(2));
+    assert_eq!(load.of(&endpoint(1).id).backlog(), ms(30));
+    assert_eq!(load.of(&endpoint(2).id).backlog(), ms(0));
+}
+
+#[test]
+fn a_prompt_larger_than_an_engines_memory_holds_the_rest_on_helpers() {
+    let mut scene = Scene::new(6);
+    let placement = scene.place(800_000, 3_000, 800);
+    let held: u64 = placement.held.iter().map(|held| held.tokens).sum();
+    assert!(held >= 801_000 - 427_500, "{held}");
+    assert!(placement.held.iter().all(|held| placement.helpers.contains(&held.endpoint)));
+    assert!(placement.held.iter().all(|held| held.tokens <= 427_500));
+}
+
+#[test]
+fn memory_that_is_taken_is_not_planned_with() {
+    let mut scene = Scene::new(2);
+    let large = Work { memory_tokens: 300_000, ..work(1, ms(1)) };
+    scene.load.place(at(0), work_id(1), large);
+    assert_eq!(scene.place(200_000, 3_000, 800).lead, endpoint(2).id);
+}
+
+#[test]
+fn work_that_nobody_ended_is_forgotten_after_its_deadline() {
+    let mut load = LoadBook::default();
+    load.place(at(0), work_id(1), Work { until: at(1_000), ..work(1, ms(10)) });
+    load.place(at(5_000), work_id(2), work(2, ms(10)));
+    assert_eq!(load.open_requests(), 1);
+    load.forget_instance(at(5_000), 1);
+    assert_eq!(load.open_requests(), 0);
+}
+
+#[test]
+fn an_engine_that_failed_is_avoided_for_a_while() {
+    let mut scene = Scene::new(2);
+    scene.trust.note(at(0), &endpoint(1).id, TrustEvent::Bad);
+    assert_eq!(scene.place(3_000, 300, 200).lead, endpoint(2).id);
+}
--- /dev/null
+++ b/crates/ringbend-gateway/tests/repeats.rs
@@ -0,0 +1,111 @@
+//! How often a request is sent, and that all instances together keep to the budget.
+
+mod support;
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use ringbend_gateway::{Attempts, BudgetBounds, Next, Repeat, RepeatBudget, SendEnd};
+use ringbend_types::{RunState, Timestamp};
+use support::{at, endpoint, service};
+
+const BOUNDS: BudgetBounds =
+    BudgetBounds { ratio: 0.2, window: Duration::from_secs(10), allowance: 106.0 };
+
+fn free_budget() -> RepeatBudget {
+    RepeatBudget::new(BudgetBounds { allowance: 1e6, ..BOUNDS })
+}
+
+const ENDS: [SendEnd; 4] =
+    [SendEnd::NotSent, SendEnd::NotRun, SendEnd::Unknown, SendEnd::FailedAnswer];
+
+/// Walks all series of six ends and checks what each request was run and told.
+#[test]
+fn no_series_of_ends_runs_a_request_too_often_or_tells_an_untrue_not_run() {
+    for repeat in [Repeat::AtMostOnce, Repeat::Idempotent, Repeat::Resumable] {
+        for max_runs in 1..=3 {
+            for series in 0..4usize.pow(6) {
+                walk(repeat, max_runs, series);
+            }
+        }
+    }
+}
+
+fn walk(repeat: Repeat, max_runs: u8, mut series: usize) {
+    let mut attempts = Attempts::new(repeat, max_runs, at(1_000));
+    let (mut budget, mut runs) = (free_budget(), 0);
+    for _ in 0..6 {
+        let end = ENDS[series % 4];
+        series /= 4;
+        attempts.sending(&endpoint(1).id);
+        runs += u8::from(matches!(end, SendEnd::Unknown | SendEnd::FailedAnswer));
+        assert!(runs <= max_runs, "run {runs} times of {max_runs}");
+        assert!(runs <= 1 || repeat.may_repeat(), "run twice");
+        match attempts.ended(at(1), end, &service("s"), &mut budget) {
+            Next::SendAgain => {}
+            Next::PassOn => return assert_eq!(end, SendEnd::FailedAnswer),
+            Next::GiveUp(state) => return assert_eq!(state == RunState::NotRun, runs == 0),
+        }
+    }
+}
+
+#[test]
+fn nothing_is_sent_after_the_deadline() {
+    let mut attempts = Attempts::new(Repeat::Idempotent, 3, at(1_000));
+    let next = attempts.ended(at(1_000), SendEnd::NotSent, &service("s"), &mut free_budget());
+    assert_eq!(next, Next::GiveUp(RunState::NotRun));
+    assert!(!attempts.replace_silent(at(1_000), &service("s"), &mut free_budget()));
+}
+
+#[test]
+fn silence_leads_to_another_run_only_where_one_is_allowed() {
+    let may = |repeat, runs| {
+        let mut attempts = Attempts::new(repeat, runs, at(1_000));
+        attempts.replace_silent(at(1), &service("s"), &mut free_budget())
+    };
+    assert!(may(Repeat::Resumable, 2));
+    assert!(!may(Repeat::Resumable, 1));
+    assert!(!may(Repeat::AtMostOnce, 2));
+}
+
+/// The most repeats in any window, with the requests of that window and of the one before.
+fn over_budget(requests: &[Timestamp], repeats: &[Timestamp]) -> bool {
+    let within = |times: &[Timestamp], from: Timestamp, to: Timestamp| {
+        times.iter().filter(|at| **at >= from && **at <= to).count() as f64
+    };
+    repeats.iter().any(|to| {
+        let from = *to - BOUNDS.window;
+        let asked = within(requests, from - BOUNDS.window, *to);
+        within(repeats, from, *to) > BOUNDS.ratio * asked + BOUNDS.allowance
+    })
+}
+
+quickcheck! {
+    /// Instances that take what they can, some of which die and come back without their count.
+    fn all_instances_together_keep_to_the_budget(steps: Vec<(u8, u8, bool)>) -> bool {
+        const INSTANCES: usize = 9;
+        let new = || {
+            let mut budget = RepeatBudget::new(BOUNDS);
+            budget.set_instances(INSTANCES);
+            budget
+        };
+        let mut budgets: Vec<RepeatBudget> = (0..INSTANCES).map(|_| new()).collect();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let (mut now, name, mut restarts) = (at(0), service("s"), 0);
+        for (who, pause, restart) in steps {
+            now = now + Duration::from_millis(u64::from(pause));
+            let budget = &mut budgets[usize::from(who) % INSTANCES];
+            budget.request(now, &name);
+            requests.push(now);
+            // The allowance of three more instances is kept back, so as many may restart.
+            if restart && who % 50 == 0 && restarts < 3 {
+                *budget = new();
+                restarts += 1;
+            }
+            while budget.take(now, &name) {
+                repeats.push(now);
+            }
+        }
+        !over_budget(&requests, &repeats)
+    }
+}
--- /dev/null
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -0,0 +1,97 @@
+//! Builders for the tests of decisions.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::time::Duration;
+
+use ringbend_gateway::{
+    ConfigVersion, Endpoint, EngineProfile, Repeat, Route, RouteEntry, Snapshot, SnapshotParts,
+    Split, Work, WorkId,
+};
+use ringbend_types::{ServiceName, Timestamp};
+use smallvec::{SmallVec, smallvec};
+
+pub fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+pub const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn service(name: &str) -> ServiceName {
+    name.parse().unwrap()
+}
+
+/// The engines of the deployments that were measured.
+pub fn profile() -> EngineProfile {
+    EngineProfile {
+        slots: 16,
+        memory_tokens: 450_000,
+        steps_per_pass: 46,
+        step_ms: 0.925,
+        per_writer_ms: 0.00483,
+        per_context_k_ms: 0.00254,
+        read_per_s: 256_000.0,
+        pairs_per_m_ms: 0.0917,
+        chunk_tokens: 2_048,
+        hop_ms: 0.1,
+    }
+}
+
+pub fn endpoint(number: usize) -> Endpoint {
+    Endpoint {
+        id: format!("e-{number:02}").parse().unwrap(),
+        service: service("engines"),
+        address: format!("10.0.0.{number}:80").parse().unwrap(),
+        data_centre: "z1".parse().unwrap(),
+        slots: 16,
+        leaving: false,
+    }
+}
+
+pub fn fleet(count: usize) -> Vec<Endpoint> {
+    (1..=count).map(endpoint).collect()
+}
+
+pub fn work_id(sequence: u64) -> WorkId {
+    WorkId { instance: 1, sequence }
+}
+
+/// Work of one part on the endpoint with this number.
+pub fn work(lead: usize, part: Duration) -> Work {
+    Work {
+        lead: endpoint(lead).id,
+        helpers: SmallVec::new(),
+        part,
+        memory_tokens: 5_000,
+        held: SmallVec::new(),
+        gap: ms(200),
+        first_by: at(1_000_000),
+        stake: 1.0,
+        until: at(2_000_000),
+    }
+}
+
+/// A configuration with one route `/a/` and the given keys.
+pub fn snapshot(version: u64, keys: Option<&[&str]>) -> Snapshot {
+    let route = Route {
+        name: "a".into(),
+        split: smallvec![Split { service: service("engines"), weight: 1 }],
+        repeat: Repeat::Idempotent,
+        streaming: false,
+        timeout: ms(2_000),
+        aim: ms(300),
+        gap_aim: None,
+        priority: 1,
+        max_runs: 2,
+        public: false,
+    };
+    let account = ringbend_gateway::Account { id: "account".parse().unwrap(), priority: None };
+    Snapshot::new(SnapshotParts {
+        version: ConfigVersion(version),
+        routes: vec![RouteEntry { host: "h".into(), prefix: "/a/".into(), route }],
+        keys: keys.map(|keys| keys.iter().map(|k| ((*k).into(), account.clone())).collect()),
+        ..SnapshotParts::default()
+    })
+}
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -1,5 +1,7 @@
 //! What the two watched tables feed: the configuration and the directory of endpoints.
 
+use std::time::Duration;
+
 use ringbend_gateway::{Adopted, Endpoint, EndpointChange, Proof, Snapshot, SnapshotParts};
 
 use crate::node::Node;
@@ -29,6 +31,12 @@
 impl Copy<SnapshotParts, SnapshotParts> for ConfigCopy {
     const NAME: &'static str = "config";
 
+    /// Shorter finds a hanging connection sooner, longer makes fewer calls: under the three seconds
+    /// after which callers are owed nothing by an instance without contact.
+    const WAIT: Duration = Duration::from_millis(2_200);
+
+    const SENTINEL: bool = true;
+
     fn replace(&self, node: &Node, items: Vec<SnapshotParts>) {
         self.apply(node, items);
     }
@@ -64,6 +72,11 @@
 impl Copy<Endpoint, EndpointChange> for EndpointCopy {
     const NAME: &'static str = "endpoints";
 
+    /// Nothing rests on when this table was last proved current, so its calls may wait for long.
+    const WAIT: Duration = Duration::from_millis(9_000);
+
+    const SENTINEL: bool = false;
+
     fn replace(&self, node: &Node, items: Vec<Endpoint>) {
         let now = node.clock.now();
         let (before, count) = (node.directory.borrow().len(), items.len());
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -9,13 +9,16 @@
 mod copies;
 mod doors;
 mod exchange;
+mod headers;
 mod life;
 mod memory;
 mod node;
 mod peers;
+mod placing;
 mod ports;
 mod refusal;
 mod relay;
+mod sending;
 mod streams;
 mod watch;
 
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -13,6 +13,7 @@
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
 use ringbend_types::Timestamp;
+use tokio::sync::Notify;
 
 use crate::config::RelayConfig;
 use crate::memory::HeldMemory;
@@ -34,6 +35,8 @@
     /// What other instances have not been told yet.
     pub(crate) outbox: RefCell<Outbox>,
     pub(crate) signals: Signals,
+    /// Told when a call to the store has failed.
+    pub(crate) store_lost: Notify,
     pub(crate) metrics: Metrics,
     pub(crate) http: ServiceConfig,
     /// When a stop was asked for.
@@ -69,6 +72,7 @@
             peers: RefCell::default(),
             outbox: RefCell::default(),
             signals: Signals::default(),
+            store_lost: Notify::new(),
             metrics: Metrics::default(),
             http: ServiceConfig::default(),
             stopping: Cell::new(None),
--- /dev/null
+++ b/crates/ringbend-relay/src/sending.rs
@@ -0,0 +1,212 @@
+//! One send to an endpoint: its head, how long silence is borne, and what the answer's head says.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use actix_http::{RequestHead, StatusCode};
+use ringbend_gateway::{Endpoint, EventId, Placement, SendEnd, TrustEvent};
+use ringbend_types::Timestamp;
+use smallvec::SmallVec;
+
+use crate::exchange::{self, Answer, ExchangeError};
+use crate::headers::end_to_end;
+use crate::life::{Failed, Life};
+use crate::memory::HeldMemory;
+use crate::node::Placed;
+use crate::ports::{AnswerFacts, Helper, SendOrder};
+
+/// The shortest silence of a plain endpoint that counts as a failure; its calls take 60 ms on
+/// average and seldom over 450.
+const PLAIN_SILENCE: Duration = Duration::from_millis(800);
+
+/// The shortest silence before a stream's first event that counts as a failure. Callers give up
+/// after two seconds at the earliest.
+const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(1_300);
+
+/// How many times the expected time to the first event counts as a failure.
+const EXPECTED_FACTOR: u32 = 4;
+
+/// Prompts that one engine would read for longer are not read a second time because of silence: it
+/// costs all others more than waiting costs this one.
+const MOST_READ_TWICE: Duration = Duration::from_millis(400);
+
+impl Life {
+    /// Sends the request to one endpoint and reads the head of its answer.
+    pub(crate) async fn exchange(
+        &mut self,
+        endpoint: &Endpoint,
+        placement: &Placement,
+        last_event: Option<EventId>,
+    ) -> Result<(Placed, Answer, AnswerFacts), Failed> {
+        let placed = self.place(placement).await?;
+        let head = self.request_head(endpoint, placement, placed.memory.as_ref(), last_event);
+        self.attempts.sending(&endpoint.id);
+        self.node.metrics.attempt(self.attempts.tried().len() as u32);
+        let by = self.silence_limit();
+        let sent =
+            exchange::send(&self.node.http, endpoint.address, head, self.origin.body.clone());
+        match self.timed(by, sent).await {
+            Ok(answer) => {
+                let facts = self.node.dialect.answer(answer.head.status, &answer.head.headers);
+                Ok((placed, answer, facts))
+            }
+            Err(why) => Err(self.broken(endpoint, &why)),
+        }
+    }
+
+    /// Checks that the answer is this request's, and that it was run.
+    pub(crate) fn check(
+        &mut self,
+        endpoint: &Endpoint,
+        facts: &AnswerFacts,
+        status: StatusCode,
+    ) -> Result<(), Failed> {
+        let (id, status) = (self.id(), status.as_u16());
+        if facts.not_run {
+            log::info!(target: "request", id, endpoint:% = endpoint.id, status; "not run");
+            self.hint = facts.retry_after.or(self.hint);
+            match facts.at_fault.filter(|address| *address != endpoint.address) {
+                Some(address) => self.distrust_address(address),
+                None => self.trust(endpoint, TrustEvent::Full),
+            }
+            return Err(Failed::Send(SendEnd::NotRun));
+        }
+        if facts.request_id != self.call.request_id {
+            log::warn!(target: "request", id, endpoint:% = endpoint.id, status; "foreign answer");
+            self.trust(endpoint, TrustEvent::Bad);
+            return Err(Failed::Send(SendEnd::Unknown));
+        }
+        Ok(())
+    }
+
+    pub(crate) fn distrust_address(&self, address: SocketAddrV4) {
+        let directory = self.node.directory.borrow();
+        let Some(endpoint) = directory.by_address(address) else { return };
+        self.trust(endpoint, TrustEvent::Bad);
+    }
+
+    pub(crate) fn trust(&self, endpoint: &Endpoint, event: TrustEvent) {
+        self.node.trust.borrow_mut().note(self.node.clock.now(), &endpoint.id, event);
+    }
+
+    /// Notes a send that broke.
+    pub(crate) fn broken(&self, endpoint: &Endpoint, why: &Broken) -> Failed {
+        self.trust(endpoint, TrustEvent::Bad);
+        if matches!(why, Broken::Replaced) {
+            log::warn!(target: "request", id = self.id(), endpoint:% = endpoint.id, why:%; "left");
+            return Failed::Replaced;
+        }
+        let end = if why.nothing_sent() { SendEnd::NotSent } else { SendEnd::Unknown };
+        log::warn!(
+            target: "request", id = self.id(), endpoint:% = endpoint.id, why:%, end:? = end;
+            "send failed"
+        );
+        Failed::Send(end)
+    }
+
+    /// When the endpoint's silence counts as a failure: at the deadline, or sooner where the request
+    /// may be run again.
+    pub(crate) fn silence_limit(&self) -> Timestamp {
+        let deadline = self.attempts.deadline();
+        let may_repeat = self.terms.route.repeat.may_repeat() && self.attempts.may_run_again();
+        if !may_repeat || self.read_time() > MOST_READ_TWICE {
+            return deadline;
+        }
+        let least = if self.terms.route.streaming { FIRST_EVENT_SILENCE } else { PLAIN_SILENCE };
+        let limit = (self.terms.route.aim * 2).max(least).max(self.expected * EXPECTED_FACTOR);
+        deadline.min(self.node.clock.now() + limit)
+    }
+
+    /// Waits until `by`, and until the deadline if no other run can take this one's place.
+    pub(crate) async fn patient<T>(
+        &mut self,
+        by: Timestamp,
+        work: impl Future<Output = Result<T, ExchangeError>>,
+    ) -> Result<T, Broken> {
+        let mut work = std::pin::pin!(work);
+        let deadline = self.attempts.deadline();
+        if by < deadline {
+            match self.timed(by, &mut work).await {
+                Err(Broken::Late) if self.replace_silent() => return Err(Broken::Replaced),
+                Err(Broken::Late) => {}
+                done => return done,
+            }
+        }
+        self.timed(deadline, work).await
+    }
+
+    pub(crate) fn replace_silent(&mut self) -> bool {
+        let now = self.node.clock.now();
+        let budget = &mut self.node.budget.borrow_mut();
+        self.attempts.replace_silent(now, &self.terms.service.name, budget)
+    }
+
+    pub(crate) async fn timed<T>(
+        &self,
+        by: Timestamp,
+        work: impl Future<Output = Result<T, ExchangeError>>,
+    ) -> Result<T, Broken> {
+        match tokio::time::timeout_at(self.node.clock.instant(by), work).await {
+            Ok(done) => done.map_err(Broken::Exchange),
+            Err(_) => Err(Broken::Late),
+        }
+    }
+
+    pub(crate) fn request_head(
+        &self,
+        endpoint: &Endpoint,
+        placement: &Placement,
+        memory: Option<&HeldMemory>,
+        last_event: Option<EventId>,
+    ) -> RequestHead {
+        let mut head = RequestHead::default();
+        head.method = self.origin.head.method.clone();
+        head.uri = self.origin.head.uri.clone();
+        head.headers = end_to_end(&self.origin.head.headers);
+        let directory = self.node.directory.borrow();
+        let helper = |id| {
+            let address = directory.get(id)?.address;
+            let ticket = memory.and_then(|memory| memory.ticket_at(address));
+            Some(Helper { address, ticket })
+        };
+        let helpers: SmallVec<_> = placement.helpers.iter().filter_map(helper).collect();
+        let order = SendOrder {
+            endpoint: endpoint.id.clone(),
+            account: self.terms.account.as_ref().map(|a| a.id.clone()),
+            time_left: self.attempts.left(self.node.clock.now()),
+            last_event: last_event.or(self.call.last_event),
+            helpers,
+            priority: self.terms.service.engine.map(|_| self.rank()),
+        };
+        self.node.dialect.forward(&order, &mut head.headers);
+        head.set_connection_type(actix_http::ConnectionType::Close);
+        head
+    }
+}
+
+/// Why an exchange was cut short.
+#[derive(Debug)]
+pub(crate) enum Broken {
+    /// It broke.
+    Exchange(ExchangeError),
+    /// The endpoint was silent for long and another one takes its place.
+    Replaced,
+    /// The time is up.
+    Late,
+}
+
+impl Broken {
+    fn nothing_sent(&self) -> bool {
+        matches!(self, Self::Exchange(e) if e.nothing_sent())
+    }
+}
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Exchange(e) => e.fmt(f),
+            Self::Replaced => write!(f, "silent for long, replaced"),
+            Self::Late => write!(f, "the time is up"),
+        }
+    }
+}
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -10,7 +10,8 @@
 use ringbend_types::Timestamp;
 
 use crate::exchange::{Answer, ExchangeError};
-use crate::life::{Failed, Life, copy_headers};
+use crate::headers::copy_headers;
+use crate::life::{Failed, Life};
 use crate::node::Placed;
 
 /// Events that may wait for a slow caller.
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -15,11 +15,6 @@
 /// milliseconds; a slow store takes up to a third of a second.
 const CALL_TIME: Duration = Duration::from_millis(1_000);
 
-/// How long the store is asked to wait for a change. Shorter finds a hanging connection sooner,
-/// longer makes fewer calls: with `CALL_TIME` it stays under the three seconds after which callers
-/// are owed nothing by an instance without contact.
-const WAIT: Duration = Duration::from_millis(1_500);
-
 /// The shortest and longest pause after a failed call; drawn between them so that instances that
 /// lost the store together do not return together.
 const BACKOFF_MS: std::ops::Range<u64> = 150..450;
@@ -29,6 +24,12 @@
     /// The table's name in logs.
     const NAME: &'static str;
 
+    /// How long the store is asked to wait for a change.
+    const WAIT: Duration;
+
+    /// Whether this watch is the one that notices first that the store is lost, for all others.
+    const SENTINEL: bool;
+
     /// Takes in everything.
     fn replace(&self, node: &Node, items: Vec<Whole>);
 
@@ -84,10 +85,17 @@
     async fn follow(&mut self, mut cursor: Cursor) {
         loop {
             // After a failure the first call does not wait, so that contact is proved at once.
-            let wait = if self.lost_at.is_some() { Duration::ZERO } else { WAIT };
+            let wait = if self.lost_at.is_some() { Duration::ZERO } else { C::WAIT };
             let sent = self.node.clock.now();
-            let call = self.source.changes(cursor, wait);
-            match bounded(wait + CALL_TIME, call).await {
+            let call = bounded(wait + CALL_TIME, self.source.changes(cursor, wait));
+            let answer = tokio::select! {
+                answer = call => answer,
+                // A call that waits for long would hang for long after a cut.
+                () = self.node.store_lost.notified(), if !C::SENTINEL => {
+                    Err(SourceError::Unreachable)
+                }
+            };
+            match answer {
                 Ok(batch) => {
                     self.answered();
                     cursor = cursor.max(batch.cursor);
@@ -113,6 +121,9 @@
     }
 
     async fn failed(&mut self, e: SourceError) {
+        if C::SENTINEL {
+            self.node.store_lost.notify_waiters();
+        }
         if self.lost_at.is_none() {
             self.lost_at = Some(self.node.clock.now());
             log::warn!(target: "store", table = C::NAME, error:% = e; "lost");
