--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -35,6 +35,9 @@
     /// after which callers are owed nothing by an instance without contact.
     const WAIT: Duration = Duration::from_millis(2_200);
 
+    /// A tenth of the time in which a configuration must be in force.
+    const GATHER: Duration = Duration::from_millis(200);
+
     const SENTINEL: bool = true;
 
     fn replace(&self, node: &Node, items: Vec<SnapshotParts>) {
@@ -75,6 +78,9 @@
     /// Nothing rests on when this table was last proved current, so its calls may wait for long.
     const WAIT: Duration = Duration::from_millis(9_000);
 
+    /// A fleet that starts registers its endpoints one by one; leaving ones must be known in 2 s.
+    const GATHER: Duration = Duration::from_millis(350);
+
     const SENTINEL: bool = false;
 
     fn replace(&self, node: &Node, items: Vec<Endpoint>) {
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -27,6 +27,9 @@
     /// How long the store is asked to wait for a change.
     const WAIT: Duration;
 
+    /// How long to gather further changes after one, before the store is asked again.
+    const GATHER: Duration;
+
     /// Whether this watch is the one that notices first that the store is lost, for all others.
     const SENTINEL: bool;
 
@@ -101,8 +104,12 @@
                     cursor = cursor.max(batch.cursor);
                     let proof = Proof { sent, store_clock: batch.store_clock };
                     log_bad_rows(C::NAME, &batch);
+                    let changed = !batch.items.is_empty();
                     self.copy.apply(&self.node, batch.items);
                     self.copy.prove(&self.node, proof, wait.is_zero());
+                    if changed {
+                        tokio::time::sleep(C::GATHER).await;
+                    }
                 }
                 Err(SourceError::HistoryGone) => {
                     log::info!(target: "store", table = C::NAME; "history gone, reading anew");
