--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -10,6 +10,7 @@
 use ringbend_runtime::{Handler, HttpRequest, HttpResponse, read_body};
 use ringbend_types::Timestamp;
 
+use crate::fields::Millis;
 use crate::life::{Life, Origin};
 use crate::node::Node;
 use crate::ports::Call;
@@ -42,10 +43,9 @@
             Err(refusal) => {
                 let version = self.node.replica.borrow().version().unwrap_or_default();
                 let age = self.node.replica.borrow().age(arrived);
-                let age_ms = age.map(|age| age.as_millis() as u64);
                 let code = refusal.code();
                 log::info!(
-                    target: "request", id:%, code, config:% = version, config_age_ms:? = age_ms;
+                    target: "request", id:%, code, config:% = version, config_age_ms:% = Millis(age);
                     "refused"
                 );
                 self.node.metrics.failure(code);
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -33,7 +33,7 @@
 
     /// Shorter finds a hanging connection sooner, longer makes fewer calls: under the three seconds
     /// after which callers are owed nothing by an instance without contact.
-    const WAIT: Duration = Duration::from_millis(2_200);
+    const WAIT: Duration = Duration::from_millis(2_500);
 
     /// A tenth of the time in which a configuration must be in force.
     const GATHER: Duration = Duration::from_millis(200);
@@ -78,8 +78,9 @@
     /// Nothing rests on when this table was last proved current, so its calls may wait for long.
     const WAIT: Duration = Duration::from_millis(9_000);
 
-    /// A fleet that starts registers its endpoints one by one; leaving ones must be known in 2 s.
-    const GATHER: Duration = Duration::from_millis(350);
+    /// Half of the time in which a leaving endpoint must be known. A fleet that starts, or whose
+    /// endpoints come and go, changes many times a second, and each answer is a call of each instance.
+    const GATHER: Duration = Duration::from_millis(1_000);
 
     const SENTINEL: bool = false;
 
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod copies;
 mod doors;
 mod exchange;
+mod fields;
 mod headers;
 mod life;
 mod memory;
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -14,6 +14,7 @@
 use ringbend_types::{PromptBucket, RunState, Timestamp, TokenCount};
 
 use crate::exchange::Answer;
+use crate::fields::Millis;
 use crate::headers::{clone_head, copy_headers};
 use crate::node::{Node, Open, Placed};
 use crate::ports::Call;
@@ -190,10 +191,10 @@
         let ms = self.node.clock.now().since(self.arrived).as_millis() as u64;
         let sends = self.attempts.tried().len();
         let (id, route) = (self.id(), &self.terms.route.name);
-        let first_ms = self.pace.first.map(|at| at.since(self.arrived).as_millis() as u64);
+        let first_ms = Millis(self.pace.first.map(|at| at.since(self.arrived)));
         let gap_ms = self.pace.longest_gap.as_millis() as u64;
         log::info!(
-            target: "request", id, route:%, outcome, ms, sends, first_ms:?, gap_ms; "ended"
+            target: "request", id, route:%, outcome, ms, sends, first_ms:%, gap_ms; "ended"
         );
     }
 
--- a/crates/ringbend-relay/src/memory.rs
+++ b/crates/ringbend-relay/src/memory.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinHandle;
 
 use crate::exchange::{self, ExchangeError};
+use crate::fields::Word;
 use crate::node::Node;
 use crate::ports::MemoryOrder;
 
@@ -103,7 +104,7 @@
     };
     log::info!(
         target: "memory", order = word, ticket:% = ticket.id, endpoint:% = ticket.endpoint,
-        tokens = ticket.tokens, answer:?; "ordered"
+        tokens = ticket.tokens, answer:% = Word(answer); "ordered"
     );
     answer
 }
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -8,6 +8,7 @@
 };
 use ringbend_types::{EndpointId, Timestamp};
 
+use crate::fields::Millis;
 use crate::life::{Failed, Life};
 use crate::memory::{HeldMemory, Place};
 use crate::node::Placed;
@@ -60,7 +61,7 @@
         lead: &EndpointLoad,
         candidates: usize,
     ) {
-        let config_age_ms = self.node.replica.borrow().age(now).map(|age| age.as_millis() as u64);
+        let config_age_ms = Millis(self.node.replica.borrow().age(now));
         let (config, instances) = (self.terms.version, self.node.metrics.live_instances.get());
         let prompt = self.call.demand.map_or(0, |demand| demand.prompt_tokens);
         let with: Vec<&str> = placement.helpers.iter().map(EndpointId::as_str).collect();
@@ -68,9 +69,9 @@
         log::info!(
             target: "request", id = self.id(), route:% = self.terms.route.name,
             endpoint:% = placement.lead, with = with.join(" "), prompt, candidates,
-            config:%, config_age_ms:?, instances,
-            part_ms:? = placement.part.as_millis(), first_ms:? = placement.first_ms as u64,
-            cost_percent, backlog_ms:? = lead.backlog().as_millis(),
+            config:%, config_age_ms:%, instances,
+            part_ms:% = Millis(Some(placement.part)), first_ms = placement.first_ms as u64,
+            cost_percent, backlog_ms:% = Millis(Some(lead.backlog())),
             writers = lead.writers().len(), memory = lead.memory_tokens();
             "sent"
         );
--- a/crates/ringbend-telemetry/src/lib.rs
+++ b/crates/ringbend-telemetry/src/lib.rs
@@ -6,6 +6,7 @@
 mod metrics;
 mod traces;
 
+pub use lines::drain_logs;
 pub use logs::{LogConfig, LogError, LogFormat, LogOutput, ParseLogFormatError, start_logs};
 pub use metrics::{Metrics, Outcome};
 pub use traces::{Export, Hop, HopKind, TraceContext, Tracing};
