feat(relay): one instance reads the store, its proofs keep all others current

Change: an instance reads when its copy was not proved current for 1.5 to 2.1 s; what a reader reads is told by datagram, with the moment of proof on its steady clock, which a greeting has paired with the receiver's on the early side. Endpoint changes are relayed with the cursors they lie between; a gap or a newer configuration makes the receiver read. Of several readers the smallest start goes on. Ruled out: election of a reader (needs agreement; ageing needs none); proofs by time of receipt (a datagram that was held back would count as fresh).

--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -116,6 +116,11 @@
         self.entries.len()
     }
 
+    /// How many registered endpoints are about to leave.
+    pub fn leaving(&self) -> usize {
+        self.entries.values().filter(|entry| entry.endpoint.leaving).count()
+    }
+
     /// Whether none is registered.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/crates/ringbend-gateway/src/freshness.rs
+++ b/crates/ringbend-gateway/src/freshness.rs
@@ -43,6 +43,11 @@
         at
     }
 
+    /// Takes in a proof that another instance made, placed on this one's clock.
+    pub fn prove_at(&mut self, at: Timestamp) {
+        self.proved_at = Some(self.proved_at.map_or(at, |last| last.max(at)));
+    }
+
     /// When the table was last known to be current.
     pub fn proved_at(&self) -> Option<Timestamp> {
         self.proved_at
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod gate;
 mod load;
 mod peers;
+mod reader;
 mod replica;
 mod reservation;
 mod snapshot;
@@ -30,6 +31,7 @@
 pub use gate::{Admitted, Arrival, Denied, GateBounds, admit};
 pub use load::{EndpointLoad, Held, LoadBook, Reader, Work, WorkId, Writer};
 pub use peers::{HEARTBEAT, Heard, Outbox, Peers, SILENCE};
+pub use reader::{READ_AGE_MS, Readers};
 pub use replica::{Adopted, Replica};
 pub use reservation::{HOLD, OrderAnswer, RENEW, Ticket, TicketId};
 pub use snapshot::{
--- /dev/null
+++ b/crates/ringbend-gateway/src/reader.rs
@@ -0,0 +1,78 @@
+//! Which instances read the watched tables from the store, and which hear of them from others.
+//!
+//! One reader is enough for a fleet. Nobody elects it: an instance reads when its copy has not been
+//! proved current for a while, and what it reads proves the copies of all others, which then have no
+//! reason to read. Of several readers the one with the smallest start goes on. Where instances do
+//! not reach each other, or a reader is lost, copies age and more instances read.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ringbend_types::Timestamp;
+
+/// A copy that is older than this is read again, if nobody else proved it meanwhile; drawn between
+/// the two so that not all begin at once. A reader proves copies once a second.
+pub const READ_AGE_MS: std::ops::Range<u64> = 1_500..2_100;
+
+/// A moment on this instance's clock that is no later than a moment on a peer's clock.
+#[derive(Debug, Clone, Copy)]
+struct Pairing {
+    own: Timestamp,
+    peers: Timestamp,
+}
+
+/// This instance's part in reading, and its peers' clocks.
+#[derive(Debug, Clone)]
+pub struct Readers {
+    own_start: u64,
+    reads: bool,
+    clocks: BTreeMap<u64, Pairing>,
+}
+
+impl Readers {
+    /// An instance that reads until it hears of another reader.
+    pub fn new(own_start: u64) -> Self {
+        Self { own_start, reads: true, clocks: BTreeMap::new() }
+    }
+
+    /// Whether this instance reads the tables.
+    pub fn reads(&self) -> bool {
+        self.reads
+    }
+
+    /// Begins to read, as the copy has not been proved for too long.
+    pub fn begin(&mut self) {
+        self.reads = true;
+    }
+
+    /// Notes that the instance that started as `start` answered, at `peers` on its clock, a greeting
+    /// that was sent at `own` on ours.
+    pub fn pair(&mut self, start: u64, own: Timestamp, peers: Timestamp) {
+        self.clocks.insert(start, Pairing { own, peers });
+    }
+
+    /// Forgets the clock of a start that has ended.
+    pub fn forget(&mut self, start: u64) {
+        self.clocks.remove(&start);
+    }
+
+    /// A moment on our clock that is no later than `at` on the peer's; none for a clock unknown.
+    pub fn on_own_clock(&self, start: u64, at: Timestamp) -> Option<Timestamp> {
+        let pairing = self.clocks.get(&start)?;
+        Some(match at >= pairing.peers {
+            true => pairing.own + at.since(pairing.peers),
+            false => pairing.own - pairing.peers.since(at),
+        })
+    }
+
+    /// Notes that another instance reads and proved this one's copy `age` ago. Returns whether this
+    /// one stops reading.
+    pub fn other_reads(&mut self, start: u64, age: Duration) -> bool {
+        let fresh = age < Duration::from_millis(READ_AGE_MS.start);
+        let stops = self.reads && start < self.own_start && fresh;
+        if stops {
+            self.reads = false;
+        }
+        stops
+    }
+}
--- a/crates/ringbend-gateway/src/replica.rs
+++ b/crates/ringbend-gateway/src/replica.rs
@@ -47,6 +47,19 @@
         self.freshness.prove(proof, paired);
     }
 
+    /// Notes that another instance proved `version` the newest at `at`, on this one's clock. Says
+    /// nothing about any other version.
+    pub fn prove_at(&mut self, version: ConfigVersion, at: Timestamp) {
+        if self.version() == Some(version) {
+            self.freshness.prove_at(at);
+        }
+    }
+
+    /// When it was last proved the newest.
+    pub fn proved_at(&self) -> Option<Timestamp> {
+        self.freshness.proved_at()
+    }
+
     /// The configuration in force.
     pub fn snapshot(&self) -> Option<&Arc<Snapshot>> {
         self.snapshot.as_ref()
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -2,11 +2,28 @@
 
 use std::time::Duration;
 
-use ringbend_gateway::{Adopted, Endpoint, EndpointChange, Proof, Snapshot, SnapshotParts};
+use rand::Rng;
+
+use ringbend_gateway::{
+    Adopted, Endpoint, EndpointChange, Proof, READ_AGE_MS, Snapshot, SnapshotParts,
+};
+use ringbend_wire::{EndpointChanges, row_of};
 
 use crate::node::Node;
+use crate::ports::Cursor;
 use crate::watch::Copy;
 
+/// How long the configuration's reader asks the store to wait. Its answers prove the copies of all
+/// instances, so this is how old those get.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+
+/// How long the endpoints' reader asks the store to wait. Nothing rests on when this table was last
+/// proved current.
+const ENDPOINTS_WAIT: Duration = Duration::from_millis(9_000);
+
+/// The most endpoint changes told to others in one datagram; after more they read by themselves.
+const MAX_RELAYED: usize = 12;
+
 /// Feeds the configuration.
 pub(crate) struct ConfigCopy;
 
@@ -31,25 +48,47 @@
 impl Copy<SnapshotParts, SnapshotParts> for ConfigCopy {
     const NAME: &'static str = "config";
 
-    /// Shorter finds a hanging connection sooner, longer makes fewer calls: under the three seconds
-    /// after which callers are owed nothing by an instance without contact.
-    const WAIT: Duration = Duration::from_millis(2_500);
-
     /// A tenth of the time in which a configuration must be in force.
     const GATHER: Duration = Duration::from_millis(200);
 
     const SENTINEL: bool = true;
 
-    fn replace(&self, node: &Node, items: Vec<SnapshotParts>) {
-        self.apply(node, items);
+    fn replace(&self, node: &Node, items: Vec<SnapshotParts>, cursor: Cursor) {
+        self.apply(node, items, cursor);
     }
 
-    fn apply(&self, node: &Node, items: Vec<SnapshotParts>) {
+    fn apply(&self, node: &Node, items: Vec<SnapshotParts>, _: Cursor) {
         items.into_iter().for_each(|parts| Self::offer(node, parts));
     }
 
+    /// Reads for as long as no other instance does; then only what is new, or once the copy is old.
+    async fn turn(&self, node: &Node) -> Duration {
+        if node.readers.borrow().reads() {
+            return CONFIG_WAIT;
+        }
+        let age_ms = node.rng.borrow_mut().random_range(READ_AGE_MS);
+        loop {
+            let proved_at = node.replica.borrow().proved_at().unwrap_or_default();
+            let due = proved_at + Duration::from_millis(age_ms);
+            if node.clock.now() >= due {
+                log::info!(target: "store", age_ms; "copy is old, reading");
+                node.readers.borrow_mut().begin();
+                node.begins_to_read.notify_waiters();
+                return Duration::ZERO;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(node.clock.instant(due)) => {}
+                () = node.config_news.notified() => return Duration::ZERO,
+            }
+        }
+    }
+
     fn prove(&self, node: &Node, proof: Proof, paired: bool) {
         node.replica.borrow_mut().prove(proof, paired);
+        if node.readers.borrow().reads() {
+            // What was read proves the copies of all others.
+            node.signals.now.notify_one();
+        }
     }
 
     fn regained(&self, _: &Node) {}
@@ -58,6 +97,18 @@
 /// Feeds the directory.
 pub(crate) struct EndpointCopy;
 
+/// Takes in endpoint changes up to `cursor`, read or relayed.
+pub(crate) fn apply_endpoints(node: &Node, changes: Vec<EndpointChange>, cursor: Cursor) {
+    let now = node.clock.now();
+    for change in changes {
+        EndpointCopy::log(&change);
+        node.directory.borrow_mut().apply(now, change);
+    }
+    node.endpoints_cursor.set(node.endpoints_cursor.get().max(cursor));
+    let directory = node.directory.borrow();
+    node.trust.borrow_mut().retain(|id| directory.get(id).is_some());
+}
+
 impl EndpointCopy {
     fn log(change: &EndpointChange) {
         match change {
@@ -75,30 +126,49 @@
 impl Copy<Endpoint, EndpointChange> for EndpointCopy {
     const NAME: &'static str = "endpoints";
 
-    /// Nothing rests on when this table was last proved current, so its calls may wait for long.
-    const WAIT: Duration = Duration::from_millis(9_000);
-
     /// Half of the time in which a leaving endpoint must be known. A fleet that starts, or whose
     /// endpoints come and go, changes many times a second, and each answer is a call of each instance.
-    const GATHER: Duration = Duration::from_millis(1_000);
+    const GATHER: Duration = Duration::from_millis(400);
 
     const SENTINEL: bool = false;
 
-    fn replace(&self, node: &Node, items: Vec<Endpoint>) {
+    fn replace(&self, node: &Node, items: Vec<Endpoint>, cursor: Cursor) {
         let now = node.clock.now();
         let (before, count) = (node.directory.borrow().len(), items.len());
         log::info!(target: "endpoints", before, count; "read whole");
         node.directory.borrow_mut().replace(now, items);
+        node.endpoints_cursor.set(cursor);
     }
 
-    fn apply(&self, node: &Node, items: Vec<EndpointChange>) {
-        let now = node.clock.now();
-        for change in items {
-            Self::log(&change);
-            node.directory.borrow_mut().apply(now, change);
+    fn apply(&self, node: &Node, items: Vec<EndpointChange>, cursor: Cursor) {
+        if items.is_empty() {
+            // A reader tells others how far changes go, so it keeps the place of the last one.
+            if !node.readers.borrow().reads() {
+                node.endpoints_cursor.set(node.endpoints_cursor.get().max(cursor));
+            }
+            return;
+        }
+        if node.readers.borrow().reads() && items.len() <= MAX_RELAYED {
+            let from_cursor = node.endpoints_cursor.get().0;
+            let rows = items.iter().map(row_of).collect();
+            let changes = EndpointChanges { from_cursor, to_cursor: cursor.0, rows };
+            *node.endpoint_changes.borrow_mut() = Some(changes);
+        }
+        apply_endpoints(node, items, cursor);
+        node.signals.now.notify_one();
+    }
+
+    /// Reads while this instance does; then only what it was told of and has not got.
+    async fn turn(&self, node: &Node) -> Duration {
+        loop {
+            if node.readers.borrow().reads() {
+                return ENDPOINTS_WAIT;
+            }
+            tokio::select! {
+                () = node.begins_to_read.notified() => {}
+                () = node.endpoint_news.notified() => return Duration::ZERO,
+            }
         }
-        let directory = node.directory.borrow();
-        node.trust.borrow_mut().retain(|id| directory.get(id).is_some());
     }
 
     fn prove(&self, _: &Node, _: Proof, _: bool) {}
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod ports;
 mod refusal;
 mod relay;
+mod relayed;
 mod sending;
 mod streams;
 mod watch;
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -8,17 +8,18 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Directory, LoadBook, Outbox, Peers, RepeatBudget, Replica, TrustBook, Work, WorkId,
+    Directory, LoadBook, Outbox, Peers, Readers, RepeatBudget, Replica, TrustBook, Work, WorkId,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
 use ringbend_types::Timestamp;
+use ringbend_wire::EndpointChanges;
 use tokio::sync::Notify;
 
 use crate::config::RelayConfig;
 use crate::memory::HeldMemory;
 use crate::peers::Signals;
-use crate::ports::Dialect;
+use crate::ports::{Cursor, Dialect};
 
 /// One relay's state. It lives on one thread.
 pub(crate) struct Node {
@@ -37,6 +38,18 @@
     pub(crate) signals: Signals,
     /// Told when a call to the store has failed.
     pub(crate) store_lost: Notify,
+    /// Who reads the watched tables.
+    pub(crate) readers: RefCell<Readers>,
+    /// Told when this instance begins to read.
+    pub(crate) begins_to_read: Notify,
+    /// Told when another instance has a newer configuration.
+    pub(crate) config_news: Notify,
+    /// Told when another instance has read endpoint changes that this one has not.
+    pub(crate) endpoint_news: Notify,
+    /// All changes of the endpoints' table up to here are known.
+    pub(crate) endpoints_cursor: Cell<Cursor>,
+    /// Endpoint changes that others have not been told yet.
+    pub(crate) endpoint_changes: RefCell<Option<EndpointChanges>>,
     pub(crate) metrics: Metrics,
     pub(crate) http: ServiceConfig,
     /// When a stop was asked for.
@@ -73,6 +86,12 @@
             outbox: RefCell::default(),
             signals: Signals::default(),
             store_lost: Notify::new(),
+            readers: RefCell::new(Readers::new(incarnation)),
+            begins_to_read: Notify::new(),
+            config_news: Notify::new(),
+            endpoint_news: Notify::new(),
+            endpoints_cursor: Cell::default(),
+            endpoint_changes: RefCell::default(),
             metrics: Metrics::default(),
             http: ServiceConfig::default(),
             stopping: Cell::new(None),
--- a/crates/ringbend-relay/src/peers.rs
+++ b/crates/ringbend-relay/src/peers.rs
@@ -12,6 +12,7 @@
 
 use crate::node::Node;
 use crate::ports::Presence;
+use crate::relayed::{self, currency};
 
 /// How long the end of a request may wait to be told together with others. New work is told at once.
 const GATHER: Duration = Duration::from_millis(15);
@@ -110,6 +111,7 @@
         let mut peers = self.node.peers.borrow_mut();
         for start in peers.sweep(now) {
             self.node.load.borrow_mut().forget_instance(now, start);
+            self.node.readers.borrow_mut().forget(start);
         }
         let instances = peers.instances(now);
         if self.node.metrics.live_instances.get() != instances as i64 {
@@ -120,7 +122,12 @@
     }
 
     fn digest(&self) -> LoadDigest {
-        LoadDigest { incarnation: self.node.incarnation(), ..LoadDigest::default() }
+        LoadDigest {
+            incarnation: self.node.incarnation(),
+            clock_us: self.node.clock.now().0,
+            currency: currency(&self.node),
+            ..LoadDigest::default()
+        }
     }
 
     fn broadcast(&self, outbox: &Outbox) {
@@ -129,6 +136,7 @@
         let first = LoadDigest {
             writing: sequences(&outbox.writing),
             ended: sequences(&outbox.ended),
+            endpoint_changes: self.node.endpoint_changes.borrow_mut().take(),
             ..self.digest()
         };
         let addresses: Vec<_> = self.node.peers.borrow().addresses().collect();
@@ -196,6 +204,7 @@
         if digest.bye {
             self.node.peers.borrow_mut().left(from);
             self.node.load.borrow_mut().forget_instance(now, start);
+            self.node.readers.borrow_mut().forget(start);
             log::info!(target: "peers", peer:% = from, start; "left");
             return;
         }
@@ -204,15 +213,24 @@
             log::info!(target: "peers", peer:% = from, start; "heard");
             if let Some(replaced) = replaced {
                 self.node.load.borrow_mut().forget_instance(now, replaced);
+                self.node.readers.borrow_mut().forget(replaced);
             }
+            // Its answer pairs the clocks.
+            self.tell(&LoadDigest { hello: true, ..self.digest() }, from);
         }
-        if digest.hello || heard != Heard::Known {
+        if digest.hello {
             let all = self.placed(|_| true);
-            for digest in self.split(self.digest(), all) {
+            let answer = LoadDigest { hello_clock_us: Some(digest.clock_us), ..self.digest() };
+            for digest in self.split(answer, all) {
                 self.tell(&digest, from);
             }
         }
+        if let Some(own) = digest.hello_clock_us {
+            let (own, peers) = (Timestamp(own), Timestamp(digest.clock_us));
+            self.node.readers.borrow_mut().pair(start, own, peers);
+        }
         self.note(now, start, digest);
+        relayed::take_in(&self.node, now, digest);
     }
 
     fn note(&self, now: Timestamp, instance: u64, digest: &LoadDigest) {
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -156,6 +156,16 @@
         self.node.directory.borrow().len()
     }
 
+    /// How many registered endpoints are about to leave.
+    pub fn leaving_endpoints(&self) -> usize {
+        self.node.directory.borrow().leaving()
+    }
+
+    /// Whether this instance reads the watched tables itself.
+    pub fn reads(&self) -> bool {
+        self.node.readers.borrow().reads()
+    }
+
     /// How many instances are known to be there, this one included.
     pub fn instances(&self) -> usize {
         self.node.peers.borrow().instances(self.node.clock.now())
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -24,9 +24,6 @@
     /// The table's name in logs.
     const NAME: &'static str;
 
-    /// How long the store is asked to wait for a change.
-    const WAIT: Duration;
-
     /// How long to gather further changes after one, before the store is asked again.
     const GATHER: Duration;
 
@@ -34,10 +31,14 @@
     const SENTINEL: bool;
 
     /// Takes in everything.
-    fn replace(&self, node: &Node, items: Vec<Whole>);
+    fn replace(&self, node: &Node, items: Vec<Whole>, cursor: Cursor);
+
+    /// Takes in changes up to `cursor`.
+    fn apply(&self, node: &Node, items: Vec<Change>, cursor: Cursor);
 
-    /// Takes in changes.
-    fn apply(&self, node: &Node, items: Vec<Change>);
+    /// Waits until it is this instance's turn to ask the store. Returns how long the store is asked
+    /// to wait for a change.
+    fn turn(&self, node: &Node) -> impl Future<Output = Duration>;
 
     /// Notes that the table was current.
     fn prove(&self, node: &Node, proof: Proof, paired: bool);
@@ -75,7 +76,7 @@
                     let cursor = batch.cursor;
                     let proof = Proof { sent, store_clock: batch.store_clock };
                     log_bad_rows(C::NAME, &batch);
-                    self.copy.replace(&self.node, batch.items);
+                    self.copy.replace(&self.node, batch.items, cursor);
                     self.copy.prove(&self.node, proof, true);
                     return cursor;
                 }
@@ -88,7 +89,8 @@
     async fn follow(&mut self, mut cursor: Cursor) {
         loop {
             // After a failure the first call does not wait, so that contact is proved at once.
-            let wait = if self.lost_at.is_some() { Duration::ZERO } else { C::WAIT };
+            let turn = self.copy.turn(&self.node).await;
+            let wait = if self.lost_at.is_some() { Duration::ZERO } else { turn };
             let sent = self.node.clock.now();
             let call = bounded(wait + CALL_TIME, self.source.changes(cursor, wait));
             let answer = tokio::select! {
@@ -105,7 +107,7 @@
                     let proof = Proof { sent, store_clock: batch.store_clock };
                     log_bad_rows(C::NAME, &batch);
                     let changed = !batch.items.is_empty();
-                    self.copy.apply(&self.node, batch.items);
+                    self.copy.apply(&self.node, batch.items, batch.cursor);
                     self.copy.prove(&self.node, proof, wait.is_zero());
                     if changed {
                         tokio::time::sleep(C::GATHER).await;
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -194,6 +194,62 @@
     /// The sender stops; all that it placed has ended.
     #[prost(bool, tag = "6")]
     pub bye: bool,
+    /// The sender's steady clock, in microseconds.
+    #[prost(uint64, tag = "7")]
+    pub clock_us: u64,
+    /// In the answer to a hello: the clock that the hello told.
+    #[prost(uint64, optional, tag = "8")]
+    pub hello_clock_us: ::core::option::Option<u64>,
+    /// How current the sender's copies are; none before its first.
+    #[prost(message, optional, tag = "9")]
+    pub currency: ::core::option::Option<Currency>,
+    /// Endpoints that changed, whose table the sender has read up to `currency.endpoints_cursor`.
+    #[prost(message, optional, tag = "10")]
+    pub endpoint_changes: ::core::option::Option<EndpointChanges>,
+}
+/// How current an instance's copies of the watched tables are.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Currency {
+    /// The configuration in force.
+    #[prost(uint64, tag = "1")]
+    pub config_version: u64,
+    /// When it was last proved the newest, on the sender's clock.
+    #[prost(uint64, tag = "2")]
+    pub proved_us: u64,
+    /// Whether the sender reads the tables itself.
+    #[prost(bool, tag = "3")]
+    pub reads: bool,
+    /// How far it has read the endpoints' table.
+    #[prost(uint64, tag = "4")]
+    pub endpoints_cursor: u64,
+}
+/// Changes of the endpoints' table between two places in its history.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EndpointChanges {
+    #[prost(uint64, tag = "1")]
+    pub from_cursor: u64,
+    #[prost(uint64, tag = "2")]
+    pub to_cursor: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub rows: ::prost::alloc::vec::Vec<EndpointRow>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointRow {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    /// The entry is gone; the fields below are empty.
+    #[prost(bool, tag = "2")]
+    pub gone: bool,
+    #[prost(string, tag = "3")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "5")]
+    pub data_centre: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! mapped here to the types of the decision crates. Text that does not parse is an error, never a
 //! default.
 
+mod endpoints;
 mod load;
 mod map;
 
@@ -10,10 +11,11 @@
 #[rustfmt::skip]
 mod generated;
 
+pub use endpoints::{change_of, row_of};
 pub use generated::{
-    Demand, EntriesReply, EntriesRequest, Envelope, Gossip, GossipKind, GrantReply, GrantRequest,
-    HeldMemory, Hello, LoadDigest, Member, MemberState, PlacedWork, Share, Update, envelope,
-    update,
+    Currency, Demand, EndpointChanges, EndpointRow, EntriesReply, EntriesRequest, Envelope, Gossip,
+    GossipKind, GrantReply, GrantRequest, HeldMemory, Hello, LoadDigest, Member, MemberState,
+    PlacedWork, Share, Update, envelope, update,
 };
 pub use load::{placed_work, work_of};
 pub use map::WireError;
