perf(relay): one watch asks a lost store, less often the longer it is lost

Change: pauses double up to 1.2 s; the endpoints' watch waits until the configuration's reaches it. Ruled out: longer pauses (an instance is owed nothing for three seconds after contact, then all).

--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -38,6 +38,10 @@
     pub(crate) signals: Signals,
     /// Told when a call to the store has failed.
     pub(crate) store_lost: Notify,
+    /// Whether the sentinel's last call to the store failed.
+    pub(crate) store_is_lost: Cell<bool>,
+    /// Told when the sentinel reaches the store again.
+    pub(crate) store_regained: Notify,
     /// Who reads the watched tables.
     pub(crate) readers: RefCell<Readers>,
     /// Told when this instance begins to read.
@@ -86,6 +90,8 @@
             outbox: RefCell::default(),
             signals: Signals::default(),
             store_lost: Notify::new(),
+            store_is_lost: Cell::new(false),
+            store_regained: Notify::new(),
             readers: RefCell::new(Readers::new(incarnation)),
             begins_to_read: Notify::new(),
             config_news: Notify::new(),
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -15,9 +15,16 @@
 /// milliseconds; a slow store takes up to a third of a second.
 const CALL_TIME: Duration = Duration::from_millis(1_000);
 
-/// The shortest and longest pause after a failed call; drawn between them so that instances that
-/// lost the store together do not return together.
-const BACKOFF_MS: std::ops::Range<u64> = 150..450;
+/// The longest pause after a first failed call. It doubles with each further one; the pause is drawn
+/// between a third of it and the whole, so that instances that lost the store together do not return
+/// together.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+
+/// How long another watch leaves a lost store to the sentinel.
+const LONGEST_REST: Duration = Duration::from_secs(3);
+
+/// The longest pause: callers come back to an instance that has contact for three seconds.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
 
 /// What a watch does with what it reads.
 pub(crate) trait Copy<Whole, Change> {
@@ -53,11 +60,13 @@
     source: Rc<dyn Source<Whole, Change>>,
     copy: C,
     lost_at: Option<Timestamp>,
+    /// Failed calls in a row.
+    failures: u32,
 }
 
 impl<Whole, Change, C: Copy<Whole, Change>> Watch<Whole, Change, C> {
     pub(crate) fn new(node: Rc<Node>, source: Rc<dyn Source<Whole, Change>>, copy: C) -> Self {
-        Self { node, source, copy, lost_at: None }
+        Self { node, source, copy, lost_at: None, failures: 0 }
     }
 
     pub(crate) async fn run(mut self) {
@@ -123,6 +132,10 @@
     }
 
     fn answered(&mut self) {
+        self.failures = 0;
+        if C::SENTINEL && self.node.store_is_lost.replace(false) {
+            self.node.store_regained.notify_waiters();
+        }
         let Some(lost_at) = self.lost_at.take() else { return };
         let away_ms = self.node.clock.now().since(lost_at).as_millis() as u64;
         log::info!(target: "store", table = C::NAME, away_ms; "regained");
@@ -131,14 +144,28 @@
 
     async fn failed(&mut self, e: SourceError) {
         if C::SENTINEL {
+            self.node.store_is_lost.set(true);
             self.node.store_lost.notify_waiters();
         }
         if self.lost_at.is_none() {
             self.lost_at = Some(self.node.clock.now());
             log::warn!(target: "store", table = C::NAME, error:% = e; "lost");
         }
-        let pause = self.node.rng.borrow_mut().random_range(BACKOFF_MS);
-        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let pause = self.pause();
+        if C::SENTINEL || !self.node.store_is_lost.get() {
+            return tokio::time::sleep(pause).await;
+        }
+        // One watch asking a lost store is enough; the bound is for a sentinel that fails otherwise.
+        tokio::select! {
+            () = self.node.store_regained.notified() => {}
+            () = tokio::time::sleep(LONGEST_REST) => {}
+        }
+    }
+
+    fn pause(&mut self) -> Duration {
+        let longest = (FIRST_PAUSE * 2u32.saturating_pow(self.failures)).min(LONGEST_PAUSE);
+        self.failures += 1;
+        longest.mul_f64(self.node.rng.borrow_mut().random_range(0.33..1.0))
     }
 }
 
