fix(gateway): instances that know no other spread over engines; feat(relay): warn of unknown settings

Ruled out: late joining by itself (the store was down, so presence could not be read). Change: without a known peer each instance has its own order of engines. Unknown settings are named with path and nearest known name.

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -66,6 +66,9 @@
     pub load: &'a LoadBook,
     /// This instance's own number, by which its choices differ from those of others.
     pub seed: u64,
+    /// Whether no other instance is known. Then the book misses what they place, and instances that
+    /// start together would all begin with the same engine, so each takes its own order of them.
+    pub alone: bool,
     /// What counts how much.
     pub weights: &'a PlacementWeights,
     /// Which endpoints answered well.
@@ -114,6 +117,9 @@
 /// engine for tight requests.
 const FULL_STEP: f64 = 0.1;
 
+/// How far the order of engines differs among instances that know of no other, in stakes.
+const ALONE_SPREAD: f64 = 1.0;
+
 /// How long a request waits for a place for each that is before it, in milliseconds: an answer takes
 /// some 1.7 s to write, and sixteen are written at once.
 const PLACE_MS: f64 = 110.0;
@@ -325,7 +331,11 @@
             own: own(false),
             own_as_lead: own(true),
             lead: e.lead_cost(view, profile, wish, stake),
-            spread: if wish.gap <= TIGHT_GAP { 0.0 } else { w.spread * stake * e.spread },
+            spread: match view.alone {
+                true => ALONE_SPREAD * stake * e.spread,
+                false if wish.gap <= TIGHT_GAP => 0.0,
+                false => w.spread * stake * e.spread,
+            },
         }
     };
     let prices: Vec<Price> = engines.iter().map(price).collect();
--- a/crates/ringbend-gateway/tests/placement.rs
+++ b/crates/ringbend-gateway/tests/placement.rs
@@ -15,6 +15,8 @@
     trust: TrustBook,
     weights: PlacementWeights,
     home: DataCentre,
+    seed: u64,
+    alone: bool,
 }
 
 impl Scene {
@@ -25,6 +27,8 @@
             trust: TrustBook::default(),
             weights: PlacementWeights::default(),
             home: "z1".parse().unwrap(),
+            seed: 1,
+            alone: false,
         }
     }
 
@@ -42,7 +46,8 @@
         let demand = Demand { prompt_tokens, answer_tokens: 1_000 };
         let wish = Wish { demand, first_in: ms(first_in_ms), gap: ms(gap_ms) };
         let (home, load, trust, weights) = (&self.home, &self.load, &self.trust, &self.weights);
-        let view = View { now: at(0), home, load, seed: 1, weights, trust, tried: &[] };
+        let (seed, alone) = (self.seed, self.alone);
+        let view = View { now: at(0), home, load, seed, alone, weights, trust, tried: &[] };
         let candidates: Vec<&Endpoint> = self.fleet.iter().collect();
         place_on_engines(view, &profile(), &candidates, &wish).unwrap()
     }
@@ -141,6 +146,20 @@
     assert_eq!(load.open_requests(), 0);
 }
 
+/// Seen after a kill of all instances: for two seconds all chose the first engine.
+#[test]
+fn instances_that_know_of_no_other_begin_with_different_engines() {
+    let first = |alone| {
+        let firsts = (0..9).map(|seed| {
+            let mut scene = Scene { seed, alone, ..Scene::new(18) };
+            scene.place(3_000, 300, 200).lead
+        });
+        firsts.collect::<std::collections::BTreeSet<_>>().len()
+    };
+    assert_eq!(first(false), 1);
+    assert!(first(true) >= 5, "{}", first(true));
+}
+
 #[test]
 fn an_engine_that_failed_is_avoided_for_a_while() {
     let mut scene = Scene::new(2);
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_http::ConnectionType;
 use futures_util::future::LocalBoxFuture;
@@ -11,7 +12,7 @@
 use ringbend_types::Timestamp;
 
 use crate::fields::Millis;
-use crate::life::{Life, Origin};
+use crate::life::{Life, Origin, Terms};
 use crate::node::Node;
 use crate::ports::Call;
 use crate::refusal::Refusal;
@@ -92,7 +93,7 @@
             self.node.clone(),
             call.clone(),
             origin,
-            crate::life::Terms { route, account, service, version: snapshot.version },
+            Terms { route, account, service, version: snapshot.version },
             attempts,
             arrived,
             open,
@@ -116,6 +117,6 @@
 }
 
 /// How long the caller waits; as long as the route allows when it does not say.
-fn patience(call: &Call) -> std::time::Duration {
-    call.patience.unwrap_or(std::time::Duration::MAX)
+fn patience(call: &Call) -> Duration {
+    call.patience.unwrap_or(Duration::MAX)
 }
--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -1,6 +1,5 @@
 //! The settings file of one relay: addresses, its place, and the bounds it keeps to.
 
-use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddrV4;
 use std::path::Path;
@@ -8,6 +7,7 @@
 
 use error_stack::{Report, ResultExt};
 use ringbend_gateway::{BudgetBounds, GateBounds, PlacementWeights};
+use ringbend_settings::nearest;
 use ringbend_telemetry::LogConfig;
 use ringbend_types::{DataCentre, InstanceId};
 use serde::{Deserialize, Serialize};
@@ -60,9 +60,9 @@
     /// Logs.
     #[serde(default)]
     pub log: LogConfig,
-    /// Settings that this version does not know.
-    #[serde(flatten, skip_serializing)]
-    pub unknown: BTreeMap<String, toml::Value>,
+    /// Warnings about settings that this version does not know, each with its path.
+    #[serde(skip)]
+    pub unknown: Vec<String>,
 }
 
 /// Where a relay listens.
@@ -117,6 +117,31 @@
     }
 }
 
+/// Names that the file knows, for suggestions.
+const KNOWN_NAMES: [&str; 21] = [
+    "instance",
+    "data_centre",
+    "listen",
+    "callers",
+    "ready",
+    "metrics",
+    "peers",
+    "store",
+    "address",
+    "bounds",
+    "key_revoked_ms",
+    "config_apply_ms",
+    "grace_s",
+    "repeat_ratio",
+    "repeat_window_s",
+    "repeat_allowance",
+    "placement",
+    "log",
+    "format",
+    "level",
+    "output",
+];
+
 /// The part of the bound on revoked keys after which a copy of the configuration lets no key in.
 /// What is left covers the call that is on its way when the copy was last proved current.
 const KEY_AGE_SHARE: f64 = 0.7;
@@ -138,9 +163,22 @@
     ///
     /// They are malformed or hold a value out of range.
     pub fn parse(text: &str) -> Result<Self, Report<RelayConfigError>> {
-        let cfg: Self = toml::from_str(text).change_context(RelayConfigError::Malformed)?;
+        let values = toml::Deserializer::parse(text).change_context(RelayConfigError::Malformed)?;
+        let mut unknown = Vec::new();
+        let cfg: Self = serde_ignored::deserialize(values, |path| {
+            unknown.push(unknown_name(&path.to_string()));
+        })
+        .change_context(RelayConfigError::Malformed)?;
         cfg.bounds.check()?;
-        Ok(cfg)
+        Ok(Self { unknown, ..cfg })
+    }
+}
+
+fn unknown_name(path: &str) -> String {
+    let name = path.rsplit('.').next().unwrap_or(path);
+    match nearest(name, KNOWN_NAMES.into_iter()) {
+        Some(known) => format!("unknown setting {path:?}; did you mean {known:?}?"),
+        None => format!("unknown setting {path:?}; see docs/SETTINGS.md"),
     }
 }
 
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -39,7 +39,8 @@
         let seed = self.node.incarnation();
         let weights = &cfg.placement;
         let home = &cfg.data_centre;
-        let view = View { now, home, load: &load, seed, weights, trust: &trust, tried };
+        let alone = self.node.peers.borrow().instances(now) <= 1;
+        let view = View { now, home, load: &load, seed, alone, weights, trust: &trust, tried };
         let placement = match (&self.terms.service.engine, self.call.demand) {
             (Some(engine), Some(demand)) => {
                 let wish = Wish { demand, first_in: self.first_by().since(now), gap: self.gap() };
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -95,6 +95,7 @@
     ///
     /// An address cannot be listened on.
     pub async fn start(cfg: RelayConfig, ports: Ports) -> Result<Self, Report<RelayError>> {
+        cfg.unknown.iter().for_each(|warning| log::warn!(target: "relay", "{warning}"));
         let clock = Clock::start();
         let listen = cfg.listen;
         let node = Node::new(cfg, clock, ports.dialect);
@@ -181,6 +182,7 @@
         match RelayConfig::read(path) {
             Ok(cfg) if cfg == *self.node.cfg.borrow() => {}
             Ok(cfg) => {
+                cfg.unknown.iter().for_each(|warning| log::warn!(target: "relay", "{warning}"));
                 self.node.budget.borrow_mut().set_bounds(cfg.bounds.budget());
                 *self.node.cfg.borrow_mut() = cfg;
                 log::info!(target: "relay", path:? = path; "settings reloaded");
