fix(gateway): a configuration that cannot be read leaves nothing proved

Cause: reading the diff: a row that could not be decoded was left out, and the answer still proved the one before it current, so keys that the unreadable one took away would have been let in for ever. One unknown kind of route made a whole configuration unreadable. Ruled out: refusing all requests at once (an operator's slip would stop the fleet).

--- a/crates/ringbend-gateway/src/engine.rs
+++ b/crates/ringbend-gateway/src/engine.rs
@@ -47,9 +47,4 @@
     pub fn part_time(&self, prompt_tokens: u64, engines: usize) -> Duration {
         Duration::from_secs_f64(self.read_ms(prompt_tokens) / engines.max(1) as f64 / 1_000.0)
     }
-
-    /// How many engines the prompt and its answer need for their memory.
-    pub fn engines_for_memory(&self, tokens: u64) -> usize {
-        usize::try_from(tokens.div_ceil(self.memory_tokens.max(1)).max(1)).unwrap_or(usize::MAX)
-    }
 }
--- a/crates/ringbend-gateway/src/replica.rs
+++ b/crates/ringbend-gateway/src/replica.rs
@@ -27,6 +27,8 @@
 pub struct Replica {
     snapshot: Option<Arc<Snapshot>>,
     freshness: Freshness,
+    /// A later configuration was seen and could not be read.
+    missed: bool,
 }
 
 impl Replica {
@@ -39,18 +41,27 @@
             _ => {}
         }
         self.snapshot = Some(Arc::new(snapshot));
+        self.missed = false;
         Adopted::Newer { before }
     }
 
+    /// Notes that a configuration was seen that cannot be read. The one in force may not be the
+    /// newest then, so nothing proves it until another one can be read.
+    pub fn miss(&mut self) {
+        self.missed = true;
+    }
+
     /// Notes an answer of the store that showed nothing newer than what has been offered.
     pub fn prove(&mut self, proof: Proof, paired: bool) {
-        self.freshness.prove(proof, paired);
+        if !self.missed {
+            self.freshness.prove(proof, paired);
+        }
     }
 
     /// Notes that another instance proved `version` the newest at `at`, on this one's clock. Says
     /// nothing about any other version.
     pub fn prove_at(&mut self, version: ConfigVersion, at: Timestamp) {
-        if self.version() == Some(version) {
+        if self.version() == Some(version) && !self.missed {
             self.freshness.prove_at(at);
         }
     }
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -83,6 +83,10 @@
         }
     }
 
+    fn bad_row(&self, node: &Node) {
+        node.replica.borrow_mut().miss();
+    }
+
     fn prove(&self, node: &Node, proof: Proof, paired: bool) {
         node.replica.borrow_mut().prove(proof, paired);
         if node.readers.borrow().reads() {
@@ -171,6 +175,8 @@
         }
     }
 
+    fn bad_row(&self, _: &Node) {}
+
     fn prove(&self, _: &Node, _: Proof, _: bool) {}
 
     fn regained(&self, node: &Node) {
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -9,7 +9,7 @@
 use ringbend_types::Timestamp;
 
 use crate::node::Node;
-use crate::ports::{Batch, Cursor, Source, SourceError};
+use crate::ports::{BadRow, Cursor, Source, SourceError};
 
 /// How long the store may take beyond the time it was asked to wait. Its answers take some
 /// milliseconds; a slow store takes up to a third of a second.
@@ -47,6 +47,9 @@
     /// to wait for a change.
     fn turn(&self, node: &Node) -> impl Future<Output = Duration>;
 
+    /// Notes that a row could not be read.
+    fn bad_row(&self, node: &Node);
+
     /// Notes that the table was current.
     fn prove(&self, node: &Node, proof: Proof, paired: bool);
 
@@ -84,7 +87,7 @@
                     self.answered();
                     let cursor = batch.cursor;
                     let proof = Proof { sent, store_clock: batch.store_clock };
-                    log_bad_rows(C::NAME, &batch);
+                    self.note_bad_rows(&batch.bad);
                     self.copy.replace(&self.node, batch.items, cursor);
                     self.copy.prove(&self.node, proof, true);
                     return cursor;
@@ -114,7 +117,7 @@
                     self.answered();
                     cursor = cursor.max(batch.cursor);
                     let proof = Proof { sent, store_clock: batch.store_clock };
-                    log_bad_rows(C::NAME, &batch);
+                    self.note_bad_rows(&batch.bad);
                     let changed = !batch.items.is_empty();
                     self.copy.apply(&self.node, batch.items, batch.cursor);
                     self.copy.prove(&self.node, proof, wait.is_zero());
@@ -131,6 +134,15 @@
         }
     }
 
+    fn note_bad_rows(&self, bad: &[BadRow]) {
+        for row in bad {
+            log::warn!(
+                target: "store", table = C::NAME, key:% = row.key, why:% = row.why; "row left out"
+            );
+            self.copy.bad_row(&self.node);
+        }
+    }
+
     fn answered(&mut self) {
         self.failures = 0;
         if C::SENTINEL && self.node.store_is_lost.replace(false) {
@@ -175,9 +187,3 @@
 ) -> Result<T, SourceError> {
     tokio::time::timeout(time, call).await.unwrap_or(Err(SourceError::TimedOut))
 }
-
-fn log_bad_rows<T>(table: &'static str, batch: &Batch<T>) {
-    for row in &batch.bad {
-        log::warn!(target: "store", table, key:% = row.key, why:% = row.why; "row left out");
-    }
-}
