feat(gateway, relay): long prompts wait for their turn and keep off quiet engines

The model of the engines was right (expected and seen first events agree where nothing overtook), so the choice itself was ruled out: there was no good place at that moment.

Change: a prompt that one engine reads for over 0.6 s waits at its instance until engines have nothing to read. Instances tell each other what waits and put it into one order: due first, and where not all can be on time the longest gives way; room that is not used for 30 ms goes to the next. Engines are kept quiet for all short prompts, not only for those with tight pauses. A long prompt is not read a second time because of a pause in its stream.

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -15,6 +15,7 @@
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
 use crate::load::{EndpointLoad, Held, LoadBook, Writer};
+use crate::quiet::{MOST_ENGINES, quiet_engines};
 use crate::trust::TrustBook;
 use crate::weights::PlacementWeights;
 
@@ -77,21 +78,18 @@
     pub tried: &'a [EndpointId],
 }
 
-/// The most engines that read one prompt beside the lead: the engines' own limit.
-const MOST_HELPERS: usize = 16;
-
 /// Numbers of engines that are tried for one prompt.
 const PARTS: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
 
 /// The prompt whose stake is one, in tokens.
 const STAKE_TOKENS: f64 = 5_000.0;
 
+/// What is late already still prefers to be served in about this time, in milliseconds.
+const LATE_AIM_MS: f64 = 300.0;
+
 /// The least stake.
 const LEAST_STAKE: f64 = 0.5;
 
-/// Gaps up to this make a request one that long reads disturb.
-const TIGHT_GAP: Duration = Duration::from_millis(300);
-
 /// The gap of tight requests that are still to come.
 const TIGHT_GAP_USUAL: Duration = Duration::from_millis(200);
 
@@ -132,6 +130,11 @@
     (prompt_tokens as f64 / STAKE_TOKENS).powf(w.stake_power).max(LEAST_STAKE)
 }
 
+/// Whether a prompt is long: it waits for its turn, and is kept off quiet engines.
+pub fn is_long(w: &PlacementWeights, profile: &EngineProfile, demand: Demand) -> bool {
+    profile.read_ms(demand.prompt_tokens) > w.long_ms
+}
+
 /// How late something is expected to be: from zero well below its limit to one above.
 fn lateness(w: &PlacementWeights, ms: f64, limit_ms: f64) -> f64 {
     if limit_ms <= 0.0 {
@@ -153,8 +156,9 @@
     /// Requests that it processes at once.
     places: f64,
     backlog_ms: f64,
-    tight: usize,
-    /// Tight requests that it is kept free for; zero on engines that long prompts may fill.
+    /// Requests with short prompts that write on it.
+    quiet: usize,
+    /// Such requests that it is kept for; zero on engines that long prompts may fill.
     kept_for: f64,
     /// What choosing it costs whatever its part.
     fixed: f64,
@@ -163,7 +167,7 @@
 }
 
 impl<'a> Engine<'a> {
-    fn new(view: View<'a>, profile: &EngineProfile, endpoint: &'a Endpoint) -> Self {
+    fn new(view: View<'a>, profile: &EngineProfile, endpoint: &'a Endpoint, kept_for: f64) -> Self {
         let load = view.load.of(&endpoint.id);
         let far = if endpoint.data_centre == *view.home { 0.0 } else { FAR_COST };
         let tried = if view.tried.contains(&endpoint.id) { TRIED_COST } else { 0.0 };
@@ -174,8 +178,8 @@
             base_ms: profile.pass_ms(load.writers().len() as u32),
             places: f64::from(profile.slots.max(1)),
             backlog_ms: millis(load.backlog()),
-            kept_for: 0.0,
-            tight: load.writers().iter().filter(|w| w.gap <= TIGHT_GAP).count(),
+            kept_for,
+            quiet: load.quiet(),
             fixed: far + tried + distrust,
             spread: spread(view.seed, &endpoint.id),
         }
@@ -196,10 +200,10 @@
         let writing = self.load.writers().iter().filter(|writer| writer.writing);
         let now_late: f64 = writing.map(to_writer).sum();
         let tight = millis(TIGHT_GAP_USUAL);
-        let to_come = (self.kept_for - self.tight as f64).max(0.0);
+        let to_come = (self.kept_for - self.quiet as f64).max(0.0);
         let soon_late = to_come * (lateness(w, after, tight) - lateness(w, before, tight));
         let delays = if is_part { self.delays(w, now, part_ms) } else { 0.0 };
-        now_late + soon_late + delays + self.tight as f64 * part_ms / 100.0 * w.read
+        now_late + soon_late + delays + self.quiet as f64 * part_ms / 100.0 * w.read
     }
 
     /// What it costs those that wait to be read that a part goes before them.
@@ -245,8 +249,8 @@
         // Parts such as it lately got will come again while the answer is written.
         let usual = self.base_ms + millis(self.load.usual_part(view.now));
         cost += stake * lateness(w, usual, millis(wish.gap)) * 0.5;
-        if wish.gap <= TIGHT_GAP {
-            let share = self.tight as f64 / places;
+        if !is_long(w, profile, wish.demand) {
+            let share = self.quiet as f64 / places;
             cost += if self.kept_for == 0.0 { w.open } else { 0.0 };
             cost += (share - w.full_share).max(0.0) / FULL_STEP * w.open;
         }
@@ -262,28 +266,21 @@
     wish: &Wish,
 ) -> Option<Placement> {
     let w = view.weights;
-    let mut engines: Vec<Engine<'_>> =
-        candidates.iter().map(|e| Engine::new(view, profile, e)).collect();
-    keep_for_tight(w, profile, &mut engines);
+    let long = is_long(w, profile, wish.demand);
+    let kept_for = f64::from(profile.slots.max(1)) * w.full_share;
+    let engines: Vec<Engine<'_>> = candidates
+        .iter()
+        .zip(quiet_engines(view, profile, candidates))
+        .filter(|(_, quiet)| !(long && *quiet))
+        .map(|(e, quiet)| Engine::new(view, profile, e, if quiet { kept_for } else { 0.0 }))
+        .collect();
     let read_ms = profile.read_ms(wish.demand.prompt_tokens);
-    let most = if read_ms <= w.whole_ms { 1 } else { engines.len().min(MOST_HELPERS + 1) };
+    let most = if read_ms <= w.whole_ms { 1 } else { engines.len().min(MOST_ENGINES) };
     let tries = PARTS.iter().copied().filter(|parts| *parts <= most);
     let placements = tries.filter_map(|parts| place_parts(view, profile, &engines, wish, parts));
     placements.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
-/// Keeps as many engines for tight requests as they need, those first that have most of them.
-fn keep_for_tight(w: &PlacementWeights, profile: &EngineProfile, engines: &mut [Engine<'_>]) {
-    let places = f64::from(profile.slots.max(1)) * w.full_share;
-    let tight: usize = engines.iter().map(|e| e.tight).sum();
-    let needed = (tight as f64 * w.tight_growth + w.tight_spare) / places;
-    let mut order: Vec<usize> = (0..engines.len()).collect();
-    order.sort_by_key(|at| std::cmp::Reverse(engines[*at].tight));
-    for at in order.into_iter().take(needed.ceil() as usize) {
-        engines[at].kept_for = places;
-    }
-}
-
 /// What one engine costs as a part of a placement, in stakes.
 #[derive(Clone, Copy)]
 struct Price {
@@ -320,11 +317,12 @@
     let part_ms = profile.read_ms(wish.demand.prompt_tokens) / parts as f64;
     let w = view.weights;
     let stake = stake(w, wish.demand.prompt_tokens);
+    let long = is_long(w, profile, wish.demand);
     let aim_ms = millis(wish.first_in);
     let price = |e: &Engine<'_>| {
         let own = |leads| {
             let first = e.first_ms(part_ms, parts > 1, leads);
-            stake * (lateness(w, first, aim_ms) + w.first * first / aim_ms.max(1.0))
+            stake * (lateness(w, first, aim_ms) + w.first * first / aim_ms.max(LATE_AIM_MS))
         };
         Price {
             harm: e.harm(w, view.now, part_ms, parts > 1) + e.fixed,
@@ -333,8 +331,8 @@
             lead: e.lead_cost(view, profile, wish, stake),
             spread: match view.alone {
                 true => ALONE_SPREAD * stake * e.spread,
-                false if wish.gap <= TIGHT_GAP => 0.0,
-                false => w.spread * stake * e.spread,
+                false if long => w.spread * stake * e.spread,
+                false => 0.0,
             },
         }
     };
@@ -385,7 +383,7 @@
 }
 
 /// A number between zero and one that is the same for an instance and an endpoint at all times.
-fn spread(seed: u64, endpoint: &EndpointId) -> f64 {
+pub(crate) fn spread(seed: u64, endpoint: &EndpointId) -> f64 {
     let mut hasher = DefaultHasher::new();
     (seed, endpoint.as_str()).hash(&mut hasher);
     (hasher.finish() % 1_000) as f64 / 1_000.0
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -14,16 +14,20 @@
 mod gate;
 mod load;
 mod peers;
+mod quiet;
 mod reader;
 mod replica;
 mod reservation;
 mod snapshot;
 mod trust;
+mod turns;
 mod weights;
 
 pub use attempts::{Attempts, Next, SendEnd};
 pub use budget::{BudgetBounds, RepeatBudget};
-pub use choice::{Demand, Placement, View, Wish, place_on_engines, place_on_service, stake};
+pub use choice::{
+    Demand, Placement, View, Wish, is_long, place_on_engines, place_on_service, stake,
+};
 pub use directory::{Directory, Endpoint, EndpointChange, RETURN_TIME};
 pub use engine::EngineProfile;
 pub use events::{Event, EventCutter, EventId, EventTooLong};
@@ -39,4 +43,5 @@
     SnapshotParts, Split,
 };
 pub use trust::{TrustBook, TrustEvent};
+pub use turns::{Turn, Waiting, turn};
 pub use weights::PlacementWeights;
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -6,6 +6,8 @@
 use ringbend_types::{EndpointId, Timestamp};
 use smallvec::SmallVec;
 
+use crate::turns::Waiting;
+
 /// Names one request's work over all instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WorkId {
@@ -36,6 +38,8 @@
     pub stake: f64,
     /// When it must have ended; forgotten then if nobody tells of its end.
     pub until: Timestamp,
+    /// Whether its prompt is long: it waited for its turn and is kept off quiet engines.
+    pub long: bool,
 }
 
 /// Memory on a helper that holds a part of a prompt which is too large for its lead.
@@ -70,6 +74,8 @@
     pub first_by: Timestamp,
     /// What is lost if it is late, or later still.
     pub stake: f64,
+    /// Whether its prompt is long.
+    pub long: bool,
     /// Whether it is expected to be late already.
     late: bool,
 }
@@ -139,6 +145,11 @@
         &self.writers
     }
 
+    /// How many of them have short prompts.
+    pub fn quiet(&self) -> usize {
+        self.writers.iter().filter(|writer| !writer.long).count()
+    }
+
     /// Memory taken, in tokens.
     pub fn memory_tokens(&self) -> u64 {
         self.memory_tokens
@@ -201,6 +212,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct LoadBook {
     open: HashMap<WorkId, Open>,
+    waiting: BTreeMap<WorkId, Waiting>,
     endpoints: BTreeMap<EndpointId, EndpointLoad>,
     swept_at: Timestamp,
     /// What is told of an endpoint that nothing runs on.
@@ -235,8 +247,8 @@
             load.spoil(now);
         }
         let lead = self.endpoints.entry(work.lead.clone()).or_default();
-        let Work { gap, first_by, stake, .. } = work;
-        lead.writers.push(Writer { id, writing: false, gap, first_by, stake, late: false });
+        let Work { gap, first_by, stake, long, .. } = work;
+        lead.writers.push(Writer { id, writing: false, gap, first_by, stake, long, late: false });
         lead.memory_tokens += work.memory_tokens;
         for held in &work.held {
             let load = self.endpoints.entry(held.endpoint.clone()).or_default();
@@ -262,6 +274,7 @@
 
     /// Notes that a request has ended, however it did.
     pub fn end(&mut self, now: Timestamp, id: WorkId) {
+        self.waiting.remove(&id);
         let Some(Open { work, writing }) = self.open.remove(&id) else { return };
         if let Some(load) = self.endpoints.get_mut(&work.lead) {
             load.writers.retain(|writer| writer.id != id);
@@ -286,12 +299,23 @@
 
     /// Forgets all that one instance placed, as it has ended.
     pub fn forget_instance(&mut self, now: Timestamp, instance: u64) {
+        self.waiting.retain(|id, _| id.instance != instance);
         let ids = self.open.keys().filter(|id| id.instance == instance).copied();
         for id in ids.collect::<Vec<_>>() {
             self.end(now, id);
         }
     }
 
+    /// Notes a long prompt that waits for its turn.
+    pub fn wait(&mut self, id: WorkId, waiting: Waiting) {
+        self.waiting.insert(id, waiting);
+    }
+
+    /// The long prompts that wait for their turn at any instance.
+    pub fn waiting(&self) -> impl Iterator<Item = (WorkId, &Waiting)> {
+        self.waiting.iter().map(|(id, waiting)| (*id, waiting))
+    }
+
     /// The open work of one instance, with whether its prompt has been read.
     pub fn of_instance(&self, instance: u64) -> impl Iterator<Item = (WorkId, &Work, bool)> {
         let mine = self.open.iter().filter(move |(id, _)| id.instance == instance);
@@ -308,6 +332,7 @@
             return;
         }
         self.swept_at = now;
+        self.waiting.retain(|_, waiting| waiting.until >= now);
         let late = self.open.iter().filter(|(_, o)| o.work.until < now).map(|(id, _)| *id);
         for id in late.collect::<Vec<_>>() {
             self.end(now, id);
--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -105,6 +105,8 @@
 /// What is still to be told to peers.
 #[derive(Debug, Clone, Default)]
 pub struct Outbox {
+    /// Long prompts that have begun to wait.
+    pub waiting: Vec<WorkId>,
     /// Work that was placed.
     pub placed: Vec<WorkId>,
     /// Work whose first event has come.
@@ -116,6 +118,9 @@
 impl Outbox {
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.placed.is_empty() && self.writing.is_empty() && self.ended.is_empty()
+        self.waiting.is_empty()
+            && self.placed.is_empty()
+            && self.writing.is_empty()
+            && self.ended.is_empty()
     }
 }
--- /dev/null
+++ b/crates/ringbend-gateway/src/quiet.rs
@@ -0,0 +1,46 @@
+//! Which engines are kept quiet: they write for requests with short prompts and read no long ones.
+
+use crate::choice::{View, spread};
+use crate::directory::Endpoint;
+use crate::engine::EngineProfile;
+
+/// The most engines that read one prompt: the engines' own limit of helpers, and the lead.
+pub(crate) const MOST_ENGINES: usize = 17;
+
+/// For each candidate, whether it is kept quiet: as many as the requests with short prompts need,
+/// those first that write for most of them.
+pub(crate) fn quiet_engines(
+    view: View<'_>,
+    profile: &EngineProfile,
+    candidates: &[&Endpoint],
+) -> Vec<bool> {
+    let w = view.weights;
+    let places = f64::from(profile.slots.max(1)) * w.full_share;
+    let counts: Vec<usize> = candidates.iter().map(|e| view.load.of(&e.id).quiet()).collect();
+    let count: usize = counts.iter().sum();
+    let needed = (count as f64 * w.quiet_growth + w.quiet_spare) / places;
+    // Long prompts must find an engine as well.
+    let most = candidates.len().saturating_sub(1);
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    // Instances that know of no other would all keep the same engine.
+    let own_order = |at: usize| match view.alone {
+        true => spread(view.seed, &candidates[at].id),
+        false => 0.0,
+    };
+    order.sort_by(|a, b| counts[*b].cmp(&counts[*a]).then(own_order(*a).total_cmp(&own_order(*b))));
+    let mut quiet = vec![false; candidates.len()];
+    for at in order.into_iter().take((needed.ceil() as usize).min(most)) {
+        quiet[at] = true;
+    }
+    quiet
+}
+
+/// The candidates that read long prompts.
+pub(crate) fn reading_engines<'a>(
+    view: View<'_>,
+    profile: &EngineProfile,
+    candidates: &[&'a Endpoint],
+) -> Vec<&'a Endpoint> {
+    let quiet = quiet_engines(view, profile, candidates);
+    candidates.iter().zip(quiet).filter(|(_, quiet)| !quiet).map(|(e, _)| *e).collect()
+}
--- a/crates/ringbend-gateway/src/weights.rs
+++ b/crates/ringbend-gateway/src/weights.rs
@@ -24,10 +24,17 @@
     pub helper: f64,
     /// What it costs to put a tight request on an engine that is not kept for them.
     pub open: f64,
-    /// How many tight requests are expected soon for each that is open.
-    pub tight_growth: f64,
-    /// Tight requests that are expected beside those.
-    pub tight_spare: f64,
+    /// A prompt that one engine reads for longer than this many milliseconds is long: it waits for
+    /// its turn and is kept off quiet engines.
+    pub long_ms: f64,
+    /// How long each engine should read of a long prompt, in milliseconds.
+    pub part_ms: f64,
+    /// An engine that has this many milliseconds left to read counts as free for the next prompt.
+    pub free_ms: f64,
+    /// How many requests with short prompts are expected soon for each that is open.
+    pub quiet_growth: f64,
+    /// Such requests that are expected beside those.
+    pub quiet_spare: f64,
     /// The share of an engine's places that tight requests fill before the next one is taken.
     pub full_share: f64,
     /// What 100 ms of reading cost for each tight request, beside what it makes late now.
@@ -49,10 +56,13 @@
             delay: 1.0,
             whole_ms: 30.0,
             helper: 0.01,
-            open: 0.3,
-            tight_growth: 1.0,
-            tight_spare: 0.0,
-            full_share: 0.8,
+            open: 1.0,
+            long_ms: 600.0,
+            part_ms: 600.0,
+            free_ms: 5.0,
+            quiet_growth: 1.0,
+            quiet_spare: 2.0,
+            full_share: 0.95,
             read: 0.03,
             hold: 0.5,
             spread: 0.0,
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -70,6 +70,7 @@
         first_by: at(1_000_000),
         stake: 1.0,
         until: at(2_000_000),
+        long: false,
     }
 }
 
--- /dev/null
+++ b/crates/ringbend-gateway/tests/turns.rs
@@ -0,0 +1,178 @@
+//! When long prompts are sent, and which engines they keep off.
+
+mod support;
+
+use std::time::Duration;
+
+use ringbend_gateway::{
+    Demand, Endpoint, LoadBook, PlacementWeights, TrustBook, Turn, View, Waiting, Wish, Work,
+    place_on_engines, turn,
+};
+use ringbend_types::DataCentre;
+use support::{at, endpoint, fleet, ms, profile, work, work_id};
+
+struct Queue {
+    fleet: Vec<Endpoint>,
+    load: LoadBook,
+    trust: TrustBook,
+    weights: PlacementWeights,
+    home: DataCentre,
+    now: u64,
+}
+
+impl Queue {
+    fn new(engines: usize) -> Self {
+        Self {
+            fleet: fleet(engines),
+            load: LoadBook::default(),
+            trust: TrustBook::default(),
+            weights: PlacementWeights { quiet_spare: 0.0, ..PlacementWeights::default() },
+            home: "z1".parse().unwrap(),
+            now: 0,
+        }
+    }
+
+    /// All engines read for so long.
+    fn reading(mut self, left_ms: u64) -> Self {
+        for engine in 1..=self.fleet.len() {
+            let long = Work { long: true, ..work(engine, ms(left_ms)) };
+            self.load.place(at(0), work_id(engine as u64), long);
+        }
+        self
+    }
+
+    /// A prompt that one engine reads for `read_ms`, and whose first event is due at `due_ms`.
+    fn waits(mut self, id: u64, read_ms: u64, since_ms: u64, due_ms: u64) -> Self {
+        let waiting = Waiting {
+            read: ms(read_ms),
+            since: at(since_ms),
+            first_by: at(due_ms),
+            until: at(since_ms + 15_000),
+        };
+        self.load.wait(work_id(id), waiting);
+        self
+    }
+
+    fn at(mut self, now_ms: u64) -> Self {
+        self.now = now_ms;
+        self.load.advance(at(now_ms));
+        self
+    }
+
+    fn view(&self) -> View<'_> {
+        View {
+            now: at(self.now),
+            home: &self.home,
+            load: &self.load,
+            seed: 1,
+            alone: false,
+            weights: &self.weights,
+            trust: &self.trust,
+            tried: &[],
+        }
+    }
+
+    fn turn_after(&self, id: u64, unused: Duration) -> Turn {
+        let candidates: Vec<&Endpoint> = self.fleet.iter().collect();
+        turn(self.view(), &profile(), &candidates, work_id(id), unused)
+    }
+
+    fn turn(&self, id: u64) -> Turn {
+        self.turn_after(id, Duration::ZERO)
+    }
+
+    fn lead(&self, prompt_tokens: u64) -> String {
+        let candidates: Vec<&Endpoint> = self.fleet.iter().collect();
+        let demand = Demand { prompt_tokens, answer_tokens: 500 };
+        let wish = Wish { demand, first_in: ms(3_000), gap: ms(800) };
+        let placement = place_on_engines(self.view(), &profile(), &candidates, &wish).unwrap();
+        placement.lead.to_string()
+    }
+}
+
+#[test]
+fn a_long_prompt_goes_at_once_where_engines_have_nothing_to_read() {
+    assert_eq!(Queue::new(6).waits(100, 2_000, 0, 3_000).turn(100), Turn::Now);
+}
+
+/// Sent at once, it would be read before all that is being read, and make that late.
+#[test]
+fn a_long_prompt_waits_while_engines_read() {
+    let queue = Queue::new(6).reading(500).waits(100, 2_000, 0, 3_000);
+    let Turn::In(left) = queue.turn(100) else { panic!("{:?}", queue.turn(100)) };
+    assert!(left > ms(400) && left <= ms(500), "{left:?}");
+    assert_eq!(queue.at(700).turn(100), Turn::Now);
+}
+
+#[test]
+fn the_prompt_that_is_due_first_goes_first() {
+    let queue = Queue::new(6).waits(100, 3_000, 0, 4_000).waits(101, 3_000, 100, 3_500);
+    assert_eq!(queue.turn(101), Turn::Now);
+    assert_eq!(queue.turn(100), Turn::PassedOver);
+}
+
+#[test]
+fn prompts_that_need_few_engines_go_beside_each_other() {
+    let queue = Queue::new(6).waits(100, 1_000, 0, 3_000).waits(101, 1_000, 0, 3_000);
+    assert_eq!(queue.turn(100), Turn::Now);
+    assert_eq!(queue.turn(101), Turn::Now);
+}
+
+/// Six engines read 6 s of prompts in one second: either the long one is on time, or the two others.
+#[test]
+fn the_longest_gives_way_where_not_all_can_be_on_time() {
+    let queue = Queue::new(6)
+        .waits(100, 6_000, 0, 1_200)
+        .waits(101, 2_400, 0, 1_300)
+        .waits(102, 2_400, 0, 1_400);
+    assert_eq!(queue.turn(101), Turn::Now);
+    assert_eq!(queue.turn(100), Turn::PassedOver);
+}
+
+#[test]
+fn a_prompt_that_waited_for_half_of_its_time_goes_first_however_late() {
+    let queue =
+        Queue::new(6).waits(100, 12_000, 0, 3_000).waits(101, 2_400, 7_000, 11_000).at(7_600);
+    assert_eq!(queue.turn(100), Turn::Now);
+    assert_eq!(queue.turn(101), Turn::PassedOver);
+}
+
+/// The instance of the first may have been killed; others hear of it only seconds later.
+#[test]
+fn room_that_stands_unused_is_taken_by_the_next() {
+    let queue = Queue::new(6).waits(100, 3_600, 0, 3_500).waits(101, 3_600, 100, 4_000);
+    assert_eq!(queue.turn_after(101, ms(10)), Turn::PassedOver);
+    assert_eq!(queue.turn_after(101, ms(40)), Turn::Now);
+}
+
+#[test]
+fn a_prompt_that_waits_no_more_holds_nobody_up() {
+    let mut queue = Queue::new(6).waits(100, 3_600, 0, 3_500).waits(101, 3_600, 100, 4_000);
+    queue.load.end(at(0), work_id(100));
+    assert_eq!(queue.turn(101), Turn::Now);
+    let mut queue = Queue::new(6).waits(100, 3_600, 0, 3_500).waits(101, 3_600, 100, 4_000);
+    queue.load.forget_instance(at(0), 1);
+    assert_eq!(queue.load.waiting().count(), 0);
+}
+
+#[test]
+fn a_single_engine_serves_long_prompts_too() {
+    let mut queue = Queue::new(1).waits(100, 2_000, 0, 3_000);
+    queue.load.place(at(0), work_id(1), work(1, ms(0)));
+    assert_eq!(queue.turn(100), Turn::Now);
+    assert_eq!(queue.lead(200_000), "e-01");
+}
+
+#[test]
+fn long_prompts_keep_off_the_engines_that_short_ones_need() {
+    let mut queue = Queue::new(3);
+    for n in 0..10 {
+        queue.load.place(at(0), work_id(200 + n), work(2, ms(0)));
+    }
+    assert_ne!(queue.lead(400_000), "e-02");
+    // All engines but one would be needed for the short ones: one is left for long prompts.
+    for n in 0..80 {
+        queue.load.place(at(0), work_id(300 + n), work(1 + n as usize % 2, ms(0)));
+    }
+    assert_eq!(queue.lead(400_000), endpoint(3).id.to_string());
+}
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod relayed;
 mod sending;
 mod streams;
+mod turns;
 mod watch;
 
 pub use config::{BoundsConfig, ListenConfig, RelayConfig, RelayConfigError, StoreConfig};
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -120,6 +120,7 @@
         match failed {
             Failed::Replaced => None,
             Failed::NoMemory if self.wait_for_memory().await => None,
+            Failed::NoTurn => Some(self.late().unwrap_or(Refusal::LateNotRun)),
             Failed::NoMemory | Failed::NoEndpoint => match self.attempts.run_state() {
                 RunState::NotRun => Some(Refusal::NoEndpoint),
                 state => Some(Refusal::of_state(state)),
@@ -203,6 +204,7 @@
     }
 
     async fn send(&mut self) -> Result<Reply, Failed> {
+        self.wait_for_turn().await?;
         let (endpoint, placement) = self.choose().ok_or(Failed::NoEndpoint)?;
         let (placed, mut answer, facts) = self.exchange(&endpoint, &placement, None).await?;
         self.check(&endpoint, &facts, answer.head.status)?;
@@ -250,6 +252,8 @@
 
 /// Why a send brought nothing to pass on.
 pub(crate) enum Failed {
+    /// Its time is up before its turn came.
+    NoTurn,
     /// No endpoint was left to send to.
     NoEndpoint,
     /// Engines had too little memory to hold; nothing was sent.
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -8,7 +8,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Directory, LoadBook, Outbox, Peers, Readers, RepeatBudget, Replica, TrustBook, Work, WorkId,
+    Directory, LoadBook, Outbox, Peers, Readers, RepeatBudget, Replica, TrustBook, Waiting, Work,
+    WorkId,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -36,6 +37,8 @@
     /// What other instances have not been told yet.
     pub(crate) outbox: RefCell<Outbox>,
     pub(crate) signals: Signals,
+    /// Told when other instances have told of work.
+    pub(crate) load_news: Notify,
     /// Told when a call to the store has failed.
     pub(crate) store_lost: Notify,
     /// Whether the sentinel's last call to the store failed.
@@ -89,6 +92,7 @@
             peers: RefCell::default(),
             outbox: RefCell::default(),
             signals: Signals::default(),
+            load_news: Notify::new(),
             store_lost: Notify::new(),
             store_is_lost: Cell::new(false),
             store_regained: Notify::new(),
@@ -138,6 +142,15 @@
         Placed { node: self.clone(), id, memory: None }
     }
 
+    /// Notes a long prompt that waits for its turn; it does until the guard is dropped.
+    pub(crate) fn wait(self: &Rc<Self>, waiting: Waiting) -> Waits {
+        let id = self.next_work();
+        self.load.borrow_mut().wait(id, waiting);
+        self.outbox.borrow_mut().waiting.push(id);
+        self.signals.now.notify_one();
+        Waits { node: self.clone(), id }
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub(crate) fn open(self: &Rc<Self>) -> Open {
         self.open.set(self.open.get() + 1);
@@ -170,6 +183,20 @@
     }
 }
 
+/// A long prompt that waits. Dropping it takes it out of the order.
+pub(crate) struct Waits {
+    node: Rc<Node>,
+    pub(crate) id: WorkId,
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        self.node.load.borrow_mut().end(self.node.clock.now(), self.id);
+        self.node.outbox.borrow_mut().ended.push(self.id);
+        self.node.signals.soon.notify_one();
+    }
+}
+
 /// A request that was read. Dropping it counts it as ended.
 pub(crate) struct Open {
     node: Rc<Node>,
--- a/crates/ringbend-relay/src/peers.rs
+++ b/crates/ringbend-relay/src/peers.rs
@@ -6,7 +6,9 @@
 
 use ringbend_gateway::{HEARTBEAT, Heard, Outbox, WorkId};
 use ringbend_types::Timestamp;
-use ringbend_wire::{LoadDigest, Message, PlacedWork, placed_work, work_of};
+use ringbend_wire::{
+    LoadDigest, Message, PlacedWork, WaitingWork, placed_work, waiting_of, waiting_work, work_of,
+};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -134,6 +136,7 @@
         let sequences = |ids: &[WorkId]| ids.iter().map(|id| id.sequence).collect();
         let placed = self.placed(|id| outbox.placed.contains(&id));
         let first = LoadDigest {
+            waiting: self.waiting(|id| outbox.waiting.contains(&id)),
             writing: sequences(&outbox.writing),
             ended: sequences(&outbox.ended),
             endpoint_changes: self.node.endpoint_changes.borrow_mut().take(),
@@ -154,6 +157,16 @@
             .collect()
     }
 
+    /// This instance's long prompts that wait and are asked for.
+    fn waiting(&self, is_asked: impl Fn(WorkId) -> bool) -> Vec<WaitingWork> {
+        let (now, load) = (self.node.clock.now(), self.node.load.borrow());
+        let own = self.node.incarnation();
+        load.waiting()
+            .filter(|(id, _)| id.instance == own && is_asked(*id))
+            .map(|(id, waiting)| waiting_work(now, id, waiting))
+            .collect()
+    }
+
     fn split(&self, first: LoadDigest, placed: Vec<PlacedWork>) -> Vec<LoadDigest> {
         let mut digests = vec![first];
         for (at, work) in placed.into_iter().enumerate() {
@@ -220,7 +233,11 @@
         }
         if digest.hello {
             let all = self.placed(|_| true);
-            let answer = LoadDigest { hello_clock_us: Some(digest.clock_us), ..self.digest() };
+            let answer = LoadDigest {
+                hello_clock_us: Some(digest.clock_us),
+                waiting: self.waiting(|_| true),
+                ..self.digest()
+            };
             for digest in self.split(answer, all) {
                 self.tell(&digest, from);
             }
@@ -236,6 +253,9 @@
     fn note(&self, now: Timestamp, instance: u64, digest: &LoadDigest) {
         let mut load = self.node.load.borrow_mut();
         let id = |sequence: u64| WorkId { instance, sequence };
+        for waiting in &digest.waiting {
+            load.wait(id(waiting.sequence), waiting_of(now, waiting));
+        }
         for placed in &digest.placed {
             match work_of(now, placed) {
                 Ok(work) => {
@@ -249,5 +269,6 @@
         }
         digest.writing.iter().for_each(|sequence| load.first_event(id(*sequence)));
         digest.ended.iter().for_each(|sequence| load.end(now, id(*sequence)));
+        self.node.load_news.notify_waiters();
     }
 }
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -4,7 +4,7 @@
 
 use ringbend_gateway::{
     Demand, Endpoint, EndpointLoad, Placement, Ticket, TicketId, TrustEvent, View, Wish, Work,
-    WorkId, place_on_engines, place_on_service, stake,
+    WorkId, is_long, place_on_engines, place_on_service, stake,
 };
 use ringbend_types::{EndpointId, Timestamp};
 
@@ -124,6 +124,7 @@
             part: placement.part,
             memory_tokens: memory.saturating_sub(placement.held.iter().map(|h| h.tokens).sum()),
             held: placement.held.clone(),
+            long: self.is_long(),
             gap: self.gap(),
             first_by: self.first_by(),
             stake: stake(&self.node.cfg.borrow().placement, demand.prompt_tokens),
@@ -150,6 +151,12 @@
         urgency.saturating_mul(RANKS_PER_PRIORITY).saturating_add(patience).min(LAST_RANK)
     }
 
+    /// Whether the prompt is long, so that it waits for its turn.
+    pub(crate) fn is_long(&self) -> bool {
+        let engine = self.terms.service.engine.as_ref().zip(self.call.demand);
+        engine.is_some_and(|(e, demand)| is_long(&self.node.cfg.borrow().placement, e, demand))
+    }
+
     /// How long one engine would read the prompt.
     pub(crate) fn read_time(&self) -> Duration {
         let (engine, demand) = (&self.terms.service.engine, self.call.demand);
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -109,7 +109,7 @@
     pub(crate) fn silence_limit(&self) -> Timestamp {
         let deadline = self.attempts.deadline();
         let may_repeat = self.terms.route.repeat.may_repeat() && self.attempts.may_run_again();
-        if !may_repeat || self.read_time() > MOST_READ_TWICE {
+        if !may_repeat || self.is_long_to_read_twice() {
             return deadline;
         }
         let least = if self.terms.route.streaming { FIRST_EVENT_SILENCE } else { PLAIN_SILENCE };
@@ -117,6 +117,11 @@
         deadline.min(self.node.clock.now() + limit)
     }
 
+    /// Whether the prompt takes so long to read that silence alone is no reason for another run.
+    pub(crate) fn is_long_to_read_twice(&self) -> bool {
+        self.read_time() > MOST_READ_TWICE
+    }
+
     /// Waits until `by`, and until the deadline if no other run can take this one's place.
     pub(crate) async fn patient<T>(
         &mut self,
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -141,6 +141,9 @@
 
 fn gap_limit(life: &Life) -> Timestamp {
     let deadline = life.attempts.deadline();
+    if life.is_long_to_read_twice() {
+        return deadline;
+    }
     let gap = life.terms.route.gap_aim.unwrap_or(life.terms.route.aim);
     deadline.min(life.node.clock.now() + (gap * GAP_FACTOR).max(GAP_SILENCE))
 }
@@ -159,7 +162,7 @@
             Failed::Replaced => true,
             Failed::Send(end) => life.next(end) == Next::SendAgain,
             Failed::NoMemory => life.wait_for_memory().await,
-            Failed::NoEndpoint => false,
+            Failed::NoEndpoint | Failed::NoTurn => false,
         };
         if !goes_on || last.is_none() {
             return Err(Cut::Broken);
--- /dev/null
+++ b/crates/ringbend-relay/src/turns.rs
@@ -0,0 +1,78 @@
+//! Waiting until a long prompt may be sent to engines.
+
+use std::time::Duration;
+
+use ringbend_gateway::{Endpoint, Turn, View, Waiting, WorkId, turn};
+use ringbend_types::Timestamp;
+
+use crate::life::{Failed, Life};
+
+/// The longest time between two looks at engines that still read: an engine may leave meanwhile.
+const LONGEST_LOOK: Duration = Duration::from_millis(60);
+
+/// The shortest time between two looks.
+const SHORTEST_LOOK: Duration = Duration::from_millis(4);
+
+impl Life {
+    /// Waits until it is this request's turn, if its prompt is long.
+    pub(crate) async fn wait_for_turn(&mut self) -> Result<(), Failed> {
+        if !self.is_long() {
+            return Ok(());
+        }
+        let began = self.node.clock.now();
+        let waits = self.node.wait(Waiting {
+            read: self.read_time(),
+            since: self.arrived,
+            first_by: self.first_by(),
+            until: self.attempts.deadline(),
+        });
+        let mut passed_over_at: Option<Timestamp> = None;
+        loop {
+            let now = self.node.clock.now();
+            if now >= self.attempts.deadline() {
+                return Err(Failed::NoTurn);
+            }
+            let unused = passed_over_at.map_or(Duration::ZERO, |at| now.since(at));
+            let look = match self.turn(now, waits.id, unused) {
+                Turn::Now => break,
+                Turn::PassedOver => {
+                    passed_over_at.get_or_insert(now);
+                    SHORTEST_LOOK
+                }
+                Turn::In(left) => {
+                    passed_over_at = None;
+                    left.clamp(SHORTEST_LOOK, LONGEST_LOOK)
+                }
+            };
+            tokio::select! {
+                () = tokio::time::sleep(look) => {}
+                () = self.node.load_news.notified() => {}
+            }
+        }
+        let waited_ms = self.node.clock.now().since(began).as_millis() as u64;
+        let waiting = self.node.load.borrow().waiting().count() - 1;
+        log::info!(target: "request", id = self.id(), waited_ms, waiting; "turn");
+        Ok(())
+    }
+
+    fn turn(&self, now: Timestamp, id: WorkId, unused: Duration) -> Turn {
+        self.node.load.borrow_mut().advance(now);
+        let directory = self.node.directory.borrow();
+        let candidates: Vec<&Endpoint> =
+            directory.of_service(now, &self.terms.service.name).collect();
+        let (cfg, load, trust) =
+            (self.node.cfg.borrow(), self.node.load.borrow(), self.node.trust.borrow());
+        let Some(engine) = &self.terms.service.engine else { return Turn::Now };
+        let view = View {
+            now,
+            home: &cfg.data_centre,
+            load: &load,
+            seed: self.node.incarnation(),
+            alone: false,
+            weights: &cfg.placement,
+            trust: &trust,
+            tried: self.attempts.tried(),
+        };
+        turn(view, engine, &candidates, id, unused)
+    }
+}
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -164,6 +164,28 @@
     /// Memory held for it on helpers.
     #[prost(message, repeated, tag = "11")]
     pub held: ::prost::alloc::vec::Vec<HeldMemory>,
+    /// Whether its prompt is long, so that it waited for its turn.
+    #[prost(bool, tag = "12")]
+    pub long: bool,
+}
+/// A long prompt that waits at the sender for its turn to be read.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WaitingWork {
+    /// Counts up within the sender's incarnation, with that of `PlacedWork`.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// How long one engine would read it, in microseconds.
+    #[prost(uint64, tag = "2")]
+    pub read_us: u64,
+    /// How long ago it arrived, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// The time left until its first event is late, in milliseconds; none once it is.
+    #[prost(uint64, tag = "4")]
+    pub first_in_ms: u64,
+    /// The time left until it has ended for sure, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub left_ms: u64,
 }
 /// Memory on a helper that holds a part of a prompt.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -206,6 +228,9 @@
     /// Endpoints that changed, whose table the sender has read up to `currency.endpoints_cursor`.
     #[prost(message, optional, tag = "10")]
     pub endpoint_changes: ::core::option::Option<EndpointChanges>,
+    /// Long prompts that have begun to wait.
+    #[prost(message, repeated, tag = "11")]
+    pub waiting: ::prost::alloc::vec::Vec<WaitingWork>,
 }
 /// How current an instance's copies of the watched tables are.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use ringbend_gateway::{Held, Work, WorkId};
+use ringbend_gateway::{Held, Waiting, Work, WorkId};
 use ringbend_types::{EndpointId, ParseIdError, Timestamp};
 
-use crate::generated::{HeldMemory, PlacedWork};
+use crate::generated::{HeldMemory, PlacedWork, WaitingWork};
 use crate::map::WireError;
 
 fn millis(span: Duration) -> u64 {
@@ -26,6 +26,7 @@
         stake: work.stake,
         writing,
         held: work.held.iter().map(held_memory).collect(),
+        long: work.long,
     }
 }
 
@@ -54,5 +55,27 @@
         first_by: now + Duration::from_millis(placed.first_in_ms),
         stake: placed.stake,
         until: now + Duration::from_millis(placed.left_ms),
+        long: placed.long,
     })
 }
+
+/// A long prompt that waits, as told to peers at `now`.
+pub fn waiting_work(now: Timestamp, id: WorkId, waiting: &Waiting) -> WaitingWork {
+    WaitingWork {
+        sequence: id.sequence,
+        read_us: u64::try_from(waiting.read.as_micros()).unwrap_or(u64::MAX),
+        age_ms: millis(now.since(waiting.since)),
+        first_in_ms: millis(waiting.first_by.since(now)),
+        left_ms: millis(waiting.until.since(now)),
+    }
+}
+
+/// A long prompt that waits, as told by a peer and received at `now`.
+pub fn waiting_of(now: Timestamp, told: &WaitingWork) -> Waiting {
+    Waiting {
+        read: Duration::from_micros(told.read_us),
+        since: now - Duration::from_millis(told.age_ms),
+        first_by: now + Duration::from_millis(told.first_in_ms),
+        until: now + Duration::from_millis(told.left_ms),
+    }
+}
