feat(gateway): last chances go first, prompts that are too late are given up at once

Change: a waiting prompt is measured against the time at which its caller leaves; it goes first when three times its reading is left, and is answered at once, as not run, when it cannot be read any more. Presence is asked for again as soon as the store is back.

--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -25,7 +25,7 @@
     pub since: Timestamp,
     /// When its first event is due.
     pub first_by: Timestamp,
-    /// When its request must have ended.
+    /// When its caller leaves if no event has come.
     pub until: Timestamp,
 }
 
@@ -38,6 +38,8 @@
     PassedOver,
     /// Too few engines have nothing to read; some will after this time.
     In(Duration),
+    /// Its caller would leave before it could be read.
+    TooLate,
 }
 
 /// How long room may stand unused before a prompt goes ahead of one that should go first: its
@@ -45,7 +47,10 @@
 const UNUSED: Duration = Duration::from_millis(30);
 
 /// The part of a request's time after which it goes before all others, however late it is.
-const AGED: f64 = 0.5;
+const AGED: f64 = 0.6;
+
+/// A prompt goes before all others, too, when this many times as long as it takes to read is left.
+const LAST_CHANCE: u32 = 3;
 
 /// What each prompt costs beside its reading: a pass that it waits for, and one that it shares.
 const BETWEEN: Duration = Duration::from_millis(60);
@@ -72,7 +77,8 @@
     };
     let is_aged = |q: &Queued<'_>| {
         let patience = q.waiting.until.since(q.waiting.since);
-        now.since(q.waiting.since) > patience.mul_f64(AGED)
+        let is_last_chance = q.waiting.until.since(now) < q.alone * LAST_CHANCE;
+        is_last_chance || now.since(q.waiting.since) > patience.mul_f64(AGED)
     };
     let (mut aged, mut due): (Vec<_>, Vec<_>) =
         view.load.waiting().map(queued).partition(|q| is_aged(q));
@@ -116,7 +122,8 @@
 ) -> Turn {
     let reading = reading_engines(view, profile, candidates);
     let engines = reading.len();
-    let (w, free) = (view.weights, Duration::from_secs_f64(view.weights.free_ms / 1e3));
+    let (w, now) = (view.weights, view.now);
+    let free = Duration::from_secs_f64(w.free_ms / 1e3);
     let mut backlogs: Vec<Duration> =
         reading.iter().map(|e| view.load.of(&e.id).backlog().saturating_sub(free)).collect();
     backlogs.sort();
@@ -126,6 +133,9 @@
     for q in order(view, engines, backlog) {
         let wanted = wanted(w, q.waiting.read, engines);
         if q.id == id {
+            if now + q.alone > q.waiting.until {
+                return Turn::TooLate;
+            }
             own_wanted = Some(wanted);
             break;
         }
--- a/crates/ringbend-gateway/src/weights.rs
+++ b/crates/ringbend-gateway/src/weights.rs
@@ -56,7 +56,7 @@
             delay: 1.0,
             whole_ms: 30.0,
             helper: 0.01,
-            open: 1.0,
+            open: 0.45,
             long_ms: 600.0,
             part_ms: 600.0,
             free_ms: 5.0,
--- a/crates/ringbend-gateway/tests/turns.rs
+++ b/crates/ringbend-gateway/tests/turns.rs
@@ -155,6 +155,22 @@
     assert_eq!(queue.load.waiting().count(), 0);
 }
 
+#[test]
+fn a_prompt_that_cannot_be_read_before_its_caller_leaves_is_given_up_at_once() {
+    let queue = Queue::new(6).reading(4_000).waits(100, 12_000, 0, 3_000);
+    assert!(matches!(queue.turn(100), Turn::In(_)));
+    assert_eq!(queue.at(13_500).turn(100), Turn::TooLate);
+}
+
+#[test]
+fn a_prompt_has_its_last_chance_before_others() {
+    let mut queue = Queue::new(6).waits(101, 2_400, 0, 1_000);
+    let retried = Waiting { read: ms(6_000), since: at(0), first_by: at(3_000), until: at(2_900) };
+    queue.load.wait(work_id(100), retried);
+    assert_eq!(queue.turn(100), Turn::Now);
+    assert_eq!(queue.turn(101), Turn::PassedOver);
+}
+
 #[test]
 fn a_single_engine_serves_long_prompts_too() {
     let mut queue = Queue::new(1).waits(100, 2_000, 0, 3_000);
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -120,7 +120,10 @@
         match failed {
             Failed::Replaced => None,
             Failed::NoMemory if self.wait_for_memory().await => None,
-            Failed::NoTurn => Some(self.late().unwrap_or(Refusal::LateNotRun)),
+            Failed::NoTurn => Some(match self.attempts.run_state() {
+                RunState::NotRun => Refusal::LateNotRun,
+                state => Refusal::of_state(state),
+            }),
             Failed::NoMemory | Failed::NoEndpoint => match self.attempts.run_state() {
                 RunState::NotRun => Some(Refusal::NoEndpoint),
                 state => Some(Refusal::of_state(state)),
--- a/crates/ringbend-relay/src/peers.rs
+++ b/crates/ringbend-relay/src/peers.rs
@@ -59,7 +59,11 @@
     /// later reader sees the other and greets it.
     pub(crate) async fn join(self: Rc<Self>, presence: Rc<dyn Presence>) {
         loop {
-            let announced = tokio::time::timeout(PRESENCE_TIME, self.announce(&*presence)).await;
+            // A call that hangs since the store was lost is not waited for once it is back.
+            let announced = tokio::select! {
+                done = tokio::time::timeout(PRESENCE_TIME, self.announce(&*presence)) => done,
+                () = self.node.store_regained.notified() => continue,
+            };
             match announced.unwrap_or(Err(crate::SourceError::TimedOut)) {
                 Ok(count) => {
                     log::info!(target: "peers", told = count; "joined");
@@ -67,7 +71,10 @@
                 }
                 Err(e) => {
                     log::info!(target: "peers", error:% = e; "presence not written, trying again");
-                    tokio::time::sleep(PRESENCE_RETRY).await;
+                    tokio::select! {
+                        () = tokio::time::sleep(PRESENCE_RETRY) => {}
+                        () = self.node.store_regained.notified() => {}
+                    }
                 }
             }
         }
--- a/crates/ringbend-relay/src/turns.rs
+++ b/crates/ringbend-relay/src/turns.rs
@@ -10,6 +10,15 @@
 /// The longest time between two looks at engines that still read: an engine may leave meanwhile.
 const LONGEST_LOOK: Duration = Duration::from_millis(60);
 
+/// Callers leave a stream without an event after this many times its aim, if that is longest.
+const AIM_FACTOR: u32 = 4;
+
+/// The same in longest pauses that are on time.
+const GAP_FACTOR: u32 = 8;
+
+/// The same as a span.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+
 /// The shortest time between two looks.
 const SHORTEST_LOOK: Duration = Duration::from_millis(4);
 
@@ -24,17 +33,15 @@
             read: self.read_time(),
             since: self.arrived,
             first_by: self.first_by(),
-            until: self.attempts.deadline(),
+            until: self.first_event_patience(),
         });
         let mut passed_over_at: Option<Timestamp> = None;
         loop {
             let now = self.node.clock.now();
-            if now >= self.attempts.deadline() {
-                return Err(Failed::NoTurn);
-            }
             let unused = passed_over_at.map_or(Duration::ZERO, |at| now.since(at));
             let look = match self.turn(now, waits.id, unused) {
                 Turn::Now => break,
+                Turn::TooLate => return Err(Failed::NoTurn),
                 Turn::PassedOver => {
                     passed_over_at.get_or_insert(now);
                     SHORTEST_LOOK
@@ -55,6 +62,13 @@
         Ok(())
     }
 
+    /// When the caller leaves if no event has come.
+    fn first_event_patience(&self) -> Timestamp {
+        let route = &self.terms.route;
+        let patience = (route.aim * AIM_FACTOR).max(self.gap() * GAP_FACTOR).max(LEAST_PATIENCE);
+        self.attempts.deadline().min(self.arrived + patience)
+    }
+
     fn turn(&self, now: Timestamp, id: WorkId, unused: Duration) -> Turn {
         self.node.load.borrow_mut().advance(now);
         let directory = self.node.directory.borrow();
