perf(relay): instances hand each other the copies of the watched tables

Starts made four calls each.

It finds the others by the settings' seeds, whose answers name all they know; presence is written as before and read only where no seed answers. A lost store is asked about as often as by eight instances, however many there are; whoever reaches it tells all. An instance that does not reach the store no longer keeps others from reading, and stops when another one does.

--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -101,6 +101,11 @@
             .filter(move |e| e.service == *service && !e.leaving)
     }
 
+    /// The endpoints whose entries are there, leaving ones included.
+    pub fn registered(&self) -> impl Iterator<Item = &Endpoint> {
+        self.entries.values().filter(|e| e.missing_until.is_none()).map(|e| &e.endpoint)
+    }
+
     /// An endpoint by id.
     pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
         self.entries.get(id).map(|e| &e.endpoint)
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -34,7 +34,7 @@
 pub use freshness::{Freshness, Proof};
 pub use gate::{Admitted, Arrival, Denied, GateBounds, admit};
 pub use load::{EndpointLoad, Held, LoadBook, Reader, Work, WorkId, Writer};
-pub use peers::{HEARTBEAT, Heard, Outbox, Peers, SILENCE};
+pub use peers::{HEARTBEAT, Heard, Holds, Outbox, Peers, SILENCE};
 pub use reader::{READ_AGE_MS, Readers};
 pub use replica::{Adopted, Replica};
 pub use reservation::{HOLD, OrderAnswer, RENEW, Ticket, TicketId};
--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -7,9 +7,10 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use ringbend_types::Timestamp;
+use ringbend_types::{DataCentre, Timestamp};
 
 use crate::load::WorkId;
+use crate::snapshot::ConfigVersion;
 
 /// How long a silent peer still counts as there. A datagram goes out every `HEARTBEAT` at least, so
 /// three in a row were lost or not sent.
@@ -24,10 +25,27 @@
 /// The most peers that are kept; above the fleet's size, so that only forged addresses meet it.
 const MAX_PEERS: usize = 2_000;
 
-#[derive(Debug, Clone, Copy)]
+/// How far a peer's copies of the watched tables go, as it told last.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Holds {
+    /// The configuration in force there.
+    pub config: ConfigVersion,
+    /// How far it knows the changes of the endpoints' table.
+    pub endpoints: u64,
+}
+
+#[derive(Debug, Clone)]
 struct Peer {
     heard: Option<(Timestamp, u64)>,
     since: Timestamp,
+    holds: Holds,
+    data_centre: Option<DataCentre>,
+}
+
+impl Peer {
+    fn is_there(&self, now: Timestamp) -> bool {
+        self.heard.is_some_and(|(at, _)| now.since(at) < SILENCE)
+    }
 }
 
 /// What a received digest means for the book.
@@ -52,7 +70,9 @@
     /// Notes that an instance is said to be at `address`.
     pub fn told(&mut self, now: Timestamp, address: SocketAddrV4) {
         if self.peers.len() < MAX_PEERS {
-            self.peers.entry(address).or_insert(Peer { heard: None, since: now });
+            let (holds, data_centre) = (Holds::default(), None);
+            let peer = Peer { heard: None, since: now, holds, data_centre };
+            self.peers.entry(address).or_insert(peer);
         }
     }
 
@@ -70,6 +90,33 @@
         }
     }
 
+    /// Notes where the instance at `address` runs.
+    pub fn runs_in(&mut self, address: SocketAddrV4, data_centre: DataCentre) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.data_centre = Some(data_centre);
+        }
+    }
+
+    /// Notes how far the copies at `address` go.
+    pub fn holds(&mut self, address: SocketAddrV4, holds: Holds) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.holds = holds;
+        }
+    }
+
+    /// The instances whose copies go as far as is `wanted`: those in `home` if there are any.
+    pub fn holders(
+        &self,
+        now: Timestamp,
+        home: &DataCentre,
+        wanted: impl Fn(Holds) -> bool,
+    ) -> Vec<SocketAddrV4> {
+        let holders = || self.peers.iter().filter(|(_, p)| p.is_there(now) && wanted(p.holds));
+        let near = holders().filter(|(_, peer)| peer.data_centre.as_ref() == Some(home));
+        let near: Vec<SocketAddrV4> = near.map(|(address, _)| *address).collect();
+        if near.is_empty() { holders().map(|(address, _)| *address).collect() } else { near }
+    }
+
     /// Notes that the instance at `address` stops.
     pub fn left(&mut self, address: SocketAddrV4) {
         self.peers.remove(&address);
@@ -80,10 +127,19 @@
         self.peers.keys().copied()
     }
 
+    /// The addresses that were heard.
+    pub fn heard_addresses(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        self.peers.iter().filter(|(_, peer)| peer.heard.is_some()).map(|(address, _)| *address)
+    }
+
+    /// Whether an instance at `address` was heard or is being greeted.
+    pub fn knows(&self, address: SocketAddrV4) -> bool {
+        self.peers.contains_key(&address)
+    }
+
     /// How many instances are there, this one included.
     pub fn instances(&self, now: Timestamp) -> usize {
-        let there = |peer: &&Peer| peer.heard.is_some_and(|(at, _)| now.since(at) < SILENCE);
-        self.peers.values().filter(there).count() + 1
+        self.peers.values().filter(|peer| peer.is_there(now)).count() + 1
     }
 
     /// Drops peers that were silent for long. Returns the starts that have just fallen silent, whose
--- a/crates/ringbend-gateway/src/reader.rs
+++ b/crates/ringbend-gateway/src/reader.rs
@@ -30,9 +30,9 @@
 }
 
 impl Readers {
-    /// An instance that reads until it hears of another reader.
+    /// An instance that does not read until its copy has not been proved current for a while.
     pub fn new(own_start: u64) -> Self {
-        Self { own_start, reads: true, clocks: BTreeMap::new() }
+        Self { own_start, reads: false, clocks: BTreeMap::new() }
     }
 
     /// Whether this instance reads the tables.
@@ -45,6 +45,11 @@
         self.reads = true;
     }
 
+    /// Stops reading, as the store is not reached and another instance proves the copy.
+    pub fn end(&mut self) {
+        self.reads = false;
+    }
+
     /// Notes that the instance that started as `start` answered, at `peers` on its clock, a greeting
     /// that was sent at `own` on ours.
     pub fn pair(&mut self, start: u64, own: Timestamp, peers: Timestamp) {
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -109,7 +109,7 @@
 /// How many engines should read a prompt.
 fn wanted(w: &PlacementWeights, read: Duration, engines: usize) -> usize {
     let parts = (read.as_secs_f64() * 1e3 / w.part_ms).ceil() as usize;
-    parts.clamp(1, engines.min(MOST_ENGINES).max(1))
+    parts.clamp(1, engines.clamp(1, MOST_ENGINES))
 }
 
 /// Whether the prompt `id`, which waits, may be sent. `unused` is how long it has been passed over.
--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -66,7 +66,7 @@
 }
 
 /// Where a relay listens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListenConfig {
     /// Callers' requests, TCP.
     pub callers: SocketAddrV4,
@@ -74,8 +74,12 @@
     pub ready: SocketAddrV4,
     /// Metrics, TCP; none are served when left out.
     pub metrics: Option<SocketAddrV4>,
-    /// Other instances, UDP; load is not shared when left out.
+    /// Other instances, UDP and TCP; load is not shared when left out.
     pub peers: Option<SocketAddrV4>,
+    /// Instances that may be there, to find the others by; they are greeted at the port of `peers`,
+    /// which is the same on all.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddrV4>,
 }
 
 /// The store that is watched.
@@ -118,7 +122,7 @@
 }
 
 /// Names that the file knows, for suggestions.
-const KNOWN_NAMES: [&str; 21] = [
+const KNOWN_NAMES: [&str; 22] = [
     "instance",
     "data_centre",
     "listen",
@@ -126,6 +130,7 @@
     "ready",
     "metrics",
     "peers",
+    "seeds",
     "store",
     "address",
     "bounds",
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -4,14 +4,13 @@
 
 use rand::Rng;
 
-use ringbend_gateway::{
-    Adopted, Endpoint, EndpointChange, Proof, READ_AGE_MS, Snapshot, SnapshotParts,
-};
+use ringbend_gateway::{Adopted, Endpoint, EndpointChange, Proof, READ_AGE_MS, Snapshot};
 use ringbend_wire::{EndpointChanges, row_of};
 
+use crate::fetch;
 use crate::node::Node;
-use crate::ports::Cursor;
-use crate::watch::Copy;
+use crate::ports::{ConfigItem, Cursor};
+use crate::watch::{Ask, Copy};
 
 /// How long the configuration's reader asks the store to wait. Its answers prove the copies of all
 /// instances, so this is how old those get.
@@ -28,12 +27,16 @@
 pub(crate) struct ConfigCopy;
 
 impl ConfigCopy {
-    fn offer(node: &Node, parts: SnapshotParts) {
-        let snapshot = Snapshot::new(parts);
+    /// Puts a configuration in force if it is newer.
+    pub(crate) fn offer(node: &Node, item: ConfigItem) {
+        let snapshot = Snapshot::new(item.parts);
         let (version, routes) = (snapshot.version, snapshot.route_count());
         match node.replica.borrow_mut().offer(snapshot) {
             Adopted::Newer { before } => {
                 let before = before.map_or(0, |v| v.0);
+                *node.config_raw.borrow_mut() = Some(item.raw);
+                // Others may take it from here.
+                node.signals.soon.notify_one();
                 node.metrics.settings_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
                 log::info!(target: "config", version = version.0, before, routes; "in force");
             }
@@ -45,7 +48,7 @@
     }
 }
 
-impl Copy<SnapshotParts, SnapshotParts> for ConfigCopy {
+impl Copy<ConfigItem, ConfigItem> for ConfigCopy {
     const NAME: &'static str = "config";
 
     /// A tenth of the time in which a configuration must be in force.
@@ -53,18 +56,25 @@
 
     const SENTINEL: bool = true;
 
-    fn replace(&self, node: &Node, items: Vec<SnapshotParts>, cursor: Cursor) {
+    fn replace(&self, node: &Node, items: Vec<ConfigItem>, cursor: Cursor) {
         self.apply(node, items, cursor);
     }
 
-    fn apply(&self, node: &Node, items: Vec<SnapshotParts>, _: Cursor) {
-        items.into_iter().for_each(|parts| Self::offer(node, parts));
+    fn apply(&self, node: &Node, items: Vec<ConfigItem>, _: Cursor) {
+        items.into_iter().for_each(|item| Self::offer(node, item));
     }
 
-    /// Reads for as long as no other instance does; then only what is new, or once the copy is old.
-    async fn turn(&self, node: &Node) -> Duration {
+    /// Reads for as long as no other instance does; then only once the copy is old.
+    async fn turn(&self, node: &Node) -> Ask {
+        let proved_at = node.replica.borrow().proved_at();
+        let others_reach =
+            node.store_lost_at.get().is_some_and(|lost_at| proved_at > Some(lost_at));
+        if others_reach && node.readers.borrow().reads() {
+            log::info!(target: "store", reads = false; "others reach the store");
+            node.readers.borrow_mut().end();
+        }
         if node.readers.borrow().reads() {
-            return CONFIG_WAIT;
+            return Ask::Store(CONFIG_WAIT);
         }
         let age_ms = node.rng.borrow_mut().random_range(READ_AGE_MS);
         loop {
@@ -74,15 +84,28 @@
                 log::info!(target: "store", age_ms; "copy is old, reading");
                 node.readers.borrow_mut().begin();
                 node.begins_to_read.notify_waiters();
-                return Duration::ZERO;
+                return Ask::Store(Duration::ZERO);
             }
             tokio::select! {
                 () = tokio::time::sleep_until(node.clock.instant(due)) => {}
-                () = node.config_news.notified() => return Duration::ZERO,
+                () = self.news(node) => return Ask::Peers,
             }
         }
     }
 
+    /// Also while this instance reads: its call may hang where others' calls do not.
+    async fn news(&self, node: &Node) {
+        fetch::config_news(node).await;
+    }
+
+    async fn take_news(&self, node: &Node) -> bool {
+        fetch::config(node).await
+    }
+
+    async fn from_peers(&self, node: &Node) -> Option<Cursor> {
+        fetch::first_config(node).await.then_some(Cursor::default())
+    }
+
     fn bad_row(&self, node: &Node) {
         node.replica.borrow_mut().miss();
     }
@@ -162,19 +185,36 @@
         node.signals.now.notify_one();
     }
 
-    /// Reads while this instance does; then only what it was told of and has not got.
-    async fn turn(&self, node: &Node) -> Duration {
+    /// Reads while this instance reads the configuration.
+    async fn turn(&self, node: &Node) -> Ask {
         loop {
             if node.readers.borrow().reads() {
-                return ENDPOINTS_WAIT;
+                return Ask::Store(ENDPOINTS_WAIT);
             }
             tokio::select! {
                 () = node.begins_to_read.notified() => {}
-                () = node.endpoint_news.notified() => return Duration::ZERO,
+                () = self.news(node) => return Ask::Peers,
             }
         }
     }
 
+    /// Not while this instance reads: it keeps the place of the last change that it read, and others
+    /// may be beyond that.
+    async fn news(&self, node: &Node) {
+        if node.readers.borrow().reads() {
+            return std::future::pending().await;
+        }
+        fetch::endpoint_news(node).await;
+    }
+
+    async fn take_news(&self, node: &Node) -> bool {
+        node.readers.borrow().reads() || fetch::endpoints(node).await
+    }
+
+    async fn from_peers(&self, node: &Node) -> Option<Cursor> {
+        fetch::first_endpoints(node).await.then(|| node.endpoints_cursor.get())
+    }
+
     fn bad_row(&self, _: &Node) {}
 
     fn prove(&self, _: &Node, _: Proof, _: bool) {}
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod copies;
 mod doors;
 mod exchange;
+mod fetch;
 mod fields;
 mod headers;
 mod life;
@@ -27,7 +28,8 @@
 
 pub use config::{BoundsConfig, ListenConfig, RelayConfig, RelayConfigError, StoreConfig};
 pub use ports::{
-    AnswerFacts, BadCall, BadRow, Batch, Call, ConfigSource, Cursor, Dialect, EndpointSource,
-    Helper, MemoryOrder, OrderCall, Presence, SendOrder, Source, SourceError,
+    AnswerFacts, BadCall, BadRow, Batch, Call, ConfigDecoder, ConfigItem, ConfigSource, Cursor,
+    Dialect, EndpointSource, Helper, MemoryOrder, OrderCall, Presence, SendOrder, Source,
+    SourceError,
 };
 pub use relay::{Ports, Relay, RelayError, Stopped};
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix_http::ServiceConfig;
+use bytes::Bytes;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
@@ -20,13 +21,18 @@
 use crate::config::RelayConfig;
 use crate::memory::HeldMemory;
 use crate::peers::Signals;
-use crate::ports::{Cursor, Dialect};
+use crate::ports::{ConfigDecoder, Cursor, Dialect};
 
 /// One relay's state. It lives on one thread.
 pub(crate) struct Node {
     pub(crate) cfg: RefCell<RelayConfig>,
     pub(crate) clock: Clock,
     pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) decoder: Rc<dyn ConfigDecoder>,
+    /// The configuration in force as its table holds it, for other instances.
+    pub(crate) config_raw: RefCell<Option<Bytes>>,
+    /// Copies that are being handed to other instances.
+    pub(crate) handing: Cell<usize>,
     pub(crate) replica: RefCell<Replica>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) load: RefCell<LoadBook>,
@@ -41,8 +47,8 @@
     pub(crate) load_news: Notify,
     /// Told when a call to the store has failed.
     pub(crate) store_lost: Notify,
-    /// Whether the sentinel's last call to the store failed.
-    pub(crate) store_is_lost: Cell<bool>,
+    /// Since when the sentinel's calls to the store fail.
+    pub(crate) store_lost_at: Cell<Option<Timestamp>>,
     /// Told when the sentinel reaches the store again.
     pub(crate) store_regained: Notify,
     /// Who reads the watched tables.
@@ -71,18 +77,30 @@
 /// prefers others; callers are owed nothing by an instance without contact for three seconds.
 const READY_AGE: Duration = Duration::from_millis(2_900);
 
+/// A lost store is asked about as often as by so many instances that know of no other, however many
+/// there are.
+const ASKING_INSTANCES: f64 = 8.0;
+
 /// How long a stopping instance goes on taking requests. The balancer takes some two seconds to send
 /// new callers elsewhere; what is taken later may not end within the grace time.
 const LAST_CALL: Duration = Duration::from_millis(2_500);
 
 impl Node {
-    pub(crate) fn new(cfg: RelayConfig, clock: Clock, dialect: Rc<dyn Dialect>) -> Rc<Self> {
+    pub(crate) fn new(
+        cfg: RelayConfig,
+        clock: Clock,
+        dialect: Rc<dyn Dialect>,
+        decoder: Rc<dyn ConfigDecoder>,
+    ) -> Rc<Self> {
         let incarnation = rand::random();
         let budget = RepeatBudget::new(cfg.bounds.budget());
         Rc::new(Self {
             cfg: RefCell::new(cfg),
             clock,
             dialect,
+            decoder,
+            config_raw: RefCell::default(),
+            handing: Cell::new(0),
             replica: RefCell::default(),
             directory: RefCell::default(),
             load: RefCell::default(),
@@ -94,7 +112,7 @@
             signals: Signals::default(),
             load_news: Notify::new(),
             store_lost: Notify::new(),
-            store_is_lost: Cell::new(false),
+            store_lost_at: Cell::new(None),
             store_regained: Notify::new(),
             readers: RefCell::new(Readers::new(incarnation)),
             begins_to_read: Notify::new(),
@@ -128,6 +146,13 @@
         self.stopping.get().is_some_and(|at| self.clock.now().since(at) >= LAST_CALL)
     }
 
+    /// How much longer than alone an instance waits between calls to a lost store: one that reaches it
+    /// again tells all others.
+    pub(crate) fn asking_factor(&self) -> f64 {
+        let instances = self.peers.borrow().instances(self.clock.now());
+        (instances as f64 / ASKING_INSTANCES).max(1.0)
+    }
+
     /// A name for new work.
     pub(crate) fn next_work(&self) -> WorkId {
         self.work.set(self.work.get() + 1);
--- a/crates/ringbend-relay/src/peers.rs
+++ b/crates/ringbend-relay/src/peers.rs
@@ -28,6 +28,17 @@
 /// How often this instance asks the store for others until it has been told.
 const PRESENCE_RETRY: Duration = Duration::from_millis(700);
 
+/// How long the seeds are given to answer.
+const SEED_TIME: Duration = Duration::from_millis(120);
+
+/// The pauses before each greeting of the seeds.
+const GREETINGS: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+    Duration::from_millis(1_500),
+];
+
 /// How long writing and reading presence may take. A slow store takes up to a third of a second a
 /// call; an answer that was lost never comes.
 const PRESENCE_TIME: Duration = Duration::from_millis(1_500);
@@ -55,9 +66,15 @@
         Ok(Rc::new(Self { node, socket, address }))
     }
 
+    pub(crate) fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
     /// Writes this instance's presence, then reads that of others: of two that start together, the
     /// later reader sees the other and greets it.
     pub(crate) async fn join(self: Rc<Self>, presence: Rc<dyn Presence>) {
+        // Answers of the seeds come first; then presence need not be read.
+        tokio::time::sleep(SEED_TIME).await;
         loop {
             // A call that hangs since the store was lost is not waited for once it is back.
             let announced = tokio::select! {
@@ -72,7 +89,7 @@
                 Err(e) => {
                     log::info!(target: "peers", error:% = e; "presence not written, trying again");
                     tokio::select! {
-                        () = tokio::time::sleep(PRESENCE_RETRY) => {}
+                        () = tokio::time::sleep(PRESENCE_RETRY.mul_f64(self.node.asking_factor())) => {}
                         () = self.node.store_regained.notified() => {}
                     }
                 }
@@ -80,17 +97,45 @@
         }
     }
 
-    async fn announce(&self, presence: &dyn Presence) -> Result<usize, crate::SourceError> {
-        presence.announce(self.address).await?;
-        let mut others = presence.all().await?;
-        others.retain(|address| *address != self.address);
+    /// Greets the seeds, more than once as they may just be starting. Their answers name the others.
+    pub(crate) async fn greet(self: Rc<Self>, seeds: Vec<SocketAddrV4>) {
+        let at_own_port = |seed: &SocketAddrV4| SocketAddrV4::new(*seed.ip(), self.address.port());
+        let seeds: Vec<SocketAddrV4> = seeds.iter().map(at_own_port).collect();
+        for pause in GREETINGS {
+            tokio::time::sleep(pause).await;
+            self.introduce(&seeds);
+        }
+    }
+
+    /// Greets instances that are said to be at these addresses.
+    fn introduce(&self, addresses: &[SocketAddrV4]) {
         let now = self.node.clock.now();
-        let hello = LoadDigest { hello: true, ..self.digest() };
-        for address in &others {
+        let hello = self.hello();
+        for address in addresses.iter().filter(|address| **address != self.address) {
             self.node.peers.borrow_mut().told(now, *address);
             self.tell(&hello, *address);
         }
-        Ok(others.len())
+    }
+
+    fn hello(&self) -> LoadDigest {
+        let data_centre = self.node.cfg.borrow().data_centre.to_string();
+        LoadDigest { hello: true, data_centre, ..self.digest() }
+    }
+
+    /// Whether other instances have been heard.
+    fn hears_others(&self) -> bool {
+        self.node.peers.borrow().instances(self.node.clock.now()) > 1
+    }
+
+    async fn announce(&self, presence: &dyn Presence) -> Result<usize, crate::SourceError> {
+        presence.announce(self.address).await?;
+        if self.hears_others() {
+            // They named all others.
+            return Ok(0);
+        }
+        let others = presence.all().await?;
+        self.introduce(&others);
+        Ok(others.len().saturating_sub(1))
     }
 
     /// Sends digests for as long as the process lives.
@@ -236,13 +281,19 @@
                 self.node.readers.borrow_mut().forget(replaced);
             }
             // Its answer pairs the clocks.
-            self.tell(&LoadDigest { hello: true, ..self.digest() }, from);
+            self.tell(&self.hello(), from);
+        }
+        if let Ok(data_centre) = digest.data_centre.parse() {
+            self.node.peers.borrow_mut().runs_in(from, data_centre);
         }
+        self.introduce_unknown(&digest.peers);
         if digest.hello {
             let all = self.placed(|_| true);
             let answer = LoadDigest {
                 hello_clock_us: Some(digest.clock_us),
                 waiting: self.waiting(|_| true),
+                data_centre: self.node.cfg.borrow().data_centre.to_string(),
+                peers: self.known_besides(from),
                 ..self.digest()
             };
             for digest in self.split(answer, all) {
@@ -254,7 +305,26 @@
             self.node.readers.borrow_mut().pair(start, own, peers);
         }
         self.note(now, start, digest);
-        relayed::take_in(&self.node, now, digest);
+        relayed::take_in(&self.node, now, from, digest);
+    }
+
+    /// The addresses of the instances that are there, but for one.
+    fn known_besides(&self, one: SocketAddrV4) -> Vec<String> {
+        let peers = self.node.peers.borrow();
+        peers.heard_addresses().filter(|a| *a != one).map(|a| a.to_string()).collect()
+    }
+
+    /// Greets instances that another one named and that are not known yet.
+    fn introduce_unknown(&self, named: &[String]) {
+        let mut unknown: Vec<SocketAddrV4> = Vec::new();
+        for address in named {
+            match address.parse() {
+                Ok(address) => unknown.push(address),
+                Err(e) => log::warn!(target: "peers", address, error:% = e; "no address"),
+            }
+        }
+        unknown.retain(|address| !self.node.peers.borrow().knows(*address));
+        self.introduce(&unknown);
     }
 
     fn note(&self, now: Timestamp, instance: u64, digest: &LoadDigest) {
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -194,8 +194,27 @@
     async fn changes(&self, after: Cursor, wait: Duration) -> Result<Batch<Change>, SourceError>;
 }
 
+/// A configuration as its table holds it, and decoded.
+#[derive(Debug, Clone)]
+pub struct ConfigItem {
+    /// The bytes that other instances are handed.
+    pub raw: Bytes,
+    /// What they hold.
+    pub parts: SnapshotParts,
+}
+
+/// Decodes a configuration that another instance read.
+pub trait ConfigDecoder {
+    /// Decodes the bytes of the table's row.
+    ///
+    /// # Errors
+    ///
+    /// They are no configuration.
+    fn decode(&self, raw: Bytes) -> Result<ConfigItem, BadRow>;
+}
+
 /// The configuration's table.
-pub type ConfigSource = dyn Source<SnapshotParts, SnapshotParts>;
+pub type ConfigSource = dyn Source<ConfigItem, ConfigItem>;
 
 /// The endpoints' table.
 pub type EndpointSource = dyn Source<Endpoint, EndpointChange>;
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -1,13 +1,13 @@
 //! Starts a relay, keeps its settings current and stops it.
 
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use ringbend_gateway::{Endpoint, EndpointChange, SnapshotParts};
+use ringbend_gateway::{Endpoint, EndpointChange};
 use ringbend_runtime::{Clock, Server, ServerConfig, serve};
 use tokio::task::JoinHandle;
 
@@ -15,9 +15,10 @@
 use crate::config::RelayConfig;
 use crate::copies::{ConfigCopy, EndpointCopy};
 use crate::doors::{MetricsPage, Ready};
+use crate::fetch::CopiesDoor;
 use crate::node::Node;
 use crate::peers::PeerLink;
-use crate::ports::{ConfigSource, Dialect, EndpointSource, Presence};
+use crate::ports::{ConfigDecoder, ConfigItem, ConfigSource, Dialect, EndpointSource, Presence};
 use crate::watch::Watch;
 
 /// Why a relay did not start.
@@ -43,6 +44,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// The configuration's table.
     pub config: Rc<ConfigSource>,
+    /// Decodes configurations that other instances read.
+    pub decoder: Rc<dyn ConfigDecoder>,
     /// The endpoints' table.
     pub endpoints: Rc<EndpointSource>,
     /// Where other instances are found.
@@ -97,8 +100,9 @@
     pub async fn start(cfg: RelayConfig, ports: Ports) -> Result<Self, Report<RelayError>> {
         cfg.unknown.iter().for_each(|warning| log::warn!(target: "relay", "{warning}"));
         let clock = Clock::start();
-        let listen = cfg.listen;
-        let node = Node::new(cfg, clock, ports.dialect);
+        let listen = cfg.listen.clone();
+        let seeds = cfg.listen.seeds.clone();
+        let node = Node::new(cfg, clock, ports.dialect, ports.decoder);
         let mut servers = Vec::new();
         let callers = Rc::new(Callers { node: node.clone() });
         servers.push(open(listen.callers.into(), callers).await?);
@@ -108,15 +112,19 @@
             servers.push(open(address.into(), page).await?);
         }
         let config =
-            Watch::<SnapshotParts, SnapshotParts, _>::new(node.clone(), ports.config, ConfigCopy);
+            Watch::<ConfigItem, ConfigItem, _>::new(node.clone(), ports.config, ConfigCopy);
         let endpoints =
             Watch::<Endpoint, EndpointChange, _>::new(node.clone(), ports.endpoints, EndpointCopy);
         let mut tasks =
             vec![tokio::task::spawn_local(config.run()), tokio::task::spawn_local(endpoints.run())];
         let mut peers = None;
         if let Some(address) = listen.peers {
+            let door = open(address.into(), Rc::new(CopiesDoor { node: node.clone() })).await?;
+            let address = SocketAddrV4::new(*address.ip(), door.address().port());
+            servers.push(door);
             let link = PeerLink::open(node.clone(), address).await;
             let link = link.change_context(RelayError::Listen(address.into()))?;
+            tasks.push(tokio::task::spawn_local(link.clone().greet(seeds)));
             tasks.push(tokio::task::spawn_local(link.clone().receive()));
             tasks.push(tokio::task::spawn_local(link.clone().send()));
             tasks.push(tokio::task::spawn_local(link.clone().join(ports.presence.clone())));
@@ -142,6 +150,11 @@
         self.servers.get(METRICS).map(Server::address)
     }
 
+    /// Where other instances reach this one.
+    pub fn peers_address(&self) -> Option<SocketAddrV4> {
+        self.peers.as_ref().map(|link| link.address())
+    }
+
     /// Whether new callers should come here.
     pub fn is_ready(&self) -> bool {
         self.node.is_ready()
--- a/crates/ringbend-relay/src/relayed.rs
+++ b/crates/ringbend-relay/src/relayed.rs
@@ -1,7 +1,9 @@
 //! What other instances tell of the watched tables: how current their copies are, and endpoint
 //! changes.
 
-use ringbend_gateway::{ConfigVersion, EndpointChange};
+use std::net::SocketAddrV4;
+
+use ringbend_gateway::{ConfigVersion, EndpointChange, Holds};
 use ringbend_types::Timestamp;
 use ringbend_wire::{Currency, EndpointChanges, LoadDigest, WireError, change_of};
 
@@ -15,17 +17,19 @@
     Some(Currency {
         config_version: replica.version()?.0,
         proved_us: replica.proved_at()?.0,
-        reads: node.readers.borrow().reads(),
+        // One that does not reach the store must not keep others from reading.
+        reads: node.readers.borrow().reads() && node.store_lost_at.get().is_none(),
         endpoints_cursor: node.endpoints_cursor.get().0,
     })
 }
 
 /// Takes in what a digest tells.
-pub(crate) fn take_in(node: &Node, now: Timestamp, digest: &LoadDigest) {
+pub(crate) fn take_in(node: &Node, now: Timestamp, from: SocketAddrV4, digest: &LoadDigest) {
     if let Some(changes) = &digest.endpoint_changes {
         take_in_changes(node, changes);
     }
     if let Some(currency) = &digest.currency {
+        note_holder(node, from, currency);
         take_in_currency(node, now, digest.incarnation, currency);
     }
 }
@@ -47,6 +51,19 @@
     }
 }
 
+/// Notes what can be had from the sender, and whether it is newer than what is here.
+fn note_holder(node: &Node, from: SocketAddrV4, currency: &Currency) {
+    let config = ConfigVersion(currency.config_version);
+    let holds = Holds { config, endpoints: currency.endpoints_cursor };
+    node.peers.borrow_mut().holds(from, holds);
+    if node.replica.borrow().version().is_none_or(|own| config > own) {
+        node.config_news.notify_one();
+    }
+    if Cursor(currency.endpoints_cursor) > node.endpoints_cursor.get() {
+        node.endpoint_news.notify_one();
+    }
+}
+
 fn take_in_currency(node: &Node, now: Timestamp, start: u64, currency: &Currency) {
     let proved_at = node.readers.borrow().on_own_clock(start, Timestamp(currency.proved_us));
     // Without a pairing of the clocks nothing is proved.
@@ -54,12 +71,6 @@
     let version = ConfigVersion(currency.config_version);
     node.replica.borrow_mut().prove_at(version, proved_at);
     let own = node.replica.borrow().version();
-    if own.is_some_and(|own| version > own) {
-        node.config_news.notify_one();
-    }
-    if Cursor(currency.endpoints_cursor) > node.endpoints_cursor.get() {
-        node.endpoint_news.notify_one();
-    }
     let same = own == Some(version);
     let stops = same
         && currency.reads
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -26,6 +26,14 @@
 /// The longest pause: callers come back to an instance that has contact for three seconds.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
 
+/// Who is asked next for what is new.
+pub(crate) enum Ask {
+    /// The store, which is to wait so long for a change.
+    Store(Duration),
+    /// Other instances, as one of them has something newer.
+    Peers,
+}
+
 /// What a watch does with what it reads.
 pub(crate) trait Copy<Whole, Change> {
     /// The table's name in logs.
@@ -43,9 +51,18 @@
     /// Takes in changes up to `cursor`.
     fn apply(&self, node: &Node, items: Vec<Change>, cursor: Cursor);
 
-    /// Waits until it is this instance's turn to ask the store. Returns how long the store is asked
-    /// to wait for a change.
-    fn turn(&self, node: &Node) -> impl Future<Output = Duration>;
+    /// Waits until it is this instance's turn to ask.
+    fn turn(&self, node: &Node) -> impl Future<Output = Ask>;
+
+    /// Waits until another instance is known to have newer rows than this one.
+    fn news(&self, node: &Node) -> impl Future<Output = ()>;
+
+    /// Takes what is newer from other instances. False if there is something and it could not be had
+    /// in time.
+    fn take_news(&self, node: &Node) -> impl Future<Output = bool>;
+
+    /// Takes the first copy from another instance; none if nobody has it. Returns how far it goes.
+    fn from_peers(&self, node: &Node) -> impl Future<Output = Option<Cursor>>;
 
     /// Notes that a row could not be read.
     fn bad_row(&self, node: &Node);
@@ -73,9 +90,13 @@
     }
 
     pub(crate) async fn run(mut self) {
+        let mut cursor = match self.copy.from_peers(&self.node).await {
+            Some(cursor) => cursor,
+            None => self.read_all().await,
+        };
         loop {
-            let cursor = self.read_all().await;
             self.follow(cursor).await;
+            cursor = self.read_all().await;
         }
     }
 
@@ -92,7 +113,12 @@
                     self.copy.prove(&self.node, proof, true);
                     return cursor;
                 }
-                Err(e) => self.failed(e).await,
+                Err(e) => {
+                    self.failed(e).await;
+                    if let Some(cursor) = self.copy.from_peers(&self.node).await {
+                        return cursor;
+                    }
+                }
             }
         }
     }
@@ -100,13 +126,21 @@
     /// Follows changes until the history is gone.
     async fn follow(&mut self, mut cursor: Cursor) {
         loop {
-            // After a failure the first call does not wait, so that contact is proved at once.
-            let turn = self.copy.turn(&self.node).await;
-            let wait = if self.lost_at.is_some() { Duration::ZERO } else { turn };
+            let is_up_to_date = self.copy.take_news(&self.node).await;
+            let wait = match is_up_to_date {
+                false => Duration::ZERO,
+                true => match self.copy.turn(&self.node).await {
+                    Ask::Peers => continue,
+                    // After a failure the first call does not wait, so that contact is proved at once.
+                    Ask::Store(_) if self.lost_at.is_some() => Duration::ZERO,
+                    Ask::Store(wait) => wait,
+                },
+            };
             let sent = self.node.clock.now();
             let call = bounded(wait + CALL_TIME, self.source.changes(cursor, wait));
             let answer = tokio::select! {
                 answer = call => answer,
+                () = self.copy.news(&self.node), if is_up_to_date => continue,
                 // A call that waits for long would hang for long after a cut.
                 () = self.node.store_lost.notified(), if !C::SENTINEL => {
                     Err(SourceError::Unreachable)
@@ -145,7 +179,7 @@
 
     fn answered(&mut self) {
         self.failures = 0;
-        if C::SENTINEL && self.node.store_is_lost.replace(false) {
+        if C::SENTINEL && self.node.store_lost_at.take().is_some() {
             self.node.store_regained.notify_waiters();
         }
         let Some(lost_at) = self.lost_at.take() else { return };
@@ -156,7 +190,8 @@
 
     async fn failed(&mut self, e: SourceError) {
         if C::SENTINEL {
-            self.node.store_is_lost.set(true);
+            let lost_at = self.node.store_lost_at.get().unwrap_or(self.node.clock.now());
+            self.node.store_lost_at.set(Some(lost_at));
             self.node.store_lost.notify_waiters();
         }
         if self.lost_at.is_none() {
@@ -164,20 +199,26 @@
             log::warn!(target: "store", table = C::NAME, error:% = e; "lost");
         }
         let pause = self.pause();
-        if C::SENTINEL || !self.node.store_is_lost.get() {
-            return tokio::time::sleep(pause).await;
+        if C::SENTINEL || self.node.store_lost_at.get().is_none() {
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.copy.news(&self.node) => {}
+            }
+            return;
         }
         // One watch asking a lost store is enough; the bound is for a sentinel that fails otherwise.
         tokio::select! {
             () = self.node.store_regained.notified() => {}
             () = tokio::time::sleep(LONGEST_REST) => {}
+            () = self.copy.news(&self.node) => {}
         }
     }
 
     fn pause(&mut self) -> Duration {
         let longest = (FIRST_PAUSE * 2u32.saturating_pow(self.failures)).min(LONGEST_PAUSE);
         self.failures += 1;
-        longest.mul_f64(self.node.rng.borrow_mut().random_range(0.33..1.0))
+        let share = self.node.rng.borrow_mut().random_range(0.33..1.0);
+        longest.mul_f64(share * self.node.asking_factor())
     }
 }
 
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -231,6 +231,12 @@
     /// Long prompts that have begun to wait.
     #[prost(message, repeated, tag = "11")]
     pub waiting: ::prost::alloc::vec::Vec<WaitingWork>,
+    /// Where the sender runs; told in a hello and its answer.
+    #[prost(string, tag = "12")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// In the answer to a hello: IP:port of other instances.
+    #[prost(string, repeated, tag = "13")]
+    pub peers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// How current an instance's copies of the watched tables are.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
