--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -102,7 +102,7 @@
         fetch::config(node).await
     }
 
-    async fn from_peers(&self, node: &Node) -> Option<Cursor> {
+    async fn first_copy(&self, node: &Node) -> Option<Cursor> {
         fetch::first_config(node).await.then_some(Cursor::default())
     }
 
@@ -211,7 +211,7 @@
         node.readers.borrow().reads() || fetch::endpoints(node).await
     }
 
-    async fn from_peers(&self, node: &Node) -> Option<Cursor> {
+    async fn first_copy(&self, node: &Node) -> Option<Cursor> {
         fetch::first_endpoints(node).await.then(|| node.endpoints_cursor.get())
     }
 
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -62,7 +62,7 @@
     fn take_news(&self, node: &Node) -> impl Future<Output = bool>;
 
     /// Takes the first copy from another instance; none if nobody has it. Returns how far it goes.
-    fn from_peers(&self, node: &Node) -> impl Future<Output = Option<Cursor>>;
+    fn first_copy(&self, node: &Node) -> impl Future<Output = Option<Cursor>>;
 
     /// Notes that a row could not be read.
     fn bad_row(&self, node: &Node);
@@ -90,7 +90,7 @@
     }
 
     pub(crate) async fn run(mut self) {
-        let mut cursor = match self.copy.from_peers(&self.node).await {
+        let mut cursor = match self.copy.first_copy(&self.node).await {
             Some(cursor) => cursor,
             None => self.read_all().await,
         };
@@ -115,7 +115,7 @@
                 }
                 Err(e) => {
                     self.failed(e).await;
-                    if let Some(cursor) = self.copy.from_peers(&self.node).await {
+                    if let Some(cursor) = self.copy.first_copy(&self.node).await {
                         return cursor;
                     }
                 }
