--- a/crates/ringbend-gateway/src/attempts.rs
+++ b/crates/ringbend-gateway/src/attempts.rs
@@ -32,9 +32,9 @@
     GiveUp(RunState),
 }
 
-/// Sends that provably ran nothing do not count as runs, but there is an end to them: an instance
-/// that meets this many refusals in a row has a wrong picture of the fleet.
-const MAX_IDLE_SENDS: u8 = 3;
+/// Sends that provably ran nothing do not count as runs, but there is an end to them. While the list
+/// of endpoints lags, a prompt that many engines read meets one that leaves after the other.
+const MAX_IDLE_SENDS: u8 = 8;
 
 /// The sends of one request so far.
 #[derive(Debug, Clone)]
--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use ringbend_types::{DataCentre, Timestamp};
+use ringbend_types::{DataCentre, EndpointId, Timestamp};
 
 use crate::load::WorkId;
 use crate::snapshot::ConfigVersion;
@@ -169,6 +169,8 @@
     pub writing: Vec<WorkId>,
     /// Work that has ended.
     pub ended: Vec<WorkId>,
+    /// Endpoints that an engine named as unable to help it.
+    pub unfit: Vec<EndpointId>,
 }
 
 impl Outbox {
@@ -178,5 +180,6 @@
             && self.placed.is_empty()
             && self.writing.is_empty()
             && self.ended.is_empty()
+            && self.unfit.is_empty()
     }
 }
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -17,6 +17,10 @@
 use crate::ports::Call;
 use crate::refusal::Refusal;
 
+/// How long a request waits for an instance that has just started. The first copies take some tens of
+/// milliseconds; the tightest aims are 120 and 300 ms.
+const BEGIN_TIME: Duration = Duration::from_millis(200);
+
 /// Answers callers.
 pub(crate) struct Callers {
     pub(crate) node: Rc<Node>,
@@ -76,6 +80,7 @@
             return Err(Refusal::Stopping);
         }
         let open = self.node.open();
+        self.wait_to_begin().await;
         let admitted = self.admit(&req, call, arrived)?;
         let limits = admitted.snapshot.limits;
         let deadline = arrived + admitted.route.timeout.min(patience(call));
@@ -101,6 +106,17 @@
         Ok(life.run().await)
     }
 
+    /// Lets a request that comes just after the start wait a little for the first copies.
+    async fn wait_to_begin(&self) {
+        let until = tokio::time::Instant::now() + BEGIN_TIME;
+        while !self.node.has_begun() {
+            let begun = self.node.begun.notified();
+            if tokio::time::timeout_at(until, begun).await.is_err() {
+                return;
+            }
+        }
+    }
+
     fn admit(
         &self,
         req: &HttpRequest,
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -60,7 +60,8 @@
         self.apply(node, items, cursor);
     }
 
-    fn apply(&self, node: &Node, items: Vec<ConfigItem>, _: Cursor) {
+    fn apply(&self, node: &Node, items: Vec<ConfigItem>, cursor: Cursor) {
+        node.config_cursor.set(node.config_cursor.get().max(cursor));
         items.into_iter().for_each(|item| Self::offer(node, item));
     }
 
@@ -102,8 +103,12 @@
         fetch::config(node).await
     }
 
+    fn known(&self, node: &Node) -> Cursor {
+        node.config_cursor.get()
+    }
+
     async fn first_copy(&self, node: &Node) -> Option<Cursor> {
-        fetch::first_config(node).await.then_some(Cursor::default())
+        fetch::first_config(node).await.then(|| node.config_cursor.get())
     }
 
     fn bad_row(&self, node: &Node) {
@@ -112,6 +117,7 @@
 
     fn prove(&self, node: &Node, proof: Proof, paired: bool) {
         node.replica.borrow_mut().prove(proof, paired);
+        node.begun.notify_waiters();
         if node.readers.borrow().reads() {
             // What was read proves the copies of all others.
             node.signals.now.notify_one();
@@ -165,6 +171,7 @@
         log::info!(target: "endpoints", before, count; "read whole");
         node.directory.borrow_mut().replace(now, items);
         node.endpoints_cursor.set(cursor);
+        node.begun.notify_waiters();
     }
 
     fn apply(&self, node: &Node, items: Vec<EndpointChange>, cursor: Cursor) {
@@ -211,6 +218,10 @@
         node.readers.borrow().reads() || fetch::endpoints(node).await
     }
 
+    fn known(&self, node: &Node) -> Cursor {
+        node.endpoints_cursor.get()
+    }
+
     async fn first_copy(&self, node: &Node) -> Option<Cursor> {
         fetch::first_endpoints(node).await.then(|| node.endpoints_cursor.get())
     }
--- a/crates/ringbend-relay/src/fetch.rs
+++ b/crates/ringbend-relay/src/fetch.rs
@@ -23,7 +23,7 @@
 use ringbend_gateway::{ConfigVersion, Endpoint, EndpointChange, Holds};
 use ringbend_runtime::{Handler, HttpRequest, HttpResponse, empty};
 use ringbend_types::Timestamp;
-use ringbend_wire::{EndpointChanges, Message, WireError, change_of, row_of};
+use ringbend_wire::{self as wire, EndpointChanges, Message, WireError, change_of, row_of};
 
 use crate::copies::{ConfigCopy, EndpointCopy};
 use crate::exchange::{self, ExchangeError};
@@ -56,7 +56,7 @@
 
 /// How long an instance that starts waits to hear of others that have copies, in milliseconds; drawn,
 /// so that of many that start together a few ask the store.
-const START_WAIT_MS: std::ops::Range<u64> = 60..400;
+const START_WAIT_MS: std::ops::Range<u64> = 4..60;
 
 /// Hands copies to other instances.
 pub(crate) struct CopiesDoor {
@@ -114,7 +114,7 @@
             return empty(StatusCode::SERVICE_UNAVAILABLE);
         }
         let copy = match path {
-            CONFIG_PATH => self.node.config_raw.borrow().clone(),
+            CONFIG_PATH => config_copy(&self.node),
             ENDPOINTS_PATH => Some(endpoints_copy(&self.node)),
             _ => return empty(StatusCode::NOT_FOUND),
         };
@@ -124,6 +124,12 @@
     }
 }
 
+fn config_copy(node: &Node) -> Option<Bytes> {
+    let row = node.config_raw.borrow().as_ref()?.to_vec();
+    let cursor = node.config_cursor.get().0;
+    Some(wire::ConfigCopy { row, cursor }.encode_to_vec().into())
+}
+
 fn endpoints_copy(node: &Node) -> Bytes {
     let directory = node.directory.borrow();
     let rows = directory.registered().map(|e| row_of(&EndpointChange::Present(e.clone())));
@@ -171,7 +177,7 @@
 pub(crate) async fn first_config(node: &Node) -> bool {
     wait_for_holder(node, |holds| holds.config > ConfigVersion(0)).await
         && config(node).await
-        && node.replica.borrow().version().is_some()
+        && node.config_cursor.get() > Cursor::default()
 }
 
 /// Takes the first endpoints from a peer, if one that has any is heard of soon.
@@ -244,8 +250,8 @@
     Refused(StatusCode),
     /// The configuration cannot be decoded.
     Config(BadRow),
-    /// The endpoints cannot be decoded.
-    Endpoints(WireError),
+    /// The message, or a row of it, cannot be decoded.
+    Copy(WireError),
 }
 
 impl fmt::Display for CopyError {
@@ -256,7 +262,7 @@
             Self::Address(e) => write!(f, "bad address: {e}"),
             Self::Refused(status) => write!(f, "refused with status {status}"),
             Self::Config(row) => write!(f, "configuration cannot be decoded: {}", row.why),
-            Self::Endpoints(e) => write!(f, "endpoints cannot be decoded: {e}"),
+            Self::Copy(e) => write!(f, "copy cannot be decoded: {e}"),
         }
     }
 }
@@ -280,21 +286,22 @@
 
 async fn take_config(node: &Node, peer: SocketAddrV4) -> Result<(), CopyError> {
     let raw = get(node, peer, CONFIG_PATH).await?;
-    let item = node.decoder.decode(raw).map_err(CopyError::Config)?;
+    let copy = wire::ConfigCopy::decode(raw).map_err(|e| CopyError::Copy(e.into()))?;
+    let item = node.decoder.decode(copy.row.into()).map_err(CopyError::Config)?;
     log::info!(target: "peers", peer:%, version = item.parts.version.0; "configuration taken");
-    ConfigCopy::offer(node, item);
+    ConfigCopy.apply(node, vec![item], Cursor(copy.cursor));
     Ok(())
 }
 
 async fn take_endpoints(node: &Node, peer: SocketAddrV4) -> Result<(), CopyError> {
     let raw = get(node, peer, ENDPOINTS_PATH).await?;
-    let copy = EndpointChanges::decode(raw).map_err(|e| CopyError::Endpoints(e.into()))?;
+    let copy = EndpointChanges::decode(raw).map_err(|e| CopyError::Copy(e.into()))?;
     let endpoint = |row| match change_of(row)? {
         EndpointChange::Present(endpoint) => Ok(Some(endpoint)),
         EndpointChange::Gone(_) => Ok(None),
     };
     let rows: Result<Vec<Option<Endpoint>>, WireError> = copy.rows.iter().map(endpoint).collect();
-    let rows = rows.map_err(CopyError::Endpoints)?.into_iter().flatten().collect();
+    let rows = rows.map_err(CopyError::Copy)?.into_iter().flatten().collect();
     if Cursor(copy.to_cursor) > node.endpoints_cursor.get() {
         EndpointCopy.replace(node, rows, Cursor(copy.to_cursor));
     }
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -31,6 +31,8 @@
     pub(crate) decoder: Rc<dyn ConfigDecoder>,
     /// The configuration in force as its table holds it, for other instances.
     pub(crate) config_raw: RefCell<Option<Bytes>>,
+    /// All changes of the configuration's table up to here are known.
+    pub(crate) config_cursor: Cell<Cursor>,
     /// Copies that are being handed to other instances.
     pub(crate) handing: Cell<usize>,
     pub(crate) replica: RefCell<Replica>,
@@ -55,6 +57,8 @@
     pub(crate) readers: RefCell<Readers>,
     /// Told when this instance begins to read.
     pub(crate) begins_to_read: Notify,
+    /// Told when something that a starting instance lacked has come.
+    pub(crate) begun: Notify,
     /// Told when another instance has a newer configuration.
     pub(crate) config_news: Notify,
     /// Told when another instance has read endpoint changes that this one has not.
@@ -100,6 +104,7 @@
             dialect,
             decoder,
             config_raw: RefCell::default(),
+            config_cursor: Cell::default(),
             handing: Cell::new(0),
             replica: RefCell::default(),
             directory: RefCell::default(),
@@ -116,6 +121,7 @@
             store_regained: Notify::new(),
             readers: RefCell::new(Readers::new(incarnation)),
             begins_to_read: Notify::new(),
+            begun: Notify::new(),
             config_news: Notify::new(),
             endpoint_news: Notify::new(),
             endpoints_cursor: Cell::default(),
@@ -141,6 +147,12 @@
         self.stopping.get().is_none() && known && age.is_some_and(|age| age < READY_AGE)
     }
 
+    /// Whether there are a configuration that was proved current once, and endpoints.
+    pub(crate) fn has_begun(&self) -> bool {
+        let proved = self.replica.borrow().proved_at().is_some();
+        proved && !self.directory.borrow().is_empty()
+    }
+
     /// Whether the instance is stopping and takes no more requests, also from kept connections.
     pub(crate) fn is_past_last_call(&self) -> bool {
         self.stopping.get().is_some_and(|at| self.clock.now().since(at) >= LAST_CALL)
--- a/crates/ringbend-relay/src/peers.rs
+++ b/crates/ringbend-relay/src/peers.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ringbend_gateway::{HEARTBEAT, Heard, Outbox, WorkId};
-use ringbend_types::Timestamp;
+use ringbend_gateway::{HEARTBEAT, Heard, Outbox, TrustEvent, WorkId};
+use ringbend_types::{EndpointId, Timestamp};
 use ringbend_wire::{
     LoadDigest, Message, PlacedWork, WaitingWork, placed_work, waiting_of, waiting_work, work_of,
 };
@@ -191,6 +191,7 @@
             waiting: self.waiting(|id| outbox.waiting.contains(&id)),
             writing: sequences(&outbox.writing),
             ended: sequences(&outbox.ended),
+            unfit: outbox.unfit.iter().map(EndpointId::to_string).collect(),
             endpoint_changes: self.node.endpoint_changes.borrow_mut().take(),
             ..self.digest()
         };
@@ -305,6 +306,7 @@
             self.node.readers.borrow_mut().pair(start, own, peers);
         }
         self.note(now, start, digest);
+        self.note_unfit(now, &digest.unfit);
         relayed::take_in(&self.node, now, from, digest);
     }
 
@@ -327,6 +329,15 @@
         self.introduce(&unknown);
     }
 
+    fn note_unfit(&self, now: Timestamp, unfit: &[String]) {
+        for id in unfit {
+            match id.parse() {
+                Ok(id) => self.node.trust.borrow_mut().note(now, &id, TrustEvent::Bad),
+                Err(e) => log::warn!(target: "peers", id, error:% = e; "no endpoint's id"),
+            }
+        }
+    }
+
     fn note(&self, now: Timestamp, instance: u64, digest: &LoadDigest) {
         let mut load = self.node.load.borrow_mut();
         let id = |sequence: u64| WorkId { instance, sequence };
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -151,6 +151,8 @@
     pub bad: Vec<BadRow>,
     /// Where to go on.
     pub cursor: Cursor,
+    /// Whether nothing that the source had was left out; else it is asked again at once.
+    pub is_whole: bool,
     /// The store's steady clock as it made the answer.
     pub store_clock: Duration,
 }
--- a/crates/ringbend-relay/src/relayed.rs
+++ b/crates/ringbend-relay/src/relayed.rs
@@ -70,6 +70,7 @@
     let Some(proved_at) = proved_at.filter(|at| *at <= now) else { return };
     let version = ConfigVersion(currency.config_version);
     node.replica.borrow_mut().prove_at(version, proved_at);
+    node.begun.notify_waiters();
     let own = node.replica.borrow().version();
     let same = own == Some(version);
     let stops = same
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -83,6 +83,9 @@
         let directory = self.node.directory.borrow();
         let Some(endpoint) = directory.by_address(address) else { return };
         self.trust(endpoint, TrustEvent::Bad);
+        // Others would find out one request at a time, as the list lags.
+        self.node.outbox.borrow_mut().unfit.push(endpoint.id.clone());
+        self.node.signals.soon.notify_one();
     }
 
     pub(crate) fn trust(&self, endpoint: &Endpoint, event: TrustEvent) {
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -64,6 +64,9 @@
     /// Takes the first copy from another instance; none if nobody has it. Returns how far it goes.
     fn first_copy(&self, node: &Node) -> impl Future<Output = Option<Cursor>>;
 
+    /// How far the table's changes are known, from the store or from others.
+    fn known(&self, node: &Node) -> Cursor;
+
     /// Notes that a row could not be read.
     fn bad_row(&self, node: &Node);
 
@@ -136,6 +139,7 @@
                     Ask::Store(wait) => wait,
                 },
             };
+            cursor = cursor.max(self.copy.known(&self.node));
             let sent = self.node.clock.now();
             let call = bounded(wait + CALL_TIME, self.source.changes(cursor, wait));
             let answer = tokio::select! {
@@ -154,8 +158,10 @@
                     self.note_bad_rows(&batch.bad);
                     let changed = !batch.items.is_empty();
                     self.copy.apply(&self.node, batch.items, batch.cursor);
-                    self.copy.prove(&self.node, proof, wait.is_zero());
-                    if changed {
+                    if batch.is_whole {
+                        self.copy.prove(&self.node, proof, wait.is_zero());
+                    }
+                    if changed && batch.is_whole {
                         tokio::time::sleep(C::GATHER).await;
                     }
                 }
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -237,6 +237,9 @@
     /// In the answer to a hello: IP:port of other instances.
     #[prost(string, repeated, tag = "13")]
     pub peers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Endpoints that engines have just named as unable to help them.
+    #[prost(string, repeated, tag = "14")]
+    pub unfit: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// How current an instance's copies of the watched tables are.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -254,6 +257,15 @@
     #[prost(uint64, tag = "4")]
     pub endpoints_cursor: u64,
 }
+/// The configuration as its table holds it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ConfigCopy {
+    #[prost(bytes = "vec", tag = "1")]
+    pub row: ::prost::alloc::vec::Vec<u8>,
+    /// How far the table's changes are known with it.
+    #[prost(uint64, tag = "2")]
+    pub cursor: u64,
+}
 /// Changes of the endpoints' table between two places in its history.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EndpointChanges {
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -13,9 +13,9 @@
 
 pub use endpoints::{change_of, row_of};
 pub use generated::{
-    Currency, Demand, EndpointChanges, EndpointRow, EntriesReply, EntriesRequest, Envelope, Gossip,
-    GossipKind, GrantReply, GrantRequest, HeldMemory, Hello, LoadDigest, Member, MemberState,
-    PlacedWork, Share, Update, WaitingWork, envelope, update,
+    ConfigCopy, Currency, Demand, EndpointChanges, EndpointRow, EntriesReply, EntriesRequest,
+    Envelope, Gossip, GossipKind, GrantReply, GrantRequest, HeldMemory, Hello, LoadDigest, Member,
+    MemberState, PlacedWork, Share, Update, WaitingWork, envelope, update,
 };
 pub use load::{placed_work, waiting_of, waiting_work, work_of};
 pub use map::WireError;
