feat(gateway): what will be late is read by one engine behind all else

Change: such a prompt goes to one engine at once, as long as one has none behind yet. Engines read whole prompts after all parts of split ones, so it takes only what is left over; for the same reason it does not count when the next prompt looks for engines with nothing to read.

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -37,6 +37,8 @@
     pub first_in: Duration,
     /// The longest pause between events that is on time.
     pub gap: Duration,
+    /// Whether one engine is to read it when it has nothing else to read.
+    pub behind: bool,
 }
 
 /// Where a request goes.
@@ -275,7 +277,8 @@
         .map(|(e, quiet)| Engine::new(view, profile, e, if quiet { kept_for } else { 0.0 }))
         .collect();
     let read_ms = profile.read_ms(wish.demand.prompt_tokens);
-    let most = if read_ms <= w.whole_ms { 1 } else { engines.len().min(MOST_ENGINES) };
+    let most =
+        if read_ms <= w.whole_ms || wish.behind { 1 } else { engines.len().min(MOST_ENGINES) };
     let tries = PARTS.iter().copied().filter(|parts| *parts <= most);
     let placements = tries.filter_map(|parts| place_parts(view, profile, &engines, wish, parts));
     placements.min_by(|a, b| a.cost.total_cmp(&b.cost))
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -135,6 +135,16 @@
         self.parts.iter().chain(&self.wholes).map(|reader| reader.left).sum()
     }
 
+    /// How long it still reads parts of split prompts, which go before whole ones.
+    pub fn parts_backlog(&self) -> Duration {
+        self.parts.iter().map(|reader| reader.left).sum()
+    }
+
+    /// Whether a whole prompt of any length waits to be read.
+    pub fn has_whole(&self) -> bool {
+        !self.wholes.is_empty()
+    }
+
     /// What waits to be read, in the order in which it will be.
     pub fn readers(&self) -> impl Iterator<Item = &Reader> {
         self.parts.iter().rev().chain(&self.wholes)
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -34,6 +34,8 @@
 pub enum Turn {
     /// It may be sent now.
     Now,
+    /// It will be late whatever is done; one engine may read it when it has nothing else to read.
+    Behind,
     /// Engines have room for it, and others that go first have not been sent.
     PassedOver,
     /// Too few engines have nothing to read; some will after this time.
@@ -63,6 +65,8 @@
     shared: Duration,
     /// How long it takes by itself.
     alone: Duration,
+    /// Whether it gave way.
+    late: bool,
 }
 
 /// The order in which waiting prompts are sent: those that have waited for long; then those that can
@@ -73,7 +77,7 @@
     let queued = |(id, waiting): (WorkId, &'a Waiting)| {
         let part = |n: usize| waiting.read / u32::try_from(n.max(1)).unwrap_or(u32::MAX);
         let (shared, alone) = (part(engines), part(engines.min(MOST_ENGINES)) + BETWEEN);
-        Queued { id, waiting, shared, alone }
+        Queued { id, waiting, shared, alone, late: false }
     };
     let is_aged = |q: &Queued<'_>| {
         let patience = q.waiting.until.since(q.waiting.since);
@@ -93,7 +97,8 @@
         while done + alone > first_by && !on_time.is_empty() {
             let longest = on_time.iter().enumerate().max_by_key(|(_, q)| (q.shared, q.id));
             let Some(longest) = longest.map(|(at, _)| at) else { break };
-            let gives_way = on_time.remove(longest);
+            let mut gives_way = on_time.remove(longest);
+            gives_way.late = true;
             done = done - gives_way.shared;
             let is_own = gives_way.waiting.first_by == first_by;
             late.push(gives_way);
@@ -125,7 +130,7 @@
     let (w, now) = (view.weights, view.now);
     let free = Duration::from_secs_f64(w.free_ms / 1e3);
     let mut backlogs: Vec<Duration> =
-        reading.iter().map(|e| view.load.of(&e.id).backlog().saturating_sub(free)).collect();
+        reading.iter().map(|e| view.load.of(&e.id).parts_backlog().saturating_sub(free)).collect();
     backlogs.sort();
     let backlog = backlogs.iter().sum::<Duration>() / u32::try_from(engines.max(1)).unwrap_or(1);
     let mut ahead = 0;
@@ -136,6 +141,9 @@
             if now + q.alone > q.waiting.until {
                 return Turn::TooLate;
             }
+            if q.late && reading.iter().any(|e| !view.load.of(&e.id).has_whole()) {
+                return Turn::Behind;
+            }
             own_wanted = Some(wanted);
             break;
         }
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -51,6 +51,7 @@
     pace: Pace,
     /// How long the last placement was expected to take to the first event.
     pub(crate) expected: Duration,
+    pub(crate) behind: bool,
     _open: Open,
 }
 
@@ -97,6 +98,7 @@
             ended,
             pace: Pace::default(),
             expected: Duration::ZERO,
+            behind: false,
             _open: open,
         }
     }
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -43,7 +43,9 @@
         let view = View { now, home, load: &load, seed, alone, weights, trust: &trust, tried };
         let placement = match (&self.terms.service.engine, self.call.demand) {
             (Some(engine), Some(demand)) => {
-                let wish = Wish { demand, first_in: self.first_by().since(now), gap: self.gap() };
+                let first_in = self.first_by().since(now);
+                let (gap, behind) = (self.gap(), self.behind);
+                let wish = Wish { demand, first_in, gap, behind };
                 place_on_engines(view, engine, &candidates, &wish)?
             }
             _ => place_on_service(view, &candidates)?,
--- a/crates/ringbend-relay/src/turns.rs
+++ b/crates/ringbend-relay/src/turns.rs
@@ -29,6 +29,7 @@
             return Ok(());
         }
         let began = self.node.clock.now();
+        self.behind = false;
         let waits = self.node.wait(Waiting {
             read: self.read_time(),
             since: self.arrived,
@@ -41,6 +42,10 @@
             let unused = passed_over_at.map_or(Duration::ZERO, |at| now.since(at));
             let look = match self.turn(now, waits.id, unused) {
                 Turn::Now => break,
+                Turn::Behind => {
+                    self.behind = true;
+                    break;
+                }
                 Turn::TooLate => return Err(Failed::NoTurn),
                 Turn::PassedOver => {
                     passed_over_at.get_or_insert(now);
@@ -58,7 +63,7 @@
         }
         let waited_ms = self.node.clock.now().since(began).as_millis() as u64;
         let waiting = self.node.load.borrow().waiting().count() - 1;
-        log::info!(target: "request", id = self.id(), waited_ms, waiting; "turn");
+        log::info!(target: "request", id = self.id(), waited_ms, waiting, behind = self.behind; "turn");
         Ok(())
     }
 
