perf(relay): seeds alone name other instances; fix(relay): placement settings are checked

Each answer to a greeting named all other instances, so a start of 300 sent 90,000 answers of some 6 KB; and each pair greeted each other twice.

Change: only who greets a seed is told of the others, and an instance that is new to another is greeted with the answer.

--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -122,7 +122,7 @@
 }
 
 /// Names that the file knows, for suggestions.
-const KNOWN_NAMES: [&str; 22] = [
+const KNOWN_NAMES: [&str; 28] = [
     "instance",
     "data_centre",
     "listen",
@@ -141,6 +141,12 @@
     "repeat_window_s",
     "repeat_allowance",
     "placement",
+    "long_ms",
+    "part_ms",
+    "free_ms",
+    "full_share",
+    "quiet_growth",
+    "quiet_spare",
     "log",
     "format",
     "level",
@@ -175,10 +181,37 @@
         })
         .change_context(RelayConfigError::Malformed)?;
         cfg.bounds.check()?;
+        check_placement(&cfg.placement)?;
         Ok(Self { unknown, ..cfg })
     }
 }
 
+/// Settings with what is allowed, and whether that holds.
+type Check = (&'static str, &'static str, bool);
+
+fn check_all(checks: &[Check]) -> Result<(), Report<RelayConfigError>> {
+    match checks.iter().find(|(_, _, holds)| !holds) {
+        Some((setting, allowed, _)) => {
+            Err(Report::new(RelayConfigError::OutOfRange { setting, allowed }))
+        }
+        None => Ok(()),
+    }
+}
+
+fn check_placement(w: &PlacementWeights) -> Result<(), Report<RelayConfigError>> {
+    let is_span = |ms: f64| ms.is_finite() && ms >= 0.0;
+    check_all(&[
+        ("placement.stake_power", "between 0 and 4", (0.0..=4.0).contains(&w.stake_power)),
+        ("placement.late_at", "above placement.late_from", w.late_at > w.late_from),
+        ("placement.part_ms", "above zero", w.part_ms.is_finite() && w.part_ms > 0.0),
+        ("placement.long_ms", "zero or more", is_span(w.long_ms)),
+        ("placement.free_ms", "zero or more", is_span(w.free_ms)),
+        ("placement.full_share", "above 0, at most 1", w.full_share > 0.0 && w.full_share <= 1.0),
+        ("placement.quiet_growth", "zero or more", is_span(w.quiet_growth)),
+        ("placement.quiet_spare", "zero or more", is_span(w.quiet_spare)),
+    ])
+}
+
 fn unknown_name(path: &str) -> String {
     let name = path.rsplit('.').next().unwrap_or(path);
     match nearest(name, KNOWN_NAMES.into_iter()) {
@@ -197,12 +230,7 @@
             ("bounds.repeat_window_s", "above zero", self.repeat_window_s > 0.0),
             ("bounds.repeat_allowance", "zero or more", self.repeat_allowance >= 0.0),
         ];
-        match checks.into_iter().find(|(_, _, holds)| !holds) {
-            Some((setting, allowed, _)) => {
-                Err(Report::new(RelayConfigError::OutOfRange { setting, allowed }))
-            }
-            None => Ok(()),
-        }
+        check_all(&checks)
     }
 
     /// The bounds of the repeat budget.
--- a/crates/ringbend-relay/src/peers.rs
+++ b/crates/ringbend-relay/src/peers.rs
@@ -103,17 +103,17 @@
         let seeds: Vec<SocketAddrV4> = seeds.iter().map(at_own_port).collect();
         for pause in GREETINGS {
             tokio::time::sleep(pause).await;
-            self.introduce(&seeds);
+            let hello = LoadDigest { asks_peers: true, ..self.hello() };
+            self.introduce(&seeds, &hello);
         }
     }
 
     /// Greets instances that are said to be at these addresses.
-    fn introduce(&self, addresses: &[SocketAddrV4]) {
+    fn introduce(&self, addresses: &[SocketAddrV4], hello: &LoadDigest) {
         let now = self.node.clock.now();
-        let hello = self.hello();
         for address in addresses.iter().filter(|address| **address != self.address) {
             self.node.peers.borrow_mut().told(now, *address);
-            self.tell(&hello, *address);
+            self.tell(hello, *address);
         }
     }
 
@@ -134,7 +134,7 @@
             return Ok(0);
         }
         let others = presence.all().await?;
-        self.introduce(&others);
+        self.introduce(&others, &self.hello());
         Ok(others.len().saturating_sub(1))
     }
 
@@ -281,8 +281,10 @@
                 self.node.load.borrow_mut().forget_instance(now, replaced);
                 self.node.readers.borrow_mut().forget(replaced);
             }
-            // Its answer pairs the clocks.
-            self.tell(&self.hello(), from);
+            // Its answer pairs the clocks. One that greets is greeted with the answer.
+            if !digest.hello {
+                self.tell(&self.hello(), from);
+            }
         }
         if let Ok(data_centre) = digest.data_centre.parse() {
             self.node.peers.borrow_mut().runs_in(from, data_centre);
@@ -290,11 +292,13 @@
         self.introduce_unknown(&digest.peers);
         if digest.hello {
             let all = self.placed(|_| true);
+            let is_new = heard != Heard::Known;
             let answer = LoadDigest {
+                hello: is_new,
                 hello_clock_us: Some(digest.clock_us),
                 waiting: self.waiting(|_| true),
                 data_centre: self.node.cfg.borrow().data_centre.to_string(),
-                peers: self.known_besides(from),
+                peers: if digest.asks_peers { self.known_besides(from) } else { Vec::new() },
                 ..self.digest()
             };
             for digest in self.split(answer, all) {
@@ -326,7 +330,7 @@
             }
         }
         unknown.retain(|address| !self.node.peers.borrow().knows(*address));
-        self.introduce(&unknown);
+        self.introduce(&unknown, &self.hello());
     }
 
     fn note_unfit(&self, now: Timestamp, unfit: &[String]) {
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -240,6 +240,9 @@
     /// Endpoints that engines have just named as unable to help them.
     #[prost(string, repeated, tag = "14")]
     pub unfit: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// In a hello: the answer is to name the other instances.
+    #[prost(bool, tag = "15")]
+    pub asks_peers: bool,
 }
 /// How current an instance's copies of the watched tables are.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
