fix(relay): each greeting names the other instances again; fix(gateway): one engine gets only what it can read

The users' platform gives no seeds to a role that serves callers only, so most instances knew two of eight others. Taken back whole: each answer to a greeting names all others.

It goes to one engine only if that has the memory and the time (test red first).

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -127,6 +127,12 @@
 /// What a lead without a free place costs, in stakes.
 const NO_PLACE_COST: f64 = 3.0;
 
+/// Memory that is free on an engine, in tokens.
+pub(crate) fn room(profile: &EngineProfile, load: &EndpointLoad) -> u64 {
+    let planned = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
+    planned.saturating_sub(load.memory_tokens())
+}
+
 /// What is lost if a request with this prompt is late.
 pub fn stake(w: &PlacementWeights, prompt_tokens: u64) -> f64 {
     (prompt_tokens as f64 / STAKE_TOKENS).powf(w.stake_power).max(LEAST_STAKE)
@@ -231,19 +237,13 @@
         under_way + self.base_ms + before + part_ms + place
     }
 
-    /// Memory that is free, in tokens.
-    fn room(&self, profile: &EngineProfile) -> u64 {
-        let planned = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
-        planned.saturating_sub(self.load.memory_tokens())
-    }
-
     /// What it costs to have it write the answer.
     fn lead_cost(&self, view: View<'_>, profile: &EngineProfile, wish: &Wish, stake: f64) -> f64 {
         let w = view.weights;
         let places = f64::from(profile.slots.max(1));
         let taken = self.load.writers().len() as f64;
         let memory = wish.demand.prompt_tokens + wish.demand.answer_tokens;
-        let missing = memory.saturating_sub(self.room(profile));
+        let missing = memory.saturating_sub(room(profile, self.load));
         let mut cost = missing as f64 / memory.max(1) as f64 * w.hold;
         if taken >= places {
             cost += NO_PLACE_COST * (1.0 + taken - places);
@@ -350,8 +350,8 @@
     let harm = prices[lead].harm + helping().map(|at| prices[at].harm).sum::<f64>();
     let first_as_lead = engines[lead].first_ms(part_ms, parts > 1, true);
     let memory = wish.demand.prompt_tokens + wish.demand.answer_tokens;
-    let missing = memory.saturating_sub(engines[lead].room(profile));
-    let rooms = helping().map(|at| (&engines[at].endpoint.id, engines[at].room(profile)));
+    let missing = memory.saturating_sub(room(profile, engines[lead].load));
+    let rooms = helping().map(|at| (&engines[at].endpoint.id, room(profile, engines[at].load)));
     let (held, no_memory) = match hold(missing, rooms.collect()) {
         Some(held) => (held, 0.0),
         None => (SmallVec::new(), NO_MEMORY_COST),
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -9,7 +9,7 @@
 
 use ringbend_types::Timestamp;
 
-use crate::choice::View;
+use crate::choice::{View, room};
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
 use crate::load::WorkId;
@@ -21,6 +21,8 @@
 pub struct Waiting {
     /// How long one engine would read it.
     pub read: Duration,
+    /// Memory that it takes, in tokens.
+    pub memory_tokens: u64,
     /// When its request arrived.
     pub since: Timestamp,
     /// When its first event is due.
@@ -117,6 +119,21 @@
     parts.clamp(1, engines.clamp(1, MOST_ENGINES))
 }
 
+/// Whether one engine has the memory and the time to read a prompt behind all else.
+fn one_can_read(
+    view: View<'_>,
+    profile: &EngineProfile,
+    reading: &[&Endpoint],
+    waiting: &Waiting,
+) -> bool {
+    let in_time = view.now + waiting.read < waiting.until;
+    let can = |e: &&Endpoint| {
+        let load = view.load.of(&e.id);
+        !load.has_whole() && room(profile, load) >= waiting.memory_tokens
+    };
+    in_time && reading.iter().any(can)
+}
+
 /// Whether the prompt `id`, which waits, may be sent. `unused` is how long it has been passed over.
 pub fn turn(
     view: View<'_>,
@@ -141,7 +158,7 @@
             if now + q.alone > q.waiting.until {
                 return Turn::TooLate;
             }
-            if q.late && reading.iter().any(|e| !view.load.of(&e.id).has_whole()) {
+            if q.late && one_can_read(view, profile, &reading, q.waiting) {
                 return Turn::Behind;
             }
             own_wanted = Some(wanted);
--- a/crates/ringbend-gateway/tests/turns.rs
+++ b/crates/ringbend-gateway/tests/turns.rs
@@ -48,6 +48,7 @@
     fn waits(mut self, id: u64, read_ms: u64, since_ms: u64, due_ms: u64) -> Self {
         let waiting = Waiting {
             read: ms(read_ms),
+            memory_tokens: 200_000,
             since: at(since_ms),
             first_by: at(due_ms),
             until: at(since_ms + 15_000),
@@ -147,6 +148,28 @@
     assert!(matches!(queue.turn(100), Turn::In(_)), "{lead}");
 }
 
+/// Seen on quiet-1 of peachline-ops: four such prompts were refused by nine engines each.
+#[test]
+fn one_engine_is_not_given_what_it_has_no_memory_or_time_for() {
+    let waiting = Waiting {
+        read: ms(6_000),
+        memory_tokens: 510_000,
+        since: at(0),
+        first_by: at(1_000),
+        until: at(12_000),
+    };
+    let too_large = {
+        let mut queue = Queue::new(3).reading(2_000);
+        queue.load.wait(work_id(100), waiting);
+        queue
+    };
+    assert!(matches!(too_large.turn(100), Turn::In(_)), "{:?}", too_large.turn(100));
+    let mut too_long = Queue::new(3).reading(2_000);
+    let waiting = Waiting { read: ms(13_000), memory_tokens: 300_000, ..waiting };
+    too_long.load.wait(work_id(100), waiting);
+    assert!(matches!(too_long.turn(100), Turn::In(_)), "{:?}", too_long.turn(100));
+}
+
 #[test]
 fn what_is_read_behind_all_else_keeps_no_prompt_waiting() {
     let mut queue = Queue::new(3).waits(100, 1_800, 0, 3_000);
@@ -193,7 +216,13 @@
 #[test]
 fn a_prompt_has_its_last_chance_before_others() {
     let mut queue = Queue::new(6).waits(101, 2_400, 0, 3_000);
-    let retried = Waiting { read: ms(6_000), since: at(0), first_by: at(3_000), until: at(2_900) };
+    let retried = Waiting {
+        read: ms(6_000),
+        memory_tokens: 200_000,
+        since: at(0),
+        first_by: at(3_000),
+        until: at(2_900),
+    };
     queue.load.wait(work_id(100), retried);
     assert_eq!(queue.turn(100), Turn::Now);
     assert_eq!(queue.turn(101), Turn::PassedOver);
--- a/crates/ringbend-relay/src/peers.rs
+++ b/crates/ringbend-relay/src/peers.rs
@@ -103,17 +103,17 @@
         let seeds: Vec<SocketAddrV4> = seeds.iter().map(at_own_port).collect();
         for pause in GREETINGS {
             tokio::time::sleep(pause).await;
-            let hello = LoadDigest { asks_peers: true, ..self.hello() };
-            self.introduce(&seeds, &hello);
+            self.introduce(&seeds);
         }
     }
 
     /// Greets instances that are said to be at these addresses.
-    fn introduce(&self, addresses: &[SocketAddrV4], hello: &LoadDigest) {
+    fn introduce(&self, addresses: &[SocketAddrV4]) {
         let now = self.node.clock.now();
+        let hello = self.hello();
         for address in addresses.iter().filter(|address| **address != self.address) {
             self.node.peers.borrow_mut().told(now, *address);
-            self.tell(hello, *address);
+            self.tell(&hello, *address);
         }
     }
 
@@ -134,7 +134,7 @@
             return Ok(0);
         }
         let others = presence.all().await?;
-        self.introduce(&others, &self.hello());
+        self.introduce(&others);
         Ok(others.len().saturating_sub(1))
     }
 
@@ -281,10 +281,8 @@
                 self.node.load.borrow_mut().forget_instance(now, replaced);
                 self.node.readers.borrow_mut().forget(replaced);
             }
-            // Its answer pairs the clocks. One that greets is greeted with the answer.
-            if !digest.hello {
-                self.tell(&self.hello(), from);
-            }
+            // Its answer pairs the clocks.
+            self.tell(&self.hello(), from);
         }
         if let Ok(data_centre) = digest.data_centre.parse() {
             self.node.peers.borrow_mut().runs_in(from, data_centre);
@@ -292,13 +290,11 @@
         self.introduce_unknown(&digest.peers);
         if digest.hello {
             let all = self.placed(|_| true);
-            let is_new = heard != Heard::Known;
             let answer = LoadDigest {
-                hello: is_new,
                 hello_clock_us: Some(digest.clock_us),
                 waiting: self.waiting(|_| true),
                 data_centre: self.node.cfg.borrow().data_centre.to_string(),
-                peers: if digest.asks_peers { self.known_besides(from) } else { Vec::new() },
+                peers: self.known_besides(from),
                 ..self.digest()
             };
             for digest in self.split(answer, all) {
@@ -330,7 +326,7 @@
             }
         }
         unknown.retain(|address| !self.node.peers.borrow().knows(*address));
-        self.introduce(&unknown, &self.hello());
+        self.introduce(&unknown);
     }
 
     fn note_unfit(&self, now: Timestamp, unfit: &[String]) {
--- a/crates/ringbend-relay/src/turns.rs
+++ b/crates/ringbend-relay/src/turns.rs
@@ -32,6 +32,7 @@
         self.behind = false;
         let waits = self.node.wait(Waiting {
             read: self.read_time(),
+            memory_tokens: self.call.demand.map_or(0, |d| d.prompt_tokens + d.answer_tokens),
             since: self.arrived,
             first_by: self.first_by(),
             until: self.first_event_patience(),
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -186,6 +186,9 @@
     /// The time left until it has ended for sure, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub left_ms: u64,
+    /// Memory that it takes, in tokens.
+    #[prost(uint64, tag = "6")]
+    pub memory_tokens: u64,
 }
 /// Memory on a helper that holds a part of a prompt.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -240,9 +243,6 @@
     /// Endpoints that engines have just named as unable to help them.
     #[prost(string, repeated, tag = "14")]
     pub unfit: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// In a hello: the answer is to name the other instances.
-    #[prost(bool, tag = "15")]
-    pub asks_peers: bool,
 }
 /// How current an instance's copies of the watched tables are.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
