--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use ringbend_types::Timestamp;
+use ringbend_types::{ServiceName, Timestamp};
 
 use crate::choice::{View, room};
 use crate::directory::Endpoint;
@@ -17,8 +17,10 @@
 use crate::weights::PlacementWeights;
 
 /// A long prompt that waits for its turn.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Waiting {
+    /// The service whose engines it waits for.
+    pub service: ServiceName,
     /// How long one engine would read it.
     pub read: Duration,
     /// Memory that it takes, in tokens.
@@ -71,46 +73,61 @@
     late: bool,
 }
 
-/// The order in which waiting prompts are sent: those that have waited for long; then those that can
-/// all be on time together, the first due first; then the others. Where not all can be on time, the
-/// longest gives way, so that most are.
-fn order<'a>(view: View<'a>, engines: usize, backlog: Duration) -> Vec<Queued<'a>> {
+impl Queued<'_> {
+    /// Whether it goes before all others, however late it is.
+    fn is_aged(&self, now: Timestamp) -> bool {
+        let Waiting { since, until, .. } = *self.waiting;
+        let is_last_chance = until.since(now) < self.alone * LAST_CHANCE;
+        is_last_chance || now.since(since) > until.since(since).mul_f64(AGED)
+    }
+}
+
+/// The order in which the prompts that wait for a service are sent: those that have waited for long;
+/// then those that can all be on time together, the first due first; then the others.
+fn order<'a>(
+    view: View<'a>,
+    service: &ServiceName,
+    engines: usize,
+    backlog: Duration,
+) -> Vec<Queued<'a>> {
     let now = view.now;
     let queued = |(id, waiting): (WorkId, &'a Waiting)| {
         let part = |n: usize| waiting.read / u32::try_from(n.max(1)).unwrap_or(u32::MAX);
         let (shared, alone) = (part(engines), part(engines.min(MOST_ENGINES)) + BETWEEN);
         Queued { id, waiting, shared, alone, late: false }
     };
-    let is_aged = |q: &Queued<'_>| {
-        let patience = q.waiting.until.since(q.waiting.since);
-        let is_last_chance = q.waiting.until.since(now) < q.alone * LAST_CHANCE;
-        is_last_chance || now.since(q.waiting.since) > patience.mul_f64(AGED)
-    };
-    let (mut aged, mut due): (Vec<_>, Vec<_>) =
-        view.load.waiting().map(queued).partition(|q| is_aged(q));
+    let all = view.load.waiting().filter(|(_, waiting)| waiting.service == *service).map(queued);
+    let (mut aged, mut due): (Vec<_>, Vec<_>) = all.partition(|q| q.is_aged(now));
     aged.sort_by_key(|q| (q.waiting.since, q.id));
     due.sort_by_key(|q| (q.waiting.first_by, q.id));
-    let mut done = now + backlog + aged.iter().map(|q| q.shared).sum::<Duration>();
+    let begins = now + backlog + aged.iter().map(|q| q.shared).sum::<Duration>();
+    let (on_time, mut late) = part_late(begins, due);
+    late.sort_by_key(|q| (q.waiting.since, q.id));
+    aged.into_iter().chain(on_time).chain(late).collect()
+}
+
+/// Parts prompts, the first due first, into those that can all be on time if reading begins at
+/// `begins`, and the others. Where not all can, the longest gives way, so that most are on time.
+fn part_late<'a>(begins: Timestamp, due: Vec<Queued<'a>>) -> (Vec<Queued<'a>>, Vec<Queued<'a>>) {
+    let mut done = begins;
     let (mut on_time, mut late): (Vec<Queued<'_>>, Vec<_>) = (Vec::new(), Vec::new());
     for q in due {
-        let (first_by, alone) = (q.waiting.first_by, q.alone);
+        let (id, first_by, alone) = (q.id, q.waiting.first_by, q.alone);
         done = done + q.shared;
         on_time.push(q);
-        while done + alone > first_by && !on_time.is_empty() {
+        while done + alone > first_by {
             let longest = on_time.iter().enumerate().max_by_key(|(_, q)| (q.shared, q.id));
             let Some(longest) = longest.map(|(at, _)| at) else { break };
-            let mut gives_way = on_time.remove(longest);
-            gives_way.late = true;
+            let gives_way = on_time.remove(longest);
+            let is_itself = gives_way.id == id;
             done = done - gives_way.shared;
-            let is_own = gives_way.waiting.first_by == first_by;
-            late.push(gives_way);
-            if is_own {
+            late.push(Queued { late: true, ..gives_way });
+            if is_itself {
                 break;
             }
         }
     }
-    late.sort_by_key(|q| (q.waiting.since, q.id));
-    aged.into_iter().chain(on_time).chain(late).collect()
+    (on_time, late)
 }
 
 /// How many engines should read a prompt.
@@ -119,6 +136,11 @@
     parts.clamp(1, engines.clamp(1, MOST_ENGINES))
 }
 
+/// How many of these engines may read one prompt.
+fn most_engines(engines: usize) -> u32 {
+    u32::try_from(engines.clamp(1, MOST_ENGINES)).unwrap_or(1)
+}
+
 /// Whether one engine has the memory and the time to read a prompt behind all else.
 fn one_can_read(
     view: View<'_>,
@@ -150,23 +172,24 @@
         reading.iter().map(|e| view.load.of(&e.id).parts_backlog().saturating_sub(free)).collect();
     backlogs.sort();
     let backlog = backlogs.iter().sum::<Duration>() / u32::try_from(engines.max(1)).unwrap_or(1);
+    let Some((_, own)) = view.load.waiting().find(|(other, _)| *other == id) else {
+        return Turn::Now;
+    };
+    if now + own.read / most_engines(engines) > own.until {
+        return Turn::TooLate;
+    }
     let mut ahead = 0;
-    let mut own_wanted = None;
-    for q in order(view, engines, backlog) {
-        let wanted = wanted(w, q.waiting.read, engines);
-        if q.id == id {
-            if now + q.alone > q.waiting.until {
-                return Turn::TooLate;
-            }
-            if q.late && one_can_read(view, profile, &reading, q.waiting) {
-                return Turn::Behind;
-            }
-            own_wanted = Some(wanted);
-            break;
+    for q in order(view, &own.service, engines, backlog) {
+        if q.id != id {
+            ahead += wanted(w, q.waiting.read, engines);
+            continue;
+        }
+        if q.late && one_can_read(view, profile, &reading, own) {
+            return Turn::Behind;
         }
-        ahead += wanted;
+        break;
     }
-    let Some(own_wanted) = own_wanted else { return Turn::Now };
+    let own_wanted = wanted(w, own.read, engines);
     let in_order = backlogs.get(own_wanted + ahead - 1);
     match backlogs.get(own_wanted - 1) {
         None => Turn::Now,
--- a/crates/ringbend-gateway/tests/turns.rs
+++ b/crates/ringbend-gateway/tests/turns.rs
@@ -9,7 +9,7 @@
     place_on_engines, turn,
 };
 use ringbend_types::DataCentre;
-use support::{at, endpoint, fleet, ms, profile, work, work_id};
+use support::{at, endpoint, fleet, ms, profile, service, work, work_id};
 
 struct Queue {
     fleet: Vec<Endpoint>,
@@ -47,6 +47,7 @@
     /// A prompt that one engine reads for `read_ms`, and whose first event is due at `due_ms`.
     fn waits(mut self, id: u64, read_ms: u64, since_ms: u64, due_ms: u64) -> Self {
         let waiting = Waiting {
+            service: service("engines"),
             read: ms(read_ms),
             memory_tokens: 200_000,
             since: at(since_ms),
@@ -152,6 +153,7 @@
 #[test]
 fn one_engine_is_not_given_what_it_has_no_memory_or_time_for() {
     let waiting = Waiting {
+        service: service("engines"),
         read: ms(6_000),
         memory_tokens: 510_000,
         since: at(0),
@@ -160,7 +162,7 @@
     };
     let too_large = {
         let mut queue = Queue::new(3).reading(2_000);
-        queue.load.wait(work_id(100), waiting);
+        queue.load.wait(work_id(100), waiting.clone());
         queue
     };
     assert!(matches!(too_large.turn(100), Turn::In(_)), "{:?}", too_large.turn(100));
@@ -196,6 +198,21 @@
     assert_eq!(queue.turn_after(101, ms(40)), Turn::Now);
 }
 
+#[test]
+fn a_prompt_of_another_service_holds_nobody_up() {
+    let mut queue = Queue::new(6).waits(101, 3_600, 100, 4_000);
+    let other = Waiting {
+        service: service("other"),
+        read: ms(3_600),
+        memory_tokens: 200_000,
+        since: at(0),
+        first_by: at(3_500),
+        until: at(15_000),
+    };
+    queue.load.wait(work_id(100), other);
+    assert_eq!(queue.turn(101), Turn::Now);
+}
+
 #[test]
 fn a_prompt_that_waits_no_more_holds_nobody_up() {
     let mut queue = Queue::new(6).waits(100, 3_600, 0, 3_500).waits(101, 3_600, 100, 4_000);
@@ -217,6 +234,7 @@
 fn a_prompt_has_its_last_chance_before_others() {
     let mut queue = Queue::new(6).waits(101, 2_400, 0, 3_000);
     let retried = Waiting {
+        service: service("engines"),
         read: ms(6_000),
         memory_tokens: 200_000,
         since: at(0),
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -51,6 +51,7 @@
     pace: Pace,
     /// How long the last placement was expected to take to the first event.
     pub(crate) expected: Duration,
+    /// Whether one engine is to read the prompt behind all else, as it will be late.
     pub(crate) behind: bool,
     _open: Open,
 }
--- a/crates/ringbend-relay/src/peers.rs
+++ b/crates/ringbend-relay/src/peers.rs
@@ -342,7 +342,12 @@
         let mut load = self.node.load.borrow_mut();
         let id = |sequence: u64| WorkId { instance, sequence };
         for waiting in &digest.waiting {
-            load.wait(id(waiting.sequence), waiting_of(now, waiting));
+            match waiting_of(now, waiting) {
+                Ok(told) => load.wait(id(waiting.sequence), told),
+                Err(e) => {
+                    log::warn!(target: "peers", instance, error:% = e; "waiting work refused")
+                }
+            }
         }
         for placed in &digest.placed {
             match work_of(now, placed) {
--- a/crates/ringbend-relay/src/turns.rs
+++ b/crates/ringbend-relay/src/turns.rs
@@ -31,6 +31,7 @@
         let began = self.node.clock.now();
         self.behind = false;
         let waits = self.node.wait(Waiting {
+            service: self.terms.service.name.clone(),
             read: self.read_time(),
             memory_tokens: self.call.demand.map_or(0, |d| d.prompt_tokens + d.answer_tokens),
             since: self.arrived,
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -169,7 +169,7 @@
     pub long: bool,
 }
 /// A long prompt that waits at the sender for its turn to be read.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WaitingWork {
     /// Counts up within the sender's incarnation, with that of `PlacedWork`.
     #[prost(uint64, tag = "1")]
@@ -189,6 +189,9 @@
     /// Memory that it takes, in tokens.
     #[prost(uint64, tag = "6")]
     pub memory_tokens: u64,
+    /// The service whose engines it waits for.
+    #[prost(string, tag = "7")]
+    pub service: ::prost::alloc::string::String,
 }
 /// Memory on a helper that holds a part of a prompt.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -68,16 +68,22 @@
         first_in_ms: millis(waiting.first_by.since(now)),
         left_ms: millis(waiting.until.since(now)),
         memory_tokens: waiting.memory_tokens,
+        service: waiting.service.to_string(),
     }
 }
 
 /// A long prompt that waits, as told by a peer and received at `now`.
-pub fn waiting_of(now: Timestamp, told: &WaitingWork) -> Waiting {
-    Waiting {
+///
+/// # Errors
+///
+/// The service's name is malformed.
+pub fn waiting_of(now: Timestamp, told: &WaitingWork) -> Result<Waiting, WireError> {
+    Ok(Waiting {
+        service: told.service.parse()?,
         read: Duration::from_micros(told.read_us),
         since: now - Duration::from_millis(told.age_ms),
         first_by: now + Duration::from_millis(told.first_in_ms),
         until: now + Duration::from_millis(told.left_ms),
         memory_tokens: told.memory_tokens,
-    }
+    })
 }
