fix(relay): no copy is handed on while a later configuration cannot be read; refactor: one view of endpoints

Cause (reading): a copy carries its place in the table's history. An instance that met a configuration which it cannot read keeps the one before, and its place lies beyond the bad one; an instance that started from its copy would never see that one and take the old configuration for current, keys that were taken away included.

The choice of endpoints and the turn of a long prompt are made from one view now. The turn took an instance that knows of no other for one that does, so the engines that it looked at were not those that were chosen from.

--- a/crates/ringbend-gateway/src/replica.rs
+++ b/crates/ringbend-gateway/src/replica.rs
@@ -51,6 +51,11 @@
         self.missed = true;
     }
 
+    /// Whether a later configuration was seen that cannot be read.
+    pub fn has_missed(&self) -> bool {
+        self.missed
+    }
+
     /// Notes an answer of the store that showed nothing newer than what has been offered.
     pub fn prove(&mut self, proof: Proof, paired: bool) {
         if !self.missed {
--- a/crates/ringbend-relay/src/fetch.rs
+++ b/crates/ringbend-relay/src/fetch.rs
@@ -124,7 +124,11 @@
     }
 }
 
+/// None while a later configuration cannot be read: its place in the history would hide that one.
 fn config_copy(node: &Node) -> Option<Bytes> {
+    if node.replica.borrow().has_missed() {
+        return None;
+    }
     let row = node.config_raw.borrow().as_ref()?.to_vec();
     let cursor = node.config_cursor.get().0;
     Some(wire::ConfigCopy { row, cursor }.encode_to_vec().into())
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -26,8 +26,8 @@
 const LAST_RANK: u8 = 9;
 
 impl Life {
-    /// Picks endpoints and writes the line of that decision.
-    pub(crate) fn choose(&mut self) -> Option<(Endpoint, Placement)> {
+    /// Decides with what is known of the service's endpoints now.
+    pub(crate) fn decide<T>(&self, with: impl FnOnce(View<'_>, &[&Endpoint]) -> T) -> T {
         let now = self.node.clock.now();
         self.node.load.borrow_mut().advance(now);
         let directory = self.node.directory.borrow();
@@ -35,24 +35,37 @@
             directory.of_service(now, &self.terms.service.name).collect();
         let (cfg, load, trust) =
             (self.node.cfg.borrow(), self.node.load.borrow(), self.node.trust.borrow());
-        let tried = self.attempts.tried();
-        let seed = self.node.incarnation();
-        let weights = &cfg.placement;
-        let home = &cfg.data_centre;
-        let alone = self.node.peers.borrow().instances(now) <= 1;
-        let view = View { now, home, load: &load, seed, alone, weights, trust: &trust, tried };
-        let placement = match (&self.terms.service.engine, self.call.demand) {
-            (Some(engine), Some(demand)) => {
-                let first_in = self.first_by().since(now);
-                let (gap, behind) = (self.gap(), self.behind);
-                let wish = Wish { demand, first_in, gap, behind };
-                place_on_engines(view, engine, &candidates, &wish)?
-            }
-            _ => place_on_service(view, &candidates)?,
+        let view = View {
+            now,
+            home: &cfg.data_centre,
+            load: &load,
+            seed: self.node.incarnation(),
+            alone: self.node.peers.borrow().instances(now) <= 1,
+            weights: &cfg.placement,
+            trust: &trust,
+            tried: self.attempts.tried(),
         };
-        let endpoint = directory.get(&placement.lead)?.clone();
+        with(view, &candidates)
+    }
+
+    /// Picks endpoints and writes the line of that decision.
+    pub(crate) fn choose(&mut self) -> Option<(Endpoint, Placement)> {
+        let (placement, candidates) = self.decide(|view, candidates| {
+            let placement = match (&self.terms.service.engine, self.call.demand) {
+                (Some(engine), Some(demand)) => {
+                    let first_in = self.first_by().since(view.now);
+                    let (gap, behind) = (self.gap(), self.behind);
+                    let wish = Wish { demand, first_in, gap, behind };
+                    place_on_engines(view, engine, candidates, &wish)
+                }
+                _ => place_on_service(view, candidates),
+            };
+            placement.map(|placement| (placement, candidates.len()))
+        })?;
+        let endpoint = self.node.directory.borrow().get(&placement.lead)?.clone();
         self.expected = Duration::from_secs_f64(placement.first_ms.max(0.0) / 1e3);
-        self.log_choice(now, &placement, load.of(&endpoint.id), candidates.len());
+        let load = self.node.load.borrow();
+        self.log_choice(self.node.clock.now(), &placement, load.of(&endpoint.id), candidates);
         Some((endpoint, placement))
     }
 
--- a/crates/ringbend-relay/src/turns.rs
+++ b/crates/ringbend-relay/src/turns.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ringbend_gateway::{Endpoint, Turn, View, Waiting, WorkId, turn};
+use ringbend_gateway::{Turn, Waiting, WorkId, turn};
 use ringbend_types::Timestamp;
 
 use crate::life::{Failed, Life};
@@ -42,7 +42,7 @@
         loop {
             let now = self.node.clock.now();
             let unused = passed_over_at.map_or(Duration::ZERO, |at| now.since(at));
-            let look = match self.turn(now, waits.id, unused) {
+            let look = match self.turn(waits.id, unused) {
                 Turn::Now => break,
                 Turn::Behind => {
                     self.behind = true;
@@ -76,24 +76,8 @@
         self.attempts.deadline().min(self.arrived + patience)
     }
 
-    fn turn(&self, now: Timestamp, id: WorkId, unused: Duration) -> Turn {
-        self.node.load.borrow_mut().advance(now);
-        let directory = self.node.directory.borrow();
-        let candidates: Vec<&Endpoint> =
-            directory.of_service(now, &self.terms.service.name).collect();
-        let (cfg, load, trust) =
-            (self.node.cfg.borrow(), self.node.load.borrow(), self.node.trust.borrow());
+    fn turn(&self, id: WorkId, unused: Duration) -> Turn {
         let Some(engine) = &self.terms.service.engine else { return Turn::Now };
-        let view = View {
-            now,
-            home: &cfg.data_centre,
-            load: &load,
-            seed: self.node.incarnation(),
-            alone: false,
-            weights: &cfg.placement,
-            trust: &trust,
-            tried: self.attempts.tried(),
-        };
-        turn(view, engine, &candidates, id, unused)
+        self.decide(|view, candidates| turn(view, engine, candidates, id, unused))
     }
 }
