fix(gateway): a proof from before an instance's start is not placed at its start

Cause: Readers::on_own_clock subtracted with saturation. A peer's proof from before this instance started was placed at the zero of its clock, its start, and told to all as a newer proof. Ruled out: a first read that is behind (none was made), a silent watch (nobody watched), the pairing. Change: such a moment proves nothing; an instance's clock begins at 60 s, so that moments before its start can be told; an instance without proof counts its wait from its start, not from zero; an answer from before what is known proves nothing; each proof has a line.

--- a/crates/ringbend-gateway/src/reader.rs
+++ b/crates/ringbend-gateway/src/reader.rs
@@ -61,13 +61,17 @@
         self.clocks.remove(&start);
     }
 
-    /// A moment on our clock that is no later than `at` on the peer's; none for a clock unknown.
+    /// A moment on our clock that is no later than `at` on the peer's. None for a clock unknown, and
+    /// for a moment that our clock cannot tell as it lies before its zero: placed at zero it would
+    /// be later than it was.
     pub fn on_own_clock(&self, start: u64, at: Timestamp) -> Option<Timestamp> {
         let pairing = self.clocks.get(&start)?;
-        Some(match at >= pairing.peers {
-            true => pairing.own + at.since(pairing.peers),
-            false => pairing.own - pairing.peers.since(at),
-        })
+        if at >= pairing.peers {
+            return Some(pairing.own + at.since(pairing.peers));
+        }
+        let before = pairing.peers.since(at);
+        let is_told = before <= pairing.own.since(Timestamp::default());
+        is_told.then(|| pairing.own - before)
     }
 
     /// Notes that another instance reads and proved this one's copy `age` ago. Returns whether this
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -79,8 +79,9 @@
         }
         let age_ms = node.rng.borrow_mut().random_range(READ_AGE_MS);
         loop {
-            let proved_at = node.replica.borrow().proved_at().unwrap_or_default();
-            let due = proved_at + Duration::from_millis(age_ms);
+            let proved_at = node.replica.borrow().proved_at();
+            let since = proved_at.unwrap_or(node.clock.started_at());
+            let due = since + Duration::from_millis(age_ms);
             if node.clock.now() >= due {
                 log::info!(target: "store", age_ms; "copy is old, reading");
                 node.readers.borrow_mut().begin();
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -9,6 +9,7 @@
 use error_stack::{Report, ResultExt};
 use ringbend_gateway::{Endpoint, EndpointChange};
 use ringbend_runtime::{Clock, Server, ServerConfig, serve};
+use ringbend_types::Timestamp;
 use tokio::task::JoinHandle;
 
 use crate::callers::Callers;
@@ -81,6 +82,10 @@
 /// needs two misses.
 const NOTICE: Duration = Duration::from_millis(3_200);
 
+/// What this instance's clock shows at its start. Other instances tell when they proved a copy, which
+/// may be before this one started; a copy that was proved longer ago than this is of no use.
+const CLOCK_AT_START: Timestamp = Timestamp(60_000_000);
+
 /// What is left of the grace time for the process to end by itself.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
@@ -99,7 +104,7 @@
     /// An address cannot be listened on.
     pub async fn start(cfg: RelayConfig, ports: Ports) -> Result<Self, Report<RelayError>> {
         cfg.unknown.iter().for_each(|warning| log::warn!(target: "relay", "{warning}"));
-        let clock = Clock::start();
+        let clock = Clock::start_at(CLOCK_AT_START);
         let listen = cfg.listen.clone();
         let seeds = cfg.listen.seeds.clone();
         let node = Node::new(cfg, clock, ports.dialect, ports.decoder);
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -112,8 +112,11 @@
                     let cursor = batch.cursor;
                     let proof = Proof { sent, store_clock: batch.store_clock };
                     self.note_bad_rows(&batch.bad);
+                    let known = self.copy.known(&self.node);
                     self.copy.replace(&self.node, batch.items, cursor);
-                    self.copy.prove(&self.node, proof, true);
+                    if self.is_latest(cursor, known) {
+                        self.prove(proof, cursor, Duration::ZERO);
+                    }
                     return cursor;
                 }
                 Err(e) => {
@@ -157,9 +160,10 @@
                     let proof = Proof { sent, store_clock: batch.store_clock };
                     self.note_bad_rows(&batch.bad);
                     let changed = !batch.items.is_empty();
+                    let known = self.copy.known(&self.node);
                     self.copy.apply(&self.node, batch.items, batch.cursor);
-                    if batch.is_whole {
-                        self.copy.prove(&self.node, proof, wait.is_zero());
+                    if batch.is_whole && self.is_latest(batch.cursor, known) {
+                        self.prove(proof, batch.cursor, wait);
                     }
                     if changed && batch.is_whole {
                         tokio::time::sleep(C::GATHER).await;
@@ -174,6 +178,28 @@
         }
     }
 
+    /// Whether an answer shows the table no earlier than what is `known` of it, from the store or
+    /// from other instances. One that does not was made from an older state and proves nothing.
+    fn is_latest(&self, cursor: Cursor, known: Cursor) -> bool {
+        let latest = cursor >= known;
+        if !latest {
+            let (cursor, known) = (cursor.0, known.0);
+            log::warn!(target: "store", table = C::NAME, cursor, known; "answer is older than the copy");
+        }
+        latest
+    }
+
+    /// Notes that an answer to a call that was to wait so long showed the table as of `cursor`.
+    fn prove(&self, proof: Proof, cursor: Cursor, wait: Duration) {
+        let (sent_ms, store_ms) = (proof.sent.0 / 1_000, proof.store_clock.as_millis() as u64);
+        let wait_ms = wait.as_millis() as u64;
+        log::info!(
+            target: "store", table = C::NAME, sent_ms, store_ms, cursor = cursor.0, wait_ms;
+            "table proved current"
+        );
+        self.copy.prove(&self.node, proof, wait.is_zero());
+    }
+
     fn note_bad_rows(&self, bad: &[BadRow]) {
         for row in bad {
             log::warn!(
