feat(gateway): long prompts never take few engines for seconds; a crowd at a fresh start spreads

Cause: prompts of 30 s of reading were sent when short ones had left them four engines, or whole to one engine behind all else; passes there lasted 1.5 s, and the next crowd of short prompts met them. Ruled out: want of engines (reading took 9 to 11 of 17 engines' time meanwhile), admission of short prompts (of 510 that were not on time none had waited for a place by the book). Change: bounds behind_ms and most_ms; whole_ms 60; the first event waits for the last of several passes; quiet_spare 0; instances that hear no other spread each request anew.

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -67,10 +67,12 @@
     pub home: &'a DataCentre,
     /// What runs where.
     pub load: &'a LoadBook,
-    /// This instance's own number, by which its choices differ from those of others.
+    /// Orders engines that cost about the same: this instance's own number, by which its choices
+    /// differ from those of others; where it is alone, another number for each request.
     pub seed: u64,
-    /// Whether no other instance is known. Then the book misses what they place, and instances that
-    /// start together would all begin with the same engine, so each takes its own order of them.
+    /// Whether no other instance is known. Then the book misses what they place, so requests are
+    /// spread over all engines rather than gathered on few: a crowd of callers that comes back to
+    /// instances that have just started put 12 of 100 requests on one of 18 engines, and puts 9.
     pub alone: bool,
     /// What counts how much.
     pub weights: &'a PlacementWeights,
@@ -117,8 +119,9 @@
 /// engine for tight requests.
 const FULL_STEP: f64 = 0.1;
 
-/// How far the order of engines differs among instances that know of no other, in stakes.
-const ALONE_SPREAD: f64 = 1.0;
+/// How far the order of engines differs among requests of an instance that knows of no other, in
+/// stakes: less than what a request of its own on an engine costs the next one there.
+const ALONE_SPREAD: f64 = 0.02;
 
 /// How long a request waits for a place for each that is before it, in milliseconds: an answer takes
 /// some 1.7 s to write, and sixteen are written at once.
@@ -229,11 +232,15 @@
     }
 
     /// When what it is given will have been read.
-    fn first_ms(&self, part_ms: f64, is_part: bool, leads: bool) -> f64 {
+    ///
+    /// The pass that is under way has to end first. Of one engine half of it is left on average; the
+    /// first event waits for the last of `parts` engines, whose passes are not in step.
+    fn first_ms(&self, part_ms: f64, parts: usize, leads: bool) -> f64 {
         let waiting = (self.load.writers().len() as f64 + 1.0 - self.places).max(0.0);
         let place = if leads { waiting * PLACE_MS } else { 0.0 };
-        let under_way = if self.load.writers().is_empty() { 0.0 } else { self.base_ms / 2.0 };
-        let before = if is_part { 0.0 } else { self.backlog_ms };
+        let last_of = parts as f64 / (parts as f64 + 1.0);
+        let under_way = if self.load.writers().is_empty() { 0.0 } else { self.base_ms * last_of };
+        let before = if parts > 1 { 0.0 } else { self.backlog_ms };
         under_way + self.base_ms + before + part_ms + place
     }
 
@@ -273,7 +280,8 @@
     let engines: Vec<Engine<'_>> = candidates
         .iter()
         .zip(quiet_engines(view, profile, candidates))
-        .filter(|(_, quiet)| !(long && *quiet))
+        .filter(|(_, quiet)| view.alone || !(long && *quiet))
+        .map(|(e, quiet)| (e, quiet || view.alone))
         .map(|(e, quiet)| Engine::new(view, profile, e, if quiet { kept_for } else { 0.0 }))
         .collect();
     let read_ms = profile.read_ms(wish.demand.prompt_tokens);
@@ -324,7 +332,7 @@
     let aim_ms = millis(wish.first_in);
     let price = |e: &Engine<'_>| {
         let own = |leads| {
-            let first = e.first_ms(part_ms, parts > 1, leads);
+            let first = e.first_ms(part_ms, parts, leads);
             stake * (lateness(w, first, aim_ms) + w.first * first / aim_ms.max(LATE_AIM_MS))
         };
         Price {
@@ -348,7 +356,7 @@
     let helping = || helpers.iter().copied();
     let own = helping().map(|at| prices[at].own).fold(prices[lead].own_as_lead, f64::max);
     let harm = prices[lead].harm + helping().map(|at| prices[at].harm).sum::<f64>();
-    let first_as_lead = engines[lead].first_ms(part_ms, parts > 1, true);
+    let first_as_lead = engines[lead].first_ms(part_ms, parts, true);
     let memory = wish.demand.prompt_tokens + wish.demand.answer_tokens;
     let missing = memory.saturating_sub(room(profile, engines[lead].load));
     let rooms = helping().map(|at| (&engines[at].endpoint.id, room(profile, engines[at].load)));
@@ -363,7 +371,7 @@
         held,
         cost: harm + own + prices[lead].lead + no_memory + w.helper * helpers.len() as f64,
         first_ms: helping()
-            .map(|at| engines[at].first_ms(part_ms, true, false))
+            .map(|at| engines[at].first_ms(part_ms, parts, false))
             .fold(first_as_lead, f64::max),
     })
 }
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -55,9 +55,6 @@
 /// The part of a request's time after which it goes before all others, however late it is.
 const AGED: f64 = 0.6;
 
-/// A prompt goes before all others, too, when this many times as long as it takes to read is left.
-const LAST_CHANCE: u32 = 3;
-
 /// What each prompt costs beside its reading: a pass that it waits for, and one that it shares.
 const BETWEEN: Duration = Duration::from_millis(60);
 
@@ -77,8 +74,7 @@
     /// Whether it goes before all others, however late it is.
     fn is_aged(&self, now: Timestamp) -> bool {
         let Waiting { since, until, .. } = *self.waiting;
-        let is_last_chance = until.since(now) < self.alone * LAST_CHANCE;
-        is_last_chance || now.since(since) > until.since(since).mul_f64(AGED)
+        now.since(since) > until.since(since).mul_f64(AGED)
     }
 }
 
@@ -136,6 +132,16 @@
     parts.clamp(1, engines.clamp(1, MOST_ENGINES))
 }
 
+/// The fewest engines that must be open to long prompts before one is sent, of `all` engines.
+///
+/// A prompt of 600,000 tokens is 34 s of reading. Sent when short prompts had left it four engines,
+/// it took each of them for 8.5 s; the next crowd of short prompts found them taken, and 130 callers
+/// left in two seconds. So it waits until its parts are short, or the engines are nearly all open.
+fn least_engines(w: &PlacementWeights, read: Duration, all: usize) -> usize {
+    let parts = (read.as_secs_f64() * 1e3 / w.most_ms).ceil();
+    parts.min((all as f64 * w.most_share).floor()).min(MOST_ENGINES as f64) as usize
+}
+
 /// How many of these engines may read one prompt.
 fn most_engines(engines: usize) -> u32 {
     u32::try_from(engines.clamp(1, MOST_ENGINES)).unwrap_or(1)
@@ -148,7 +154,8 @@
     reading: &[&Endpoint],
     waiting: &Waiting,
 ) -> bool {
-    let in_time = view.now + waiting.read < waiting.until;
+    let read_ms = waiting.read.as_secs_f64() * 1e3;
+    let in_time = read_ms <= view.weights.behind_ms && view.now + waiting.read < waiting.until;
     let can = |e: &&Endpoint| {
         let load = view.load.of(&e.id);
         !load.has_whole() && room(profile, load) >= waiting.memory_tokens
@@ -189,6 +196,9 @@
         }
         break;
     }
+    if engines < least_engines(w, own.read, candidates.len()) {
+        return Turn::In(own.read);
+    }
     let own_wanted = wanted(w, own.read, engines);
     let in_order = backlogs.get(own_wanted + ahead - 1);
     match backlogs.get(own_wanted - 1) {
--- a/crates/ringbend-gateway/src/weights.rs
+++ b/crates/ringbend-gateway/src/weights.rs
@@ -18,7 +18,8 @@
     pub first: f64,
     /// What it costs to delay a request that waits for its first event by all the time it has left.
     pub delay: f64,
-    /// Prompts that one engine reads in this many milliseconds are not split.
+    /// Prompts that one engine reads in this many milliseconds are not split: the first event waits
+    /// for the last of several passes, which takes about as long. 0.006 of a day's worth over 30.
     pub whole_ms: f64,
     /// What each helper costs: one more engine on which the request depends.
     pub helper: f64,
@@ -31,6 +32,16 @@
     pub part_ms: f64,
     /// An engine that has this many milliseconds left to read counts as free for the next prompt.
     pub free_ms: f64,
+    /// A prompt that one engine reads for longer than this many milliseconds is never read by one
+    /// engine behind all else: what comes to that engine meanwhile waits as long. With `most_ms`
+    /// 0.035 of a day's worth, over five days with six seeds; halving or doubling either changes
+    /// less than the 0.007 by which runs differ.
+    pub behind_ms: f64,
+    /// A prompt waits while its parts would be longer than this many milliseconds, as short prompts
+    /// have taken the other engines.
+    pub most_ms: f64,
+    /// The share of all engines that is enough for any prompt, however long its parts are then.
+    pub most_share: f64,
     /// How many requests with short prompts are expected soon for each that is open.
     pub quiet_growth: f64,
     /// Such requests that are expected beside those.
@@ -54,14 +65,17 @@
             late_at: 1.1,
             first: 0.1,
             delay: 1.0,
-            whole_ms: 30.0,
+            whole_ms: 60.0,
             helper: 0.01,
             open: 0.45,
             long_ms: 600.0,
             part_ms: 600.0,
             free_ms: 5.0,
+            behind_ms: 1_500.0,
+            most_ms: 1_500.0,
+            most_share: 0.75,
             quiet_growth: 1.0,
-            quiet_spare: 2.0,
+            quiet_spare: 0.0,
             full_share: 0.95,
             read: 0.03,
             hold: 0.5,
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -200,8 +200,11 @@
         let (id, route) = (self.id(), &self.terms.route.name);
         let first_ms = Millis(self.pace.first.map(|at| at.since(self.arrived)));
         let gap_ms = self.pace.longest_gap.as_millis() as u64;
+        let aim_ms = self.terms.route.aim.as_millis() as u64;
+        let gap_aim_ms = self.gap().as_millis() as u64;
         log::info!(
-            target: "request", id, route:%, outcome, ms, sends, first_ms:%, gap_ms; "ended"
+            target: "request", id, route:%, outcome, ms, sends, first_ms:%, gap_ms, aim_ms, gap_aim_ms;
+            "ended"
         );
     }
 
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rand::Rng;
 use ringbend_gateway::{
     Demand, Endpoint, EndpointLoad, Placement, Ticket, TicketId, TrustEvent, View, Wish, Work,
     WorkId, is_long, place_on_engines, place_on_service, stake,
@@ -35,12 +36,15 @@
             directory.of_service(now, &self.terms.service.name).collect();
         let (cfg, load, trust) =
             (self.node.cfg.borrow(), self.node.load.borrow(), self.node.trust.borrow());
+        let alone = self.node.peers.borrow().instances(now) <= 1;
+        let seed =
+            if alone { self.node.rng.borrow_mut().random() } else { self.node.incarnation() };
         let view = View {
             now,
             home: &cfg.data_centre,
             load: &load,
-            seed: self.node.incarnation(),
-            alone: self.node.peers.borrow().instances(now) <= 1,
+            seed,
+            alone,
             weights: &cfg.placement,
             trust: &trust,
             tried: self.attempts.tried(),
