feat(relay): a started instance finds others by one read; refused long prompts come back after their aim

Cause: after a loss of all instances each waited 120 ms for seeds it did not have and then wrote its row, so for 150 ms none heard another; long prompts that came back were each sent whole to one engine, as every engine counted as kept for short prompts; and they were told to come back after 250 ms, to be refused again. A part of a prompt was expected to be read at once beside a part that takes seconds. Change: presence is read first and written only where it is new; long prompts wait up to 400 ms for others to be heard; a part waits for what is being read; Retry-After is 0.5 to 1 of the aim.

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -74,6 +74,10 @@
     /// spread over all engines rather than gathered on few: a crowd of callers that comes back to
     /// instances that have just started put 12 of 100 requests on one of 18 engines, and puts 9.
     pub alone: bool,
+    /// Whether it is alone and started moments ago, so that others may be heard soon. Long prompts
+    /// wait for that: those that come back after a loss of all instances were sent by each of them to
+    /// the same engines at once.
+    pub starting: bool,
     /// What counts how much.
     pub weights: &'a PlacementWeights,
     /// Which endpoints answered well.
@@ -167,6 +171,8 @@
     /// Requests that it processes at once.
     places: f64,
     backlog_ms: f64,
+    /// The longest that it still reads of one prompt.
+    reading_ms: f64,
     /// Requests with short prompts that write on it.
     quiet: usize,
     /// Such requests that it is kept for; zero on engines that long prompts may fill.
@@ -189,6 +195,7 @@
             base_ms: profile.pass_ms(load.writers().len() as u32),
             places: f64::from(profile.slots.max(1)),
             backlog_ms: millis(load.backlog()),
+            reading_ms: load.readers().map(|reader| millis(reader.left)).fold(0.0, f64::max),
             kept_for,
             quiet: load.quiet(),
             fixed: far + tried + distrust,
@@ -240,7 +247,8 @@
         let place = if leads { waiting * PLACE_MS } else { 0.0 };
         let last_of = parts as f64 / (parts as f64 + 1.0);
         let under_way = if self.load.writers().is_empty() { 0.0 } else { self.base_ms * last_of };
-        let before = if parts > 1 { 0.0 } else { self.backlog_ms };
+        // A part goes before all that waits, but not before what is being read.
+        let before = if parts > 1 { self.reading_ms } else { self.backlog_ms };
         under_way + self.base_ms + before + part_ms + place
     }
 
@@ -281,7 +289,7 @@
         .iter()
         .zip(quiet_engines(view, profile, candidates))
         .filter(|(_, quiet)| view.alone || !(long && *quiet))
-        .map(|(e, quiet)| (e, quiet || view.alone))
+        .map(|(e, quiet)| (e, if view.alone { !long } else { quiet }))
         .map(|(e, quiet)| Engine::new(view, profile, e, if quiet { kept_for } else { 0.0 }))
         .collect();
     let read_ms = profile.read_ms(wish.demand.prompt_tokens);
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -55,6 +55,9 @@
 /// The part of a request's time after which it goes before all others, however late it is.
 const AGED: f64 = 0.6;
 
+/// When a prompt that waits for other instances to be heard is looked at again.
+const STARTING_LOOK: Duration = Duration::from_millis(20);
+
 /// What each prompt costs beside its reading: a pass that it waits for, and one that it shares.
 const BETWEEN: Duration = Duration::from_millis(60);
 
@@ -171,6 +174,9 @@
     id: WorkId,
     unused: Duration,
 ) -> Turn {
+    if view.starting {
+        return Turn::In(STARTING_LOOK);
+    }
     let reading = reading_engines(view, profile, candidates);
     let engines = reading.len();
     let (w, now) = (view.weights, view.now);
--- a/crates/ringbend-gateway/tests/placement.rs
+++ b/crates/ringbend-gateway/tests/placement.rs
@@ -47,7 +47,9 @@
         let wish = Wish { demand, first_in: ms(first_in_ms), gap: ms(gap_ms), behind: false };
         let (home, load, trust, weights) = (&self.home, &self.load, &self.trust, &self.weights);
         let (seed, alone) = (self.seed, self.alone);
-        let view = View { now: at(0), home, load, seed, alone, weights, trust, tried: &[] };
+        let starting = false;
+        let view =
+            View { now: at(0), home, load, seed, alone, starting, weights, trust, tried: &[] };
         let candidates: Vec<&Endpoint> = self.fleet.iter().collect();
         place_on_engines(view, &profile(), &candidates, &wish).unwrap()
     }
--- a/crates/ringbend-gateway/tests/start.rs
+++ b/crates/ringbend-gateway/tests/start.rs
@@ -87,6 +87,7 @@
             load: &self.books[from],
             seed: if alone { self.rng.random() } else { from as u64 },
             alone,
+            starting: false,
             weights: &self.weights,
             trust: &self.trust,
             tried: &[],
@@ -149,6 +150,15 @@
     }
 }
 
+/// On one engine a prompt of 17 s of reading takes as long.
+#[test]
+fn an_instance_that_hears_no_other_splits_a_long_prompt_among_idle_engines() {
+    let mut start = Start::new(1, 18, at(60_000), 1);
+    let demand = Demand { prompt_tokens: 500_000, answer_tokens: 500 };
+    let placement = start.arrive(at(1), demand, ms(3_000));
+    assert!(placement.helpers.len() >= 5, "{} helpers", placement.helpers.len());
+}
+
 #[test]
 fn a_crowd_that_arrives_as_instances_begin_to_hear_each_other_fits_the_engines() {
     // An engine reads 14 of them within the aim.
--- a/crates/ringbend-gateway/tests/turns.rs
+++ b/crates/ringbend-gateway/tests/turns.rs
@@ -19,6 +19,7 @@
     home: DataCentre,
     now: u64,
     behind: bool,
+    starting: bool,
 }
 
 impl Queue {
@@ -31,6 +32,7 @@
             home: "z1".parse().unwrap(),
             now: 0,
             behind: false,
+            starting: false,
         }
     }
 
@@ -71,6 +73,7 @@
             load: &self.load,
             seed: 1,
             alone: false,
+            starting: self.starting,
             weights: &self.weights,
             trust: &self.trust,
             tried: &[],
@@ -267,6 +270,16 @@
     assert_eq!(queue.turn(100), Turn::Now);
 }
 
+/// Nine instances that start together would send nine prompts to the same engines.
+#[test]
+fn a_long_prompt_waits_for_other_instances_to_be_heard() {
+    let mut queue = Queue::new(6).waits(100, 2_000, 0, 3_000);
+    queue.starting = true;
+    assert!(matches!(queue.turn(100), Turn::In(_)), "{:?}", queue.turn(100));
+    queue.starting = false;
+    assert_eq!(queue.turn(100), Turn::Now);
+}
+
 #[test]
 fn a_single_engine_serves_long_prompts_too() {
     let mut queue = Queue::new(1).waits(100, 2_000, 0, 3_000);
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -7,6 +7,7 @@
 use actix_http::body::MessageBody;
 use actix_http::{RequestHead, Response, StatusCode};
 use bytes::Bytes;
+use rand::Rng;
 use ringbend_gateway::{
     Account, Attempts, ConfigVersion, Endpoint, Next, Route, SendEnd, Service, TrustEvent,
 };
@@ -72,6 +73,9 @@
     Stream(Box<Relayed>),
 }
 
+/// When a long prompt that is refused should come back, in parts of its aim.
+const COME_BACK_SHARE: std::ops::Range<f64> = 0.5..1.0;
+
 /// Longest whole answer that is held, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -123,10 +127,13 @@
         match failed {
             Failed::Replaced => None,
             Failed::NoMemory if self.wait_for_memory().await => None,
-            Failed::NoTurn => Some(match self.attempts.run_state() {
-                RunState::NotRun => Refusal::LateNotRun,
-                state => Refusal::of_state(state),
-            }),
+            Failed::NoTurn => {
+                self.hint = Some(self.come_back());
+                Some(match self.attempts.run_state() {
+                    RunState::NotRun => Refusal::LateNotRun,
+                    state => Refusal::of_state(state),
+                })
+            }
             Failed::NoMemory | Failed::NoEndpoint => match self.attempts.run_state() {
                 RunState::NotRun => Some(Refusal::NoEndpoint),
                 state => Some(Refusal::of_state(state)),
@@ -139,6 +146,13 @@
         }
     }
 
+    /// When a prompt that the engines have no time for may find some: what they are busy with now has
+    /// aims like its own. Spread, so that those who are refused together do not return together.
+    fn come_back(&self) -> Duration {
+        let share = self.node.rng.borrow_mut().random_range(COME_BACK_SHARE);
+        self.terms.route.aim.mul_f64(share)
+    }
+
     /// Ends the request: with an endpoint's own failure if there is one, else with a refusal.
     fn give_up(&mut self, refusal: Refusal) -> HttpResponse {
         match self.failed.take() {
--- a/crates/ringbend-relay/src/peers.rs
+++ b/crates/ringbend-relay/src/peers.rs
@@ -70,11 +70,12 @@
         self.address
     }
 
-    /// Writes this instance's presence, then reads that of others: of two that start together, the
-    /// later reader sees the other and greets it.
-    pub(crate) async fn join(self: Rc<Self>, presence: Rc<dyn Presence>) {
-        // Answers of the seeds come first; then presence need not be read.
-        tokio::time::sleep(SEED_TIME).await;
+    /// Finds other instances by their presence in the store, and writes this one's.
+    pub(crate) async fn join(self: Rc<Self>, presence: Rc<dyn Presence>, has_seeds: bool) {
+        if has_seeds {
+            // Their answers come first; then presence need not be read.
+            tokio::time::sleep(SEED_TIME).await;
+        }
         loop {
             // A call that hangs since the store was lost is not waited for once it is back.
             let announced = tokio::select! {
@@ -127,11 +128,21 @@
         self.node.peers.borrow().instances(self.node.clock.now()) > 1
     }
 
+    /// Returns how many others were greeted.
+    ///
+    /// An instance that was killed finds its own row and those of all others as they were, so one
+    /// call is enough after a loss of all instances; writes of so many would take turns. Where its
+    /// row is new it reads once more: of two that start together, the later reader sees the other.
     async fn announce(&self, presence: &dyn Presence) -> Result<usize, crate::SourceError> {
+        let others = if self.hears_others() { Vec::new() } else { presence.all().await? };
+        self.introduce(&others);
+        if others.contains(&self.address) {
+            return Ok(others.len() - 1);
+        }
         presence.announce(self.address).await?;
         if self.hears_others() {
             // They named all others.
-            return Ok(0);
+            return Ok(others.len());
         }
         let others = presence.all().await?;
         self.introduce(&others);
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -20,6 +20,10 @@
 /// Requests that are due later than these wait behind those that are due sooner.
 const PATIENT_AIMS: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(2_000)];
 
+/// How long an instance that has just started listens for others before it takes itself for the only
+/// one. They are heard some 150 ms after the start, by way of the store.
+const LISTEN_TIME: Duration = Duration::from_millis(400);
+
 /// How many ranks at an engine lie between two priorities of the configuration.
 const RANKS_PER_PRIORITY: u8 = 3;
 
@@ -45,6 +49,7 @@
             load: &load,
             seed,
             alone,
+            starting: alone && now.since(self.node.clock.started_at()) < LISTEN_TIME,
             weights: &cfg.placement,
             trust: &trust,
             tried: self.attempts.tried(),
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -129,10 +129,12 @@
             servers.push(door);
             let link = PeerLink::open(node.clone(), address).await;
             let link = link.change_context(RelayError::Listen(address.into()))?;
+            let has_seeds = !seeds.is_empty();
             tasks.push(tokio::task::spawn_local(link.clone().greet(seeds)));
             tasks.push(tokio::task::spawn_local(link.clone().receive()));
             tasks.push(tokio::task::spawn_local(link.clone().send()));
-            tasks.push(tokio::task::spawn_local(link.clone().join(ports.presence.clone())));
+            let join = link.clone().join(ports.presence.clone(), has_seeds);
+            tasks.push(tokio::task::spawn_local(join));
             peers = Some(link);
         }
         let incarnation = node.incarnation();
