--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -6,17 +6,16 @@
 //! placement is chosen by what it is expected to cost all of them together with the request itself,
 //! each weighed by its stake: how much is lost if it is late.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use ringbend_types::{DataCentre, EndpointId, Timestamp};
+use ringbend_types::{EndpointId, Timestamp};
 use smallvec::SmallVec;
 
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
-use crate::load::{EndpointLoad, Held, LoadBook, Writer};
+use crate::load::{EndpointLoad, Held, Writer};
 use crate::quiet::{MOST_ENGINES, quiet_engines};
-use crate::trust::TrustBook;
+use crate::view::{View, room, spread};
 use crate::weights::PlacementWeights;
 
 /// What is asked of the endpoints.
@@ -58,34 +57,6 @@
     pub first_ms: f64,
 }
 
-/// What a choice is made from.
-#[derive(Clone, Copy)]
-pub struct View<'a> {
-    /// The time.
-    pub now: Timestamp,
-    /// Where this instance runs.
-    pub home: &'a DataCentre,
-    /// What runs where.
-    pub load: &'a LoadBook,
-    /// Orders engines that cost about the same: this instance's own number, by which its choices
-    /// differ from those of others; where it is alone, another number for each request.
-    pub seed: u64,
-    /// Whether no other instance is known. Then the book misses what they place, so requests are
-    /// spread over all engines rather than gathered on few: a crowd of callers that comes back to
-    /// instances that have just started put 12 of 100 requests on one of 18 engines, and puts 9.
-    pub alone: bool,
-    /// Whether it is alone and started moments ago, so that others may be heard soon. Long prompts
-    /// wait for that: those that come back after a loss of all instances were sent by each of them to
-    /// the same engines at once.
-    pub starting: bool,
-    /// What counts how much.
-    pub weights: &'a PlacementWeights,
-    /// Which endpoints answered well.
-    pub trust: &'a TrustBook,
-    /// Endpoints that this request was sent to before.
-    pub tried: &'a [EndpointId],
-}
-
 /// Numbers of engines that are tried for one prompt.
 const PARTS: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
 
@@ -110,9 +81,6 @@
 /// What a millisecond of distrust costs, in stakes.
 const DISTRUST_COST: f64 = 0.01;
 
-/// The share of an engine's memory that is planned with.
-const MEMORY_SHARE: f64 = 0.95;
-
 /// What it costs if neither the lead nor helpers have the memory, in stakes.
 const NO_MEMORY_COST: f64 = 50.0;
 
@@ -134,12 +102,6 @@
 /// What a lead without a free place costs, in stakes.
 const NO_PLACE_COST: f64 = 3.0;
 
-/// Memory that is free on an engine, in tokens.
-pub(crate) fn room(profile: &EngineProfile, load: &EndpointLoad) -> u64 {
-    let planned = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
-    planned.saturating_sub(load.memory_tokens())
-}
-
 /// What is lost if a request with this prompt is late.
 pub fn stake(w: &PlacementWeights, prompt_tokens: u64) -> f64 {
     (prompt_tokens as f64 / STAKE_TOKENS).powf(w.stake_power).max(LEAST_STAKE)
@@ -401,13 +363,6 @@
     (left == 0).then_some(held)
 }
 
-/// A number between zero and one that is the same for an instance and an endpoint at all times.
-pub(crate) fn spread(seed: u64, endpoint: &EndpointId) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    (seed, endpoint.as_str()).hash(&mut hasher);
-    (hasher.finish() % 1_000) as f64 / 1_000.0
-}
-
 /// Places a request on a plain service: on the endpoint with most free places, near ones first.
 pub fn place_on_service(view: View<'_>, candidates: &[&Endpoint]) -> Option<Placement> {
     let cost = |e: &Endpoint| {
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -6,7 +6,7 @@
 use ringbend_types::{EndpointId, Timestamp};
 use smallvec::SmallVec;
 
-use crate::turns::Waiting;
+use crate::waiting::Waiting;
 
 /// Names one request's work over all instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/ringbend-gateway/src/quiet.rs
+++ b/crates/ringbend-gateway/src/quiet.rs
@@ -1,8 +1,8 @@
 //! Which engines are kept quiet: they write for requests with short prompts and read no long ones.
 
-use crate::choice::{View, spread};
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
+use crate::view::{View, spread};
 
 /// The most engines that read one prompt: the engines' own limit of helpers, and the lead.
 pub(crate) const MOST_ENGINES: usize = 17;
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -9,30 +9,14 @@
 
 use ringbend_types::{ServiceName, Timestamp};
 
-use crate::choice::{View, room};
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
 use crate::load::WorkId;
 use crate::quiet::{MOST_ENGINES, reading_engines};
+use crate::view::{View, room};
+use crate::waiting::Waiting;
 use crate::weights::PlacementWeights;
 
-/// A long prompt that waits for its turn.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Waiting {
-    /// The service whose engines it waits for.
-    pub service: ServiceName,
-    /// How long one engine would read it.
-    pub read: Duration,
-    /// Memory that it takes, in tokens.
-    pub memory_tokens: u64,
-    /// When its request arrived.
-    pub since: Timestamp,
-    /// When its first event is due.
-    pub first_by: Timestamp,
-    /// When its caller leaves if no event has come.
-    pub until: Timestamp,
-}
-
 /// Whether a long prompt may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
--- /dev/null
+++ b/crates/ringbend-gateway/src/view.rs
@@ -0,0 +1,54 @@
+//! What placement and turns are decided from: what is believed of the fleet at one moment.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use ringbend_types::{DataCentre, EndpointId, Timestamp};
+
+use crate::engine::EngineProfile;
+use crate::load::{EndpointLoad, LoadBook};
+use crate::trust::TrustBook;
+use crate::weights::PlacementWeights;
+
+/// The share of an engine's memory that is planned with.
+const MEMORY_SHARE: f64 = 0.95;
+
+/// What a choice is made from.
+#[derive(Clone, Copy)]
+pub struct View<'a> {
+    /// The time.
+    pub now: Timestamp,
+    /// Where this instance runs.
+    pub home: &'a DataCentre,
+    /// What runs where.
+    pub load: &'a LoadBook,
+    /// Orders engines that cost about the same: this instance's own number, by which its choices
+    /// differ from those of others; where it is alone, another number for each request.
+    pub seed: u64,
+    /// Whether no other instance is known. Then the book misses what they place, so requests are
+    /// spread over all engines rather than gathered on few: a crowd of callers that comes back to
+    /// instances that have just started put 12 of 100 requests on one of 18 engines, and puts 9.
+    pub alone: bool,
+    /// Whether it is alone and started moments ago, so that others may be heard soon. Long prompts
+    /// wait for that: those that come back after a loss of all instances were sent by each of them to
+    /// the same engines at once.
+    pub starting: bool,
+    /// What counts how much.
+    pub weights: &'a PlacementWeights,
+    /// Which endpoints answered well.
+    pub trust: &'a TrustBook,
+    /// Endpoints that this request was sent to before.
+    pub tried: &'a [EndpointId],
+}
+
+/// Memory that is free on an engine, in tokens.
+pub(crate) fn room(profile: &EngineProfile, load: &EndpointLoad) -> u64 {
+    let planned = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
+    planned.saturating_sub(load.memory_tokens())
+}
+
+/// A number between zero and one that is the same for an instance and an endpoint at all times.
+pub(crate) fn spread(seed: u64, endpoint: &EndpointId) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (seed, endpoint.as_str()).hash(&mut hasher);
+    (hasher.finish() % 1_000) as f64 / 1_000.0
+}
--- /dev/null
+++ b/crates/ringbend-gateway/src/waiting.rs
@@ -0,0 +1,22 @@
+//! A long prompt that waits, as instances tell each other of it.
+
+use std::time::Duration;
+
+use ringbend_types::{ServiceName, Timestamp};
+
+/// A long prompt that waits for its turn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Waiting {
+    /// The service whose engines it waits for.
+    pub service: ServiceName,
+    /// How long one engine would read it.
+    pub read: Duration,
+    /// Memory that it takes, in tokens.
+    pub memory_tokens: u64,
+    /// When its request arrived.
+    pub since: Timestamp,
+    /// When its first event is due.
+    pub first_by: Timestamp,
+    /// When its caller leaves if no event has come.
+    pub until: Timestamp,
+}
--- a/crates/ringbend-gateway/tests/placement.rs
+++ b/crates/ringbend-gateway/tests/placement.rs
@@ -69,6 +69,20 @@
     assert_eq!(engines(&scene.place(3_000, 300, 200)), ["e-03"]);
 }
 
+/// A pass that reads a long part cannot be interrupted: prompts expected in 0.5 s had their first
+/// event after 4.5 s.
+#[test]
+fn a_prompt_is_not_split_onto_engines_that_are_reading() {
+    let mut scene = Scene::new(4);
+    for engine in 1..=3 {
+        let helpers = [endpoint(engine % 3 + 1).id].into_iter().collect();
+        let reads = Work { long: true, helpers, ..work(engine, ms(1_500)) };
+        scene.load.place(at(0), work_id(engine as u64), reads);
+    }
+    let placement = scene.place(30_000, 1_500, 600);
+    assert_eq!(engines(&placement), ["e-04"]);
+}
+
 #[test]
 fn a_full_engine_is_not_joined() {
     let mut scene = Scene::new(4);
