feat(gateway): one bound on how long a prompt takes an engine, in place of three

Cause: the cheapest placement of a long prompt was at times one engine for 12 s or two for 5 s, as few engines harm few requests; callers of those engines left, and so did the prompt's own. Hypothesis: it is better to wait until the cheapest placement is short than to split it further. Change: a long prompt waits while the cheapest placement has a part above longest_ms (2.5 s).

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -36,8 +36,6 @@
     pub first_in: Duration,
     /// The longest pause between events that is on time.
     pub gap: Duration,
-    /// Whether one engine is to read it when it has nothing else to read.
-    pub behind: bool,
 }
 
 /// Where a request goes.
@@ -255,13 +253,28 @@
         .map(|(e, quiet)| Engine::new(view, profile, e, if quiet { kept_for } else { 0.0 }))
         .collect();
     let read_ms = profile.read_ms(wish.demand.prompt_tokens);
-    let most =
-        if read_ms <= w.whole_ms || wish.behind { 1 } else { engines.len().min(MOST_ENGINES) };
+    let most = if read_ms <= w.whole_ms { 1 } else { engines.len().min(MOST_ENGINES) };
     let tries = PARTS.iter().copied().filter(|parts| *parts <= most);
     let placements = tries.filter_map(|parts| place_parts(view, profile, &engines, wish, parts));
     placements.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
+/// Whether the cheapest placement would take an engine for longer than any prompt may.
+///
+/// Answers a crowd of short prompts right after long ones. A prompt of 600,000 tokens is 34 s of
+/// reading; sent when short prompts had left it four engines, it took each for 8.5 s, and 130 callers
+/// of short prompts left in two seconds. It waits until more engines are open to it. To split it
+/// further among the same engines instead cost more than it gained.
+pub fn takes_too_long(
+    view: View<'_>,
+    profile: &EngineProfile,
+    candidates: &[&Endpoint],
+    wish: &Wish,
+) -> bool {
+    let placement = place_on_engines(view, profile, candidates, wish);
+    placement.is_some_and(|placement| millis(placement.part) > view.weights.longest_ms)
+}
+
 /// What one engine costs as a part of a placement, in stakes.
 #[derive(Clone, Copy)]
 struct Price {
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -140,11 +140,6 @@
         self.parts.iter().map(|reader| reader.left).sum()
     }
 
-    /// Whether a whole prompt of any length waits to be read.
-    pub fn has_whole(&self) -> bool {
-        !self.wholes.is_empty()
-    }
-
     /// What waits to be read, in the order in which it will be.
     pub fn readers(&self) -> impl Iterator<Item = &Reader> {
         self.parts.iter().rev().chain(&self.wholes)
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -13,7 +13,7 @@
 use crate::engine::EngineProfile;
 use crate::load::WorkId;
 use crate::quiet::{MOST_ENGINES, reading_engines};
-use crate::view::{View, room};
+use crate::view::View;
 use crate::waiting::Waiting;
 use crate::weights::PlacementWeights;
 
@@ -22,8 +22,6 @@
 pub enum Turn {
     /// It may be sent now.
     Now,
-    /// It will be late whatever is done; one engine may read it when it has nothing else to read.
-    Behind,
     /// Engines have room for it, and others that go first have not been sent.
     PassedOver,
     /// Too few engines have nothing to read; some will after this time.
@@ -53,8 +51,6 @@
     shared: Duration,
     /// How long it takes by itself.
     alone: Duration,
-    /// Whether it gave way.
-    late: bool,
 }
 
 impl Queued<'_> {
@@ -77,7 +73,7 @@
     let queued = |(id, waiting): (WorkId, &'a Waiting)| {
         let part = |n: usize| waiting.read / u32::try_from(n.max(1)).unwrap_or(u32::MAX);
         let (shared, alone) = (part(engines), part(engines.min(MOST_ENGINES)) + BETWEEN);
-        Queued { id, waiting, shared, alone, late: false }
+        Queued { id, waiting, shared, alone }
     };
     let all = view.load.waiting().filter(|(_, waiting)| waiting.service == *service).map(queued);
     let (mut aged, mut due): (Vec<_>, Vec<_>) = all.partition(|q| q.is_aged(now));
@@ -104,7 +100,7 @@
             let gives_way = on_time.remove(longest);
             let is_itself = gives_way.id == id;
             done = done - gives_way.shared;
-            late.push(Queued { late: true, ..gives_way });
+            late.push(gives_way);
             if is_itself {
                 break;
             }
@@ -119,37 +115,11 @@
     parts.clamp(1, engines.clamp(1, MOST_ENGINES))
 }
 
-/// The fewest engines that must be open to long prompts before one is sent, of `all` engines.
-///
-/// A prompt of 600,000 tokens is 34 s of reading. Sent when short prompts had left it four engines,
-/// it took each of them for 8.5 s; the next crowd of short prompts found them taken, and 130 callers
-/// left in two seconds. So it waits until its parts are short, or the engines are nearly all open.
-fn least_engines(w: &PlacementWeights, read: Duration, all: usize) -> usize {
-    let parts = (read.as_secs_f64() * 1e3 / w.most_ms).ceil();
-    parts.min((all as f64 * w.most_share).floor()).min(MOST_ENGINES as f64) as usize
-}
-
 /// How many of these engines may read one prompt.
 fn most_engines(engines: usize) -> u32 {
     u32::try_from(engines.clamp(1, MOST_ENGINES)).unwrap_or(1)
 }
 
-/// Whether one engine has the memory and the time to read a prompt behind all else.
-fn one_can_read(
-    view: View<'_>,
-    profile: &EngineProfile,
-    reading: &[&Endpoint],
-    waiting: &Waiting,
-) -> bool {
-    let read_ms = waiting.read.as_secs_f64() * 1e3;
-    let in_time = read_ms <= view.weights.behind_ms && view.now + waiting.read < waiting.until;
-    let can = |e: &&Endpoint| {
-        let load = view.load.of(&e.id);
-        !load.has_whole() && room(profile, load) >= waiting.memory_tokens
-    };
-    in_time && reading.iter().any(can)
-}
-
 /// Whether the prompt `id`, which waits, may be sent. `unused` is how long it has been passed over.
 pub fn turn(
     view: View<'_>,
@@ -181,14 +151,8 @@
             ahead += wanted(w, q.waiting.read, engines);
             continue;
         }
-        if q.late && one_can_read(view, profile, &reading, own) {
-            return Turn::Behind;
-        }
         break;
     }
-    if engines < least_engines(w, own.read, candidates.len()) {
-        return Turn::In(own.read);
-    }
     let own_wanted = wanted(w, own.read, engines);
     let in_order = backlogs.get(own_wanted + ahead - 1);
     match backlogs.get(own_wanted - 1) {
--- a/crates/ringbend-gateway/src/weights.rs
+++ b/crates/ringbend-gateway/src/weights.rs
@@ -32,16 +32,11 @@
     pub part_ms: f64,
     /// An engine that has this many milliseconds left to read counts as free for the next prompt.
     pub free_ms: f64,
-    /// A prompt that one engine reads for longer than this many milliseconds is never read by one
-    /// engine behind all else: what comes to that engine meanwhile waits as long. With `most_ms`
-    /// 0.035 of a day's worth, over five days with six seeds; halving or doubling either changes
-    /// less than the 0.007 by which runs differ.
-    pub behind_ms: f64,
-    /// A prompt waits while its parts would be longer than this many milliseconds, as short prompts
-    /// have taken the other engines.
-    pub most_ms: f64,
-    /// The share of all engines that is enough for any prompt, however long its parts are then.
-    pub most_share: f64,
+    /// A long prompt waits while the cheapest placement would have an engine read it for longer than
+    /// this many milliseconds: passes there last as long as the reading, and whatever comes to that
+    /// engine meanwhile waits for their end. 0.045 of a day's worth, over five days with six seeds;
+    /// 1,500 and 4,000 are worth 0.007 less, which is what runs differ by.
+    pub longest_ms: f64,
     /// How many requests with short prompts are expected soon for each that is open.
     pub quiet_growth: f64,
     /// Such requests that are expected beside those.
@@ -71,9 +66,7 @@
             long_ms: 600.0,
             part_ms: 600.0,
             free_ms: 5.0,
-            behind_ms: 1_500.0,
-            most_ms: 1_500.0,
-            most_share: 0.75,
+            longest_ms: 2_500.0,
             quiet_growth: 1.0,
             quiet_spare: 0.0,
             full_share: 0.95,
--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -122,7 +122,7 @@
 }
 
 /// Names that the file knows, for suggestions.
-const KNOWN_NAMES: [&str; 31] = [
+const KNOWN_NAMES: [&str; 29] = [
     "instance",
     "data_centre",
     "listen",
@@ -144,9 +144,7 @@
     "long_ms",
     "part_ms",
     "free_ms",
-    "behind_ms",
-    "most_ms",
-    "most_share",
+    "longest_ms",
     "full_share",
     "quiet_growth",
     "quiet_spare",
@@ -209,9 +207,7 @@
         ("placement.part_ms", "above zero", w.part_ms.is_finite() && w.part_ms > 0.0),
         ("placement.long_ms", "zero or more", is_span(w.long_ms)),
         ("placement.free_ms", "zero or more", is_span(w.free_ms)),
-        ("placement.behind_ms", "zero or more", is_span(w.behind_ms)),
-        ("placement.most_ms", "above zero", w.most_ms.is_finite() && w.most_ms > 0.0),
-        ("placement.most_share", "above 0, at most 1", w.most_share > 0.0 && w.most_share <= 1.0),
+        ("placement.longest_ms", "above zero", w.longest_ms.is_finite() && w.longest_ms > 0.0),
         ("placement.full_share", "above 0, at most 1", w.full_share > 0.0 && w.full_share <= 1.0),
         ("placement.quiet_growth", "zero or more", is_span(w.quiet_growth)),
         ("placement.quiet_spare", "zero or more", is_span(w.quiet_spare)),
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -52,8 +52,6 @@
     pace: Pace,
     /// How long the last placement was expected to take to the first event.
     pub(crate) expected: Duration,
-    /// Whether one engine is to read the prompt behind all else, as it will be late.
-    pub(crate) behind: bool,
     _open: Open,
 }
 
@@ -103,7 +101,6 @@
             ended,
             pace: Pace::default(),
             expected: Duration::ZERO,
-            behind: false,
             _open: open,
         }
     }
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -62,10 +62,7 @@
         let (placement, candidates) = self.decide(|view, candidates| {
             let placement = match (&self.terms.service.engine, self.call.demand) {
                 (Some(engine), Some(demand)) => {
-                    let first_in = self.first_by().since(view.now);
-                    let (gap, behind) = (self.gap(), self.behind);
-                    let wish = Wish { demand, first_in, gap, behind };
-                    place_on_engines(view, engine, candidates, &wish)
+                    place_on_engines(view, engine, candidates, &self.wish(view.now, demand))
                 }
                 _ => place_on_service(view, candidates),
             };
@@ -78,6 +75,11 @@
         Some((endpoint, placement))
     }
 
+    /// What is wanted of a placement.
+    pub(crate) fn wish(&self, now: Timestamp, demand: Demand) -> Wish {
+        Wish { demand, first_in: self.first_by().since(now), gap: self.gap() }
+    }
+
     /// Writes the line of a choice: what it was made from, and what it expects.
     fn log_choice(
         &self,
--- a/crates/ringbend-relay/src/turns.rs
+++ b/crates/ringbend-relay/src/turns.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ringbend_gateway::{Turn, Waiting, WorkId, turn};
+use ringbend_gateway::{Turn, Waiting, WorkId, takes_too_long, turn};
 use ringbend_types::Timestamp;
 
 use crate::life::{Failed, Life};
@@ -29,7 +29,6 @@
             return Ok(());
         }
         let began = self.node.clock.now();
-        self.behind = false;
         let waits = self.node.wait(Waiting {
             service: self.terms.service.name.clone(),
             read: self.read_time(),
@@ -43,11 +42,8 @@
             let now = self.node.clock.now();
             let unused = passed_over_at.map_or(Duration::ZERO, |at| now.since(at));
             let look = match self.turn(waits.id, unused) {
+                Turn::Now if self.takes_too_long() => LONGEST_LOOK,
                 Turn::Now => break,
-                Turn::Behind => {
-                    self.behind = true;
-                    break;
-                }
                 Turn::TooLate => return Err(Failed::NoTurn),
                 Turn::PassedOver => {
                     passed_over_at.get_or_insert(now);
@@ -65,10 +61,21 @@
         }
         let waited_ms = self.node.clock.now().since(began).as_millis() as u64;
         let waiting = self.node.load.borrow().waiting().count() - 1;
-        log::info!(target: "request", id = self.id(), waited_ms, waiting, behind = self.behind; "turn");
+        log::info!(target: "request", id = self.id(), waited_ms, waiting; "turn");
         Ok(())
     }
 
+    /// Whether the cheapest placement would take an engine for too long.
+    fn takes_too_long(&self) -> bool {
+        let Some((engine, demand)) = self.terms.service.engine.as_ref().zip(self.call.demand)
+        else {
+            return false;
+        };
+        self.decide(|view, candidates| {
+            takes_too_long(view, engine, candidates, &self.wish(view.now, demand))
+        })
+    }
+
     /// When the caller leaves if no event has come.
     fn first_event_patience(&self) -> Timestamp {
         let route = &self.terms.route;
