fix(gateway): any prompt may go once three quarters of the engines are open to it

Cause: with a fixed bound a prompt of over 42 s of reading (690,000 tokens here), or of 2.5 s on a fleet of one engine, waited until its caller left. Seen on reading the code; no run had shown it. Change: the bound is no shorter than what so many engines take. Test: no_prompt_is_too_long_for_idle_engines, red before (200,000 tokens, 1 engine).

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -259,6 +259,10 @@
     placements.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
+/// The share of the engines that may read one prompt which is enough for any prompt, however long its
+/// parts are then: the longest would wait for ever for short ones. A quarter is left to others.
+const MANY: f64 = 0.75;
+
 /// Whether the cheapest placement would take an engine for longer than any prompt may.
 ///
 /// Answers a crowd of short prompts right after long ones. A prompt of 600,000 tokens is 34 s of
@@ -271,8 +275,11 @@
     candidates: &[&Endpoint],
     wish: &Wish,
 ) -> bool {
+    let read_ms = profile.read_ms(wish.demand.prompt_tokens);
+    let many = (candidates.len() as f64 * MANY).clamp(1.0, MOST_ENGINES as f64 * MANY);
+    let longest_ms = view.weights.longest_ms.max(read_ms / many);
     let placement = place_on_engines(view, profile, candidates, wish);
-    placement.is_some_and(|placement| millis(placement.part) > view.weights.longest_ms)
+    placement.is_some_and(|placement| millis(placement.part) > longest_ms)
 }
 
 /// What one engine costs as a part of a placement, in stakes.
--- a/crates/ringbend-gateway/src/view.rs
+++ b/crates/ringbend-gateway/src/view.rs
@@ -46,7 +46,7 @@
     planned.saturating_sub(load.memory_tokens())
 }
 
-/// A number between zero and one that is the same for an instance and an endpoint at all times.
+/// A number between zero and one, always the same for a seed and an endpoint.
 pub(crate) fn spread(seed: u64, endpoint: &EndpointId) -> f64 {
     let mut hasher = DefaultHasher::new();
     (seed, endpoint.as_str()).hash(&mut hasher);
--- a/crates/ringbend-gateway/tests/turns.rs
+++ b/crates/ringbend-gateway/tests/turns.rs
@@ -212,6 +212,21 @@
     assert!(!takes_too_long_beside(2, 600_000));
 }
 
+/// Seventeen engines read a million tokens for 3 s each, and one is all that some fleets have.
+#[test]
+fn no_prompt_is_too_long_for_idle_engines() {
+    for engines in [1, 3, 8, 18, 60] {
+        let queue = Queue::new(engines);
+        let candidates: Vec<&Endpoint> = queue.fleet.iter().collect();
+        for prompt_tokens in [200_000, 500_000, 1_000_000] {
+            let demand = Demand { prompt_tokens, answer_tokens: 500 };
+            let wish = Wish { demand, first_in: ms(3_000), gap: ms(800) };
+            let waits = takes_too_long(queue.view(), &profile(), &candidates, &wish);
+            assert!(!waits, "{prompt_tokens} tokens, {engines} engines");
+        }
+    }
+}
+
 #[test]
 fn a_prompt_that_few_engines_read_soon_does_not_wait_for_more() {
     assert!(!takes_too_long_beside(13, 200_000));
