--- a/crates/ringbend-gateway/src/weights.rs
+++ b/crates/ringbend-gateway/src/weights.rs
@@ -19,7 +19,8 @@
     /// What it costs to delay a request that waits for its first event by all the time it has left.
     pub delay: f64,
     /// Prompts that one engine reads in this many milliseconds are not split: the first event waits
-    /// for the last of several passes, which takes about as long. 0.006 of a day's worth over 30.
+    /// for the last of several passes, which takes about as long. Over 30 ms it is worth 0.001 to 0.006
+    /// of a day on three deployments, five days each with two seeds.
     pub whole_ms: f64,
     /// What each helper costs: one more engine on which the request depends.
     pub helper: f64,
@@ -34,8 +35,9 @@
     pub free_ms: f64,
     /// A long prompt waits while the cheapest placement would have an engine read it for longer than
     /// this many milliseconds: passes there last as long as the reading, and whatever comes to that
-    /// engine meanwhile waits for their end. 0.045 of a day's worth, over five days with six seeds;
-    /// 1,500 and 4,000 are worth 0.007 less, which is what runs differ by.
+    /// engine meanwhile waits for their end. Worth 0.014 to 0.030 of a day on three deployments, five
+    /// days each with two seeds; 1,500 and 4,000 are worth 0.007 less on one of them with six seeds,
+    /// which is what runs differ by.
     pub longest_ms: f64,
     /// How many requests with short prompts are expected soon for each that is open.
     pub quiet_growth: f64,
