--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -19,7 +19,7 @@
 use crate::weights::PlacementWeights;
 
 /// What is asked of the endpoints.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Demand {
     /// Prompt tokens.
     pub prompt_tokens: u64,
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -12,12 +12,15 @@
 mod events;
 mod freshness;
 mod gate;
+mod job;
 mod load;
+mod outbox;
 mod peers;
 mod quiet;
 mod reader;
 mod replica;
 mod reservation;
+mod schedulers;
 mod snapshot;
 mod trust;
 mod turns;
@@ -33,11 +36,14 @@
 pub use events::{Event, EventCutter, EventId, EventTooLong};
 pub use freshness::{Freshness, Proof};
 pub use gate::{Admitted, Arrival, Denied, GateBounds, admit};
+pub use job::Job;
 pub use load::{EndpointLoad, Held, LoadBook, Reader, Work, WorkId, Writer};
-pub use peers::{HEARTBEAT, Heard, Holds, Outbox, Peers, SILENCE};
-pub use reader::{READ_AGE_MS, Readers};
+pub use outbox::Outbox;
+pub use peers::{HEARTBEAT, Heard, Holds, Part, Peers, SILENCE};
+pub use reader::{MEMBER_READ_AGE_MS, READ_AGE_MS, Readers};
 pub use replica::{Adopted, Replica};
 pub use reservation::{HOLD, OrderAnswer, RENEW, Ticket, TicketId};
+pub use schedulers::{SCHEDULERS, Standing};
 pub use snapshot::{
     Account, CallerLimits, ConfigVersion, Repeat, Route, RouteEntry, Service, Snapshot,
     SnapshotParts, Split,
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -211,6 +211,7 @@
 struct Open {
     work: Work,
     writing: bool,
+    since: Timestamp,
 }
 
 /// The load of all endpoints.
@@ -224,6 +225,9 @@
     idle: EndpointLoad,
 }
 
+/// How long what an instance tells of its work may have been on its way when more of it was placed.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
+
 /// How often work that outlived its deadline is looked for.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
@@ -259,7 +263,19 @@
             let load = self.endpoints.entry(held.endpoint.clone()).or_default();
             load.memory_tokens += held.tokens;
         }
-        self.open.insert(id, Open { work, writing: false });
+        self.open.insert(id, Open { work, writing: false, since: now });
+    }
+
+    /// Notes work that another instance tells of. What is known already stays as it is, so that
+    /// hearing of it again does not begin its reading anew.
+    pub fn place_told(&mut self, now: Timestamp, id: WorkId, work: Work, writing: bool) {
+        let known = self.open.get(&id).map(|open| &open.work);
+        if known.is_none_or(|known| known.lead != work.lead || known.helpers != work.helpers) {
+            self.place(now, id, work);
+        }
+        if writing {
+            self.first_event(id);
+        }
     }
 
     /// Notes that a request's first event has come, so its prompt has been read.
@@ -280,7 +296,7 @@
     /// Notes that a request has ended, however it did.
     pub fn end(&mut self, now: Timestamp, id: WorkId) {
         self.waiting.remove(&id);
-        let Some(Open { work, writing }) = self.open.remove(&id) else { return };
+        let Some(Open { work, writing, .. }) = self.open.remove(&id) else { return };
         if let Some(load) = self.endpoints.get_mut(&work.lead) {
             load.writers.retain(|writer| writer.id != id);
             load.memory_tokens = load.memory_tokens.saturating_sub(work.memory_tokens);
@@ -302,13 +318,34 @@
         }
     }
 
-    /// Forgets all that one instance placed, as it has ended.
-    pub fn forget_instance(&mut self, now: Timestamp, instance: u64) {
-        self.waiting.retain(|id, _| id.instance != instance);
-        let ids = self.open.keys().filter(|id| id.instance == instance).copied();
-        for id in ids.collect::<Vec<_>>() {
-            self.end(now, id);
-        }
+    /// Forgets all that one instance placed, as it has ended. Returns whether there was any.
+    pub fn forget_instance(&mut self, now: Timestamp, instance: u64) -> bool {
+        self.end_where(now, |id| id.instance == instance)
+    }
+
+    /// Forgets the work of all instances but one.
+    pub fn keep_instance(&mut self, now: Timestamp, instance: u64) {
+        self.end_where(now, |id| id.instance != instance);
+    }
+
+    /// What is believed of an instance's work though it is not among the `sequences` that the
+    /// instance tells of. What was placed within `SETTLE_TIME` may have crossed that word.
+    pub fn unlisted(&self, now: Timestamp, instance: u64, sequences: &[u64]) -> Vec<WorkId> {
+        let is_settled = |since: Timestamp| now.since(since) >= SETTLE_TIME;
+        let placed = self.open.iter().filter(|(_, open)| is_settled(open.since));
+        let all = placed.map(|(id, _)| id).chain(self.waiting.keys());
+        all.filter(|id| id.instance == instance && !sequences.contains(&id.sequence))
+            .copied()
+            .collect()
+    }
+
+    /// Ends all work that is meant. Returns whether there was any.
+    fn end_where(&mut self, now: Timestamp, is_meant: impl Fn(WorkId) -> bool) -> bool {
+        let waiting = self.waiting.len();
+        self.waiting.retain(|id, _| !is_meant(*id));
+        let ids: Vec<WorkId> = self.open.keys().copied().filter(|id| is_meant(*id)).collect();
+        ids.iter().for_each(|id| self.end(now, *id));
+        !ids.is_empty() || self.waiting.len() < waiting
     }
 
     /// Notes a long prompt that waits for its turn.
@@ -321,10 +358,19 @@
         self.waiting.iter().map(|(id, waiting)| (*id, waiting))
     }
 
-    /// The open work of one instance, with whether its prompt has been read.
-    pub fn of_instance(&self, instance: u64) -> impl Iterator<Item = (WorkId, &Work, bool)> {
-        let mine = self.open.iter().filter(move |(id, _)| id.instance == instance);
-        mine.map(|(id, open)| (*id, &open.work, open.writing))
+    /// The names of all open work.
+    pub fn open_work(&self) -> impl Iterator<Item = WorkId> + '_ {
+        self.open.keys().copied()
+    }
+
+    /// Open work by name, with whether its prompt has been read.
+    pub fn work(&self, id: WorkId) -> Option<(&Work, bool)> {
+        self.open.get(&id).map(|open| (&open.work, open.writing))
+    }
+
+    /// The prompt that waits under this name.
+    pub fn waits(&self, id: WorkId) -> Option<&Waiting> {
+        self.waiting.get(&id)
     }
 
     /// How many requests are open.
--- /dev/null
+++ b/crates/ringbend-gateway/src/outbox.rs
@@ -0,0 +1,26 @@
+//! What is still to be told to other instances.
+
+use ringbend_types::EndpointId;
+
+use crate::load::WorkId;
+use crate::trust::TrustEvent;
+
+/// What is still to be told to other instances. Work is this instance's own, or that of instances
+/// which it schedules for.
+#[derive(Debug, Clone, Default)]
+pub struct Outbox {
+    /// Long prompts that have begun to wait.
+    pub waiting: Vec<WorkId>,
+    /// Work that was placed.
+    pub placed: Vec<WorkId>,
+    /// Work whose first event has come.
+    pub writing: Vec<WorkId>,
+    /// Work that has ended.
+    pub ended: Vec<WorkId>,
+    /// Endpoints that an engine named as unable to help it.
+    pub unfit: Vec<EndpointId>,
+    /// Starts of instances that have ended, whose work has ended with them.
+    pub gone: Vec<u64>,
+    /// How this instance's requests went at endpoints; for the one that schedules for it.
+    pub results: Vec<(EndpointId, TrustEvent)>,
+}
--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -1,15 +1,17 @@
-//! Which other instances are there, and what is still to be told to them.
+//! Which other instances are there, and which of them schedule.
 //!
-//! Each instance tells all others what it puts on endpoints, so that they do not choose the same
-//! idle one. What they tell is a hint: nothing that must hold rests on it.
+//! Schedulers tell each other what runs where, so that they do not choose the same idle engine. What
+//! they tell is a hint: nothing that must hold rests on it.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use ringbend_types::{DataCentre, EndpointId, Timestamp};
+use ringbend_types::{DataCentre, Timestamp};
+use smallvec::SmallVec;
 
-use crate::load::WorkId;
+use crate::schedulers::{SCHEDULERS, Standing};
 use crate::snapshot::ConfigVersion;
 
 /// How long a silent peer still counts as there. A datagram goes out every `HEARTBEAT` at least, so
@@ -25,6 +27,14 @@
 /// The most peers that are kept; above the fleet's size, so that only forged addresses meet it.
 const MAX_PEERS: usize = 2_000;
 
+/// How long a scheduler that did not answer in time is passed over: long enough for one that is
+/// short of processor time to catch up, short against the time in which others find its work.
+const DOUBT_TIME: Duration = Duration::from_secs(1);
+
+/// How long an instance that hears no scheduler any more waits before it becomes one: the last one
+/// may have named others, which are being greeted.
+const UNSERVED_TIME: Duration = Duration::from_millis(300);
+
 /// How far a peer's copies of the watched tables go, as it told last.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Holds {
@@ -34,18 +44,54 @@
     pub endpoints: u64,
 }
 
+/// What an instance tells of its part among the others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Part {
+    /// Whether it schedules.
+    pub schedules: bool,
+    /// How many instances it knows in its data centre, itself included.
+    pub instances: usize,
+    /// How many it knows in all data centres.
+    pub fleet: usize,
+}
+
 #[derive(Debug, Clone)]
 struct Peer {
     heard: Option<(Timestamp, u64)>,
     since: Timestamp,
     holds: Holds,
     data_centre: Option<DataCentre>,
+    capacity: u32,
+    part: Part,
+    doubted_at: Option<Timestamp>,
 }
 
 impl Peer {
+    fn new(now: Timestamp) -> Self {
+        Self {
+            heard: None,
+            since: now,
+            holds: Holds::default(),
+            data_centre: None,
+            capacity: 0,
+            part: Part::default(),
+            doubted_at: None,
+        }
+    }
+
     fn is_there(&self, now: Timestamp) -> bool {
         self.heard.is_some_and(|(at, _)| now.since(at) < SILENCE)
     }
+
+    fn runs_in(&self, data_centre: &DataCentre) -> bool {
+        self.data_centre.as_ref() == Some(data_centre)
+    }
+
+    fn is_doubted(&self, now: Timestamp) -> bool {
+        let Some(doubted_at) = self.doubted_at else { return false };
+        let heard_since = self.heard.is_some_and(|(at, _)| at > doubted_at);
+        !heard_since || now.since(doubted_at) < DOUBT_TIME
+    }
 }
 
 /// What a received digest means for the book.
@@ -60,19 +106,33 @@
     },
 }
 
-/// The other instances.
-#[derive(Debug, Clone, Default)]
+/// The other instances, and this one's part among them.
+#[derive(Debug, Clone)]
 pub struct Peers {
+    home: DataCentre,
+    own: Standing,
+    schedules: bool,
+    /// When one that schedules at home was last there.
+    served_at: Timestamp,
     peers: BTreeMap<SocketAddrV4, Peer>,
 }
 
 impl Peers {
+    /// An instance in `home` that knows of no other, and so schedules.
+    pub fn new(home: DataCentre, own: Standing) -> Self {
+        let served_at = Timestamp::default();
+        Self { home, own, schedules: true, served_at, peers: BTreeMap::new() }
+    }
+
+    /// Sets where this instance listens, once it does.
+    pub fn listens_at(&mut self, address: SocketAddrV4) {
+        self.own = Standing::new(self.own.capacity(), address);
+    }
+
     /// Notes that an instance is said to be at `address`.
     pub fn told(&mut self, now: Timestamp, address: SocketAddrV4) {
         if self.peers.len() < MAX_PEERS {
-            let (holds, data_centre) = (Holds::default(), None);
-            let peer = Peer { heard: None, since: now, holds, data_centre };
-            self.peers.entry(address).or_insert(peer);
+            self.peers.entry(address).or_insert_with(|| Peer::new(now));
         }
     }
 
@@ -90,10 +150,18 @@
         }
     }
 
-    /// Notes where the instance at `address` runs.
-    pub fn runs_in(&mut self, address: SocketAddrV4, data_centre: DataCentre) {
+    /// Notes where the instance at `address` runs, and the processor time that it may use.
+    pub fn describe(&mut self, address: SocketAddrV4, data_centre: DataCentre, capacity: u32) {
         if let Some(peer) = self.peers.get_mut(&address) {
             peer.data_centre = Some(data_centre);
+            peer.capacity = capacity;
+        }
+    }
+
+    /// Notes what the instance at `address` tells of its part.
+    pub fn takes_part(&mut self, address: SocketAddrV4, part: Part) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.part = part;
         }
     }
 
@@ -104,17 +172,12 @@
         }
     }
 
-    /// The instances whose copies go as far as is `wanted`: those in `home` if there are any.
-    pub fn holders(
-        &self,
-        now: Timestamp,
-        home: &DataCentre,
-        wanted: impl Fn(Holds) -> bool,
-    ) -> Vec<SocketAddrV4> {
-        let holders = || self.peers.iter().filter(|(_, p)| p.is_there(now) && wanted(p.holds));
-        let near = holders().filter(|(_, peer)| peer.data_centre.as_ref() == Some(home));
-        let near: Vec<SocketAddrV4> = near.map(|(address, _)| *address).collect();
-        if near.is_empty() { holders().map(|(address, _)| *address).collect() } else { near }
+    /// The instances whose copies go as far as is `wanted`: those at home if there are any.
+    pub fn holders(&self, now: Timestamp, wanted: impl Fn(Holds) -> bool) -> Vec<SocketAddrV4> {
+        let holders = || self.there(now).filter(|(_, peer)| wanted(peer.holds));
+        let near = holders().filter(|(_, peer)| peer.runs_in(&self.home));
+        let near: Vec<SocketAddrV4> = near.map(|(address, _)| address).collect();
+        if near.is_empty() { holders().map(|(address, _)| address).collect() } else { near }
     }
 
     /// Notes that the instance at `address` stops.
@@ -122,64 +185,180 @@
         self.peers.remove(&address);
     }
 
-    /// The addresses to tell things to.
+    /// Whether an instance at `address` was heard or is being greeted.
+    pub fn knows(&self, address: SocketAddrV4) -> bool {
+        self.peers.contains_key(&address)
+    }
+
+    /// All addresses that are known.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
         self.peers.keys().copied()
     }
 
-    /// The addresses that were heard.
-    pub fn heard_addresses(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
-        self.peers.iter().filter(|(_, peer)| peer.heard.is_some()).map(|(address, _)| *address)
+    /// How many instances are there, this one included: those that are heard, and those that
+    /// schedulers tell of.
+    pub fn instances(&self, now: Timestamp) -> usize {
+        let heard = self.instances_by_centre(now);
+        if self.schedules {
+            return heard;
+        }
+        let at_home = self.there(now).filter(|(_, peer)| peer.runs_in(&self.home));
+        let schedulers = at_home.filter(|(_, peer)| peer.part.schedules);
+        schedulers.map(|(_, peer)| peer.part.fleet).fold(heard, usize::max)
     }
 
-    /// Whether an instance at `address` was heard or is being greeted.
-    pub fn knows(&self, address: SocketAddrV4) -> bool {
-        self.peers.contains_key(&address)
+    fn instances_by_centre(&self, now: Timestamp) -> usize {
+        let mut counts: BTreeMap<&DataCentre, (usize, usize)> = BTreeMap::new();
+        counts.insert(&self.home, (1, 0));
+        let mut elsewhere = 0;
+        for (_, peer) in self.there(now) {
+            let Some(data_centre) = &peer.data_centre else {
+                elsewhere += 1;
+                continue;
+            };
+            let (heard, told) = counts.entry(data_centre).or_default();
+            *heard += 1;
+            if peer.part.schedules {
+                *told = (*told).max(peer.part.instances);
+            }
+        }
+        counts.values().map(|(heard, told)| heard.max(told)).sum::<usize>() + elsewhere
     }
 
-    /// How many instances are there, this one included.
-    pub fn instances(&self, now: Timestamp) -> usize {
-        self.peers.values().filter(|peer| peer.is_there(now)).count() + 1
+    /// How many instances of its data centre this one hears, itself included.
+    pub fn instances_at_home(&self, now: Timestamp) -> usize {
+        self.there(now).filter(|(_, peer)| peer.runs_in(&self.home)).count() + 1
     }
 
     /// Drops peers that were silent for long. Returns the starts that have just fallen silent, whose
-    /// work is no longer believed in.
-    pub fn sweep(&mut self, now: Timestamp) -> Vec<u64> {
-        let silent = |peer: &Peer| match peer.heard {
-            Some((at, start)) if now.since(at) >= SILENCE => Some(start),
+    /// work is no longer believed in, with their addresses.
+    pub fn sweep(&mut self, now: Timestamp) -> Vec<(SocketAddrV4, u64)> {
+        let silent = |(address, peer): (&SocketAddrV4, &Peer)| match peer.heard {
+            Some((at, start)) if now.since(at) >= SILENCE => Some((*address, start)),
             _ => None,
         };
-        let starts = self.peers.values().filter_map(silent).collect();
+        let starts = self.peers.iter().filter_map(silent).collect();
         self.peers.retain(|_, peer| {
             let last = peer.heard.map_or(peer.since, |(at, _)| at);
             now.since(last) < FORGET
         });
         starts
     }
-}
 
-/// What is still to be told to peers.
-#[derive(Debug, Clone, Default)]
-pub struct Outbox {
-    /// Long prompts that have begun to wait.
-    pub waiting: Vec<WorkId>,
-    /// Work that was placed.
-    pub placed: Vec<WorkId>,
-    /// Work whose first event has come.
-    pub writing: Vec<WorkId>,
-    /// Work that has ended.
-    pub ended: Vec<WorkId>,
-    /// Endpoints that an engine named as unable to help it.
-    pub unfit: Vec<EndpointId>,
+    fn there(&self, now: Timestamp) -> impl Iterator<Item = (SocketAddrV4, &Peer)> {
+        self.peers.iter().filter(move |(_, p)| p.is_there(now)).map(|(a, peer)| (*a, peer))
+    }
 }
 
-impl Outbox {
-    /// Whether there is nothing to tell.
-    pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
-            && self.placed.is_empty()
-            && self.writing.is_empty()
-            && self.ended.is_empty()
-            && self.unfit.is_empty()
+/// Who schedules.
+impl Peers {
+    /// Whether this instance schedules.
+    pub fn schedules(&self) -> bool {
+        self.schedules
+    }
+
+    /// Takes up scheduling, as another scheduler asks for it.
+    pub fn called_up(&mut self) {
+        self.schedules = true;
+    }
+
+    /// Looks at this instance's part again. True if it has changed.
+    ///
+    /// One that schedules goes on until enough better placed ones of its data centre do. One that
+    /// does not begins once it has heard none that does for a moment.
+    pub fn review(&mut self, now: Timestamp) -> bool {
+        let at_home = || self.standings(now, &self.home, |peer| peer.part.schedules);
+        let better = at_home().filter(|standing| *standing < self.own).count();
+        let is_served = at_home().next().is_some();
+        if is_served {
+            self.served_at = now;
+        }
+        let schedules = match self.schedules {
+            true => better < SCHEDULERS,
+            false => now.since(self.served_at) >= UNSERVED_TIME,
+        };
+        std::mem::replace(&mut self.schedules, schedules) != schedules
+    }
+
+    /// The other schedulers: the best placed of each data centre.
+    pub fn fellows(&self, now: Timestamp) -> Vec<SocketAddrV4> {
+        let mut centres: Vec<&DataCentre> =
+            self.there(now).filter_map(|(_, peer)| peer.data_centre.as_ref()).collect();
+        centres.sort();
+        centres.dedup();
+        let best = |centre| self.best(now, centre, |peer| peer.part.schedules);
+        let named = centres.into_iter().flat_map(best);
+        let unplaced = self.there(now).filter(|(_, peer)| peer.data_centre.is_none());
+        named.chain(unplaced.map(|(address, _)| address)).collect()
+    }
+
+    /// Schedulers that have fallen silent. They may be cut off, and hear of the others once they are
+    /// not; they are told no more than that this instance is there.
+    pub fn silent_schedulers(&self, now: Timestamp) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        let silent = move |peer: &Peer| peer.part.schedules && !peer.is_there(now);
+        self.peers.iter().filter(move |(_, peer)| silent(peer)).map(|(address, _)| *address)
+    }
+
+    /// The instances of this data centre that do not schedule.
+    pub fn members(&self, now: Timestamp) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        let is_member = |peer: &Peer| peer.runs_in(&self.home) && !peer.part.schedules;
+        self.there(now).filter(move |(_, peer)| is_member(peer)).map(|(address, _)| address)
+    }
+
+    /// The schedulers of this data centre: the best placed.
+    pub fn home_schedulers(&self, now: Timestamp) -> SmallVec<[SocketAddrV4; SCHEDULERS]> {
+        self.best(now, &self.home, |peer| peer.part.schedules)
+    }
+
+    /// The scheduler that this instance asks, but for those in `asked`. Instances prefer different
+    /// ones, always the same, and pass over one that did not answer.
+    pub fn scheduler(&self, now: Timestamp, asked: &[SocketAddrV4]) -> Option<SocketAddrV4> {
+        let usable =
+            self.best(now, &self.home, |peer| peer.part.schedules && !peer.is_doubted(now));
+        let rank = |address: &SocketAddrV4| {
+            let mut hasher = DefaultHasher::new();
+            (self.own.address(), address).hash(&mut hasher);
+            hasher.finish()
+        };
+        usable.into_iter().filter(|address| !asked.contains(address)).min_by_key(rank)
+    }
+
+    /// Notes that the scheduler at `address` did not answer in time.
+    pub fn doubt(&mut self, now: Timestamp, address: SocketAddrV4) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.doubted_at = Some(now);
+        }
+    }
+
+    /// The instances of this data centre that should schedule as well, the best placed first.
+    pub fn wanted(&self, now: Timestamp) -> Vec<SocketAddrV4> {
+        let scheduling = self.standings(now, &self.home, |peer| peer.part.schedules).count() + 1;
+        let mut members: Vec<Standing> =
+            self.standings(now, &self.home, |peer| !peer.part.schedules).collect();
+        members.sort();
+        let missing = SCHEDULERS.saturating_sub(scheduling);
+        members.into_iter().take(missing).map(|standing| standing.address()).collect()
+    }
+
+    fn standings<'a>(
+        &'a self,
+        now: Timestamp,
+        data_centre: &'a DataCentre,
+        is_meant: impl Fn(&Peer) -> bool + 'a,
+    ) -> impl Iterator<Item = Standing> + 'a {
+        self.there(now)
+            .filter(move |(_, peer)| peer.runs_in(data_centre) && is_meant(peer))
+            .map(|(address, peer)| Standing::new(peer.capacity, address))
+    }
+
+    fn best(
+        &self,
+        now: Timestamp,
+        data_centre: &DataCentre,
+        is_meant: impl Fn(&Peer) -> bool,
+    ) -> SmallVec<[SocketAddrV4; SCHEDULERS]> {
+        let mut all: Vec<Standing> = self.standings(now, data_centre, is_meant).collect();
+        all.sort();
+        all.into_iter().take(SCHEDULERS).map(|standing| standing.address()).collect()
     }
 }
--- a/crates/ringbend-gateway/src/reader.rs
+++ b/crates/ringbend-gateway/src/reader.rs
@@ -14,6 +14,10 @@
 /// the two so that not all begin at once. A reader proves copies once a second.
 pub const READ_AGE_MS: std::ops::Range<u64> = 1_500..2_100;
 
+/// The same for an instance that does not schedule: what it reads takes longer to reach all others, so
+/// it leaves reading to one that does, while a copy of that age still lets requests in.
+pub const MEMBER_READ_AGE_MS: std::ops::Range<u64> = 2_200..2_600;
+
 /// A moment on this instance's clock that is no later than a moment on a peer's clock.
 #[derive(Debug, Clone, Copy)]
 struct Pairing {
@@ -27,12 +31,14 @@
     own_start: u64,
     reads: bool,
     clocks: BTreeMap<u64, Pairing>,
+    /// When this instance's copy was last proved by another one's reading, and by whose.
+    proved: Option<(Timestamp, u64)>,
 }
 
 impl Readers {
     /// An instance that does not read until its copy has not been proved current for a while.
     pub fn new(own_start: u64) -> Self {
-        Self { own_start, reads: false, clocks: BTreeMap::new() }
+        Self { own_start, reads: false, clocks: BTreeMap::new(), proved: None }
     }
 
     /// Whether this instance reads the tables.
@@ -74,6 +80,18 @@
         is_told.then(|| pairing.own - before)
     }
 
+    /// Notes that the reading of the instance that started as `start` proved this one's copy at `at`.
+    pub fn proved_by(&mut self, start: u64, at: Timestamp) {
+        if self.proved.is_none_or(|(before, _)| at > before) {
+            self.proved = Some((at, start));
+        }
+    }
+
+    /// The start of the instance whose reading proved this one's copy last, if another one's did.
+    pub fn reader(&self) -> Option<u64> {
+        self.proved.map(|(_, start)| start)
+    }
+
     /// Notes that another instance reads and proved this one's copy `age` ago. Returns whether this
     /// one stops reading.
     pub fn other_reads(&mut self, start: u64, age: Duration) -> bool {
--- /dev/null
+++ b/crates/ringbend-gateway/tests/schedulers.rs
@@ -0,0 +1,230 @@
+//! Which instances schedule, and how many tell how many others: a fleet of some hundred instances
+//! whose processor time would go into telling each other of every placement if all did.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use ringbend_gateway::{HEARTBEAT, Part, Peers, SCHEDULERS, SILENCE, Standing};
+use ringbend_types::{DataCentre, Timestamp};
+use support::{at, ms};
+
+/// Thousandths of a core of the larger instances, and of the others.
+const LARGE: u32 = 500;
+const SMALL: u32 = 120;
+
+/// The larger instances of each data centre; they listen at its highest addresses.
+const LARGE_ONES: usize = 3;
+
+fn address(centre: usize, number: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, centre as u8, number as u8), 7_000)
+}
+
+fn data_centre(centre: usize) -> DataCentre {
+    format!("dc-{centre}").parse().unwrap()
+}
+
+/// Instances that hear each other whenever one tells another something.
+struct Fleet {
+    now: Timestamp,
+    instances: BTreeMap<SocketAddrV4, (usize, u32, Peers)>,
+    told: usize,
+}
+
+impl Fleet {
+    /// Each instance greets the best placed ones of all data centres, as after a read of their rows.
+    fn start(centres: usize, each: usize) -> Self {
+        let mut fleet = Self { now: at(1_000), instances: BTreeMap::new(), told: 0 };
+        for centre in 0..centres {
+            for number in 0..each {
+                let capacity = if number + LARGE_ONES >= each { LARGE } else { SMALL };
+                let own = Standing::new(capacity, address(centre, number));
+                let peers = Peers::new(data_centre(centre), own);
+                fleet.instances.insert(own.address(), (centre, capacity, peers));
+            }
+        }
+        let best = |centre: usize| {
+            (each.saturating_sub(LARGE_ONES)..each).map(move |n| address(centre, n))
+        };
+        let greeted: Vec<SocketAddrV4> = (0..centres).flat_map(best).collect();
+        for from in fleet.addresses() {
+            for to in &greeted {
+                fleet.tell(from, *to);
+                fleet.tell(*to, from);
+            }
+        }
+        fleet
+    }
+
+    fn addresses(&self) -> Vec<SocketAddrV4> {
+        self.instances.keys().copied().collect()
+    }
+
+    /// One instance tells another that it is there, and what part it has.
+    fn tell(&mut self, from: SocketAddrV4, to: SocketAddrV4) {
+        if from == to || !self.instances.contains_key(&to) {
+            return;
+        }
+        self.told += 1;
+        let (centre, capacity, peers) = &self.instances[&from];
+        let (centre, capacity) = (data_centre(*centre), *capacity);
+        let schedules = peers.schedules();
+        let instances = peers.instances_at_home(self.now);
+        let part = Part { schedules, instances, fleet: peers.instances(self.now) };
+        let start = u64::from(u32::from(*from.ip()));
+        let (_, _, hearer) = self.instances.get_mut(&to).unwrap();
+        hearer.heard(self.now, from, start);
+        hearer.describe(from, centre, capacity);
+        hearer.takes_part(from, part);
+        hearer.review(self.now);
+    }
+
+    /// Whom an instance tells that it is there.
+    fn audience(&self, from: SocketAddrV4) -> Vec<SocketAddrV4> {
+        let (_, _, peers) = &self.instances[&from];
+        if peers.schedules() {
+            peers.fellows(self.now).into_iter().chain(peers.members(self.now)).collect()
+        } else {
+            peers.home_schedulers(self.now).to_vec()
+        }
+    }
+
+    /// A heartbeat of all instances.
+    fn beat(&mut self) {
+        self.now = self.now + HEARTBEAT;
+        for from in self.addresses() {
+            self.instances.get_mut(&from).unwrap().2.sweep(self.now);
+            self.instances.get_mut(&from).unwrap().2.review(self.now);
+            for to in self.audience(from) {
+                self.tell(from, to);
+            }
+            for to in self.instances[&from].2.wanted(self.now) {
+                if let Some((_, _, peers)) = self.instances.get_mut(&to) {
+                    peers.called_up();
+                }
+            }
+        }
+    }
+
+    fn schedulers(&self, centre: usize) -> Vec<SocketAddrV4> {
+        let at_home = self.instances.iter().filter(|(_, (home, _, _))| *home == centre);
+        at_home.filter(|(_, (_, _, peers))| peers.schedules()).map(|(a, _)| *a).collect()
+    }
+}
+
+#[test]
+fn all_schedule_where_there_are_few() {
+    let mut fleet = Fleet::start(3, SCHEDULERS);
+    fleet.beat();
+    assert!(fleet.instances.values().all(|(_, _, peers)| peers.schedules()));
+    assert!(fleet.instances.values().all(|(_, _, peers)| peers.fellows(fleet.now).len() == 8));
+}
+
+#[test]
+fn those_with_most_processor_time_schedule() {
+    let mut fleet = Fleet::start(5, 59);
+    fleet.beat();
+    for centre in 0..5 {
+        let best: Vec<SocketAddrV4> = (56..59).map(|number| address(centre, number)).collect();
+        assert_eq!(fleet.schedulers(centre), best);
+    }
+}
+
+/// A placement is told to the other schedulers alone. With 300 instances and as many placements a
+/// second, telling everyone takes 90,000 datagrams a second; heartbeats take as many.
+#[test]
+fn what_an_instance_tells_does_not_grow_with_the_fleet() {
+    for each in [6, 20, 60] {
+        let mut fleet = Fleet::start(5, each);
+        fleet.beat();
+        fleet.told = 0;
+        fleet.beat();
+        let instances = 5 * each;
+        // Three schedulers of each of five data centres, and three of the own one for each instance.
+        assert!(
+            fleet.told <= 15 * 14 + 2 * SCHEDULERS * instances,
+            "{} by {instances}",
+            fleet.told
+        );
+        let fellows = |peers: &Peers| peers.fellows(fleet.now).len();
+        assert!(fleet.instances.values().all(|(_, _, peers)| fellows(peers) <= 15));
+    }
+}
+
+/// The retry budget is shared out by this number.
+#[test]
+fn each_instance_knows_how_many_there_are() {
+    let mut fleet = Fleet::start(5, 60);
+    (0..3).for_each(|_| fleet.beat());
+    for (address, (_, _, peers)) in &fleet.instances {
+        assert_eq!(peers.instances(fleet.now), 300, "{address}");
+    }
+    (0..30).for_each(|number| drop(fleet.instances.remove(&address(2, number))));
+    (0..8).for_each(|_| fleet.beat());
+    for (address, (_, _, peers)) in &fleet.instances {
+        assert_eq!(peers.instances(fleet.now), 270, "{address}");
+    }
+}
+
+#[test]
+fn instances_share_the_schedulers_of_their_data_centre() {
+    let mut fleet = Fleet::start(1, 60);
+    fleet.beat();
+    let mut asked: BTreeMap<SocketAddrV4, usize> = BTreeMap::new();
+    for (_, _, peers) in fleet.instances.values().filter(|(_, _, peers)| !peers.schedules()) {
+        *asked.entry(peers.scheduler(fleet.now, &[]).unwrap()).or_default() += 1;
+    }
+    assert_eq!(asked.len(), SCHEDULERS);
+    assert!(asked.values().all(|count| (10..=30).contains(count)), "{asked:?}");
+}
+
+#[test]
+fn lost_schedulers_are_replaced_by_the_next_best_and_by_no_more() {
+    let mut fleet = Fleet::start(2, 20);
+    fleet.beat();
+    fleet.instances.remove(&address(0, 19));
+    fleet.instances.remove(&address(0, 18));
+    let beats = SILENCE.as_millis() / HEARTBEAT.as_millis() + 2;
+    (0..beats).for_each(|_| fleet.beat());
+    assert_eq!(fleet.schedulers(0), [address(0, 0), address(0, 1), address(0, 17)]);
+    assert_eq!(fleet.schedulers(1).len(), SCHEDULERS);
+}
+
+/// Nobody is left who knows the others of that data centre: each begins by itself.
+#[test]
+fn instances_that_lost_all_their_schedulers_begin_to_schedule() {
+    let mut fleet = Fleet::start(2, 20);
+    fleet.beat();
+    (17..20).for_each(|number| drop(fleet.instances.remove(&address(0, number))));
+    let beats = SILENCE.as_millis() / HEARTBEAT.as_millis() + 2;
+    (0..beats).for_each(|_| fleet.beat());
+    assert_eq!(fleet.schedulers(0).len(), 17);
+    // Once they hear each other again, as after a read of their rows, three are enough.
+    for from in fleet.addresses() {
+        for number in 0..3 {
+            fleet.tell(address(0, number), from);
+        }
+    }
+    assert_eq!(fleet.schedulers(0), (0..3).map(|n| address(0, n)).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_scheduler_that_did_not_answer_is_passed_over_until_it_is_heard_again() {
+    let mut fleet = Fleet::start(1, 10);
+    fleet.beat();
+    let member = address(0, 0);
+    let first = fleet.instances[&member].2.scheduler(fleet.now, &[]).unwrap();
+    let now = fleet.now;
+    fleet.instances.get_mut(&member).unwrap().2.doubt(now, first);
+    let second = fleet.instances[&member].2.scheduler(now, &[]).unwrap();
+    assert_ne!(second, first);
+    let third = fleet.instances[&member].2.scheduler(now, &[second]).unwrap();
+    assert!(![first, second].contains(&third));
+    // Silence alone does not bring it back; a word after a while does.
+    let later = now + ms(1_500);
+    assert_eq!(fleet.instances[&member].2.scheduler(later, &[]), Some(second));
+    fleet.now = later;
+    fleet.tell(first, member);
+    assert_eq!(fleet.instances[&member].2.scheduler(later, &[]), Some(first));
+}
--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -47,6 +47,10 @@
     pub instance: InstanceId,
     /// Where it runs.
     pub data_centre: DataCentre,
+    /// The share of a processor core that it may use. Of the instances of a data centre those with
+    /// most of it schedule for all.
+    #[serde(default = "whole_core")]
+    pub cpu_share: f64,
     /// Where it listens.
     pub listen: ListenConfig,
     /// Where the store of configuration and endpoints is.
@@ -65,6 +69,17 @@
     pub unknown: Vec<String>,
 }
 
+/// What an instance may use where its settings do not say.
+fn whole_core() -> f64 {
+    1.0
+}
+
+/// Thousandths of a core in one.
+const MILLIS_PER_CORE: f64 = 1_000.0;
+
+/// More cores than any machine has.
+const MOST_CORES: f64 = 1_024.0;
+
 /// Where a relay listens.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListenConfig {
@@ -122,9 +137,10 @@
 }
 
 /// Names that the file knows, for suggestions.
-const KNOWN_NAMES: [&str; 29] = [
+const KNOWN_NAMES: [&str; 30] = [
     "instance",
     "data_centre",
+    "cpu_share",
     "listen",
     "callers",
     "ready",
@@ -183,8 +199,15 @@
         .change_context(RelayConfigError::Malformed)?;
         cfg.bounds.check()?;
         check_placement(&cfg.placement)?;
+        let is_share = cfg.cpu_share > 0.0 && cfg.cpu_share <= MOST_CORES;
+        check_all(&[("cpu_share", "above 0, at most 1,024", is_share)])?;
         Ok(Self { unknown, ..cfg })
     }
+
+    /// The processor time that it may use, in thousandths of a core.
+    pub(crate) fn capacity(&self) -> u32 {
+        (self.cpu_share * MILLIS_PER_CORE) as u32
+    }
 }
 
 /// Settings with what is allowed, and whether that holds.
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -4,7 +4,9 @@
 
 use rand::Rng;
 
-use ringbend_gateway::{Adopted, Endpoint, EndpointChange, Proof, READ_AGE_MS, Snapshot};
+use ringbend_gateway::{
+    Adopted, Endpoint, EndpointChange, MEMBER_READ_AGE_MS, Proof, READ_AGE_MS, Snapshot,
+};
 use ringbend_wire::{EndpointChanges, row_of};
 
 use crate::fetch;
@@ -77,7 +79,8 @@
         if node.readers.borrow().reads() {
             return Ask::Store(CONFIG_WAIT);
         }
-        let age_ms = node.rng.borrow_mut().random_range(READ_AGE_MS);
+        let ages = if node.schedules() { READ_AGE_MS } else { MEMBER_READ_AGE_MS };
+        let age_ms = node.rng.borrow_mut().random_range(ages);
         loop {
             let proved_at = node.replica.borrow().proved_at();
             let since = proved_at.unwrap_or(node.clock.started_at());
--- a/crates/ringbend-relay/src/fetch.rs
+++ b/crates/ringbend-relay/src/fetch.rs
@@ -58,6 +58,13 @@
 /// so that of many that start together a few ask the store.
 const START_WAIT_MS: std::ops::Range<u64> = 4..60;
 
+/// How long an instance that starts waits at most until it has looked for others: a slow store takes
+/// a third of a second to tell of them.
+const JOIN_TIME: Duration = Duration::from_millis(600);
+
+/// How long one that does not schedule waits for copies before it asks the store itself.
+const MEMBER_WAIT: Duration = Duration::from_millis(800);
+
 /// Hands copies to other instances.
 pub(crate) struct CopiesDoor {
     pub(crate) node: Rc<Node>,
@@ -192,19 +199,31 @@
 }
 
 fn holders(node: &Node, wanted: impl Fn(Holds) -> bool) -> Vec<SocketAddrV4> {
-    let home = &node.cfg.borrow().data_centre;
-    node.peers.borrow().holders(node.clock.now(), home, wanted)
+    node.peers.borrow().holders(node.clock.now(), wanted)
 }
 
 fn pick(node: &Node, from: Vec<SocketAddrV4>) -> Option<SocketAddrV4> {
     from.choose(&mut *node.rng.borrow_mut()).copied()
 }
 
+/// Waits until an instance is heard of that has what is wanted. Before this instance has looked for
+/// others it does not give up; one that does not schedule leaves it to those that do to ask the store.
 async fn wait_for_holder(node: &Node, wanted: impl Fn(Holds) -> bool) -> bool {
+    let began = node.clock.now();
     let wait = node.rng.borrow_mut().random_range(START_WAIT_MS);
-    let until = node.clock.now() + Duration::from_millis(wait);
+    let mut joined_at = None;
     while holders(node, &wanted).is_empty() {
-        if node.clock.now() >= until {
+        let now = node.clock.now();
+        if node.joined.get() {
+            joined_at.get_or_insert(now);
+        }
+        let waited = now.since(joined_at.unwrap_or(began));
+        let longest = match joined_at {
+            None => JOIN_TIME,
+            Some(_) if node.schedules() => Duration::from_millis(wait),
+            Some(_) => MEMBER_WAIT,
+        };
+        if waited >= longest {
             return false;
         }
         pause(node).await;
--- /dev/null
+++ b/crates/ringbend-relay/src/joining.rs
@@ -0,0 +1,175 @@
+//! How an instance finds the others when it starts: by seeds of its settings, or by rows in the store.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use ringbend_gateway::{SCHEDULERS, Standing};
+use ringbend_types::DataCentre;
+
+use crate::SourceError;
+use crate::node::Node;
+use crate::ports::{Presence, Present};
+
+/// How often this instance asks the store for others until it has been told.
+const PRESENCE_RETRY: Duration = Duration::from_millis(700);
+
+/// How long the seeds are given to answer.
+const SEED_TIME: Duration = Duration::from_millis(120);
+
+/// The pauses before each greeting of the seeds.
+const GREETINGS: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+    Duration::from_millis(1_500),
+];
+
+/// How long writing and reading presence may take. A slow store takes up to a third of a second a
+/// call; an answer that was lost never comes.
+const PRESENCE_TIME: Duration = Duration::from_millis(1_500);
+
+/// How many instances of the own data centre are greeted at first. One that schedules is enough, as
+/// it names the others; rows of instances that are gone may stand before it. Each further greeting
+/// goes to twice as many.
+const FIRST_GREETED: usize = 2 * SCHEDULERS;
+
+/// How long those that were greeted are given to answer before further ones are.
+const GREETED_TIME: Duration = Duration::from_millis(60);
+
+/// How long an instance that finds no row waits before it writes its own, in milliseconds; drawn, so
+/// that of many that start together few do: the others find those.
+const FIRST_ROW_WAIT_MS: std::ops::Range<u64> = 0..400;
+
+/// Greets the seeds, more than once as they may just be starting. Their answers name the schedulers.
+pub(crate) async fn greet_seeds(node: Rc<Node>, seeds: Vec<SocketAddrV4>) {
+    let Some(own) = node.peers_address() else { return };
+    let at_own_port = |seed: &SocketAddrV4| SocketAddrV4::new(*seed.ip(), own.port());
+    let seeds: Vec<SocketAddrV4> = seeds.iter().map(at_own_port).collect();
+    for pause in GREETINGS {
+        tokio::time::sleep(pause).await;
+        node.greet(&seeds);
+    }
+}
+
+/// Finds other instances by their presence in the store, and writes this one's if it schedules.
+pub(crate) async fn join(node: Rc<Node>, presence: Rc<dyn Presence>, has_seeds: bool) {
+    if has_seeds {
+        // Their answers come first; then presence need not be read.
+        tokio::time::sleep(SEED_TIME).await;
+    }
+    loop {
+        // A call that hangs since the store was lost is not waited for once it is back.
+        let joined = tokio::select! {
+            done = announce(&node, &*presence) => done,
+            () = node.store_regained.notified() => continue,
+        };
+        match joined {
+            Ok(()) => break,
+            Err(e) => {
+                log::info!(target: "peers", error:% = e; "presence not written, trying again");
+                tokio::select! {
+                    () = tokio::time::sleep(PRESENCE_RETRY.mul_f64(node.asking_factor())) => {}
+                    () = node.store_regained.notified() => {}
+                }
+            }
+        }
+    }
+    let (instances, schedules) =
+        (node.peers.borrow().instances(node.clock.now()), node.schedules());
+    log::info!(target: "peers", instances, schedules; "joined");
+}
+
+/// Whether the schedulers of this data centre are heard, so that this instance need not be found.
+fn is_served(node: &Node) -> bool {
+    !node.schedules()
+}
+
+fn hears_others(node: &Node) -> bool {
+    node.peers.borrow().instances(node.clock.now()) > 1
+}
+
+/// Only those that schedule need a row: whoever starts asks the best placed that have one, and hears
+/// of the others from them. An instance that was killed finds its own row and those of the others as
+/// they were, so one call is enough after a loss of all.
+async fn announce(node: &Rc<Node>, presence: &dyn Presence) -> Result<(), SourceError> {
+    let Some(address) = node.peers_address() else { return Ok(()) };
+    if !hears_others(node) {
+        let rows = bounded(presence.all()).await?;
+        greet_best(node, &rows).await;
+        if is_served(node) || rows.iter().any(|row| row.address == address) {
+            return Ok(());
+        }
+        if rows.is_empty() {
+            let wait = node.rng.borrow_mut().random_range(FIRST_ROW_WAIT_MS);
+            tokio::time::sleep(Duration::from_millis(wait)).await;
+            greet_best(node, &bounded(presence.all()).await?).await;
+        }
+    }
+    if is_served(node) {
+        return Ok(());
+    }
+    let own = {
+        let cfg = node.cfg.borrow();
+        Present { address, data_centre: Some(cfg.data_centre.clone()), capacity: cfg.capacity() }
+    };
+    bounded(presence.announce(&own)).await?;
+    if hears_others(node) {
+        // They named all others.
+        return Ok(());
+    }
+    // Of two that start together, the later reader sees the other.
+    greet_best(node, &bounded(presence.all()).await?).await;
+    Ok(())
+}
+
+async fn bounded<T>(call: impl Future<Output = Result<T, SourceError>>) -> Result<T, SourceError> {
+    tokio::time::timeout(PRESENCE_TIME, call).await.unwrap_or(Err(SourceError::TimedOut))
+}
+
+/// Greets the best placed instances of this data centre until one that schedules is heard, and some
+/// of the others.
+async fn greet_best(node: &Rc<Node>, rows: &[Present]) {
+    let home = node.cfg.borrow().data_centre.clone();
+    let own = node.peers_address();
+    let others: Vec<&Present> = rows.iter().filter(|row| Some(row.address) != own).collect();
+    node.greet(&best_elsewhere(&others, &home));
+    let at_home = |row: &&&Present| row.data_centre.as_ref().is_none_or(|centre| *centre == home);
+    let at_home = best(others.iter().filter(at_home).copied());
+    let (mut rest, mut count) = (at_home.as_slice(), FIRST_GREETED);
+    while !rest.is_empty() && is_unheard(node) {
+        let (greeted, further) = rest.split_at(count.min(rest.len()));
+        node.greet(greeted);
+        (rest, count) = (further, count * 2);
+        let until = node.clock.now() + GREETED_TIME;
+        while is_unheard(node) && node.clock.now() < until {
+            tokio::time::sleep(GREETED_TIME / 12).await;
+        }
+        node.joined.set(true);
+    }
+}
+
+fn is_unheard(node: &Node) -> bool {
+    node.peers.borrow().home_schedulers(node.clock.now()).is_empty()
+}
+
+/// The best placed first.
+fn best<'a>(rows: impl Iterator<Item = &'a Present>) -> Vec<SocketAddrV4> {
+    let mut all: Vec<Standing> = rows.map(|row| Standing::new(row.capacity, row.address)).collect();
+    all.sort();
+    all.into_iter().map(|standing| standing.address()).collect()
+}
+
+/// Those that may schedule in each other data centre.
+fn best_elsewhere(rows: &[&Present], home: &DataCentre) -> Vec<SocketAddrV4> {
+    let mut centres: Vec<&DataCentre> =
+        rows.iter().filter_map(|row| row.data_centre.as_ref()).collect();
+    centres.sort();
+    centres.dedup();
+    let of_centre = |centre: &DataCentre| {
+        let there = rows.iter().filter(|row| row.data_centre.as_ref() == Some(centre)).copied();
+        best(there).into_iter().take(SCHEDULERS).collect::<Vec<_>>()
+    };
+    centres.into_iter().filter(|centre| *centre != home).flat_map(of_centre).collect()
+}
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! tables keep configuration and endpoints current. The words on the wire and the store's protocol
 //! belong to an adapter that implements [`Dialect`] and [`Source`].
 
+mod asking;
 mod callers;
 mod config;
 mod copies;
@@ -11,25 +12,30 @@
 mod exchange;
 mod fetch;
 mod fields;
+mod granting;
 mod headers;
+mod hearing;
+mod joining;
 mod life;
+mod link;
 mod memory;
 mod node;
-mod peers;
 mod placing;
 mod ports;
 mod refusal;
 mod relay;
 mod relayed;
+mod scheduled;
 mod sending;
 mod streams;
+mod telling;
 mod turns;
 mod watch;
 
 pub use config::{BoundsConfig, ListenConfig, RelayConfig, RelayConfigError, StoreConfig};
 pub use ports::{
     AnswerFacts, BadCall, BadRow, Batch, Call, ConfigDecoder, ConfigItem, ConfigSource, Cursor,
-    Dialect, EndpointSource, Helper, MemoryOrder, OrderCall, Presence, SendOrder, Source,
+    Dialect, EndpointSource, Helper, MemoryOrder, OrderCall, Presence, Present, SendOrder, Source,
     SourceError,
 };
 pub use relay::{Ports, Relay, RelayError, Stopped};
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -214,7 +214,8 @@
         let aim_ms = self.terms.route.aim.as_millis() as u64;
         let gap_aim_ms = self.gap().as_millis() as u64;
         log::info!(
-            target: "request", id, route:%, outcome, ms, sends, first_ms:%, gap_ms, aim_ms, gap_aim_ms;
+            target: "request", id, route:%, config:% = self.terms.version, outcome, ms, sends,
+            first_ms:%, gap_ms, aim_ms, gap_aim_ms;
             "ended"
         );
     }
@@ -224,9 +225,9 @@
     }
 
     async fn send(&mut self) -> Result<Reply, Failed> {
-        self.wait_for_turn().await?;
-        let (endpoint, placement) = self.choose().ok_or(Failed::NoEndpoint)?;
-        let (placed, mut answer, facts) = self.exchange(&endpoint, &placement, None).await?;
+        let sent = self.schedule(false).await?;
+        let endpoint = sent.endpoint.clone();
+        let (placed, mut answer, facts) = self.exchange(sent, None).await?;
         self.check(&endpoint, &facts, answer.head.status)?;
         if self.terms.route.streaming && answer.head.status == StatusCode::OK {
             return self.first_event(endpoint, placed, answer).await;
@@ -241,7 +242,7 @@
             self.failed = Some(res);
             return Err(Failed::Send(SendEnd::FailedAnswer));
         }
-        self.trust(&endpoint, TrustEvent::Good);
+        self.trust(&endpoint.id, TrustEvent::Good);
         Ok(Reply::Whole(res, status))
     }
 
@@ -257,7 +258,7 @@
         let first = self.patient(by, events.next()).await;
         let first = first.map_err(|why| self.broken(&endpoint, &why))?;
         placed.first_event();
-        self.trust(&endpoint, TrustEvent::Good);
+        self.trust(&endpoint.id, TrustEvent::Good);
         Ok(Reply::Stream(Box::new(Relayed { head, endpoint, placed, events, first })))
     }
 }
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -1,6 +1,7 @@
 //! What all parts of one relay share.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,8 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Directory, LoadBook, Outbox, Peers, Readers, RepeatBudget, Replica, TrustBook, Waiting, Work,
-    WorkId,
+    Directory, LoadBook, Outbox, Peers, Readers, RepeatBudget, Replica, Standing, TrustBook, WorkId,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -18,9 +18,11 @@
 use ringbend_wire::EndpointChanges;
 use tokio::sync::Notify;
 
+use crate::asking::Asks;
 use crate::config::RelayConfig;
+use crate::granting::Grants;
+use crate::link::{Link, Signals};
 use crate::memory::HeldMemory;
-use crate::peers::Signals;
 use crate::ports::{ConfigDecoder, Cursor, Dialect};
 
 /// One relay's state. It lives on one thread.
@@ -45,6 +47,12 @@
     /// What other instances have not been told yet.
     pub(crate) outbox: RefCell<Outbox>,
     pub(crate) signals: Signals,
+    /// Carries digests to other instances; none where load is not shared.
+    pub(crate) link: OnceCell<Link>,
+    /// What schedulers were asked and have not answered.
+    pub(crate) asks: RefCell<Asks>,
+    /// What this instance was asked as a scheduler.
+    pub(crate) grants: RefCell<Grants>,
     /// Told when other instances have told of work.
     pub(crate) load_news: Notify,
     /// Told when a call to the store has failed.
@@ -57,6 +65,8 @@
     pub(crate) readers: RefCell<Readers>,
     /// Told when this instance begins to read.
     pub(crate) begins_to_read: Notify,
+    /// Whether this instance has looked for others.
+    pub(crate) joined: Cell<bool>,
     /// Told when something that a starting instance lacked has come.
     pub(crate) begun: Notify,
     /// Told when another instance has a newer configuration.
@@ -98,6 +108,9 @@
     ) -> Rc<Self> {
         let incarnation = rand::random();
         let budget = RepeatBudget::new(cfg.bounds.budget());
+        let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
+        let own = Standing::new(cfg.capacity(), cfg.listen.peers.unwrap_or(unknown));
+        let peers = Peers::new(cfg.data_centre.clone(), own);
         Rc::new(Self {
             cfg: RefCell::new(cfg),
             clock,
@@ -112,15 +125,19 @@
             trust: RefCell::default(),
             budget: RefCell::new(budget),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
-            peers: RefCell::default(),
+            peers: RefCell::new(peers),
             outbox: RefCell::default(),
             signals: Signals::default(),
+            link: OnceCell::new(),
+            asks: RefCell::default(),
+            grants: RefCell::default(),
             load_news: Notify::new(),
             store_lost: Notify::new(),
             store_lost_at: Cell::new(None),
             store_regained: Notify::new(),
             readers: RefCell::new(Readers::new(incarnation)),
             begins_to_read: Notify::new(),
+            joined: Cell::new(false),
             begun: Notify::new(),
             config_news: Notify::new(),
             endpoint_news: Notify::new(),
@@ -171,21 +188,16 @@
         WorkId { instance: self.incarnation, sequence: self.work.get() }
     }
 
-    /// Notes work that is about to be sent; it is on the book until the guard is dropped.
-    pub(crate) fn place(self: &Rc<Self>, id: WorkId, work: Work) -> Placed {
-        self.load.borrow_mut().place(self.clock.now(), id, work);
-        self.outbox.borrow_mut().placed.push(id);
-        self.signals.now.notify_one();
-        Placed { node: self.clone(), id, memory: None }
+    /// Whether this instance schedules for its data centre.
+    pub(crate) fn schedules(&self) -> bool {
+        self.peers.borrow().schedules()
     }
 
-    /// Notes a long prompt that waits for its turn; it does until the guard is dropped.
-    pub(crate) fn wait(self: &Rc<Self>, waiting: Waiting) -> Waits {
-        let id = self.next_work();
-        self.load.borrow_mut().wait(id, waiting);
-        self.outbox.borrow_mut().waiting.push(id);
-        self.signals.now.notify_one();
-        Waits { node: self.clone(), id }
+    /// Notes that work has ended, however it did.
+    pub(crate) fn end(&self, id: WorkId) {
+        self.load.borrow_mut().end(self.clock.now(), id);
+        self.outbox.borrow_mut().ended.push(id);
+        self.signals.soon.notify_one();
     }
 
     /// Counts a request as open until the guard is dropped.
@@ -195,15 +207,21 @@
     }
 }
 
-/// Work on the load book. Dropping it takes the work off.
+/// A send that is asked for, waits or runs. Dropping it takes it off the books of all instances.
 pub(crate) struct Placed {
     node: Rc<Node>,
-    id: WorkId,
+    pub(crate) id: WorkId,
     /// Memory that is held for it.
     pub(crate) memory: Option<HeldMemory>,
 }
 
 impl Placed {
+    /// A send that is about to be asked for.
+    pub(crate) fn new(node: Rc<Node>) -> Self {
+        let id = node.next_work();
+        Self { node, id, memory: None }
+    }
+
     /// Notes that the prompt has been read.
     pub(crate) fn first_event(&self) {
         self.node.load.borrow_mut().first_event(self.id);
@@ -214,23 +232,7 @@
 
 impl Drop for Placed {
     fn drop(&mut self) {
-        self.node.load.borrow_mut().end(self.node.clock.now(), self.id);
-        self.node.outbox.borrow_mut().ended.push(self.id);
-        self.node.signals.soon.notify_one();
-    }
-}
-
-/// A long prompt that waits. Dropping it takes it out of the order.
-pub(crate) struct Waits {
-    node: Rc<Node>,
-    pub(crate) id: WorkId,
-}
-
-impl Drop for Waits {
-    fn drop(&mut self) {
-        self.node.load.borrow_mut().end(self.node.clock.now(), self.id);
-        self.node.outbox.borrow_mut().ended.push(self.id);
-        self.node.signals.soon.notify_one();
+        self.node.end(self.id);
     }
 }
 
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -12,7 +12,7 @@
 use ringbend_gateway::{
     Demand, Endpoint, EndpointChange, EventId, OrderAnswer, SnapshotParts, Ticket, TicketId,
 };
-use ringbend_types::{ClientAccountId, EndpointId};
+use ringbend_types::{ClientAccountId, DataCentre, EndpointId};
 use smallvec::SmallVec;
 
 /// What a caller's head says, beside method and path.
@@ -221,14 +221,25 @@
 /// The endpoints' table.
 pub type EndpointSource = dyn Source<Endpoint, EndpointChange>;
 
+/// Where an instance listens for others, and what it is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Present {
+    /// Where it listens for others.
+    pub address: SocketAddrV4,
+    /// Where it runs, if that is known.
+    pub data_centre: Option<DataCentre>,
+    /// The processor time that it may use, in thousandths of a core; zero if that is not known.
+    pub capacity: u32,
+}
+
 /// Where instances find each other.
 #[async_trait(?Send)]
 pub trait Presence {
     /// Writes where this instance listens for others. Writing it again changes nothing.
-    async fn announce(&self, own: SocketAddrV4) -> Result<(), SourceError>;
+    async fn announce(&self, own: &Present) -> Result<(), SourceError>;
 
     /// Where instances listen, this one included; some may be gone.
-    async fn all(&self) -> Result<Vec<SocketAddrV4>, SourceError>;
+    async fn all(&self) -> Result<Vec<Present>, SourceError>;
 
     /// Removes what `announce` wrote.
     async fn withdraw(&self) -> Result<(), SourceError>;
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -17,9 +17,12 @@
 use crate::copies::{ConfigCopy, EndpointCopy};
 use crate::doors::{MetricsPage, Ready};
 use crate::fetch::CopiesDoor;
+use crate::hearing::receive;
+use crate::joining::{greet_seeds, join};
+use crate::link::Link;
 use crate::node::Node;
-use crate::peers::PeerLink;
 use crate::ports::{ConfigDecoder, ConfigItem, ConfigSource, Dialect, EndpointSource, Presence};
+use crate::telling::Teller;
 use crate::watch::Watch;
 
 /// Why a relay did not start.
@@ -65,7 +68,6 @@
     node: Rc<Node>,
     servers: Vec<Server>,
     tasks: Vec<JoinHandle<()>>,
-    peers: Option<Rc<PeerLink>>,
     presence: Rc<dyn Presence>,
 }
 
@@ -122,24 +124,27 @@
             Watch::<Endpoint, EndpointChange, _>::new(node.clone(), ports.endpoints, EndpointCopy);
         let mut tasks =
             vec![tokio::task::spawn_local(config.run()), tokio::task::spawn_local(endpoints.run())];
-        let mut peers = None;
         if let Some(address) = listen.peers {
             let door = open(address.into(), Rc::new(CopiesDoor { node: node.clone() })).await?;
             let address = SocketAddrV4::new(*address.ip(), door.address().port());
             servers.push(door);
-            let link = PeerLink::open(node.clone(), address).await;
+            let link = Link::open(address).await;
             let link = link.change_context(RelayError::Listen(address.into()))?;
+            node.peers.borrow_mut().listens_at(link.address);
             let has_seeds = !seeds.is_empty();
-            tasks.push(tokio::task::spawn_local(link.clone().greet(seeds)));
-            tasks.push(tokio::task::spawn_local(link.clone().receive()));
-            tasks.push(tokio::task::spawn_local(link.clone().send()));
-            let join = link.clone().join(ports.presence.clone(), has_seeds);
+            // Set once, as a relay starts once.
+            drop(node.link.set(link));
+            tasks.push(tokio::task::spawn_local(greet_seeds(node.clone(), seeds)));
+            tasks.push(tokio::task::spawn_local(receive(node.clone())));
+            tasks.push(tokio::task::spawn_local(Teller::new(node.clone()).run()));
+            let join = join(node.clone(), ports.presence.clone(), has_seeds);
             tasks.push(tokio::task::spawn_local(join));
-            peers = Some(link);
+        } else {
+            node.joined.set(true);
         }
         let incarnation = node.incarnation();
         log::info!(target: "relay", incarnation, callers:% = listen.callers; "started");
-        Ok(Self { node, servers, tasks, peers, presence: ports.presence })
+        Ok(Self { node, servers, tasks, presence: ports.presence })
     }
 
     /// Where callers connect.
@@ -159,7 +164,7 @@
 
     /// Where other instances reach this one.
     pub fn peers_address(&self) -> Option<SocketAddrV4> {
-        self.peers.as_ref().map(|link| link.address())
+        self.node.peers_address()
     }
 
     /// Whether new callers should come here.
@@ -187,6 +192,11 @@
         self.node.readers.borrow().reads()
     }
 
+    /// Whether this instance places requests for others of its data centre.
+    pub fn schedules(&self) -> bool {
+        self.node.schedules()
+    }
+
     /// How many instances are known to be there, this one included.
     pub fn instances(&self) -> usize {
         self.node.peers.borrow().instances(self.node.clock.now())
@@ -239,9 +249,7 @@
 impl Relay {
     /// Tells other instances, and whoever starts later, that this one is gone.
     async fn leave(&self) {
-        if let Some(peers) = &self.peers {
-            peers.bye();
-        }
+        self.node.bye();
         match tokio::time::timeout(WITHDRAW_TIME, self.presence.withdraw()).await {
             Ok(Ok(())) => {}
             Ok(Err(e)) => log::info!(target: "peers", error:% = e; "presence not withdrawn"),
--- a/crates/ringbend-relay/src/relayed.rs
+++ b/crates/ringbend-relay/src/relayed.rs
@@ -2,6 +2,7 @@
 //! changes.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use ringbend_gateway::{ConfigVersion, EndpointChange, Holds};
 use ringbend_types::Timestamp;
@@ -11,22 +12,36 @@
 use crate::node::Node;
 use crate::ports::Cursor;
 
+/// A copy that was proved later by less than this is not told of by itself: a reader proves it once a
+/// second.
+pub(crate) const PROOF_STEP: Duration = Duration::from_millis(300);
+
 /// How current this instance's copies are.
 pub(crate) fn currency(node: &Node) -> Option<Currency> {
     let replica = node.replica.borrow();
     Some(Currency {
         config_version: replica.version()?.0,
         proved_us: replica.proved_at()?.0,
-        // One that does not reach the store must not keep others from reading.
-        reads: node.readers.borrow().reads() && node.store_lost_at.get().is_none(),
         endpoints_cursor: node.endpoints_cursor.get().0,
+        reader: reader(node),
     })
 }
 
+/// Whose reading proved this instance's copy last.
+fn reader(node: &Node) -> Option<u64> {
+    let readers = node.readers.borrow();
+    // One that does not reach the store must not keep others from reading.
+    let reads = readers.reads() && node.store_lost_at.get().is_none();
+    if reads { Some(node.incarnation()) } else { readers.reader() }
+}
+
 /// Takes in what a digest tells.
 pub(crate) fn take_in(node: &Node, now: Timestamp, from: SocketAddrV4, digest: &LoadDigest) {
-    if let Some(changes) = &digest.endpoint_changes {
-        take_in_changes(node, changes);
+    if let Some(changes) = &digest.endpoint_changes
+        && take_in_changes(node, changes)
+        && node.schedules()
+    {
+        tell_on(node, now, from, digest.schedules, changes);
     }
     if let Some(currency) = &digest.currency {
         note_holder(node, from, currency);
@@ -34,20 +49,40 @@
     }
 }
 
-fn take_in_changes(node: &Node, changes: &EndpointChanges) {
+/// Tells the instances of this data centre of changes, and other schedulers if none of them has.
+fn tell_on(
+    node: &Node,
+    now: Timestamp,
+    from: SocketAddrV4,
+    from_scheduler: bool,
+    changes: &EndpointChanges,
+) {
+    let told = LoadDigest { endpoint_changes: Some(changes.clone()), ..node.digest() };
+    let peers = node.peers.borrow();
+    node.tell_all(&told, peers.members(now).filter(|address| *address != from));
+    if !from_scheduler {
+        node.tell_all(&told, peers.fellows(now));
+    }
+}
+
+/// Whether they were new.
+fn take_in_changes(node: &Node, changes: &EndpointChanges) -> bool {
     let known = node.endpoints_cursor.get();
     let (from, to) = (Cursor(changes.from_cursor), Cursor(changes.to_cursor));
-    if known >= to {
-        return;
-    }
     // With a gap before them they are left out; the cursor that comes beside them tells of it.
-    if known < from {
-        return;
+    if known >= to || known < from {
+        return false;
     }
     let rows: Result<Vec<EndpointChange>, WireError> = changes.rows.iter().map(change_of).collect();
     match rows {
-        Ok(rows) => apply_endpoints(node, rows, to),
-        Err(e) => log::warn!(target: "peers", error:% = e; "relayed endpoints refused"),
+        Ok(rows) => {
+            apply_endpoints(node, rows, to);
+            true
+        }
+        Err(e) => {
+            log::warn!(target: "peers", error:% = e; "relayed endpoints refused");
+            false
+        }
     }
 }
 
@@ -69,14 +104,22 @@
     // Without a pairing of the clocks nothing is proved.
     let Some(proved_at) = proved_at.filter(|at| *at <= now) else { return };
     let version = ConfigVersion(currency.config_version);
+    let before = node.replica.borrow().proved_at().unwrap_or_default();
     node.replica.borrow_mut().prove_at(version, proved_at);
     node.begun.notify_waiters();
-    let own = node.replica.borrow().version();
-    let same = own == Some(version);
-    let stops = same
-        && currency.reads
-        && node.readers.borrow_mut().other_reads(start, now.since(proved_at));
-    if stops {
-        log::info!(target: "store", reader = start; "another instance reads");
+    let after = node.replica.borrow().proved_at().unwrap_or_default();
+    if node.schedules() && after.since(before) >= PROOF_STEP {
+        // The instances of this data centre hear of it here.
+        node.signals.soon.notify_one();
+    }
+    let is_same = node.replica.borrow().version() == Some(version);
+    let Some(reader) = currency.reader.filter(|_| is_same) else { return };
+    if reader == node.incarnation() {
+        return;
+    }
+    let mut readers = node.readers.borrow_mut();
+    readers.proved_by(reader, proved_at);
+    if readers.other_reads(reader, now.since(proved_at)) {
+        log::info!(target: "store", reader; "another instance reads");
     }
 }
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -5,7 +5,7 @@
 
 use actix_http::{RequestHead, StatusCode};
 use ringbend_gateway::{Endpoint, EventId, Placement, SendEnd, TrustEvent};
-use ringbend_types::Timestamp;
+use ringbend_types::{EndpointId, Timestamp};
 use smallvec::SmallVec;
 
 use crate::exchange::{self, Answer, ExchangeError};
@@ -14,6 +14,7 @@
 use crate::memory::HeldMemory;
 use crate::node::Placed;
 use crate::ports::{AnswerFacts, Helper, SendOrder};
+use crate::scheduled::Scheduled;
 
 /// The shortest silence of a plain endpoint that counts as a failure; its calls take 60 ms on
 /// average and seldom over 450.
@@ -34,12 +35,12 @@
     /// Sends the request to one endpoint and reads the head of its answer.
     pub(crate) async fn exchange(
         &mut self,
-        endpoint: &Endpoint,
-        placement: &Placement,
+        scheduled: Scheduled,
         last_event: Option<EventId>,
     ) -> Result<(Placed, Answer, AnswerFacts), Failed> {
-        let placed = self.place(placement).await?;
-        let head = self.request_head(endpoint, placement, placed.memory.as_ref(), last_event);
+        let Scheduled { endpoint, placement, mut placed } = scheduled;
+        self.hold_memory(&placement, &mut placed).await?;
+        let head = self.request_head(&endpoint, &placement, placed.memory.as_ref(), last_event);
         self.attempts.sending(&endpoint.id);
         self.node.metrics.attempt(self.attempts.tried().len() as u32);
         let by = self.silence_limit();
@@ -50,7 +51,7 @@
                 let facts = self.node.dialect.answer(answer.head.status, &answer.head.headers);
                 Ok((placed, answer, facts))
             }
-            Err(why) => Err(self.broken(endpoint, &why)),
+            Err(why) => Err(self.broken(&endpoint, &why)),
         }
     }
 
@@ -67,13 +68,13 @@
             self.hint = facts.retry_after.or(self.hint);
             match facts.at_fault.filter(|address| *address != endpoint.address) {
                 Some(address) => self.distrust_address(address),
-                None => self.trust(endpoint, TrustEvent::Full),
+                None => self.trust(&endpoint.id, TrustEvent::Full),
             }
             return Err(Failed::Send(SendEnd::NotRun));
         }
         if facts.request_id != self.call.request_id {
             log::warn!(target: "request", id, endpoint:% = endpoint.id, status; "foreign answer");
-            self.trust(endpoint, TrustEvent::Bad);
+            self.trust(&endpoint.id, TrustEvent::Bad);
             return Err(Failed::Send(SendEnd::Unknown));
         }
         Ok(())
@@ -82,19 +83,24 @@
     pub(crate) fn distrust_address(&self, address: SocketAddrV4) {
         let directory = self.node.directory.borrow();
         let Some(endpoint) = directory.by_address(address) else { return };
-        self.trust(endpoint, TrustEvent::Bad);
+        self.trust(&endpoint.id, TrustEvent::Bad);
         // Others would find out one request at a time, as the list lags.
         self.node.outbox.borrow_mut().unfit.push(endpoint.id.clone());
         self.node.signals.soon.notify_one();
     }
 
-    pub(crate) fn trust(&self, endpoint: &Endpoint, event: TrustEvent) {
-        self.node.trust.borrow_mut().note(self.node.clock.now(), &endpoint.id, event);
+    pub(crate) fn trust(&self, endpoint: &EndpointId, event: TrustEvent) {
+        self.node.trust.borrow_mut().note(self.node.clock.now(), endpoint, event);
+        if !self.node.schedules() {
+            // Whoever places the next request must know.
+            self.node.outbox.borrow_mut().results.push((endpoint.clone(), event));
+            self.node.signals.soon.notify_one();
+        }
     }
 
     /// Notes a send that broke.
     pub(crate) fn broken(&self, endpoint: &Endpoint, why: &Broken) -> Failed {
-        self.trust(endpoint, TrustEvent::Bad);
+        self.trust(&endpoint.id, TrustEvent::Bad);
         if matches!(why, Broken::Replaced) {
             log::warn!(target: "request", id = self.id(), endpoint:% = endpoint.id, why:%; "left");
             return Failed::Replaced;
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -167,8 +167,9 @@
         if !goes_on || last.is_none() {
             return Err(Cut::Broken);
         }
-        let (endpoint, placement) = life.choose().ok_or(Cut::Broken)?;
-        failed = match life.exchange(&endpoint, &placement, last).await {
+        let sent = life.schedule(true).await.map_err(|_| Cut::Broken)?;
+        let endpoint = sent.endpoint.clone();
+        failed = match life.exchange(sent, last).await {
             Err(failed) => failed,
             Ok((placed, answer, facts)) => {
                 match life.check(&endpoint, &facts, answer.head.status) {
--- /dev/null
+++ b/crates/ringbend-relay/src/telling.rs
@@ -0,0 +1,243 @@
+//! Tells other instances what is new here.
+//!
+//! Schedulers tell each other of all work that they place, and the instances of their data centre of
+//! what the watched tables hold. Those tell one scheduler of their requests.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use ringbend_gateway::{HEARTBEAT, Outbox, WorkId};
+use ringbend_types::{EndpointId, Timestamp};
+use ringbend_wire::{
+    EndpointChanges, LoadDigest, OpenWork, OwnersWork, endpoint_result, placed_work, waiting_work,
+};
+
+use crate::link::GATHER;
+use crate::node::Node;
+use crate::relayed::{PROOF_STEP, currency};
+
+/// The most work told in one datagram, so that it fits a packet.
+const WORK_PER_DATAGRAM: usize = 8;
+
+/// What was told last, and when.
+#[derive(Default)]
+struct Told {
+    at: Cell<Timestamp>,
+    proved_at: Cell<Timestamp>,
+    config: Cell<u64>,
+    endpoints: Cell<u64>,
+    schedules: Cell<bool>,
+    /// Whom this instance tells of its requests, if it does not schedule.
+    scheduler: Cell<Option<SocketAddrV4>>,
+}
+
+/// Tells other instances what is new here.
+pub(crate) struct Teller {
+    node: Rc<Node>,
+    told: Told,
+}
+
+impl Teller {
+    pub(crate) fn new(node: Rc<Node>) -> Self {
+        Self { node, told: Told::default() }
+    }
+
+    /// Tells for as long as the process lives.
+    pub(crate) async fn run(self) {
+        let signals = &self.node.signals;
+        loop {
+            tokio::select! {
+                () = signals.now.notified() => {}
+                () = signals.soon.notified() => tokio::time::sleep(GATHER).await,
+                () = tokio::time::sleep(HEARTBEAT) => {}
+            }
+            self.node.sweep_peers();
+            let outbox = std::mem::take(&mut *self.node.outbox.borrow_mut());
+            let changes = self.node.endpoint_changes.borrow_mut().take();
+            if self.node.schedules() {
+                self.tell_as_scheduler(&outbox, changes);
+            } else {
+                self.tell_as_member(outbox, changes);
+            }
+        }
+    }
+
+    fn tell_as_scheduler(&self, outbox: &Outbox, changes: Option<EndpointChanges>) {
+        let now = self.node.clock.now();
+        self.told.scheduler.set(None);
+        let news = self.has_news(now) || changes.is_some();
+        let first = LoadDigest {
+            unfit: outbox.unfit.iter().map(EndpointId::to_string).collect(),
+            gone: outbox.gone.clone(),
+            endpoint_changes: changes.clone(),
+            ..self.node.digest()
+        };
+        let work = self.node.news_of_work(outbox);
+        if !news && work.is_empty() && first.unfit.is_empty() && first.gone.is_empty() {
+            return;
+        }
+        let fellows = self.node.peers.borrow().fellows(now);
+        for digest in &self.node.with_work(first, work) {
+            self.node.tell_all(digest, fellows.iter().copied());
+        }
+        if !news {
+            return;
+        }
+        let heartbeat = LoadDigest { endpoint_changes: changes, ..self.node.digest() };
+        let peers = self.node.peers.borrow();
+        self.node.tell_all(&heartbeat, peers.members(now).chain(peers.silent_schedulers(now)));
+        let wanted = LoadDigest { call_up: true, ..self.node.digest() };
+        self.node.tell_all(&wanted, peers.wanted(now));
+    }
+
+    fn tell_as_member(&self, mut outbox: Outbox, changes: Option<EndpointChanges>) {
+        let now = self.node.clock.now();
+        let scheduler = self.node.peers.borrow().scheduler(now, &[]);
+        if self.told.scheduler.replace(scheduler) != scheduler {
+            log::info!(target: "peers", scheduler:? = scheduler; "scheduler");
+            // The one before may be gone with what it knew.
+            outbox.placed.extend(self.node.own_work());
+        }
+        let news = self.has_news(now) || changes.is_some();
+        if let Some(scheduler) = scheduler {
+            let results = outbox.results.iter().map(|(id, event)| endpoint_result(id, *event));
+            let first = LoadDigest {
+                unfit: outbox.unfit.iter().map(EndpointId::to_string).collect(),
+                results: results.collect(),
+                open: news.then(|| self.node.open_work()),
+                endpoint_changes: changes.clone(),
+                ..self.node.digest()
+            };
+            let digests = self.node.with_work(first, self.node.news_of_work(&outbox));
+            digests.iter().for_each(|digest| self.node.tell(digest, scheduler));
+        }
+        if news {
+            let heartbeat = LoadDigest { endpoint_changes: changes, ..self.node.digest() };
+            let others = self.node.peers.borrow().home_schedulers(now);
+            let others = others.into_iter().filter(|address| Some(*address) != scheduler);
+            self.node.tell_all(&heartbeat, others);
+        }
+    }
+
+    /// Whether what the watched tables hold here, how current it is or this instance's part has
+    /// changed, or nothing was told for a heartbeat.
+    fn has_news(&self, now: Timestamp) -> bool {
+        let currency = currency(&self.node).unwrap_or_default();
+        let Told { at, proved_at, config, endpoints, schedules, .. } = &self.told;
+        let proof = Timestamp(currency.proved_us);
+        let is_due = now.since(at.get()) >= HEARTBEAT - GATHER;
+        let is_proved = proof.since(proved_at.get()) >= PROOF_STEP;
+        let part = self.node.schedules();
+        let has_changed = config.replace(currency.config_version) != currency.config_version
+            || endpoints.replace(currency.endpoints_cursor) != currency.endpoints_cursor;
+        let has_new_part = schedules.replace(part) != part;
+        let news = is_due || is_proved || has_changed || has_new_part;
+        if news {
+            at.set(now);
+            proved_at.set(proof);
+        }
+        news
+    }
+}
+
+impl Node {
+    /// Forgets what silent instances told, and looks at this one's part again.
+    pub(crate) fn sweep_peers(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let silent = self.peers.borrow_mut().sweep(now);
+        for (address, start) in silent {
+            // An instance that no longer tells this one of its work may tell another scheduler.
+            if !self.grants.borrow().is_told_of(start) {
+                self.forget_start(start);
+            }
+            self.forget_told_by(address);
+        }
+        self.grants.borrow_mut().sweep(now);
+        self.review_part();
+        let instances = self.peers.borrow().instances(now);
+        if self.metrics.live_instances.get() != instances as i64 {
+            log::info!(target: "peers", instances; "instances");
+            self.metrics.live_instances.set(instances as i64);
+            self.budget.borrow_mut().set_instances(instances);
+        }
+    }
+
+    /// The own requests that are placed.
+    pub(crate) fn own_work(&self) -> Vec<WorkId> {
+        let own = self.incarnation();
+        self.load.borrow().open_work().filter(|id| id.instance == own).collect()
+    }
+
+    /// All own requests that are placed or asked for.
+    fn open_work(&self) -> OpenWork {
+        let placed = self.own_work().into_iter().map(|id| id.sequence);
+        OpenWork { sequences: placed.chain(self.asks.borrow().sequences()).collect() }
+    }
+
+    /// What is new of each instance's work.
+    fn news_of_work(&self, outbox: &Outbox) -> Vec<OwnersWork> {
+        let mut owners: BTreeMap<u64, OwnersWork> = BTreeMap::new();
+        let now = self.clock.now();
+        let load = self.load.borrow();
+        for id in &outbox.waiting {
+            let Some(waiting) = load.waits(*id) else { continue };
+            owner(&mut owners, *id).waiting.push(waiting_work(now, *id, waiting));
+        }
+        for id in &outbox.placed {
+            let Some((work, writing)) = load.work(*id) else { continue };
+            owner(&mut owners, *id).placed.push(placed_work(now, *id, work, writing));
+        }
+        outbox.writing.iter().for_each(|id| owner(&mut owners, *id).writing.push(id.sequence));
+        outbox.ended.iter().for_each(|id| owner(&mut owners, *id).ended.push(id.sequence));
+        owners.into_values().collect()
+    }
+
+    /// All work that instances of this data centre have placed, for one that begins to schedule.
+    pub(crate) fn work_of_home(&self) -> Vec<OwnersWork> {
+        let own = self.incarnation();
+        let at_home = |id: &WorkId| id.instance == own || self.grants.borrow().serves(id.instance);
+        let load = self.load.borrow();
+        let placed = load.open_work().filter(at_home).collect();
+        let waiting = load.waiting().map(|(id, _)| id).filter(at_home).collect();
+        drop(load);
+        self.news_of_work(&Outbox { placed, waiting, ..Outbox::default() })
+    }
+
+    /// Adds work to a first digest, and to as many further ones as it takes.
+    pub(crate) fn with_work(&self, first: LoadDigest, work: Vec<OwnersWork>) -> Vec<LoadDigest> {
+        let mut digests = vec![first];
+        let mut room = WORK_PER_DATAGRAM;
+        for mut owners in work {
+            loop {
+                let size = owners.placed.len() + owners.waiting.len();
+                if room == 0 || (size > room && room < WORK_PER_DATAGRAM) {
+                    digests.push(self.digest());
+                    room = WORK_PER_DATAGRAM;
+                }
+                let rest = owners.placed.split_off(owners.placed.len().min(room));
+                room = room.saturating_sub(owners.placed.len() + owners.waiting.len());
+                let instance = owners.instance;
+                digests.last_mut().expect("has a first").work.push(owners);
+                if rest.is_empty() {
+                    break;
+                }
+                owners = OwnersWork { instance, placed: rest, ..OwnersWork::default() };
+            }
+        }
+        digests
+    }
+
+    /// Tells all that know this instance that it stops.
+    pub(crate) fn bye(&self) {
+        let digest = LoadDigest { bye: true, ..self.digest() };
+        let addresses: Vec<_> = self.peers.borrow().addresses().collect();
+        self.tell_all(&digest, addresses);
+    }
+}
+
+fn owner(owners: &mut BTreeMap<u64, OwnersWork>, id: WorkId) -> &mut OwnersWork {
+    let instance = id.instance;
+    owners.entry(instance).or_insert_with(|| OwnersWork { instance, ..OwnersWork::default() })
+}
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -198,22 +198,14 @@
     #[prost(uint64, tag = "2")]
     pub tokens: u64,
 }
-/// What an instance has placed on endpoints since its last digest. One datagram each; one that is
-/// lost makes for a worse guess and nothing else.
+/// What an instance has to tell others since its last digest. One datagram each; one that is lost
+/// makes for a worse guess and nothing else.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct LoadDigest {
     /// The sender's start.
     #[prost(uint64, tag = "1")]
     pub incarnation: u64,
-    #[prost(message, repeated, tag = "2")]
-    pub placed: ::prost::alloc::vec::Vec<PlacedWork>,
-    /// Work whose first event has come.
-    #[prost(uint64, repeated, tag = "3")]
-    pub writing: ::prost::alloc::vec::Vec<u64>,
-    /// Work that has ended.
-    #[prost(uint64, repeated, tag = "4")]
-    pub ended: ::prost::alloc::vec::Vec<u64>,
-    /// The sender is new here and asks for all that the receiver has placed.
+    /// The sender is new here and asks who else there is.
     #[prost(bool, tag = "5")]
     pub hello: bool,
     /// The sender stops; all that it placed has ended.
@@ -231,18 +223,134 @@
     /// Endpoints that changed, whose table the sender has read up to `currency.endpoints_cursor`.
     #[prost(message, optional, tag = "10")]
     pub endpoint_changes: ::core::option::Option<EndpointChanges>,
-    /// Long prompts that have begun to wait.
-    #[prost(message, repeated, tag = "11")]
-    pub waiting: ::prost::alloc::vec::Vec<WaitingWork>,
     /// Where the sender runs; told in a hello and its answer.
     #[prost(string, tag = "12")]
     pub data_centre: ::prost::alloc::string::String,
-    /// In the answer to a hello: IP:port of other instances.
+    /// In the answer to a hello: IP:port of schedulers.
     #[prost(string, repeated, tag = "13")]
     pub peers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// Endpoints that engines have just named as unable to help them.
     #[prost(string, repeated, tag = "14")]
     pub unfit: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The processor time that the sender may use, in thousandths of a core; told with `data_centre`.
+    #[prost(uint32, tag = "15")]
+    pub capacity: u32,
+    /// Whether the sender schedules for its data centre.
+    #[prost(bool, tag = "16")]
+    pub schedules: bool,
+    /// How many instances the sender knows in its data centre, itself included.
+    #[prost(uint32, tag = "17")]
+    pub instances: u32,
+    /// How many instances the sender knows in all data centres, itself included.
+    #[prost(uint32, tag = "25")]
+    pub fleet: u32,
+    /// What is new of the work of the sender, and of instances that it schedules for.
+    #[prost(message, repeated, tag = "18")]
+    pub work: ::prost::alloc::vec::Vec<OwnersWork>,
+    /// Starts of instances that the sender scheduled for and that have ended.
+    #[prost(uint64, repeated, tag = "19")]
+    pub gone: ::prost::alloc::vec::Vec<u64>,
+    /// All work of the sender that is open or asked for; from an instance that does not schedule.
+    #[prost(message, optional, tag = "20")]
+    pub open: ::core::option::Option<OpenWork>,
+    /// What the receiver is asked to place.
+    #[prost(message, repeated, tag = "21")]
+    pub asks: ::prost::alloc::vec::Vec<Ask>,
+    /// What the receiver asked for.
+    #[prost(message, repeated, tag = "22")]
+    pub grants: ::prost::alloc::vec::Vec<Grant>,
+    /// How the sender's requests went at endpoints.
+    #[prost(message, repeated, tag = "23")]
+    pub results: ::prost::alloc::vec::Vec<EndpointResult>,
+    /// The receiver is asked to schedule, as too few others do.
+    #[prost(bool, tag = "24")]
+    pub call_up: bool,
+}
+/// What is new of one instance's work.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OwnersWork {
+    /// The start of the instance that sends the requests.
+    #[prost(fixed64, tag = "1")]
+    pub instance: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub placed: ::prost::alloc::vec::Vec<PlacedWork>,
+    /// Work whose first event has come.
+    #[prost(uint64, repeated, tag = "3")]
+    pub writing: ::prost::alloc::vec::Vec<u64>,
+    /// Work that has ended.
+    #[prost(uint64, repeated, tag = "4")]
+    pub ended: ::prost::alloc::vec::Vec<u64>,
+    /// Long prompts that have begun to wait.
+    #[prost(message, repeated, tag = "5")]
+    pub waiting: ::prost::alloc::vec::Vec<WaitingWork>,
+}
+/// All work of an instance that is open or asked for; what else is believed of it has ended.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OpenWork {
+    #[prost(uint64, repeated, tag = "1")]
+    pub sequences: ::prost::alloc::vec::Vec<u64>,
+}
+/// A request that is to be placed.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Ask {
+    /// Counts up within the sender's incarnation, with that of `PlacedWork`.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// The caller's id of the request, for logs.
+    #[prost(string, tag = "2")]
+    pub request: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub service: ::prost::alloc::string::String,
+    /// None for a plain service.
+    #[prost(uint64, optional, tag = "4")]
+    pub prompt_tokens: ::core::option::Option<u64>,
+    #[prost(uint64, tag = "5")]
+    pub answer_tokens: u64,
+    /// How long ago it arrived, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub age_ms: u64,
+    /// The time left until its first event is late, in milliseconds; none once it is.
+    #[prost(uint64, tag = "7")]
+    pub first_in_ms: u64,
+    /// The longest pause between events that is on time, in milliseconds.
+    #[prost(uint64, tag = "8")]
+    pub gap_ms: u64,
+    /// The time left until its caller leaves if no event has come, in milliseconds.
+    #[prost(uint64, tag = "9")]
+    pub patience_ms: u64,
+    /// The time left until it must have ended, in milliseconds.
+    #[prost(uint64, tag = "10")]
+    pub left_ms: u64,
+    /// Endpoints that it was sent to before.
+    #[prost(string, repeated, tag = "11")]
+    pub tried: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// It is placed at once, however long its prompt is: its stream has begun.
+    #[prost(bool, tag = "12")]
+    pub at_once: bool,
+}
+/// What became of an ask.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Grant {
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    #[prost(enumeration = "Verdict", tag = "2")]
+    pub verdict: i32,
+    #[prost(message, optional, tag = "3")]
+    pub work: ::core::option::Option<PlacedWork>,
+    /// When the first event is expected, in microseconds from now.
+    #[prost(uint64, tag = "4")]
+    pub first_us: u64,
+    /// What the placement is expected to cost.
+    #[prost(double, tag = "5")]
+    pub cost: f64,
+}
+/// How one request went at an endpoint.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointResult {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(enumeration = "ResultKind", tag = "2")]
+    pub kind: i32,
 }
 /// How current an instance's copies of the watched tables are.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -253,12 +361,12 @@
     /// When it was last proved the newest, on the sender's clock.
     #[prost(uint64, tag = "2")]
     pub proved_us: u64,
-    /// Whether the sender reads the tables itself.
-    #[prost(bool, tag = "3")]
-    pub reads: bool,
     /// How far it has read the endpoints' table.
     #[prost(uint64, tag = "4")]
     pub endpoints_cursor: u64,
+    /// The start of the instance whose reading proved it last; the sender's if it reads itself.
+    #[prost(fixed64, optional, tag = "5")]
+    pub reader: ::core::option::Option<u64>,
 }
 /// The configuration as its table holds it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -364,3 +472,72 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Verdict {
+    /// The receiver does not schedule.
+    NotHere = 0,
+    /// It waits for its turn.
+    Queued = 1,
+    /// It is placed as `work` tells.
+    Placed = 2,
+    /// Its caller would leave before its turn came.
+    TooLate = 3,
+    /// The service has no endpoint.
+    NoEndpoint = 4,
+}
+impl Verdict {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::NotHere => "NOT_HERE",
+            Self::Queued => "QUEUED",
+            Self::Placed => "PLACED",
+            Self::TooLate => "TOO_LATE",
+            Self::NoEndpoint => "NO_ENDPOINT",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "NOT_HERE" => Some(Self::NotHere),
+            "QUEUED" => Some(Self::Queued),
+            "PLACED" => Some(Self::Placed),
+            "TOO_LATE" => Some(Self::TooLate),
+            "NO_ENDPOINT" => Some(Self::NoEndpoint),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum ResultKind {
+    Good = 0,
+    Bad = 1,
+    Full = 2,
+}
+impl ResultKind {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Good => "GOOD",
+            Self::Bad => "BAD",
+            Self::Full => "FULL",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "GOOD" => Some(Self::Good),
+            "BAD" => Some(Self::Bad),
+            "FULL" => Some(Self::Full),
+            _ => None,
+        }
+    }
+}
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -13,11 +13,14 @@
 
 pub use endpoints::{change_of, row_of};
 pub use generated::{
-    ConfigCopy, Currency, Demand, EndpointChanges, EndpointRow, EntriesReply, EntriesRequest,
-    Envelope, Gossip, GossipKind, GrantReply, GrantRequest, HeldMemory, Hello, LoadDigest, Member,
-    MemberState, PlacedWork, Share, Update, WaitingWork, envelope, update,
+    Ask, ConfigCopy, Currency, Demand, EndpointChanges, EndpointResult, EndpointRow, EntriesReply,
+    EntriesRequest, Envelope, Gossip, GossipKind, Grant, GrantReply, GrantRequest, HeldMemory,
+    Hello, LoadDigest, Member, MemberState, OpenWork, OwnersWork, PlacedWork, ResultKind, Share,
+    Update, Verdict, WaitingWork, envelope, update,
+};
+pub use load::{
+    ask_of, endpoint_result, job_of, placed_work, result_of, waiting_of, waiting_work, work_of,
 };
-pub use load::{placed_work, waiting_of, waiting_work, work_of};
 pub use map::WireError;
 pub use prost::Message;
 
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use ringbend_gateway::{Held, Waiting, Work, WorkId};
+use ringbend_gateway::{Demand, Held, Job, TrustEvent, Waiting, Work, WorkId};
 use ringbend_types::{EndpointId, ParseIdError, Timestamp};
 
-use crate::generated::{HeldMemory, PlacedWork, WaitingWork};
+use crate::generated::{Ask, EndpointResult, HeldMemory, PlacedWork, ResultKind, WaitingWork};
 use crate::map::WireError;
 
 fn millis(span: Duration) -> u64 {
@@ -85,3 +85,67 @@
         until: now + Duration::from_millis(told.left_ms),
     })
 }
+
+/// A request that is to be placed, as told to a scheduler at `now`.
+pub fn ask_of(now: Timestamp, id: WorkId, job: &Job) -> Ask {
+    Ask {
+        sequence: id.sequence,
+        request: job.request.to_string(),
+        service: job.service.to_string(),
+        prompt_tokens: job.demand.map(|demand| demand.prompt_tokens),
+        answer_tokens: job.demand.map_or(0, |demand| demand.answer_tokens),
+        age_ms: millis(now.since(job.since)),
+        first_in_ms: millis(job.first_by.since(now)),
+        gap_ms: millis(job.gap),
+        patience_ms: millis(job.patience.since(now)),
+        left_ms: millis(job.deadline.since(now)),
+        tried: job.tried.iter().map(EndpointId::to_string).collect(),
+        at_once: job.at_once,
+    }
+}
+
+/// A request that is to be placed, as told by an instance and received at `now`.
+///
+/// # Errors
+///
+/// The service's name or an endpoint's id is malformed.
+pub fn job_of(now: Timestamp, ask: &Ask) -> Result<Job, WireError> {
+    let answer_tokens = ask.answer_tokens;
+    let tried = ask.tried.iter().map(|id| id.parse());
+    Ok(Job {
+        request: ask.request.as_str().into(),
+        service: ask.service.parse()?,
+        demand: ask.prompt_tokens.map(|prompt_tokens| Demand { prompt_tokens, answer_tokens }),
+        since: now - Duration::from_millis(ask.age_ms),
+        first_by: now + Duration::from_millis(ask.first_in_ms),
+        gap: Duration::from_millis(ask.gap_ms),
+        patience: now + Duration::from_millis(ask.patience_ms),
+        deadline: now + Duration::from_millis(ask.left_ms),
+        tried: tried.collect::<Result<_, ParseIdError>>()?,
+        at_once: ask.at_once,
+    })
+}
+
+/// How a request went at an endpoint, as told to a scheduler.
+pub fn endpoint_result(endpoint: &EndpointId, event: TrustEvent) -> EndpointResult {
+    let kind = match event {
+        TrustEvent::Good => ResultKind::Good,
+        TrustEvent::Bad => ResultKind::Bad,
+        TrustEvent::Full => ResultKind::Full,
+    };
+    EndpointResult { endpoint: endpoint.to_string(), kind: kind.into() }
+}
+
+/// How a request went at an endpoint, as told by an instance.
+///
+/// # Errors
+///
+/// The endpoint's id is malformed.
+pub fn result_of(told: &EndpointResult) -> Result<(EndpointId, TrustEvent), WireError> {
+    let event = match told.kind() {
+        ResultKind::Good => TrustEvent::Good,
+        ResultKind::Bad => TrustEvent::Bad,
+        ResultKind::Full => TrustEvent::Full,
+    };
+    Ok((told.endpoint.parse()?, event))
+}
