fix(gateway, relay): instances that start look for schedulers before they schedule themselves

Ruled out: the store (nobody lost it), the limit on copies handed at once (no 'refused', 189 'no answer in time'). Change: a third role, starting. It is neither named nor asked; whoever starts leaves scheduling to three better placed ones that schedule or start as well; rows of presence tell the best placed to begin at once. Greetings are repeated until one is heard (one that did not answer once was never greeted again). Schedulers alone are told of other data centres. An instance that took a copy asks at once whether it is current. Tests: gateway/tests/schedulers.rs, of which nobody_else_does_meanwhile and that of the repeated greeting fail on the code before by its types.

--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -43,7 +43,7 @@
 pub use reader::{MEMBER_READ_AGE_MS, READ_AGE_MS, Readers};
 pub use replica::{Adopted, Replica};
 pub use reservation::{HOLD, OrderAnswer, RENEW, Ticket, TicketId};
-pub use schedulers::{SCHEDULERS, Standing};
+pub use schedulers::{Role, SCHEDULERS, Standing};
 pub use snapshot::{
     Account, CallerLimits, ConfigVersion, Repeat, Route, RouteEntry, Service, Snapshot,
     SnapshotParts, Split,
--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -11,7 +11,7 @@
 use ringbend_types::{DataCentre, Timestamp};
 use smallvec::SmallVec;
 
-use crate::schedulers::{SCHEDULERS, Standing};
+use crate::schedulers::{Role, SCHEDULERS, Standing};
 use crate::snapshot::ConfigVersion;
 
 /// How long a silent peer still counts as there. A datagram goes out every `HEARTBEAT` at least, so
@@ -35,6 +35,13 @@
 /// may have named others, which are being greeted.
 const UNSERVED_TIME: Duration = Duration::from_millis(300);
 
+/// How long an instance that starts looks for others before it schedules, if rows of others do not
+/// tell it sooner what to do: some greetings take a trip each, and a read of the store some more.
+const START_TIME: Duration = Duration::from_millis(250);
+
+/// How long a greeting may go without an answer before the next.
+const ANSWER_TIME: Duration = Duration::from_millis(40);
+
 /// How far a peer's copies of the watched tables go, as it told last.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Holds {
@@ -47,8 +54,8 @@
 /// What an instance tells of its part among the others.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Part {
-    /// Whether it schedules.
-    pub schedules: bool,
+    /// What it does for the others of its data centre.
+    pub role: Role,
     /// How many instances it knows in its data centre, itself included.
     pub instances: usize,
     /// How many it knows in all data centres.
@@ -59,6 +66,7 @@
 struct Peer {
     heard: Option<(Timestamp, u64)>,
     since: Timestamp,
+    greeted_at: Option<Timestamp>,
     holds: Holds,
     data_centre: Option<DataCentre>,
     capacity: u32,
@@ -71,6 +79,7 @@
         Self {
             heard: None,
             since: now,
+            greeted_at: None,
             holds: Holds::default(),
             data_centre: None,
             capacity: 0,
@@ -83,6 +92,10 @@
         self.heard.is_some_and(|(at, _)| now.since(at) < SILENCE)
     }
 
+    fn schedules(&self) -> bool {
+        self.part.role == Role::Scheduler
+    }
+
     fn runs_in(&self, data_centre: &DataCentre) -> bool {
         self.data_centre.as_ref() == Some(data_centre)
     }
@@ -111,17 +124,25 @@
 pub struct Peers {
     home: DataCentre,
     own: Standing,
-    schedules: bool,
+    role: Role,
+    /// Until when it looks for others before it takes up scheduling.
+    starts_until: Timestamp,
     /// When one that schedules at home was last there.
     served_at: Timestamp,
     peers: BTreeMap<SocketAddrV4, Peer>,
 }
 
 impl Peers {
-    /// An instance in `home` that knows of no other, and so schedules.
-    pub fn new(home: DataCentre, own: Standing) -> Self {
-        let served_at = Timestamp::default();
-        Self { home, own, schedules: true, served_at, peers: BTreeMap::new() }
+    /// An instance in `home` that starts and knows of no other.
+    pub fn new(now: Timestamp, home: DataCentre, own: Standing) -> Self {
+        Self {
+            home,
+            own,
+            role: Role::Starting,
+            starts_until: now + START_TIME,
+            served_at: now,
+            peers: BTreeMap::new(),
+        }
     }
 
     /// Sets where this instance listens, once it does.
@@ -185,9 +206,17 @@
         self.peers.remove(&address);
     }
 
-    /// Whether an instance at `address` was heard or is being greeted.
-    pub fn knows(&self, address: SocketAddrV4) -> bool {
-        self.peers.contains_key(&address)
+    /// Whether the instance that is said to be at `address` should be greeted: it is not heard, and
+    /// has had the time to answer an earlier greeting. Notes that it is.
+    pub fn greets(&mut self, now: Timestamp, address: SocketAddrV4) -> bool {
+        self.told(now, address);
+        let Some(peer) = self.peers.get_mut(&address) else { return false };
+        let waits = peer.greeted_at.is_some_and(|at| now.since(at) < ANSWER_TIME);
+        if peer.is_there(now) || waits {
+            return false;
+        }
+        peer.greeted_at = Some(now);
+        true
     }
 
     /// All addresses that are known.
@@ -199,11 +228,11 @@
     /// schedulers tell of.
     pub fn instances(&self, now: Timestamp) -> usize {
         let heard = self.instances_by_centre(now);
-        if self.schedules {
+        if self.schedules() {
             return heard;
         }
         let at_home = self.there(now).filter(|(_, peer)| peer.runs_in(&self.home));
-        let schedulers = at_home.filter(|(_, peer)| peer.part.schedules);
+        let schedulers = at_home.filter(|(_, peer)| peer.schedules());
         schedulers.map(|(_, peer)| peer.part.fleet).fold(heard, usize::max)
     }
 
@@ -218,7 +247,7 @@
             };
             let (heard, told) = counts.entry(data_centre).or_default();
             *heard += 1;
-            if peer.part.schedules {
+            if peer.schedules() {
                 *told = (*told).max(peer.part.instances);
             }
         }
@@ -254,30 +283,50 @@
 impl Peers {
     /// Whether this instance schedules.
     pub fn schedules(&self) -> bool {
-        self.schedules
+        self.role == Role::Scheduler
     }
 
-    /// Takes up scheduling, as another scheduler asks for it.
+    /// What this instance does.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Takes up scheduling, as another scheduler asks for it, or as too few are said to be better
+    /// placed.
     pub fn called_up(&mut self) {
-        self.schedules = true;
+        self.role = Role::Scheduler;
+    }
+
+    /// Whether too few of these instances are better placed for this one to leave scheduling to them.
+    pub fn is_needed_beside(&self, others: impl Iterator<Item = Standing>) -> bool {
+        others.filter(|standing| *standing < self.own).count() < SCHEDULERS
     }
 
-    /// Looks at this instance's part again. True if it has changed.
+    /// Looks at this instance's role again. True if it has changed.
     ///
     /// One that schedules goes on until enough better placed ones of its data centre do. One that
-    /// does not begins once it has heard none that does for a moment.
+    /// starts leaves it to such that schedule or start as well; those will not leave it to this one.
+    /// One that does not schedule begins once it has heard none that does for a moment.
     pub fn review(&mut self, now: Timestamp) -> bool {
-        let at_home = || self.standings(now, &self.home, |peer| peer.part.schedules);
-        let better = at_home().filter(|standing| *standing < self.own).count();
-        let is_served = at_home().next().is_some();
-        if is_served {
+        if self.standings(now, &self.home, Peer::schedules).next().is_some() {
             self.served_at = now;
         }
-        let schedules = match self.schedules {
-            true => better < SCHEDULERS,
-            false => now.since(self.served_at) >= UNSERVED_TIME,
+        let is_needed = |candidate: fn(&Peer) -> bool| {
+            self.is_needed_beside(self.standings(now, &self.home, candidate))
         };
-        std::mem::replace(&mut self.schedules, schedules) != schedules
+        let role = match self.role {
+            Role::Scheduler if is_needed(Peer::schedules) => Role::Scheduler,
+            Role::Scheduler => Role::Member,
+            Role::Starting if !is_needed(|peer| peer.part.role != Role::Member) => Role::Member,
+            Role::Starting if now >= self.starts_until => Role::Scheduler,
+            Role::Member if now.since(self.served_at) >= UNSERVED_TIME => Role::Scheduler,
+            unchanged => unchanged,
+        };
+        if role == Role::Member && self.role == Role::Starting {
+            // Those that it leaves scheduling to may still be starting.
+            self.served_at = now;
+        }
+        std::mem::replace(&mut self.role, role) != role
     }
 
     /// The other schedulers: the best placed of each data centre.
@@ -286,35 +335,34 @@
             self.there(now).filter_map(|(_, peer)| peer.data_centre.as_ref()).collect();
         centres.sort();
         centres.dedup();
-        let best = |centre| self.best(now, centre, |peer| peer.part.schedules);
+        let best = |centre| self.best(now, centre, Peer::schedules);
         let named = centres.into_iter().flat_map(best);
-        let unplaced = self.there(now).filter(|(_, peer)| peer.data_centre.is_none());
+        let unplaced = self.there(now).filter(|(_, p)| p.data_centre.is_none() && p.schedules());
         named.chain(unplaced.map(|(address, _)| address)).collect()
     }
 
     /// Schedulers that have fallen silent. They may be cut off, and hear of the others once they are
     /// not; they are told no more than that this instance is there.
     pub fn silent_schedulers(&self, now: Timestamp) -> impl Iterator<Item = SocketAddrV4> + '_ {
-        let silent = move |peer: &Peer| peer.part.schedules && !peer.is_there(now);
+        let silent = move |peer: &Peer| peer.schedules() && !peer.is_there(now);
         self.peers.iter().filter(move |(_, peer)| silent(peer)).map(|(address, _)| *address)
     }
 
     /// The instances of this data centre that do not schedule.
     pub fn members(&self, now: Timestamp) -> impl Iterator<Item = SocketAddrV4> + '_ {
-        let is_member = |peer: &Peer| peer.runs_in(&self.home) && !peer.part.schedules;
+        let is_member = |peer: &Peer| peer.runs_in(&self.home) && !peer.schedules();
         self.there(now).filter(move |(_, peer)| is_member(peer)).map(|(address, _)| address)
     }
 
     /// The schedulers of this data centre: the best placed.
     pub fn home_schedulers(&self, now: Timestamp) -> SmallVec<[SocketAddrV4; SCHEDULERS]> {
-        self.best(now, &self.home, |peer| peer.part.schedules)
+        self.best(now, &self.home, Peer::schedules)
     }
 
     /// The scheduler that this instance asks, but for those in `asked`. Instances prefer different
     /// ones, always the same, and pass over one that did not answer.
     pub fn scheduler(&self, now: Timestamp, asked: &[SocketAddrV4]) -> Option<SocketAddrV4> {
-        let usable =
-            self.best(now, &self.home, |peer| peer.part.schedules && !peer.is_doubted(now));
+        let usable = self.best(now, &self.home, |peer| peer.schedules() && !peer.is_doubted(now));
         let rank = |address: &SocketAddrV4| {
             let mut hasher = DefaultHasher::new();
             (self.own.address(), address).hash(&mut hasher);
@@ -332,9 +380,9 @@
 
     /// The instances of this data centre that should schedule as well, the best placed first.
     pub fn wanted(&self, now: Timestamp) -> Vec<SocketAddrV4> {
-        let scheduling = self.standings(now, &self.home, |peer| peer.part.schedules).count() + 1;
+        let scheduling = self.standings(now, &self.home, Peer::schedules).count() + 1;
         let mut members: Vec<Standing> =
-            self.standings(now, &self.home, |peer| !peer.part.schedules).collect();
+            self.standings(now, &self.home, |peer| peer.part.role == Role::Member).collect();
         members.sort();
         let missing = SCHEDULERS.saturating_sub(scheduling);
         members.into_iter().take(missing).map(|standing| standing.address()).collect()
--- a/crates/ringbend-gateway/src/schedulers.rs
+++ b/crates/ringbend-gateway/src/schedulers.rs
@@ -12,6 +12,18 @@
 /// How many instances of a data centre schedule: two may be lost at once and one goes on.
 pub const SCHEDULERS: usize = 3;
 
+/// What an instance does for the others of its data centre.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Role {
+    /// It has just started and does not know yet who else there is.
+    #[default]
+    Starting,
+    /// It places requests for those that do not.
+    Scheduler,
+    /// It leaves that to others.
+    Member,
+}
+
 /// Where an instance stands among those of its data centre: more processor time first, then by
 /// address. The least schedules first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/ringbend-gateway/tests/schedulers.rs
+++ b/crates/ringbend-gateway/tests/schedulers.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use ringbend_gateway::{HEARTBEAT, Part, Peers, SCHEDULERS, SILENCE, Standing};
+use ringbend_gateway::{HEARTBEAT, Part, Peers, Role, SCHEDULERS, SILENCE, Standing};
 use ringbend_types::{DataCentre, Timestamp};
 use support::{at, ms};
 
@@ -40,13 +40,12 @@
             for number in 0..each {
                 let capacity = if number + LARGE_ONES >= each { LARGE } else { SMALL };
                 let own = Standing::new(capacity, address(centre, number));
-                let peers = Peers::new(data_centre(centre), own);
+                let peers = Peers::new(fleet.now, data_centre(centre), own);
                 fleet.instances.insert(own.address(), (centre, capacity, peers));
             }
         }
-        let best = |centre: usize| {
-            (each.saturating_sub(LARGE_ONES)..each).map(move |n| address(centre, n))
-        };
+        fleet.take_up();
+        let best = |c: usize| (each.saturating_sub(LARGE_ONES)..each).map(move |n| address(c, n));
         let greeted: Vec<SocketAddrV4> = (0..centres).flat_map(best).collect();
         for from in fleet.addresses() {
             for to in &greeted {
@@ -57,6 +56,21 @@
         fleet
     }
 
+    /// Each that finds itself among the best placed of its rows schedules at once.
+    fn take_up(&mut self) {
+        let standings: Vec<(usize, Standing)> = self
+            .instances
+            .iter()
+            .map(|(address, (centre, capacity, _))| (*centre, Standing::new(*capacity, *address)))
+            .collect();
+        for (centre, _, peers) in self.instances.values_mut() {
+            let at_home = standings.iter().filter(|(other, _)| other == centre);
+            if peers.is_needed_beside(at_home.map(|(_, standing)| *standing)) {
+                peers.called_up();
+            }
+        }
+    }
+
     fn addresses(&self) -> Vec<SocketAddrV4> {
         self.instances.keys().copied().collect()
     }
@@ -69,9 +83,8 @@
         self.told += 1;
         let (centre, capacity, peers) = &self.instances[&from];
         let (centre, capacity) = (data_centre(*centre), *capacity);
-        let schedules = peers.schedules();
         let instances = peers.instances_at_home(self.now);
-        let part = Part { schedules, instances, fleet: peers.instances(self.now) };
+        let part = Part { role: peers.role(), instances, fleet: peers.instances(self.now) };
         let start = u64::from(u32::from(*from.ip()));
         let (_, _, hearer) = self.instances.get_mut(&to).unwrap();
         hearer.heard(self.now, from, start);
@@ -121,16 +134,49 @@
     assert!(fleet.instances.values().all(|(_, _, peers)| peers.fellows(fleet.now).len() == 8));
 }
 
+/// After a loss of all nobody schedules yet. Where each that hears no scheduler became one, all did,
+/// and each of them was told of by the others.
 #[test]
-fn those_with_most_processor_time_schedule() {
-    let mut fleet = Fleet::start(5, 59);
-    fleet.beat();
+fn those_with_most_processor_time_schedule_and_nobody_else_does_meanwhile() {
+    let fleet = Fleet::start(5, 59);
     for centre in 0..5 {
         let best: Vec<SocketAddrV4> = (56..59).map(|number| address(centre, number)).collect();
         assert_eq!(fleet.schedulers(centre), best);
     }
 }
 
+/// The best placed may be the last to start; until then others do their part.
+#[test]
+fn instances_that_hear_nobody_schedule_until_better_placed_ones_do() {
+    let own = |number| Standing::new(SMALL, address(0, number));
+    let mut late = Peers::new(at(0), data_centre(0), own(9));
+    assert!(!late.review(at(100)));
+    assert_eq!(late.role(), Role::Starting);
+    assert!(late.review(at(300)));
+    assert!(late.schedules());
+    for number in 0..SCHEDULERS {
+        let part = Part { role: Role::Scheduler, ..Part::default() };
+        late.heard(at(400), address(0, number), number as u64);
+        late.describe(address(0, number), data_centre(0), LARGE);
+        late.takes_part(address(0, number), part);
+        assert_eq!(late.review(at(400)), number + 1 == SCHEDULERS);
+    }
+    assert_eq!(late.role(), Role::Member);
+}
+
+/// One that did not answer may have started since; one that is heard needs no greeting.
+#[test]
+fn an_instance_that_was_not_there_is_greeted_again() {
+    let mut peers = Peers::new(at(0), data_centre(0), Standing::new(SMALL, address(0, 0)));
+    let other = address(0, 1);
+    assert!(peers.greets(at(0), other));
+    assert!(!peers.greets(at(10), other));
+    assert!(peers.greets(at(100), other));
+    peers.heard(at(101), other, 7);
+    assert!(!peers.greets(at(300), other));
+    assert!(peers.greets(at(101) + SILENCE, other));
+}
+
 /// A placement is told to the other schedulers alone. With 300 instances and as many placements a
 /// second, telling everyone takes 90,000 datagrams a second; heartbeats take as many.
 #[test]
--- a/crates/ringbend-relay/src/fetch.rs
+++ b/crates/ringbend-relay/src/fetch.rs
@@ -313,6 +313,9 @@
     let item = node.decoder.decode(copy.row.into()).map_err(CopyError::Config)?;
     log::info!(target: "peers", peer:%, version = item.parts.version.0; "configuration taken");
     ConfigCopy.apply(node, vec![item], Cursor(copy.cursor));
+    // A copy proves nothing; the peer's word that it is current came before, and would come again only
+    // with its next heartbeat.
+    node.say_hello(peer);
     Ok(())
 }
 
--- a/crates/ringbend-relay/src/hearing.rs
+++ b/crates/ringbend-relay/src/hearing.rs
@@ -3,10 +3,11 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 
-use ringbend_gateway::{Heard, Part, TrustEvent, WorkId};
+use ringbend_gateway::{Heard, Part, Role, TrustEvent, WorkId};
 use ringbend_types::Timestamp;
 use ringbend_wire::{
-    EndpointResult, LoadDigest, Message, OpenWork, OwnersWork, result_of, waiting_of, work_of,
+    EndpointResult, LoadDigest, Message, OpenWork, OwnersWork, result_of, role_of, waiting_of,
+    work_of,
 };
 
 use crate::link::MAX_DATAGRAM;
@@ -47,7 +48,7 @@
             return;
         }
         self.note_sender(now, from, digest);
-        self.greet_unknown(&digest.peers);
+        self.greet_named(&digest.peers);
         if digest.hello {
             self.answer_hello(from, digest);
         }
@@ -74,7 +75,7 @@
             self.peers.borrow_mut().describe(from, data_centre, digest.capacity);
         }
         let part = Part {
-            schedules: digest.schedules,
+            role: role_of(digest),
             instances: digest.instances as usize,
             fleet: digest.fleet as usize,
         };
@@ -84,19 +85,19 @@
             self.peers.borrow_mut().called_up();
             self.begin_to_schedule();
         }
-        self.review_part();
+        self.review_role();
         if let Heard::New { replaced } = heard {
-            log::info!(target: "peers", peer:% = from, start, schedules = part.schedules; "heard");
+            log::info!(target: "peers", peer:% = from, start, role:? = part.role; "heard");
             if let Some(replaced) = replaced {
                 self.forget_start(replaced);
             }
             // Its answer pairs the clocks.
-            self.greet(&[from]);
+            self.say_hello(from);
         }
     }
 
     /// Looks whether this instance should schedule.
-    pub(crate) fn review_part(self: &Rc<Self>) {
+    pub(crate) fn review_role(self: &Rc<Self>) {
         let now = self.clock.now();
         if !self.peers.borrow_mut().review(now) {
             return;
@@ -105,17 +106,18 @@
     }
 
     /// Asks the other schedulers for what runs where, and tells them of the own requests.
-    fn begin_to_schedule(&self) {
-        log::info!(target: "peers", schedules = true; "part");
+    pub(crate) fn begin_to_schedule(&self) {
+        log::info!(target: "peers", schedules = true; "role");
         let fellows = self.peers.borrow().fellows(self.clock.now());
-        self.greet(&fellows);
+        fellows.into_iter().for_each(|fellow| self.say_hello(fellow));
+        self.greet_elsewhere();
         self.outbox.borrow_mut().placed.extend(self.own_work());
         self.signals.now.notify_one();
     }
 
     /// Leaves to others what was asked for here. What others run is no longer told to this instance.
     fn cease_to_schedule(&self) {
-        log::info!(target: "peers", schedules = false; "part");
+        log::info!(target: "peers", schedules = false; "role");
         self.load.borrow_mut().keep_instance(self.clock.now(), self.incarnation());
         let queued = self.grants.borrow_mut().clear();
         for (address, grant) in queued {
@@ -150,34 +152,35 @@
     }
 
     fn answer_hello(&self, from: SocketAddrV4, hello: &LoadDigest) {
+        let schedules = role_of(hello) == Role::Scheduler;
         let answer = LoadDigest {
             hello_clock_us: Some(hello.clock_us),
-            peers: self.schedulers_besides(from),
+            peers: self.schedulers_besides(from, schedules),
             ..self.introduction()
         };
-        let work = if hello.schedules { self.work_of_home() } else { Vec::new() };
+        let work = if schedules { self.work_of_home() } else { Vec::new() };
         for digest in self.with_work(answer, work) {
             self.tell(&digest, from);
         }
     }
 
-    /// The addresses of the schedulers, but for one.
-    fn schedulers_besides(&self, one: SocketAddrV4) -> Vec<String> {
-        let fellows = self.peers.borrow().fellows(self.clock.now());
-        fellows.into_iter().filter(|a| *a != one).map(|a| a.to_string()).collect()
+    /// The addresses of the schedulers but for one: of all data centres, or of this one.
+    fn schedulers_besides(&self, one: SocketAddrV4, of_all: bool) -> Vec<String> {
+        let (now, peers) = (self.clock.now(), self.peers.borrow());
+        let named = if of_all { peers.fellows(now) } else { peers.home_schedulers(now).to_vec() };
+        named.into_iter().filter(|a| *a != one).map(|a| a.to_string()).collect()
     }
 
-    /// Greets instances that another one named and that are not known yet.
-    fn greet_unknown(&self, named: &[String]) {
-        let mut unknown: Vec<SocketAddrV4> = Vec::new();
+    /// Greets instances that another one named, if they are not heard.
+    fn greet_named(&self, named: &[String]) {
+        let mut addresses: Vec<SocketAddrV4> = Vec::new();
         for address in named {
             match address.parse() {
-                Ok(address) => unknown.push(address),
+                Ok(address) => addresses.push(address),
                 Err(e) => log::warn!(target: "peers", address, error:% = e; "no address"),
             }
         }
-        unknown.retain(|address| !self.peers.borrow().knows(*address));
-        self.greet(&unknown);
+        self.greet(&addresses);
     }
 
     fn note_unfit(&self, now: Timestamp, unfit: &[String]) {
@@ -199,9 +202,10 @@
     /// Notes work of the sender and of others that it schedules for. Work of an instance that does not
     /// schedule is told on.
     fn note_work(&self, now: Timestamp, from: SocketAddrV4, digest: &LoadDigest) {
-        let tells_on = self.schedules() && !digest.schedules;
+        let is_scheduler = role_of(digest) == Role::Scheduler;
+        let tells_on = self.schedules() && !is_scheduler;
         for owners in &digest.work {
-            if digest.schedules {
+            if is_scheduler {
                 self.grants.borrow_mut().told_by(owners.instance, from);
             } else {
                 self.grants.borrow_mut().serve(owners.instance);
--- a/crates/ringbend-relay/src/joining.rs
+++ b/crates/ringbend-relay/src/joining.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rand::Rng;
-use ringbend_gateway::{SCHEDULERS, Standing};
+use ringbend_gateway::{Role, SCHEDULERS, Standing};
 use ringbend_types::DataCentre;
 
 use crate::SourceError;
@@ -35,6 +35,9 @@
 /// goes to twice as many.
 const FIRST_GREETED: usize = 2 * SCHEDULERS;
 
+/// How often they are greeted: after so many rounds hundreds were, or none is there.
+const GREETING_ROUNDS: usize = 6;
+
 /// How long those that were greeted are given to answer before further ones are.
 const GREETED_TIME: Duration = Duration::from_millis(60);
 
@@ -81,9 +84,9 @@
     log::info!(target: "peers", instances, schedules; "joined");
 }
 
-/// Whether the schedulers of this data centre are heard, so that this instance need not be found.
+/// Whether this instance leaves scheduling to others, so that nobody needs to find it.
 fn is_served(node: &Node) -> bool {
-    !node.schedules()
+    node.peers.borrow().role() == Role::Member
 }
 
 fn hears_others(node: &Node) -> bool {
@@ -96,18 +99,17 @@
 async fn announce(node: &Rc<Node>, presence: &dyn Presence) -> Result<(), SourceError> {
     let Some(address) = node.peers_address() else { return Ok(()) };
     if !hears_others(node) {
-        let rows = bounded(presence.all()).await?;
-        greet_best(node, &rows).await;
-        if is_served(node) || rows.iter().any(|row| row.address == address) {
-            return Ok(());
-        }
-        if rows.is_empty() {
+        read_rows(node, presence).await?;
+        if node.rows.borrow().is_empty() {
             let wait = node.rng.borrow_mut().random_range(FIRST_ROW_WAIT_MS);
             tokio::time::sleep(Duration::from_millis(wait)).await;
-            greet_best(node, &bounded(presence.all()).await?).await;
+            read_rows(node, presence).await?;
         }
+        take_up(node);
+        greet_home(node).await;
     }
-    if is_served(node) {
+    let has_row = node.rows.borrow().iter().any(|row| row.address == address);
+    if is_served(node) || has_row {
         return Ok(());
     }
     let own = {
@@ -115,38 +117,59 @@
         Present { address, data_centre: Some(cfg.data_centre.clone()), capacity: cfg.capacity() }
     };
     bounded(presence.announce(&own)).await?;
-    if hears_others(node) {
-        // They named all others.
-        return Ok(());
+    if !hears_others(node) {
+        // Of two that start together, the later reader sees the other.
+        read_rows(node, presence).await?;
+        greet_home(node).await;
+        node.greet_elsewhere();
     }
-    // Of two that start together, the later reader sees the other.
-    greet_best(node, &bounded(presence.all()).await?).await;
     Ok(())
 }
 
+async fn read_rows(node: &Node, presence: &dyn Presence) -> Result<(), SourceError> {
+    let rows = bounded(presence.all()).await?;
+    log::info!(target: "peers", rows = rows.len(); "rows read");
+    *node.rows.borrow_mut() = rows;
+    Ok(())
+}
+
+/// Begins to schedule at once if too few instances that have rows are better placed.
+fn take_up(node: &Node) {
+    let is_needed = {
+        let (rows, home) = (node.rows.borrow(), &node.cfg.borrow().data_centre);
+        let standings = rows.iter().filter(|row| is_at(row, home));
+        node.peers.borrow().is_needed_beside(standings.map(standing))
+    };
+    if is_needed && node.peers.borrow().role() == Role::Starting {
+        node.peers.borrow_mut().called_up();
+        node.begin_to_schedule();
+    }
+}
+
 async fn bounded<T>(call: impl Future<Output = Result<T, SourceError>>) -> Result<T, SourceError> {
     tokio::time::timeout(PRESENCE_TIME, call).await.unwrap_or(Err(SourceError::TimedOut))
 }
 
-/// Greets the best placed instances of this data centre until one that schedules is heard, and some
-/// of the others.
-async fn greet_best(node: &Rc<Node>, rows: &[Present]) {
+/// Greets the best placed instances of this data centre, and more of them each time, until one that
+/// schedules is heard.
+async fn greet_home(node: &Rc<Node>) {
     let home = node.cfg.borrow().data_centre.clone();
-    let own = node.peers_address();
-    let others: Vec<&Present> = rows.iter().filter(|row| Some(row.address) != own).collect();
-    node.greet(&best_elsewhere(&others, &home));
-    let at_home = |row: &&&Present| row.data_centre.as_ref().is_none_or(|centre| *centre == home);
-    let at_home = best(others.iter().filter(at_home).copied());
-    let (mut rest, mut count) = (at_home.as_slice(), FIRST_GREETED);
-    while !rest.is_empty() && is_unheard(node) {
-        let (greeted, further) = rest.split_at(count.min(rest.len()));
-        node.greet(greeted);
-        (rest, count) = (further, count * 2);
+    let at_home = best(node.rows.borrow().iter().filter(|row| is_at(row, &home)));
+    // Without rows there is nobody to wait for.
+    let rounds = if at_home.is_empty() { 0 } else { GREETING_ROUNDS };
+    let mut count = FIRST_GREETED;
+    for _ in 0..rounds {
+        node.greet(&at_home[..count.min(at_home.len())]);
+        count *= 2;
         let until = node.clock.now() + GREETED_TIME;
         while is_unheard(node) && node.clock.now() < until {
             tokio::time::sleep(GREETED_TIME / 12).await;
         }
         node.joined.set(true);
+        node.review_role();
+        if !is_unheard(node) {
+            return;
+        }
     }
 }
 
@@ -154,21 +177,39 @@
     node.peers.borrow().home_schedulers(node.clock.now()).is_empty()
 }
 
+fn is_at(row: &Present, home: &DataCentre) -> bool {
+    row.data_centre.as_ref().is_none_or(|centre| centre == home)
+}
+
+fn standing(row: &Present) -> Standing {
+    Standing::new(row.capacity, row.address)
+}
+
 /// The best placed first.
 fn best<'a>(rows: impl Iterator<Item = &'a Present>) -> Vec<SocketAddrV4> {
-    let mut all: Vec<Standing> = rows.map(|row| Standing::new(row.capacity, row.address)).collect();
+    let mut all: Vec<Standing> = rows.map(standing).collect();
     all.sort();
     all.into_iter().map(|standing| standing.address()).collect()
 }
 
-/// Those that may schedule in each other data centre.
-fn best_elsewhere(rows: &[&Present], home: &DataCentre) -> Vec<SocketAddrV4> {
+impl Node {
+    /// Greets those that may schedule in each other data centre.
+    pub(crate) fn greet_elsewhere(&self) {
+        let addresses = {
+            let (rows, home) = (self.rows.borrow(), &self.cfg.borrow().data_centre);
+            best_elsewhere(&rows, home)
+        };
+        self.greet(&addresses);
+    }
+}
+
+fn best_elsewhere(rows: &[Present], home: &DataCentre) -> Vec<SocketAddrV4> {
     let mut centres: Vec<&DataCentre> =
         rows.iter().filter_map(|row| row.data_centre.as_ref()).collect();
     centres.sort();
     centres.dedup();
     let of_centre = |centre: &DataCentre| {
-        let there = rows.iter().filter(|row| row.data_centre.as_ref() == Some(centre)).copied();
+        let there = rows.iter().filter(|row| row.data_centre.as_ref() == Some(centre));
         best(there).into_iter().take(SCHEDULERS).collect::<Vec<_>>()
     };
     centres.into_iter().filter(|centre| *centre != home).flat_map(of_centre).collect()
--- a/crates/ringbend-relay/src/link.rs
+++ b/crates/ringbend-relay/src/link.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ringbend_types::Timestamp;
-use ringbend_wire::{LoadDigest, Message};
+use ringbend_wire::{LoadDigest, Message, told_role};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -55,7 +55,7 @@
             incarnation: self.incarnation(),
             clock_us: now.0,
             currency: currency(self),
-            schedules: peers.schedules(),
+            role: told_role(peers.role()),
             instances: count(peers.instances_at_home(now)),
             fleet: count(peers.instances(now)),
             ..LoadDigest::default()
@@ -69,17 +69,23 @@
         LoadDigest { data_centre, capacity, ..self.digest() }
     }
 
-    /// Greets instances that are said to be at these addresses.
+    /// Greets instances that are said to be at these addresses and are not heard.
     pub(crate) fn greet(&self, addresses: &[SocketAddrV4]) {
         let now: Timestamp = self.clock.now();
-        let hello = LoadDigest { hello: true, ..self.introduction() };
         let own = self.peers_address();
-        for address in addresses.iter().filter(|address| Some(**address) != own) {
-            self.peers.borrow_mut().told(now, *address);
-            self.tell(&hello, *address);
+        let others = addresses.iter().copied().filter(|address| Some(*address) != own);
+        for address in others {
+            if self.peers.borrow_mut().greets(now, address) {
+                self.say_hello(address);
+            }
         }
     }
 
+    /// Tells one instance that this one is there, and asks who else is.
+    pub(crate) fn say_hello(&self, address: SocketAddrV4) {
+        self.tell(&LoadDigest { hello: true, ..self.introduction() }, address);
+    }
+
     pub(crate) fn tell(&self, digest: &LoadDigest, address: SocketAddrV4) {
         let Some(link) = self.link.get() else { return };
         let bytes = digest.encode_to_vec();
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -23,7 +23,7 @@
 use crate::granting::Grants;
 use crate::link::{Link, Signals};
 use crate::memory::HeldMemory;
-use crate::ports::{ConfigDecoder, Cursor, Dialect};
+use crate::ports::{ConfigDecoder, Cursor, Dialect, Present};
 
 /// One relay's state. It lives on one thread.
 pub(crate) struct Node {
@@ -44,6 +44,8 @@
     pub(crate) budget: RefCell<RepeatBudget>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) peers: RefCell<Peers>,
+    /// Where instances listened when their rows were last read.
+    pub(crate) rows: RefCell<Vec<Present>>,
     /// What other instances have not been told yet.
     pub(crate) outbox: RefCell<Outbox>,
     pub(crate) signals: Signals,
@@ -110,7 +112,7 @@
         let budget = RepeatBudget::new(cfg.bounds.budget());
         let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
         let own = Standing::new(cfg.capacity(), cfg.listen.peers.unwrap_or(unknown));
-        let peers = Peers::new(cfg.data_centre.clone(), own);
+        let peers = Peers::new(clock.now(), cfg.data_centre.clone(), own);
         Rc::new(Self {
             cfg: RefCell::new(cfg),
             clock,
@@ -126,6 +128,7 @@
             budget: RefCell::new(budget),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
             peers: RefCell::new(peers),
+            rows: RefCell::default(),
             outbox: RefCell::default(),
             signals: Signals::default(),
             link: OnceCell::new(),
--- a/crates/ringbend-relay/src/relayed.rs
+++ b/crates/ringbend-relay/src/relayed.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use ringbend_gateway::{ConfigVersion, EndpointChange, Holds};
+use ringbend_gateway::{ConfigVersion, EndpointChange, Holds, Role};
 use ringbend_types::Timestamp;
-use ringbend_wire::{Currency, EndpointChanges, LoadDigest, WireError, change_of};
+use ringbend_wire::{Currency, EndpointChanges, LoadDigest, WireError, change_of, role_of};
 
 use crate::copies::apply_endpoints;
 use crate::node::Node;
@@ -41,7 +41,7 @@
         && take_in_changes(node, changes)
         && node.schedules()
     {
-        tell_on(node, now, from, digest.schedules, changes);
+        tell_on(node, now, from, role_of(digest) == Role::Scheduler, changes);
     }
     if let Some(currency) = &digest.currency {
         note_holder(node, from, currency);
--- a/crates/ringbend-relay/src/telling.rs
+++ b/crates/ringbend-relay/src/telling.rs
@@ -155,7 +155,7 @@
             self.forget_told_by(address);
         }
         self.grants.borrow_mut().sweep(now);
-        self.review_part();
+        self.review_role();
         let instances = self.peers.borrow().instances(now);
         if self.metrics.live_instances.get() != instances as i64 {
             log::info!(target: "peers", instances; "instances");
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -235,9 +235,9 @@
     /// The processor time that the sender may use, in thousandths of a core; told with `data_centre`.
     #[prost(uint32, tag = "15")]
     pub capacity: u32,
-    /// Whether the sender schedules for its data centre.
-    #[prost(bool, tag = "16")]
-    pub schedules: bool,
+    /// What the sender does for the others of its data centre.
+    #[prost(enumeration = "Role", tag = "16")]
+    pub role: i32,
     /// How many instances the sender knows in its data centre, itself included.
     #[prost(uint32, tag = "17")]
     pub instances: u32,
@@ -474,6 +474,37 @@
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
+pub enum Role {
+    /// It has just started and does not know yet who else there is.
+    Starting = 0,
+    Scheduler = 1,
+    /// It leaves scheduling to others.
+    Member = 2,
+}
+impl Role {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Starting => "STARTING",
+            Self::Scheduler => "SCHEDULER",
+            Self::Member => "MEMBER",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "STARTING" => Some(Self::Starting),
+            "SCHEDULER" => Some(Self::Scheduler),
+            "MEMBER" => Some(Self::Member),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
 pub enum Verdict {
     /// The receiver does not schedule.
     NotHere = 0,
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -19,7 +19,8 @@
     Update, Verdict, WaitingWork, envelope, update,
 };
 pub use load::{
-    ask_of, endpoint_result, job_of, placed_work, result_of, waiting_of, waiting_work, work_of,
+    ask_of, endpoint_result, job_of, placed_work, result_of, role_of, told_role, waiting_of,
+    waiting_work, work_of,
 };
 pub use map::WireError;
 pub use prost::Message;
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use ringbend_gateway::{Demand, Held, Job, TrustEvent, Waiting, Work, WorkId};
+use ringbend_gateway::{Demand, Held, Job, Role, TrustEvent, Waiting, Work, WorkId};
 use ringbend_types::{EndpointId, ParseIdError, Timestamp};
 
-use crate::generated::{Ask, EndpointResult, HeldMemory, PlacedWork, ResultKind, WaitingWork};
+use crate::generated::{
+    self as wire, Ask, EndpointResult, HeldMemory, LoadDigest, PlacedWork, ResultKind, WaitingWork,
+};
 use crate::map::WireError;
 
 fn millis(span: Duration) -> u64 {
@@ -149,3 +151,22 @@
     };
     Ok((told.endpoint.parse()?, event))
 }
+
+/// What an instance does, as told to others.
+pub fn told_role(role: Role) -> i32 {
+    let role = match role {
+        Role::Starting => wire::Role::Starting,
+        Role::Scheduler => wire::Role::Scheduler,
+        Role::Member => wire::Role::Member,
+    };
+    role.into()
+}
+
+/// What the sender of a digest does. A role that this version does not know is none to rely on.
+pub fn role_of(digest: &LoadDigest) -> Role {
+    match digest.role() {
+        wire::Role::Starting => Role::Starting,
+        wire::Role::Scheduler => Role::Scheduler,
+        wire::Role::Member => Role::Member,
+    }
+}
