--- /dev/null
+++ b/crates/ringbend-gateway/benches/decisions.rs
@@ -0,0 +1,80 @@
+//! What one decision costs beside how many engines: `cargo bench -p ringbend-gateway`.
+//!
+//! Half of the engines are kept for short prompts and write for six each; a tenth of the others read a
+//! long one. Sizes are those of today's deployments, of the large one and of the one built towards.
+
+#![allow(missing_docs)]
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use ringbend_gateway::{Claim, Demand, Waiting, Wish, Work, place_on_engines, turn};
+use support::{Scene, at, endpoint, ms, profile, service, work, work_id};
+
+/// Engines of a service.
+const ENGINES: [usize; 3] = [30, 150, 850];
+
+/// Short prompts that each of half of the engines writes for.
+const WRITERS: usize = 6;
+
+/// Long prompts that wait for their turn.
+const WAITING: u64 = 8;
+
+fn busy(engines: usize) -> Scene {
+    let mut scene = Scene::new(engines);
+    for engine in 1..=engines / 2 {
+        for writer in 0..WRITERS {
+            let id = work_id((engine * 100 + writer) as u64);
+            scene.load.place(at(0), id, work(engine, ms(10)));
+            scene.load.first_event(id);
+        }
+    }
+    for engine in (engines / 2 + 1..engines).step_by(10) {
+        let helpers = [endpoint(engine + 1).id].into_iter().collect();
+        let long = Work { helpers, long: true, ..work(engine, ms(600)) };
+        scene.load.place(at(0), work_id(1_000_000 + engine as u64), long);
+    }
+    for number in 0..WAITING {
+        let waiting = Waiting {
+            service: service("engines"),
+            read: ms(5_000),
+            since: at(0),
+            first_by: at(4_000 + number),
+            until: at(16_000),
+        };
+        scene.load.wait(work_id(2_000_000 + number), waiting);
+    }
+    scene.load.advance(at(1));
+    scene.now = at(1);
+    scene
+}
+
+fn wish(prompt_tokens: u64) -> Wish {
+    let demand = Demand { prompt_tokens, answer_tokens: 500 };
+    Wish { demand, first_in: ms(1_500), gap: ms(500) }
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decisions");
+    for engines in ENGINES {
+        let scene = busy(engines);
+        let (candidates, profile) = (scene.candidates(), profile());
+        let mut place = |name, tokens| {
+            group.bench_function(BenchmarkId::new(name, engines), |b| {
+                b.iter(|| place_on_engines(scene.view(), &profile, &candidates, &wish(tokens)));
+            });
+        };
+        place("a short prompt", 5_000);
+        place("a prompt of 45,000 tokens", 45_000);
+        place("a prompt of 300,000 tokens", 300_000);
+        let claim = Claim { id: work_id(2_000_000), unused: ms(0), wish: wish(300_000) };
+        group.bench_function(BenchmarkId::new("a look at a turn", engines), |b| {
+            b.iter(|| turn(scene.view(), &profile, &candidates, &claim));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -335,9 +335,7 @@
     let prices: Vec<Price> = engines.iter().map(price).collect();
     let by_lead = |a: &usize, b: &usize| prices[*a].as_lead().total_cmp(&prices[*b].as_lead());
     let lead = (0..engines.len()).min_by(by_lead)?;
-    let mut helpers: Vec<usize> = (0..engines.len()).filter(|at| *at != lead).collect();
-    helpers.sort_by(|a, b| prices[*a].as_helper().total_cmp(&prices[*b].as_helper()));
-    helpers.truncate(parts - 1);
+    let helpers = cheapest_helpers(&prices, lead, parts - 1);
     let helping = || helpers.iter().copied();
     let own = helping().map(|at| prices[at].own).fold(prices[lead].own_as_lead, f64::max);
     let harm = prices[lead].harm + helping().map(|at| prices[at].harm).sum::<f64>();
@@ -361,6 +359,22 @@
     })
 }
 
+/// The cheapest `count` engines beside the lead, the cheapest first. The others are not put into order:
+/// of 850 engines sixteen help at most, and eleven numbers of parts are tried for each prompt.
+fn cheapest_helpers(prices: &[Price], lead: usize, count: usize) -> Vec<usize> {
+    let cheaper = |a: &usize, b: &usize| {
+        let by_price = prices[*a].as_helper().total_cmp(&prices[*b].as_helper());
+        by_price.then(a.cmp(b))
+    };
+    let mut helpers: Vec<usize> = (0..prices.len()).filter(|at| *at != lead).collect();
+    if count > 0 && count < helpers.len() {
+        helpers.select_nth_unstable_by(count - 1, cheaper);
+    }
+    helpers.truncate(count);
+    helpers.sort_unstable_by(cheaper);
+    helpers
+}
+
 /// Shares `missing` tokens out among helpers, those with most room first; none if they have too
 /// little.
 fn hold(missing: u64, mut rooms: Vec<(&EndpointId, u64)>) -> Option<SmallVec<[Held; 2]>> {
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -43,7 +43,7 @@
     Endpoint {
         id: format!("e-{number:02}").parse().unwrap(),
         service: service("engines"),
-        address: format!("10.0.0.{number}:80").parse().unwrap(),
+        address: format!("10.0.{}.{}:80", number / 250, number % 250).parse().unwrap(),
         data_centre: "z1".parse().unwrap(),
         slots: 16,
         leaving: false,
