--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -164,7 +164,7 @@
             part_ms:% = Millis(Some(placement.part)), first_ms = placement.first_ms as u64,
             cost_percent, backlog_ms:% = Millis(Some(lead.backlog())),
             writers = lead.writers().len(), places, memory = lead.memory_tokens();
-            "sent"
+            "placed"
         );
     }
 }
