--- /dev/null
+++ b/crates/ringbend-gateway/src/peers/roles.rs
@@ -0,0 +1,179 @@
+//! Who schedules, who plans long prompts, and whom an instance asks.
+
+use std::cmp::Reverse;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use ringbend_types::{DataCentre, ServiceName, Timestamp};
+use smallvec::SmallVec;
+
+use super::{Peer, Peers};
+use crate::schedulers::{Role, SCHEDULERS, Standing};
+
+/// How long an instance that hears no scheduler any more waits before it becomes one: the last one
+/// may have named others, which are being greeted.
+const UNSERVED_TIME: Duration = Duration::from_millis(300);
+
+impl Peers {
+    /// Whether this instance schedules.
+    pub fn schedules(&self) -> bool {
+        self.role == Role::Scheduler
+    }
+
+    /// What this instance does.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Takes up scheduling, as another scheduler asks for it, or as too few are said to be better
+    /// placed.
+    pub fn called_up(&mut self) {
+        self.role = Role::Scheduler;
+    }
+
+    /// Whether too few of these instances are better placed for this one to leave scheduling to them.
+    pub fn is_needed_beside(&self, others: impl Iterator<Item = Standing>) -> bool {
+        others.filter(|standing| *standing < self.own).count() < SCHEDULERS
+    }
+
+    /// Looks at this instance's role again. True if it has changed.
+    ///
+    /// One that schedules goes on until enough better placed ones of its data centre do. One that
+    /// starts leaves it to such that schedule or start as well; those will not leave it to this one.
+    /// One that does not schedule begins once it has heard none that does for a moment.
+    pub fn review(&mut self, now: Timestamp) -> bool {
+        if self.standings(now, &self.home, Peer::schedules).next().is_some() {
+            self.served_at = now;
+        }
+        let is_needed = |candidate: fn(&Peer) -> bool| {
+            self.is_needed_beside(self.standings(now, &self.home, candidate))
+        };
+        let role = match self.role {
+            Role::Scheduler if is_needed(Peer::schedules) => Role::Scheduler,
+            Role::Scheduler => Role::Member,
+            Role::Starting if !is_needed(|peer| peer.part.role != Role::Member) => Role::Member,
+            Role::Starting if now >= self.starts_until => Role::Scheduler,
+            Role::Member if now.since(self.served_at) >= UNSERVED_TIME => Role::Scheduler,
+            unchanged => unchanged,
+        };
+        if role == Role::Member && self.role == Role::Starting {
+            // Those that it leaves scheduling to may still be starting.
+            self.served_at = now;
+        }
+        std::mem::replace(&mut self.role, role) != role
+    }
+
+    /// The other schedulers: the best placed of each data centre.
+    pub fn fellows(&self, now: Timestamp) -> Vec<SocketAddrV4> {
+        let mut centres: Vec<&DataCentre> =
+            self.there(now).filter_map(|(_, peer)| peer.data_centre.as_ref()).collect();
+        centres.sort();
+        centres.dedup();
+        let best = |centre| self.best(now, centre, Peer::schedules);
+        let named = centres.into_iter().flat_map(best);
+        let unplaced = self.there(now).filter(|(_, p)| p.data_centre.is_none() && p.schedules());
+        named.chain(unplaced.map(|(address, _)| address)).collect()
+    }
+
+    /// Schedulers that have fallen silent. They may be cut off, and hear of the others once they are
+    /// not; they are told no more than that this instance is there.
+    pub fn silent_schedulers(&self, now: Timestamp) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        let silent = move |peer: &Peer| peer.schedules() && !peer.is_there(now);
+        self.peers.iter().filter(move |(_, peer)| silent(peer)).map(|(address, _)| *address)
+    }
+
+    /// The instances of this data centre that are told of this one and of the watched tables, but of no
+    /// work: those that do not schedule, and any that schedules beside enough better placed ones, which
+    /// leaves it to those once it hears them.
+    pub fn members(&self, now: Timestamp) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        let schedulers = self.home_schedulers(now);
+        let is_member = move |address: SocketAddrV4, peer: &Peer| {
+            peer.runs_in(&self.home) && !schedulers.contains(&address)
+        };
+        self.there(now).filter(move |(address, peer)| is_member(*address, peer)).map(|(a, _)| a)
+    }
+
+    /// The schedulers of this data centre: the best placed.
+    pub fn home_schedulers(&self, now: Timestamp) -> SmallVec<[SocketAddrV4; SCHEDULERS]> {
+        self.best(now, &self.home, Peer::schedules)
+    }
+
+    /// The scheduler that this instance asks, but for those in `asked`. Instances prefer different
+    /// ones, always the same, and pass over one that did not answer.
+    pub fn scheduler(&self, now: Timestamp, asked: &[SocketAddrV4]) -> Option<SocketAddrV4> {
+        let usable = self.best(now, &self.home, |peer| peer.schedules() && !peer.is_doubted(now));
+        let rank = |address: &SocketAddrV4| {
+            let mut hasher = DefaultHasher::new();
+            (self.own.address(), address).hash(&mut hasher);
+            hasher.finish()
+        };
+        usable.into_iter().filter(|address| !asked.contains(address)).min_by_key(rank)
+    }
+
+    /// The scheduler that plans the long prompts of a service for all, but for those in `asked`; none if
+    /// this instance does. All find the same one: the best placed, in an order that differs by service.
+    ///
+    /// Answers bursts of long prompts that wait for the same engines. Where each scheduler planned its
+    /// own, several took the same dozen engines in the same millisecond, before they had heard of each
+    /// other: parts that were each within the pause of a stream added up to two seconds, and of 278
+    /// prompts above 110,000 tokens 79 had such a pause in their stream.
+    pub fn planner(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        asked: &[SocketAddrV4],
+    ) -> Option<SocketAddrV4> {
+        let rank = |standing: &Standing| {
+            let mut hasher = DefaultHasher::new();
+            (service.as_str(), standing.address()).hash(&mut hasher);
+            (Reverse(standing.capacity()), hasher.finish())
+        };
+        let usable = |address: &SocketAddrV4, peer: &Peer| {
+            peer.schedules() && !peer.is_doubted(now) && !asked.contains(address)
+        };
+        let others = self.there(now).filter(|(address, peer)| usable(address, peer));
+        let others = others.map(|(address, peer)| Standing::new(peer.capacity, address));
+        let planner = others.chain([self.own]).min_by_key(rank)?;
+        (planner != self.own).then(|| planner.address())
+    }
+
+    /// Notes that the scheduler at `address` did not answer in time.
+    pub fn doubt(&mut self, now: Timestamp, address: SocketAddrV4) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.doubted_at = Some(now);
+        }
+    }
+
+    /// The instances of this data centre that should schedule as well, the best placed first.
+    pub fn wanted(&self, now: Timestamp) -> Vec<SocketAddrV4> {
+        let scheduling = self.standings(now, &self.home, Peer::schedules).count() + 1;
+        let mut members: Vec<Standing> =
+            self.standings(now, &self.home, |peer| peer.part.role == Role::Member).collect();
+        members.sort();
+        let missing = SCHEDULERS.saturating_sub(scheduling);
+        members.into_iter().take(missing).map(|standing| standing.address()).collect()
+    }
+
+    fn standings<'a>(
+        &'a self,
+        now: Timestamp,
+        data_centre: &'a DataCentre,
+        is_meant: impl Fn(&Peer) -> bool + 'a,
+    ) -> impl Iterator<Item = Standing> + 'a {
+        self.there(now)
+            .filter(move |(_, peer)| peer.runs_in(data_centre) && is_meant(peer))
+            .map(|(address, peer)| Standing::new(peer.capacity, address))
+    }
+
+    fn best(
+        &self,
+        now: Timestamp,
+        data_centre: &DataCentre,
+        is_meant: impl Fn(&Peer) -> bool,
+    ) -> SmallVec<[SocketAddrV4; SCHEDULERS]> {
+        let mut all: Vec<Standing> = self.standings(now, data_centre, is_meant).collect();
+        all.sort();
+        all.into_iter().take(SCHEDULERS).map(|standing| standing.address()).collect()
+    }
+}
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -254,8 +254,7 @@
     ) -> Result<Reply, Failed> {
         let head = clone_head(&answer.head);
         let mut events = Events::new(answer, self.call.last_event);
-        let by = self.silence_limit();
-        let first = self.patient(by, events.next()).await;
+        let first = self.begun(&placed, events.next()).await;
         let first = first.map_err(|why| self.broken(&endpoint, &why))?;
         placed.first_event();
         self.trust(&endpoint.id, TrustEvent::Good);
--- a/crates/ringbend-relay/src/link.rs
+++ b/crates/ringbend-relay/src/link.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ringbend_types::Timestamp;
 use ringbend_wire::{LoadDigest, Message, told_role};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -71,7 +70,7 @@
 
     /// Greets instances that are said to be at these addresses and are not heard.
     pub(crate) fn greet(&self, addresses: &[SocketAddrV4]) {
-        let now: Timestamp = self.clock.now();
+        let now = self.clock.now();
         let own = self.peers_address();
         let others = addresses.iter().copied().filter(|address| Some(*address) != own);
         for address in others {
--- a/crates/ringbend-relay/src/memory.rs
+++ b/crates/ringbend-relay/src/memory.rs
@@ -7,6 +7,7 @@
 use actix_http::{Method, RequestHead, Uri};
 use futures_util::future::join_all;
 use ringbend_gateway::{HOLD, OrderAnswer, RENEW, Ticket, TicketId};
+use ringbend_types::Timestamp;
 use tokio::task::JoinHandle;
 
 use crate::exchange::{self, ExchangeError};
@@ -17,6 +18,10 @@
 /// How long an engine may take to answer an order; it needs no slot for it.
 const ORDER_TIME: Duration = Duration::from_millis(500);
 
+/// How long memory is held for a request that no engine has begun. Engines may not keep memory that
+/// no request uses for nine seconds: others wait for it.
+const UNUSED_TIME: Duration = Duration::from_millis(7_500);
+
 /// The longest answer to an order, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 10;
 
@@ -32,6 +37,8 @@
     node: Rc<Node>,
     places: Rc<Vec<Place>>,
     renewing: JoinHandle<()>,
+    /// When the request must have begun to run.
+    pub(crate) unused_until: Timestamp,
 }
 
 impl HeldMemory {
@@ -40,7 +47,8 @@
         let places = Rc::new(places);
         // Made first, so that what was held is released however this ends.
         let renewing = tokio::task::spawn_local(renew(node.clone(), places.clone()));
-        let held = Self { node, places, renewing };
+        let unused_until = node.clock.now() + UNUSED_TIME;
+        let held = Self { node, places, renewing, unused_until };
         let orders = held
             .places
             .iter()
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -43,7 +43,7 @@
         let head = self.request_head(&endpoint, &placement, placed.memory.as_ref(), last_event);
         self.attempts.sending(&endpoint.id);
         self.node.metrics.attempt(self.attempts.tried().len() as u32);
-        let by = self.silence_limit();
+        let by = self.silence_limit(&placed);
         let sent =
             exchange::send(&self.node.http, endpoint.address, head, self.origin.body.clone());
         match self.timed(by, sent).await {
@@ -114,9 +114,13 @@
     }
 
     /// When the endpoint's silence counts as a failure: at the deadline, or sooner where the request
-    /// may be run again.
-    pub(crate) fn silence_limit(&self) -> Timestamp {
+    /// may be run again or memory is held for it.
+    pub(crate) fn silence_limit(&self, placed: &Placed) -> Timestamp {
         let deadline = self.attempts.deadline();
+        let deadline = match &placed.memory {
+            Some(memory) => deadline.min(memory.unused_until),
+            None => deadline,
+        };
         let may_repeat = self.terms.route.repeat.may_repeat() && self.attempts.may_run_again();
         if !may_repeat || self.is_long_to_read_twice() {
             return deadline;
@@ -131,6 +135,19 @@
         self.read_time() > MOST_READ_TWICE
     }
 
+    /// Waits for the first event. Memory is not held for longer for a request that does not begin.
+    pub(crate) async fn begun<T>(
+        &mut self,
+        placed: &Placed,
+        work: impl Future<Output = Result<T, ExchangeError>>,
+    ) -> Result<T, Broken> {
+        let by = self.silence_limit(placed);
+        match placed.memory {
+            Some(_) => self.timed(by, work).await,
+            None => self.patient(by, work).await,
+        }
+    }
+
     /// Waits until `by`, and until the deadline if no other run can take this one's place.
     pub(crate) async fn patient<T>(
         &mut self,
