fix(gateway): a prompt that has just begun to wait is not taken for ended; test: what instances tell again or no longer list

Cause, found on reading the change as a newcomer: work that an instance no longer lists is taken for ended after a settling time if it was placed, at once if it waits; a list that crossed the ask would send the prompt ahead of its turn. The line of a turn counted the others that wait by a subtraction that could fall below zero. Change: the settling time counts for both; the count stops at zero. Tests: work_that_its_instance_no_longer_lists_has_ended, work_that_is_told_again_goes_on (written after the code).

--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -333,7 +333,8 @@
     pub fn unlisted(&self, now: Timestamp, instance: u64, sequences: &[u64]) -> Vec<WorkId> {
         let is_settled = |since: Timestamp| now.since(since) >= SETTLE_TIME;
         let placed = self.open.iter().filter(|(_, open)| is_settled(open.since));
-        let all = placed.map(|(id, _)| id).chain(self.waiting.keys());
+        let waiting = self.waiting.iter().filter(|(_, waiting)| is_settled(waiting.since));
+        let all = placed.map(|(id, _)| id).chain(waiting.map(|(id, _)| id));
         all.filter(|id| id.instance == instance && !sequences.contains(&id.sequence))
             .copied()
             .collect()
--- a/crates/ringbend-gateway/tests/placement.rs
+++ b/crates/ringbend-gateway/tests/placement.rs
@@ -162,3 +162,29 @@
     scene.trust.note(at(0), &endpoint(1).id, TrustEvent::Bad);
     assert_eq!(place(&mut scene, 3_000, 300, 200).lead, endpoint(2).id);
 }
+
+/// Word of its end was lost; what was placed a moment ago may have crossed the list.
+#[test]
+fn work_that_its_instance_no_longer_lists_has_ended() {
+    let mut load = LoadBook::default();
+    load.place(at(0), work_id(1), work(1, ms(10)));
+    load.place(at(0), work_id(2), work(2, ms(10)));
+    load.place(at(900), work_id(3), work(3, ms(10)));
+    assert_eq!(load.unlisted(at(1_000), 1, &[2]), [work_id(1)]);
+    assert_eq!(load.unlisted(at(1_000), 2, &[]), []);
+}
+
+/// Told again by another scheduler, its reading does not begin anew.
+#[test]
+fn work_that_is_told_again_goes_on() {
+    let mut load = LoadBook::default();
+    load.place_told(at(0), work_id(1), work(1, ms(100)), false);
+    load.advance(at(60));
+    let left = load.of(&endpoint(1).id).backlog();
+    load.place_told(at(60), work_id(1), work(1, ms(100)), false);
+    assert_eq!(load.of(&endpoint(1).id).backlog(), left);
+    // Placed elsewhere by another one, that is where it runs.
+    load.place_told(at(60), work_id(1), work(2, ms(100)), false);
+    assert_eq!(load.of(&endpoint(1).id).backlog(), ms(0));
+    assert_eq!(load.of(&endpoint(2).id).backlog(), ms(100));
+}
--- a/crates/ringbend-relay/src/turns.rs
+++ b/crates/ringbend-relay/src/turns.rs
@@ -61,7 +61,7 @@
             }
         }
         let waited_ms = self.clock.now().since(began).as_millis() as u64;
-        let waiting = self.load.borrow().waiting().count() - 1;
+        let waiting = self.load.borrow().waiting().count().saturating_sub(1);
         log::info!(target: "request", id = job.request.as_ref(), waited_ms, waiting; "turn");
         Ok(())
     }
