fix(gateway): an instance spends its part of the retry allowance once it knows how many there are

Ruled out: retries of callers, which are new requests; the count once they know each other (79 before the fault). Change: the allowance is spent once no more instances than ever before were heard for 3 s; the ratio of an instance's own requests at any time. Test: instances_that_do_not_know_yet_how_many_there_are_keep_to_the_budget_together, red on the former rule by its count (19 each of 106 in all). The free budget of two other tests is made by the ratio now, as its allowance would be locked at their first millisecond; it still limits nothing.

--- a/crates/ringbend-gateway/src/budget.rs
+++ b/crates/ringbend-gateway/src/budget.rs
@@ -26,6 +26,12 @@
 /// How many more instances than are known share the allowance; some may just have been added.
 const UNKNOWN_INSTANCES: f64 = 1.35;
 
+/// How long an instance has not heard of more others than ever before until it spends its part of the
+/// allowance. After a loss of all while the store was slow, 79 instances knew of no other for 2.5 s, and
+/// each took the part of one among twelve: 1,012 repeats where 852 were allowed. The ratio of its own
+/// requests it may always spend.
+const COUNT_TIME: Duration = Duration::from_secs(3);
+
 /// The fewest instances that are taken to share the allowance.
 const FEWEST_INSTANCES: f64 = 12.0;
 
@@ -40,13 +46,15 @@
 pub struct RepeatBudget {
     bounds: BudgetBounds,
     instances: usize,
+    /// The most instances that were known, and since when.
+    most: Option<(usize, Timestamp)>,
     services: BTreeMap<ServiceName, Counts>,
 }
 
 impl RepeatBudget {
     /// A budget within `bounds`.
     pub fn new(bounds: BudgetBounds) -> Self {
-        Self { bounds, instances: 0, services: BTreeMap::new() }
+        Self { bounds, instances: 0, most: None, services: BTreeMap::new() }
     }
 
     /// Puts new bounds in force; what was counted stays.
@@ -54,9 +62,12 @@
         self.bounds = bounds;
     }
 
-    /// Sets how many instances are known to share it, this one included.
-    pub fn set_instances(&mut self, instances: usize) {
+    /// Sets how many instances are known to share it at `now`, this one included.
+    pub fn set_instances(&mut self, now: Timestamp, instances: usize) {
         self.instances = instances;
+        if self.most.is_none_or(|(most, _)| instances > most) {
+            self.most = Some((instances, now));
+        }
     }
 
     /// Counts a caller's request for `service`.
@@ -70,7 +81,7 @@
     /// Takes one repeat for `service` out of the budget, if there is one.
     pub fn take(&mut self, now: Timestamp, service: &ServiceName) -> bool {
         let BudgetBounds { ratio, window, .. } = self.bounds;
-        let part = self.allowance_part();
+        let part = self.allowance_part(now);
         let counts = self.counts(service);
         forget(&mut counts.requests, now, window);
         forget(&mut counts.repeats, now, window);
@@ -82,7 +93,10 @@
         true
     }
 
-    fn allowance_part(&self) -> f64 {
+    fn allowance_part(&self, now: Timestamp) -> f64 {
+        if self.most.is_none_or(|(_, since)| now.since(since) < COUNT_TIME) {
+            return 0.0;
+        }
         let instances = (self.instances as f64 * UNKNOWN_INSTANCES).max(FEWEST_INSTANCES);
         (self.bounds.allowance / instances).floor()
     }
--- a/crates/ringbend-gateway/tests/repeats.rs
+++ b/crates/ringbend-gateway/tests/repeats.rs
@@ -12,8 +12,11 @@
 const BOUNDS: BudgetBounds =
     BudgetBounds { ratio: 0.2, window: Duration::from_secs(10), allowance: 106.0 };
 
+/// A budget that limits nothing: one request allows a million repeats.
 fn free_budget() -> RepeatBudget {
-    RepeatBudget::new(BudgetBounds { allowance: 1e6, ..BOUNDS })
+    let mut budget = RepeatBudget::new(BudgetBounds { ratio: 1e7, ..BOUNDS });
+    budget.request(at(0), &service("s"));
+    budget
 }
 
 const ENDS: [SendEnd; 4] =
@@ -86,12 +89,13 @@
         const INSTANCES: usize = 9;
         let new = || {
             let mut budget = RepeatBudget::new(BOUNDS);
-            budget.set_instances(INSTANCES);
+            budget.set_instances(at(0), INSTANCES);
             budget
         };
         let mut budgets: Vec<RepeatBudget> = (0..INSTANCES).map(|_| new()).collect();
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
-        let (mut now, name, mut restarts) = (at(0), service("s"), 0);
+        // They have known each other for long.
+        let (mut now, name, mut restarts) = (at(60_000), service("s"), 0);
         for (who, pause, restart) in steps {
             now = now + Duration::from_millis(u64::from(pause));
             let budget = &mut budgets[usize::from(who) % INSTANCES];
@@ -109,3 +113,36 @@
         !over_budget(&requests, &repeats)
     }
 }
+
+/// Instances that have lost each other and the store know of no other for a while, and then of a few.
+/// Each took the part of one among twelve: five times the allowance.
+#[test]
+fn instances_that_do_not_know_yet_how_many_there_are_keep_to_the_budget_together() {
+    const INSTANCES: usize = 79;
+    let name = service("s");
+    let mut budgets: Vec<RepeatBudget> =
+        (0..INSTANCES).map(|_| RepeatBudget::new(BOUNDS)).collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for ms in (0..9_000).step_by(100) {
+        let now = at(60_000 + ms);
+        let known = match ms {
+            0..2_500 => 1,
+            2_500..4_000 => 22,
+            _ => INSTANCES,
+        };
+        for budget in &mut budgets {
+            budget.set_instances(now, known);
+            if ms % 500 == 0 {
+                budget.request(now, &name);
+                requests.push(now);
+            }
+            while budget.take(now, &name) {
+                repeats.push(now);
+            }
+        }
+    }
+    assert!(!over_budget(&requests, &repeats), "{} repeats", repeats.len());
+    // Once they know each other they spend the allowance as well.
+    let ratio_alone = requests.len() as f64 * BOUNDS.ratio;
+    assert!(repeats.len() as f64 > ratio_alone * 0.8, "{} repeats", repeats.len());
+}
--- a/crates/ringbend-relay/src/telling.rs
+++ b/crates/ringbend-relay/src/telling.rs
@@ -160,7 +160,7 @@
         if self.metrics.live_instances.get() != instances as i64 {
             log::info!(target: "peers", instances; "instances");
             self.metrics.live_instances.set(instances as i64);
-            self.budget.borrow_mut().set_instances(instances);
+            self.budget.borrow_mut().set_instances(now, instances);
         }
     }
 
