fix(gateway): an instance that still counts the others spends two repeats of the allowance, not none

They are right: a single request that meets a failing endpoint just after a start is owed its other endpoint. Change: two repeats while an instance counts: operators allow 2.2 to 12 an instance on the deployments known.

--- a/crates/ringbend-gateway/src/budget.rs
+++ b/crates/ringbend-gateway/src/budget.rs
@@ -26,12 +26,14 @@
 /// How many more instances than are known share the allowance; some may just have been added.
 const UNKNOWN_INSTANCES: f64 = 1.35;
 
-/// How long an instance has not heard of more others than ever before until it spends its part of the
-/// allowance. After a loss of all while the store was slow, 79 instances knew of no other for 2.5 s, and
-/// each took the part of one among twelve: 1,012 repeats where 852 were allowed. The ratio of its own
-/// requests it may always spend.
+/// How long an instance has not heard of more others than ever before until it spends its whole part of
+/// the allowance. After a loss of all while the store was slow, 79 instances knew of no other for 2.5 s,
+/// and each took the part of one among twelve: 1,012 repeats where 852 were allowed.
 const COUNT_TIME: Duration = Duration::from_secs(3);
 
+/// What an instance spends of the allowance before: operators allow at least two repeats an instance.
+const PART_WHILE_COUNTING: f64 = 2.0;
+
 /// The fewest instances that are taken to share the allowance.
 const FEWEST_INSTANCES: f64 = 12.0;
 
@@ -94,11 +96,10 @@
     }
 
     fn allowance_part(&self, now: Timestamp) -> f64 {
-        if self.most.is_none_or(|(_, since)| now.since(since) < COUNT_TIME) {
-            return 0.0;
-        }
         let instances = (self.instances as f64 * UNKNOWN_INSTANCES).max(FEWEST_INSTANCES);
-        (self.bounds.allowance / instances).floor()
+        let part = (self.bounds.allowance / instances).floor();
+        let counts = self.most.is_none_or(|(_, since)| now.since(since) < COUNT_TIME);
+        if counts { part.min(PART_WHILE_COUNTING) } else { part }
     }
 
     fn counts(&mut self, service: &ServiceName) -> &mut Counts {
