feat(gateway, relay): endpoints that start again under their id; rows of other writers name no endpoint

Cause: an endpoint may start again under the id that it had, and tells when it was started. What it held and worked on is gone then, but requests on it waited for silence (1.3 s and more), its work stayed on the book of every scheduler, and a late row of the former start counted. A row that was good and could not be read any more was left out, so the endpoint that it had named went on being used; a row without places counted as one place.

Ruled out: waiting for the store to drop such rows (it takes three heartbeats); trusting any row at an address whatever its service (a row of an unknown service would end a sound endpoint).

Change: endpoints carry their start; a later one, from a row, an order's answer or another instance's word, ends the former: its work is off the books, requests on it go on elsewhere at once where that is allowed and end as may-have-run where not. A new endpoint of the same service at an address ends the one before. An unreadable row names no endpoint. An endpoint at whose address another answered is left alone for ten seconds, and others are told.

--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -4,13 +4,16 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use ringbend_types::{DataCentre, EndpointId, ServiceName, Timestamp};
+use ringbend_types::{DataCentre, EndpointId, EndpointStart, ServiceName, Timestamp};
+use smallvec::SmallVec;
 
 /// One registered endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Endpoint {
-    /// Its id; each start of an endpoint has another.
+    /// Its id; it may start again under the same one.
     pub id: EndpointId,
+    /// When its process started; none where endpoints do not tell.
+    pub start: Option<EndpointStart>,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it listens. An address is used again by others once its endpoint has ended.
@@ -23,6 +26,13 @@
     pub leaving: bool,
 }
 
+impl Endpoint {
+    /// Whether this is another endpoint of the same service at the same address.
+    fn is_at_address_of(&self, other: &Self) -> bool {
+        self.id != other.id && self.address == other.address && self.service == other.service
+    }
+}
+
 /// One change of the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointChange {
@@ -30,23 +40,44 @@
     Present(Endpoint),
     /// Its entry is gone.
     Gone(EndpointId),
+    /// Its entry is there and cannot be read, or another writer made it.
+    Unreadable(EndpointId),
 }
 
+/// Endpoints whose processes have ended: what they held and worked on is gone.
+pub type Ended = SmallVec<[EndpointId; 2]>;
+
 /// How long an entry that vanished around an outage of the store is still believed in. Entries that
 /// lapsed meanwhile are back within about two seconds of the store's return.
 pub const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
+/// How long an endpoint is remembered after its entry is gone. Heartbeats of a former start have come
+/// back as rows some four seconds after its entry had lapsed.
+const FORMER_TIME: Duration = Duration::from_secs(30);
+
 #[derive(Debug, Clone)]
 struct Entry {
     endpoint: Endpoint,
+    /// When it was first seen here.
+    since: Timestamp,
     /// Its entry is missing; dropped for good at this time.
     missing_until: Option<Timestamp>,
+    /// The endpoint that took over its address, so that this one has ended.
+    replaced_by: Option<EndpointId>,
+}
+
+/// An endpoint whose entry is gone.
+#[derive(Debug, Clone)]
+struct Former {
+    start: Option<EndpointStart>,
+    until: Timestamp,
 }
 
 /// The registered endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     entries: BTreeMap<EndpointId, Entry>,
+    former: BTreeMap<EndpointId, Former>,
     regained_at: Option<Timestamp>,
 }
 
@@ -56,27 +87,95 @@
         self.regained_at = Some(now);
     }
 
-    /// Takes in one change.
-    pub fn apply(&mut self, now: Timestamp, change: EndpointChange) {
+    /// Takes in one change. Returns the endpoints whose processes it shows to have ended.
+    pub fn apply(&mut self, now: Timestamp, change: EndpointChange) -> Ended {
         match change {
-            EndpointChange::Present(endpoint) => {
-                let entry = Entry { endpoint, missing_until: None };
-                self.entries.insert(entry.endpoint.id.clone(), entry);
+            EndpointChange::Present(endpoint) => self.present(now, endpoint),
+            EndpointChange::Gone(id) => {
+                self.miss(now, &id);
+                Ended::new()
+            }
+            EndpointChange::Unreadable(id) => {
+                self.remove(now, &id);
+                Ended::new()
             }
-            EndpointChange::Gone(id) => self.miss(now, &id),
         }
     }
 
-    /// Takes in the whole list.
-    pub fn replace(&mut self, now: Timestamp, all: Vec<Endpoint>) {
+    /// Takes in the whole list. Returns the endpoints whose processes it shows to have ended.
+    pub fn replace(&mut self, now: Timestamp, all: Vec<Endpoint>) -> Ended {
         let mut missing: Vec<EndpointId> = self.entries.keys().cloned().collect();
         missing.retain(|id| !all.iter().any(|e| e.id == *id));
         for id in missing {
             self.miss(now, &id);
         }
-        for endpoint in all {
-            self.apply(now, EndpointChange::Present(endpoint));
+        all.into_iter().flat_map(|endpoint| self.present(now, endpoint)).collect()
+    }
+
+    /// Notes when an endpoint's process started, from its own word. Returns it if an earlier process
+    /// has ended by that.
+    pub fn note_start(&mut self, id: &EndpointId, start: EndpointStart) -> Ended {
+        let Some(entry) = self.entries.get_mut(id) else { return Ended::new() };
+        let before = entry.endpoint.start;
+        if before.is_none_or(|before| start <= before) {
+            return Ended::new();
         }
+        entry.endpoint.start = Some(start);
+        Ended::from_iter([id.clone()])
+    }
+
+    fn present(&mut self, now: Timestamp, endpoint: Endpoint) -> Ended {
+        let mut ended = Ended::new();
+        let known = self.entries.get(&endpoint.id);
+        let former = self.former.get(&endpoint.id).filter(|former| now < former.until);
+        let before = known.map(|entry| entry.endpoint.start).or(former.map(|former| former.start));
+        match (before.flatten(), endpoint.start) {
+            // A late word of a former start.
+            (Some(before), Some(start)) if start < before => return ended,
+            (Some(before), Some(start)) if start > before => ended.push(endpoint.id.clone()),
+            // Endpoints that tell of their start always do, so another writer made this row.
+            (Some(_), None) => {
+                self.remove(now, &endpoint.id);
+                return ended;
+            }
+            _ => {}
+        }
+        let is_new = known.is_none() && (former.is_none() || !ended.is_empty());
+        let replaced_by = match known {
+            Some(entry) if ended.is_empty() => entry.replaced_by.clone(),
+            Some(_) => None,
+            None if is_new => None,
+            // What was gone and is back has ended if another one has its address by now.
+            None => self.holder(&endpoint).map(|holder| holder.id.clone()),
+        };
+        let since = known.map_or(now, |entry| entry.since);
+        if is_new {
+            ended.extend(self.take_over(now, &endpoint));
+        }
+        let entry = Entry { endpoint, since, missing_until: None, replaced_by };
+        self.former.remove(&entry.endpoint.id);
+        self.entries.insert(entry.endpoint.id.clone(), entry);
+        ended
+    }
+
+    /// The endpoint of the same service that listens at this one's address.
+    fn holder(&self, endpoint: &Endpoint) -> Option<&Endpoint> {
+        let others = self.entries.values().filter(|entry| entry.replaced_by.is_none());
+        others.map(|entry| &entry.endpoint).find(|other| other.is_at_address_of(endpoint))
+    }
+
+    /// Notes that an endpoint that has just started listens at its address, so whichever did before has
+    /// ended. Only within a service: a row of a service that nobody knows proves nothing of others. Of
+    /// two that were first seen together it is not known which started later.
+    fn take_over(&mut self, now: Timestamp, endpoint: &Endpoint) -> Ended {
+        let mut ended = Ended::new();
+        for entry in self.entries.values_mut().filter(|entry| entry.since < now) {
+            if entry.replaced_by.is_none() && entry.endpoint.is_at_address_of(endpoint) {
+                entry.replaced_by = Some(endpoint.id.clone());
+                ended.push(entry.endpoint.id.clone());
+            }
+        }
+        ended
     }
 
     fn miss(&mut self, now: Timestamp, id: &EndpointId) {
@@ -84,10 +183,27 @@
         let Some(entry) = self.entries.get_mut(id) else { return };
         match doubt_until {
             Some(until) if !entry.endpoint.leaving => entry.missing_until = Some(until),
-            _ => drop(self.entries.remove(id)),
+            _ => self.remove(now, id),
+        }
+    }
+
+    fn remove(&mut self, now: Timestamp, id: &EndpointId) {
+        let Some(entry) = self.entries.remove(id) else { return };
+        self.former.retain(|_, former| now < former.until);
+        let former = Former { start: entry.endpoint.start, until: now + FORMER_TIME };
+        self.former.insert(id.clone(), former);
+        for other in self.entries.values_mut() {
+            other.replaced_by.take_if(|by| by == id);
         }
     }
 
+    /// Whether the process that was known as `endpoint` has ended, so that nothing more comes of it.
+    pub fn has_ended(&self, endpoint: &Endpoint) -> bool {
+        let Some(entry) = self.entries.get(&endpoint.id) else { return false };
+        let is_later = entry.endpoint.start.zip(endpoint.start).is_some_and(|(new, old)| new > old);
+        is_later || entry.replaced_by.is_some()
+    }
+
     /// The endpoints of a service that take new work.
     pub fn of_service<'a>(
         &'a self,
@@ -97,6 +213,7 @@
         self.entries
             .values()
             .filter(move |e| e.missing_until.is_none_or(|until| now < until))
+            .filter(|e| e.replaced_by.is_none())
             .map(|e| &e.endpoint)
             .filter(move |e| e.service == *service && !e.leaving)
     }
@@ -113,7 +230,8 @@
 
     /// The endpoint at an address.
     pub fn by_address(&self, address: SocketAddrV4) -> Option<&Endpoint> {
-        self.entries.values().map(|e| &e.endpoint).find(|e| e.address == address)
+        let mut listening = self.entries.values().filter(|e| e.replaced_by.is_none());
+        listening.find(|e| e.endpoint.address == address).map(|e| &e.endpoint)
     }
 
     /// How many endpoints are registered, leaving ones included.
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -32,7 +32,7 @@
 pub use attempts::{Attempts, Next, SendEnd};
 pub use budget::{BudgetBounds, RepeatBudget};
 pub use choice::{Demand, Placement, Wish, is_long, place_on_engines, place_on_service, stake};
-pub use directory::{Directory, Endpoint, EndpointChange, RETURN_TIME};
+pub use directory::{Directory, Ended, Endpoint, EndpointChange, RETURN_TIME};
 pub use engine::EngineProfile;
 pub use events::{Event, EventCutter, EventId, EventTooLong};
 pub use freshness::{Freshness, Proof};
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -318,6 +318,16 @@
         }
     }
 
+    /// Forgets the work on an endpoint whose process has ended: what it led is over, and what it was to
+    /// read of others will not be read.
+    pub fn lose_endpoint(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        let led = self.open.iter().filter(|(_, open)| open.work.lead == *endpoint);
+        for id in led.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.end(now, id);
+        }
+        self.endpoints.remove(endpoint);
+    }
+
     /// Forgets all that one instance placed, as it has ended. Returns whether there was any.
     pub fn forget_instance(&mut self, now: Timestamp, instance: u64) -> bool {
         self.end_where(now, |id| id.instance == instance)
--- a/crates/ringbend-gateway/src/outbox.rs
+++ b/crates/ringbend-gateway/src/outbox.rs
@@ -1,6 +1,6 @@
 //! What is still to be told to other instances.
 
-use ringbend_types::EndpointId;
+use ringbend_types::{EndpointId, EndpointStart};
 
 use crate::load::WorkId;
 use crate::trust::TrustEvent;
@@ -19,6 +19,8 @@
     pub ended: Vec<WorkId>,
     /// Endpoints that an engine named as unable to help it.
     pub unfit: Vec<EndpointId>,
+    /// Endpoints that have started again, by their own word.
+    pub restarts: Vec<(EndpointId, EndpointStart)>,
     /// Starts of instances that have ended, whose work has ended with them.
     pub gone: Vec<u64>,
     /// How this instance's requests went at endpoints; for the one that schedules for it.
--- a/crates/ringbend-gateway/src/trust.rs
+++ b/crates/ringbend-gateway/src/trust.rs
@@ -14,14 +14,23 @@
     Bad,
     /// It was full.
     Full,
+    /// Another endpoint answered at its address.
+    Foreign,
 }
 
 /// How long a failure counts against an endpoint.
 const BAD_TIME: Duration = Duration::from_millis(2_500);
 
+/// The most failures that count at once.
+const MOST_BAD: f64 = 4.0;
+
 /// How long a refusal for want of room counts.
 const FULL_TIME: Duration = Duration::from_millis(300);
 
+/// How long an endpoint at whose address another one answered is left alone: longer than rows of
+/// endpoints that have ended stand in the table.
+const FOREIGN_TIME: Duration = Duration::from_secs(10);
+
 /// What one failure costs against other endpoints, in milliseconds of waiting.
 const BAD_MS: f64 = 2_000.0;
 
@@ -51,10 +60,14 @@
         match event {
             TrustEvent::Good => record.bad *= 0.5,
             TrustEvent::Bad => {
-                record.bad = (record.bad + 1.0).min(4.0);
+                record.bad = (record.bad + 1.0).min(MOST_BAD);
                 record.bad_until = now + BAD_TIME.mul_f64(record.bad);
             }
             TrustEvent::Full => record.full_until = now + FULL_TIME,
+            TrustEvent::Foreign => {
+                record.bad = MOST_BAD;
+                record.bad_until = now + FOREIGN_TIME;
+            }
         }
     }
 
@@ -66,6 +79,11 @@
         bad + full
     }
 
+    /// Forgets an endpoint's past, as its process has ended.
+    pub fn forget(&mut self, id: &EndpointId) {
+        self.records.remove(id);
+    }
+
     /// Forgets endpoints that are no longer registered.
     pub fn retain(&mut self, is_registered: impl Fn(&EndpointId) -> bool) {
         self.records.retain(|id, _| is_registered(id));
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -42,6 +42,7 @@
 pub fn endpoint(number: usize) -> Endpoint {
     Endpoint {
         id: format!("e-{number:02}").parse().unwrap(),
+        start: None,
         service: service("engines"),
         address: format!("10.0.{}.{}:80", number / 250, number % 250).parse().unwrap(),
         data_centre: "z1".parse().unwrap(),
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -143,7 +143,8 @@
     let now = node.clock.now();
     for change in changes {
         EndpointCopy::log(&change);
-        node.directory.borrow_mut().apply(now, change);
+        let ended = node.directory.borrow_mut().apply(now, change);
+        node.lose_endpoints(&ended);
     }
     node.endpoints_cursor.set(node.endpoints_cursor.get().max(cursor));
     let directory = node.directory.borrow();
@@ -160,6 +161,9 @@
             EndpointChange::Gone(id) => {
                 log::info!(target: "endpoints", endpoint:% = id; "entry gone");
             }
+            EndpointChange::Unreadable(id) => {
+                log::info!(target: "endpoints", endpoint:% = id; "entry unreadable");
+            }
         }
     }
 }
@@ -177,7 +181,8 @@
         let now = node.clock.now();
         let (before, count) = (node.directory.borrow().len(), items.len());
         log::info!(target: "endpoints", before, count; "read whole");
-        node.directory.borrow_mut().replace(now, items);
+        let ended = node.directory.borrow_mut().replace(now, items);
+        node.lose_endpoints(&ended);
         node.endpoints_cursor.set(cursor);
         node.begun.notify_waiters();
     }
--- a/crates/ringbend-relay/src/fetch.rs
+++ b/crates/ringbend-relay/src/fetch.rs
@@ -324,7 +324,7 @@
     let copy = EndpointChanges::decode(raw).map_err(|e| CopyError::Copy(e.into()))?;
     let endpoint = |row| match change_of(row)? {
         EndpointChange::Present(endpoint) => Ok(Some(endpoint)),
-        EndpointChange::Gone(_) => Ok(None),
+        EndpointChange::Gone(_) | EndpointChange::Unreadable(_) => Ok(None),
     };
     let rows: Result<Vec<Option<Endpoint>>, WireError> = copy.rows.iter().map(endpoint).collect();
     let rows = rows.map_err(CopyError::Copy)?.into_iter().flatten().collect();
--- a/crates/ringbend-relay/src/hearing.rs
+++ b/crates/ringbend-relay/src/hearing.rs
@@ -6,8 +6,8 @@
 use ringbend_gateway::{Heard, Part, Role, TrustEvent, WorkId};
 use ringbend_types::Timestamp;
 use ringbend_wire::{
-    EndpointResult, LoadDigest, Message, OpenWork, OwnersWork, result_of, role_of, waiting_of,
-    work_of,
+    EndpointResult, LoadDigest, Message, OpenWork, OwnersWork, restart_of, result_of, role_of,
+    waiting_of, work_of,
 };
 
 use crate::link::MAX_DATAGRAM;
@@ -61,6 +61,7 @@
             self.load.borrow_mut().forget_instance(now, *start);
         }
         self.note_unfit(now, &digest.unfit);
+        self.note_restarts(digest);
         digest.results.iter().for_each(|result| self.note_result(now, result));
         digest.asks.iter().for_each(|ask| self.take_ask(from, start, ask));
         let own = self.incarnation();
@@ -193,6 +194,15 @@
         }
     }
 
+    fn note_restarts(&self, digest: &LoadDigest) {
+        for told in &digest.restarts {
+            match restart_of(told) {
+                Ok((endpoint, start)) => self.note_start(&endpoint, start),
+                Err(e) => log::warn!(target: "peers", error:% = e; "restart refused"),
+            }
+        }
+    }
+
     fn note_result(&self, now: Timestamp, result: &EndpointResult) {
         match result_of(result) {
             Ok((id, event)) => self.trust.borrow_mut().note(now, &id, event),
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod copies;
 mod doors;
+mod ends;
 mod exchange;
 mod fetch;
 mod fields;
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -13,6 +13,7 @@
 };
 use ringbend_runtime::HttpResponse;
 use ringbend_types::{PromptBucket, RunState, Timestamp, TokenCount};
+use smallvec::SmallVec;
 
 use crate::exchange::Answer;
 use crate::fields::Millis;
@@ -52,6 +53,8 @@
     pace: Pace,
     /// How long the last placement was expected to take to the first event.
     pub(crate) expected: Duration,
+    /// The endpoints that the send under way depends on, as they were when it was sent.
+    pub(crate) on: SmallVec<[Endpoint; 4]>,
     _open: Open,
 }
 
@@ -101,6 +104,7 @@
             ended,
             pace: Pace::default(),
             expected: Duration::ZERO,
+            on: SmallVec::new(),
             _open: open,
         }
     }
@@ -257,6 +261,7 @@
         let first = self.begun(&placed, events.next()).await;
         let first = first.map_err(|why| self.broken(&endpoint, &why))?;
         placed.first_event();
+        self.depend_on_holders(&endpoint, &placed);
         self.trust(&endpoint.id, TrustEvent::Good);
         Ok(Reply::Stream(Box::new(Relayed { head, endpoint, placed, events, first })))
     }
--- a/crates/ringbend-relay/src/memory.rs
+++ b/crates/ringbend-relay/src/memory.rs
@@ -123,6 +123,8 @@
     order: &MemoryOrder<'_>,
 ) -> Result<OrderAnswer, ExchangeError> {
     let call = node.dialect.order(order);
+    let (MemoryOrder::Hold(ticket, _) | MemoryOrder::Release(ticket)) = order;
+    let endpoint = ticket.endpoint.clone();
     let mut head = RequestHead::default();
     head.method = Method::POST;
     head.uri = Uri::from_static(call.path);
@@ -130,6 +132,9 @@
     head.set_connection_type(actix_http::ConnectionType::Close);
     let mut answer = exchange::send(&node.http, address, head, call.body).await?;
     let status = answer.head.status;
-    answer.whole(MAX_ANSWER_BYTES).await?;
+    let body = answer.whole(MAX_ANSWER_BYTES).await?;
+    if let Some(start) = node.dialect.order_start(&body) {
+        node.note_start(&endpoint, start);
+    }
     Ok(node.dialect.order_answer(status))
 }
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -80,6 +80,8 @@
     pub(crate) endpoint_news: Notify,
     /// All changes of the endpoints' table up to here are known.
     pub(crate) endpoints_cursor: Cell<Cursor>,
+    /// Told when an endpoint's process is known to have ended.
+    pub(crate) endpoint_ended: Notify,
     /// Endpoint changes that others have not been told yet.
     pub(crate) endpoint_changes: RefCell<Option<EndpointChanges>>,
     pub(crate) metrics: Metrics,
@@ -145,6 +147,7 @@
             config_news: Notify::new(),
             endpoint_news: Notify::new(),
             endpoints_cursor: Cell::default(),
+            endpoint_ended: Notify::new(),
             endpoint_changes: RefCell::default(),
             metrics: Metrics::default(),
             http: ServiceConfig::default(),
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -12,7 +12,7 @@
 use ringbend_gateway::{
     Demand, Endpoint, EndpointChange, EventId, OrderAnswer, SnapshotParts, Ticket, TicketId,
 };
-use ringbend_types::{ClientAccountId, DataCentre, EndpointId};
+use ringbend_types::{ClientAccountId, DataCentre, EndpointId, EndpointStart};
 use smallvec::SmallVec;
 
 /// What a caller's head says, beside method and path.
@@ -98,6 +98,8 @@
     pub request_id: Option<Arc<str>>,
     /// It states that the request was not run.
     pub not_run: bool,
+    /// Whether another endpoint than the one that was meant answered at its address.
+    pub is_foreign: bool,
     /// When it may have room again.
     pub retry_after: Option<Duration>,
     /// The engine that was at fault, where another than the one that answers.
@@ -125,6 +127,9 @@
     /// Reads what an engine says to an order.
     fn order_answer(&self, status: StatusCode) -> OrderAnswer;
 
+    /// When the engine's process started, as the body of its answer to an order tells.
+    fn order_start(&self, body: &[u8]) -> Option<EndpointStart>;
+
     /// Marks an answer that the relay makes itself.
     fn own_answer(&self, call: &Call, headers: &mut HeaderMap);
 }
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -39,9 +39,13 @@
         last_event: Option<EventId>,
     ) -> Result<(Placed, Answer, AnswerFacts), Failed> {
         let Scheduled { endpoint, placement, mut placed } = scheduled;
+        self.depend_on(&endpoint, &placement);
         self.hold_memory(&placement, &mut placed).await?;
         let head = self.request_head(&endpoint, &placement, placed.memory.as_ref(), last_event);
         self.attempts.sending(&endpoint.id);
+        if self.node.directory.borrow().has_ended(&endpoint) {
+            return Err(Failed::Send(SendEnd::NotSent));
+        }
         self.node.metrics.attempt(self.attempts.tried().len() as u32);
         let by = self.silence_limit(&placed);
         let sent =
@@ -55,6 +59,20 @@
         }
     }
 
+    /// Notes what the send under way depends on until its first event.
+    fn depend_on(&mut self, lead: &Endpoint, placement: &Placement) {
+        let directory = self.node.directory.borrow();
+        let helpers = placement.helpers.iter().filter_map(|id| directory.get(id));
+        self.on = std::iter::once(lead).chain(helpers).cloned().collect();
+    }
+
+    /// Notes that the prompt has been read: what helped to read it may end, but for what holds memory.
+    pub(crate) fn depend_on_holders(&mut self, lead: &Endpoint, placed: &Placed) {
+        let holds =
+            |e: &Endpoint| placed.memory.as_ref().is_some_and(|m| m.ticket_at(e.address).is_some());
+        self.on.retain(|e| e.id == lead.id || holds(e));
+    }
+
     /// Checks that the answer is this request's, and that it was run.
     pub(crate) fn check(
         &mut self,
@@ -68,6 +86,7 @@
             self.hint = facts.retry_after.or(self.hint);
             match facts.at_fault.filter(|address| *address != endpoint.address) {
                 Some(address) => self.distrust_address(address),
+                None if facts.is_foreign => self.distrust_foreign(&endpoint.id),
                 None => self.trust(&endpoint.id, TrustEvent::Full),
             }
             return Err(Failed::Send(SendEnd::NotRun));
@@ -84,8 +103,18 @@
         let directory = self.node.directory.borrow();
         let Some(endpoint) = directory.by_address(address) else { return };
         self.trust(&endpoint.id, TrustEvent::Bad);
-        // Others would find out one request at a time, as the list lags.
-        self.node.outbox.borrow_mut().unfit.push(endpoint.id.clone());
+        self.tell_unfit(&endpoint.id);
+    }
+
+    /// Notes that another endpoint answered at this one's address, so this one has ended.
+    fn distrust_foreign(&self, endpoint: &EndpointId) {
+        self.trust(endpoint, TrustEvent::Foreign);
+        self.tell_unfit(endpoint);
+    }
+
+    /// Others would find out one request at a time, as the list lags.
+    fn tell_unfit(&self, endpoint: &EndpointId) {
+        self.node.outbox.borrow_mut().unfit.push(endpoint.clone());
         self.node.signals.soon.notify_one();
     }
 
@@ -100,7 +129,9 @@
 
     /// Notes a send that broke.
     pub(crate) fn broken(&self, endpoint: &Endpoint, why: &Broken) -> Failed {
-        self.trust(&endpoint.id, TrustEvent::Bad);
+        if !matches!(why, Broken::Ended) {
+            self.trust(&endpoint.id, TrustEvent::Bad);
+        }
         if matches!(why, Broken::Replaced) {
             log::warn!(target: "request", id = self.id(), endpoint:% = endpoint.id, why:%; "left");
             return Failed::Replaced;
@@ -177,9 +208,14 @@
         by: Timestamp,
         work: impl Future<Output = Result<T, ExchangeError>>,
     ) -> Result<T, Broken> {
-        match tokio::time::timeout_at(self.node.clock.instant(by), work).await {
-            Ok(done) => done.map_err(Broken::Exchange),
-            Err(_) => Err(Broken::Late),
+        let timed = tokio::time::timeout_at(self.node.clock.instant(by), work);
+        tokio::select! {
+            biased;
+            done = timed => match done {
+                Ok(done) => done.map_err(Broken::Exchange),
+                Err(_) => Err(Broken::Late),
+            },
+            () = self.node.ended(&self.on) => Err(Broken::Ended),
         }
     }
 
@@ -224,6 +260,8 @@
     Replaced,
     /// The time is up.
     Late,
+    /// The endpoint's process has ended, or that of one that it depends on.
+    Ended,
 }
 
 impl Broken {
@@ -238,6 +276,7 @@
             Self::Exchange(e) => e.fmt(f),
             Self::Replaced => write!(f, "silent for long, replaced"),
             Self::Late => write!(f, "the time is up"),
+            Self::Ended => write!(f, "the endpoint has ended"),
         }
     }
 }
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -176,6 +176,7 @@
                     Err(failed) => failed,
                     Ok(()) if answer.head.status.is_success() => {
                         placed.first_event();
+                        life.depend_on_holders(&endpoint, &placed);
                         return Ok((endpoint, placed, Events::new(answer, last)));
                     }
                     Ok(()) => Failed::Send(SendEnd::FailedAnswer),
--- a/crates/ringbend-relay/src/telling.rs
+++ b/crates/ringbend-relay/src/telling.rs
@@ -11,7 +11,8 @@
 use ringbend_gateway::{HEARTBEAT, Outbox, WorkId};
 use ringbend_types::{EndpointId, Timestamp};
 use ringbend_wire::{
-    EndpointChanges, LoadDigest, OpenWork, OwnersWork, endpoint_result, placed_work, waiting_work,
+    EndpointChanges, EndpointRestart, LoadDigest, OpenWork, OwnersWork, endpoint_result,
+    placed_work, restart, waiting_work,
 };
 
 use crate::link::GATHER;
@@ -39,6 +40,10 @@
     told: Told,
 }
 
+fn restarts(outbox: &Outbox) -> Vec<EndpointRestart> {
+    outbox.restarts.iter().map(|(endpoint, start)| restart(endpoint, *start)).collect()
+}
+
 impl Teller {
     pub(crate) fn new(node: Rc<Node>) -> Self {
         Self { node, told: Told::default() }
@@ -71,9 +76,11 @@
         let first = LoadDigest {
             unfit: outbox.unfit.iter().map(EndpointId::to_string).collect(),
             gone: outbox.gone.clone(),
+            restarts: restarts(outbox),
             endpoint_changes: changes.clone(),
             ..self.node.digest()
         };
+        let news = news || !first.restarts.is_empty();
         let work = self.node.news_of_work(outbox);
         if !news && work.is_empty() && first.unfit.is_empty() && first.gone.is_empty() {
             return;
@@ -85,7 +92,11 @@
         if !news {
             return;
         }
-        let heartbeat = LoadDigest { endpoint_changes: changes, ..self.node.digest() };
+        let heartbeat = LoadDigest {
+            endpoint_changes: changes,
+            restarts: restarts(outbox),
+            ..self.node.digest()
+        };
         let peers = self.node.peers.borrow();
         self.node.tell_all(&heartbeat, peers.members(now).chain(peers.silent_schedulers(now)));
         let wanted = LoadDigest { call_up: true, ..self.node.digest() };
@@ -106,6 +117,7 @@
             let first = LoadDigest {
                 unfit: outbox.unfit.iter().map(EndpointId::to_string).collect(),
                 results: results.collect(),
+                restarts: restarts(&outbox),
                 open: news.then(|| self.node.open_work()),
                 endpoint_changes: changes.clone(),
                 ..self.node.digest()
--- a/crates/ringbend-types/src/lib.rs
+++ b/crates/ringbend-types/src/lib.rs
@@ -13,8 +13,8 @@
     ModelName, ParseIdError, RequestId, RequestKey, ServiceName,
 };
 pub use quantity::{
-    ByteCount, FencingNumber, Incarnation, ParseQuantityError, PromptBucket, SettingsVersion,
-    TokenCount, TokensPerSecond,
+    ByteCount, EndpointStart, FencingNumber, Incarnation, ParseQuantityError, PromptBucket,
+    SettingsVersion, TokenCount, TokensPerSecond,
 };
 pub use run_state::{ParseRunStateError, RunState};
 pub use seed::{IdMint, Seed};
--- a/crates/ringbend-types/src/quantity.rs
+++ b/crates/ringbend-types/src/quantity.rs
@@ -75,6 +75,8 @@
     FencingNumber => "",
     /// Rises with each start of an instance and each time it refutes a suspicion.
     Incarnation => "",
+    /// When an endpoint's process started, as a Unix time in milliseconds by the endpoint's own clock.
+    EndpointStart => "",
 }
 
 impl TokensPerSecond {
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -265,6 +265,9 @@
     /// The receiver is asked to schedule, as too few others do.
     #[prost(bool, tag = "24")]
     pub call_up: bool,
+    /// Endpoints that have started again, by their own word.
+    #[prost(message, repeated, tag = "26")]
+    pub restarts: ::prost::alloc::vec::Vec<EndpointRestart>,
 }
 /// What is new of one instance's work.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -358,6 +361,15 @@
     #[prost(enumeration = "ResultKind", tag = "2")]
     pub kind: i32,
 }
+/// An endpoint whose process has started again under the id that it had.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointRestart {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// When it did, as a Unix time in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub start_ms: u64,
+}
 /// How current an instance's copies of the watched tables are.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Currency {
@@ -410,6 +422,12 @@
     pub slots: u32,
     #[prost(bool, tag = "7")]
     pub leaving: bool,
+    /// When its process started, as a Unix time in milliseconds.
+    #[prost(uint64, optional, tag = "8")]
+    pub start_ms: ::core::option::Option<u64>,
+    /// The entry is there and cannot be read; the fields but for `id` are empty.
+    #[prost(bool, tag = "9")]
+    pub unreadable: bool,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -555,6 +573,8 @@
     Good = 0,
     Bad = 1,
     Full = 2,
+    /// Another endpoint answered at its address.
+    Foreign = 3,
 }
 impl ResultKind {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -566,6 +586,7 @@
             Self::Good => "GOOD",
             Self::Bad => "BAD",
             Self::Full => "FULL",
+            Self::Foreign => "FOREIGN",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -574,6 +595,7 @@
             "GOOD" => Some(Self::Good),
             "BAD" => Some(Self::Bad),
             "FULL" => Some(Self::Full),
+            "FOREIGN" => Some(Self::Foreign),
             _ => None,
         }
     }
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -11,12 +11,12 @@
 #[rustfmt::skip]
 mod generated;
 
-pub use endpoints::{change_of, row_of};
+pub use endpoints::{change_of, restart, restart_of, row_of};
 pub use generated::{
-    Ask, ConfigCopy, Currency, Demand, EndpointChanges, EndpointResult, EndpointRow, EntriesReply,
-    EntriesRequest, Envelope, Gossip, GossipKind, Grant, GrantReply, GrantRequest, HeldMemory,
-    Hello, LoadDigest, Member, MemberState, OpenWork, OwnersWork, PlacedWork, ResultKind, Share,
-    Update, Verdict, WaitingWork, envelope, update,
+    Ask, ConfigCopy, Currency, Demand, EndpointChanges, EndpointRestart, EndpointResult,
+    EndpointRow, EntriesReply, EntriesRequest, Envelope, Gossip, GossipKind, Grant, GrantReply,
+    GrantRequest, HeldMemory, Hello, LoadDigest, Member, MemberState, OpenWork, OwnersWork,
+    PlacedWork, ResultKind, Share, Update, Verdict, WaitingWork, envelope, update,
 };
 pub use load::{
     ask_of, endpoint_result, job_of, placed_work, result_of, role_of, told_role, waiting_of,
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -135,6 +135,7 @@
         TrustEvent::Good => ResultKind::Good,
         TrustEvent::Bad => ResultKind::Bad,
         TrustEvent::Full => ResultKind::Full,
+        TrustEvent::Foreign => ResultKind::Foreign,
     };
     EndpointResult { endpoint: endpoint.to_string(), kind: kind.into() }
 }
@@ -149,6 +150,7 @@
         ResultKind::Good => TrustEvent::Good,
         ResultKind::Bad => TrustEvent::Bad,
         ResultKind::Full => TrustEvent::Full,
+        ResultKind::Foreign => TrustEvent::Foreign,
     };
     Ok((told.endpoint.parse()?, event))
 }
