feat(gateway, relay): a short prompt whose first event is overdue is begun on a second engine as well

One that has just died or turned slow is noticed after 1.3 s of silence, four times the aim.

Ways: (1) silence of 1.3 s, as it stood; (2) a second run beside the first from 1.6 times the expected time on, if a scheduler expects it in time elsewhere and the budget of repeats has room; whichever begins first answers. Sending anew after the same time was not built: it gives up a run that may be about to begin.

--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod replica;
 mod reservation;
 mod schedulers;
+mod second_run;
 mod snapshot;
 mod trust;
 mod turns;
@@ -48,6 +49,7 @@
 pub use replica::{Adopted, Replica};
 pub use reservation::{HOLD, OrderAnswer, RENEW, Ticket, TicketId};
 pub use schedulers::{Role, SCHEDULERS, Standing};
+pub use second_run::second_run_at;
 pub use snapshot::{
     Account, CallerLimits, ConfigVersion, Repeat, Route, RouteEntry, Service, Snapshot,
     SnapshotParts, Split,
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -5,24 +5,24 @@
 use std::time::Duration;
 
 use actix_http::body::MessageBody;
-use actix_http::{RequestHead, Response, StatusCode};
+use actix_http::{RequestHead, Response, ResponseHead, StatusCode};
 use bytes::Bytes;
 use rand::Rng;
 use ringbend_gateway::{
-    Account, Attempts, ConfigVersion, Endpoint, Next, Route, SendEnd, Service, TrustEvent,
+    Account, Attempts, ConfigVersion, Next, Route, SendEnd, Service, TrustEvent,
 };
 use ringbend_runtime::HttpResponse;
 use ringbend_types::{EndpointId, PromptBucket, RunState, Timestamp, TokenCount};
-use smallvec::SmallVec;
 
 use crate::exchange::Answer;
 use crate::fields::Millis;
-use crate::headers::{clone_head, copy_headers};
-use crate::node::{Node, Open, Placed};
+use crate::headers::copy_headers;
+use crate::node::{Node, Open};
 use crate::pacing::PauseCount;
 use crate::ports::Call;
 use crate::refusal::Refusal;
-use crate::streams::{Events, Relayed};
+use crate::runs::{Began, Rest, Run};
+use crate::streams::Relayed;
 
 /// What the caller sent.
 pub(crate) struct Origin {
@@ -52,12 +52,6 @@
     pub(crate) hint: Option<Duration>,
     ended: bool,
     pace: Pace,
-    /// How long the last placement was expected to take to the first event.
-    pub(crate) expected: Duration,
-    /// The endpoints that the send under way depends on, as they were when it was sent.
-    pub(crate) on: SmallVec<[Endpoint; 4]>,
-    /// From when on the first event of the send under way is a reason to ask its engines for their pace.
-    pub(crate) overdue_at: Timestamp,
     /// The pauses of its stream, as far as they tell of its engine.
     pub(crate) pauses: PauseCount,
     _open: Open,
@@ -108,9 +102,6 @@
             hint,
             ended,
             pace: Pace::default(),
-            expected: Duration::ZERO,
-            on: SmallVec::new(),
-            overdue_at: arrived,
             pauses: PauseCount::default(),
             _open: open,
         }
@@ -240,41 +231,40 @@
 
     async fn send(&mut self) -> Result<Reply, Failed> {
         let sent = self.schedule(false).await?;
-        let endpoint = sent.endpoint.clone();
-        let (placed, mut answer, facts) = self.exchange(sent, None).await?;
-        self.check(&endpoint, &facts, answer.head.status)?;
-        if self.terms.route.streaming && answer.head.status == StatusCode::OK {
-            return self.first_event(endpoint, placed, answer).await;
+        let run = self.start(sent, None).await?;
+        let (run, began) = self.first_of(run).await?;
+        let Began { head, facts, rest } = began;
+        self.check(&run.endpoint, &facts, head.status)?;
+        match rest {
+            Rest::Events(events, first) => {
+                self.trust(&run.endpoint.id, TrustEvent::Good);
+                Ok(Reply::Stream(Box::new(run.into_stream(head, events, first))))
+            }
+            Rest::Body(answer) => self.whole(&run, head, answer).await,
         }
-        let whole = self.timed(self.attempts.deadline(), answer.whole(MAX_ANSWER_BYTES)).await;
-        let body = whole.map_err(|why| self.broken(&endpoint, &why))?;
-        let status = answer.head.status;
+    }
+
+    /// Reads the rest of an answer that is no stream.
+    async fn whole(
+        &mut self,
+        run: &Run,
+        head: ResponseHead,
+        mut answer: Answer,
+    ) -> Result<Reply, Failed> {
+        let (on, deadline) = (std::slice::from_ref(&run.endpoint), self.attempts.deadline());
+        let whole = self.timed(on, deadline, answer.whole(MAX_ANSWER_BYTES)).await;
+        let body = whole.map_err(|why| self.broken(&run.endpoint, &why))?;
+        let status = head.status;
         let mut res = Response::with_body(status, body.boxed());
-        copy_headers(&answer.head, res.headers_mut());
+        copy_headers(&head, res.headers_mut());
         let may_be_better = status.is_server_error() && self.terms.route.repeat.may_repeat();
         if may_be_better {
             self.failed = Some(res);
             return Err(Failed::Send(SendEnd::FailedAnswer));
         }
-        self.trust(&endpoint.id, TrustEvent::Good);
+        self.trust(&run.endpoint.id, TrustEvent::Good);
         Ok(Reply::Whole(res, status))
     }
-
-    async fn first_event(
-        &mut self,
-        endpoint: Endpoint,
-        placed: Placed,
-        answer: Answer,
-    ) -> Result<Reply, Failed> {
-        let head = clone_head(&answer.head);
-        let mut events = Events::new(answer, self.call.last_event);
-        let first = self.begun(&placed, events.next()).await;
-        let first = first.map_err(|why| self.broken(&endpoint, &why))?;
-        placed.first_event();
-        self.depend_on_holders(&endpoint, &placed);
-        self.trust(&endpoint.id, TrustEvent::Good);
-        Ok(Reply::Stream(Box::new(Relayed { head, endpoint, placed, events, first })))
-    }
 }
 
 impl Drop for Life {
--- a/crates/ringbend-relay/src/pacing.rs
+++ b/crates/ringbend-relay/src/pacing.rs
@@ -10,7 +10,7 @@
 
 use actix_http::{Method, RequestHead, Uri};
 use bytes::Bytes;
-use ringbend_gateway::{Pace, TrustEvent};
+use ringbend_gateway::{Endpoint, Pace, TrustEvent};
 use ringbend_types::{EndpointId, Timestamp};
 use ringbend_wire::{EnginePace, LoadDigest, pace_of};
 use smallvec::SmallVec;
@@ -57,10 +57,13 @@
     /// Does `work`, and suspects the engines that it depends on once it takes until `overdue_at`.
     pub(crate) fn watched<T, W: Future<Output = T>>(
         &self,
+        on: &[Endpoint],
         overdue_at: Timestamp,
         work: W,
     ) -> impl Future<Output = T> + use<T, W> {
-        let (node, engines) = (self.node.clone(), self.engines());
+        let of_engines = self.terms.service.engine.is_some();
+        let on = on.iter().filter(|_| of_engines).map(|endpoint| endpoint.id.clone());
+        let (node, engines) = (self.node.clone(), on.collect::<SmallVec<[EndpointId; 4]>>());
         async move {
             let mut work = std::pin::pin!(work);
             tokio::select! {
@@ -73,12 +76,6 @@
         }
     }
 
-    /// The engines that the send under way depends on; none if it is to a plain service.
-    fn engines(&self) -> SmallVec<[EndpointId; 4]> {
-        let of_engines = self.terms.service.engine.is_some();
-        self.on.iter().filter(|_| of_engines).map(|endpoint| endpoint.id.clone()).collect()
-    }
-
     /// Notes a pause in the stream, and suspects its engine if pauses stay long.
     pub(crate) fn note_pause(&mut self, engine: &EndpointId, pause: Duration) {
         let Some(profile) = self.terms.service.engine else { return };
--- a/crates/ringbend-relay/src/scheduled.rs
+++ b/crates/ringbend-relay/src/scheduled.rs
@@ -39,11 +39,13 @@
     pub(crate) placement: Placement,
     /// Its work on the books.
     pub(crate) placed: Placed,
+    /// How long its first event is expected to take.
+    pub(crate) expected: Duration,
 }
 
 impl Life {
     /// Has the request placed. One whose stream has begun does not wait for its turn.
-    pub(crate) async fn schedule(&mut self, at_once: bool) -> Result<Scheduled, Failed> {
+    pub(crate) async fn schedule(&self, at_once: bool) -> Result<Scheduled, Failed> {
         let placed = Placed::new(self.node.clone());
         let job = self.job(at_once);
         let placement = self.node.schedule(placed.id, &job, self.terms.service.engine).await;
@@ -53,8 +55,8 @@
         })?;
         let endpoint = self.node.directory.borrow().get(&placement.lead).cloned();
         let endpoint = endpoint.ok_or(Failed::NoEndpoint)?;
-        self.expected = Duration::from_secs_f64(placement.first_ms.max(0.0) / 1e3);
-        Ok(Scheduled { endpoint, placement, placed })
+        let expected = Duration::from_secs_f64(placement.first_ms.max(0.0) / 1e3);
+        Ok(Scheduled { endpoint, placement, placed, expected })
     }
 
     fn job(&self, at_once: bool) -> Job {
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -8,11 +8,13 @@
 use ringbend_gateway::{Endpoint, Event, EventCutter, EventId, Next, SendEnd};
 use ringbend_runtime::{HttpResponse, StreamError, StreamReply, stream};
 use ringbend_types::Timestamp;
+use smallvec::SmallVec;
 
 use crate::exchange::{Answer, ExchangeError};
 use crate::headers::copy_headers;
 use crate::life::{Failed, Life};
 use crate::node::Placed;
+use crate::runs::{Began, Rest};
 
 /// Events that may wait for a slow caller.
 const DEPTH: usize = 64;
@@ -66,6 +68,8 @@
     pub(crate) head: ResponseHead,
     pub(crate) endpoint: Endpoint,
     pub(crate) placed: Placed,
+    /// The endpoints that the rest of it depends on.
+    pub(crate) on: SmallVec<[Endpoint; 4]>,
     pub(crate) events: Events,
     pub(crate) first: Option<Event>,
 }
@@ -109,14 +113,14 @@
 }
 
 async fn pass_on(life: &mut Life, relayed: Relayed, tx: &StreamReply) -> Result<(), Cut> {
-    let Relayed { mut endpoint, mut placed, mut events, first, .. } = relayed;
+    let Relayed { mut endpoint, mut placed, mut on, mut events, first, .. } = relayed;
     let Some(first) = first else { return Ok(()) };
     let mut last = first.id.or(life.call.last_event);
     deliver(tx, first).await;
     life.passed_on(&endpoint.id);
     loop {
         let by = gap_limit(life);
-        match life.patient(by, events.next()).await {
+        match life.patient(&on, by, events.next()).await {
             Ok(Some(event)) => {
                 last = event.id.or(last);
                 deliver(tx, event).await;
@@ -126,7 +130,12 @@
             Err(why) => {
                 let failed = life.broken(&endpoint, &why);
                 drop((placed, events));
-                (endpoint, placed, events) = resume(life, failed, last).await?;
+                let resumed = resume(life, failed, last).await?;
+                Relayed { endpoint, placed, on, events, .. } = resumed;
+                let Some(next) = resumed.first else { return Ok(()) };
+                last = next.id.or(last);
+                deliver(tx, next).await;
+                life.passed_on(&endpoint.id);
             }
         }
     }
@@ -153,7 +162,7 @@
     life: &mut Life,
     mut failed: Failed,
     last: Option<EventId>,
-) -> Result<(Endpoint, Placed, Events), Cut> {
+) -> Result<Relayed, Cut> {
     loop {
         if life.node.clock.now() >= life.attempts.deadline() {
             return Err(Cut::Deadline);
@@ -167,21 +176,21 @@
         if !goes_on || last.is_none() {
             return Err(Cut::Broken);
         }
-        let sent = life.schedule(true).await.map_err(|_| Cut::Broken)?;
-        let endpoint = sent.endpoint.clone();
-        failed = match life.exchange(sent, last).await {
-            Err(failed) => failed,
-            Ok((placed, answer, facts)) => {
-                match life.check(&endpoint, &facts, answer.head.status) {
-                    Err(failed) => failed,
-                    Ok(()) if answer.head.status.is_success() => {
-                        placed.first_event();
-                        life.depend_on_holders(&endpoint, &placed);
-                        return Ok((endpoint, placed, Events::new(answer, last)));
-                    }
-                    Ok(()) => Failed::Send(SendEnd::FailedAnswer),
-                }
-            }
-        };
+        match resume_once(life, last).await {
+            Ok(relayed) => return Ok(relayed),
+            Err(why) => failed = why,
+        }
+    }
+}
+
+async fn resume_once(life: &mut Life, last: Option<EventId>) -> Result<Relayed, Failed> {
+    let sent = life.schedule(true).await?;
+    let run = life.start(sent, last).await?;
+    let (run, began) = life.only(run).await?;
+    let Began { head, facts, rest } = began;
+    life.check(&run.endpoint, &facts, head.status)?;
+    match rest {
+        Rest::Events(events, first) => Ok(run.into_stream(head, events, first)),
+        Rest::Body(_) => Err(Failed::Send(SendEnd::FailedAnswer)),
     }
 }
