fix(gateway): a prompt that has just been read counts among those that a part holds up

Nothing was left to read there, so the engine seemed free, and a stream was held to be written only once word of its first event had come.

Change: a request whose prompt has been read by the book, or will be within two passes, counts as written.

The new test in gateway/tests/placement.rs fails on the code before.

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -183,8 +183,7 @@
             let limit = millis(writer.gap);
             writer.stake * (lateness(w, after, limit) - lateness(w, before, limit))
         };
-        let writing = self.load.writers().iter().filter(|writer| writer.writing);
-        let now_late: f64 = writing.map(to_writer).sum();
+        let now_late: f64 = self.load.about_to_write().map(to_writer).sum();
         let tight = millis(TIGHT_GAP_USUAL);
         let to_come = (self.kept_for - self.quiet as f64).max(0.0);
         let soon_late = to_come * (lateness(w, after, tight) - lateness(w, before, tight));
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -127,6 +127,10 @@
 /// A pass that reads nothing takes about this long on the engines that were measured.
 const SHORT_PASS: Duration = Duration::from_millis(45);
 
+/// What an engine reads for so little longer is read before any part that it is given now: two passes,
+/// one of which cannot be interrupted.
+const NEARLY_READ: Duration = Duration::from_millis(100);
+
 /// How fast the memory of a long part fades: half of it after this time.
 const PART_HALF_LIFE: Duration = Duration::from_secs(1);
 
@@ -154,6 +158,16 @@
         &self.writers
     }
 
+    /// Those whose next event waits for nothing but a pass: their prompts have been read, or will be
+    /// within the next passes, though word of their first event may not have come.
+    pub(crate) fn about_to_write(&self) -> impl Iterator<Item = &Writer> {
+        let is_read = |writer: &Writer| {
+            let left = self.readers().find(|reader| reader.id == writer.id).map(|r| r.left);
+            left.is_none_or(|left| left <= NEARLY_READ)
+        };
+        self.writers.iter().filter(move |writer| writer.writing || is_read(writer))
+    }
+
     /// How many of them have short prompts.
     pub fn quiet(&self) -> usize {
         self.writers.iter().filter(|writer| !writer.long).count()
--- a/crates/ringbend-gateway/tests/placement.rs
+++ b/crates/ringbend-gateway/tests/placement.rs
@@ -188,3 +188,24 @@
     assert_eq!(load.of(&endpoint(1).id).backlog(), ms(0));
     assert_eq!(load.of(&endpoint(2).id).backlog(), ms(100));
 }
+
+/// A crowd of long prompts: the engines that have just read one seem free, as nothing is left to read and
+/// word of its first event is still under way. A part of two seconds that is given to its lead then holds
+/// up its stream for as long, where a second is allowed. Of twelve such pauses among 92 long prompts eleven
+/// were made by a part that was placed within a tenth of a second before or after the first event.
+#[test]
+fn a_part_is_kept_off_an_engine_that_is_about_to_write_for_a_long_prompt() {
+    for read_ms in [0, 50] {
+        let mut scene = Scene::new(3);
+        let lead = Work {
+            long: true,
+            gap: ms(1_000),
+            first_by: at(3_000),
+            stake: stake(&scene.weights, 210_000),
+            ..work(1, ms(read_ms))
+        };
+        scene.load.place(at(0), work_id(1), lead);
+        let chosen = engines(&place(&mut scene, 210_000, 5_000, 1_000));
+        assert_eq!(chosen, ["e-02", "e-03"]);
+    }
+}
