fix(gateway): second runs take nothing out of the allowance, and an instance that has just started little

Each had spent its part of the allowance, came back without its count and spent it again; 80 instances may spend 160 of 235 each time. Second runs made it likely, as they spend whatever there is.

Ruled out: repeats that nobody counts (each arrival after the first takes one out).

Change: second runs are taken out of the ratio alone, which is in proportion to an instance's own requests, so a restart doubles nothing. In its first window an instance spends half a repeat of the allowance in place of two.

--- a/crates/ringbend-gateway/src/attempts.rs
+++ b/crates/ringbend-gateway/src/attempts.rs
@@ -118,6 +118,22 @@
         false
     }
 
+    /// Whether another run is begun beside one that is overdue. It counts as if the first one had been
+    /// replaced.
+    pub fn run_beside(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        budget: &mut RepeatBudget,
+    ) -> bool {
+        let may = self.repeat.may_repeat() && self.may_run_again() && now < self.deadline;
+        if may && budget.take_spare(now, service) {
+            self.runs += 1;
+            return true;
+        }
+        false
+    }
+
     /// Whether a run whose end is unknown may be followed by another.
     pub fn may_run_again(&self) -> bool {
         self.runs + 1 < self.max_runs
--- a/crates/ringbend-gateway/src/budget.rs
+++ b/crates/ringbend-gateway/src/budget.rs
@@ -34,6 +34,12 @@
 /// What an instance spends of the allowance before: operators allow at least two repeats an instance.
 const PART_WHILE_COUNTING: f64 = 2.0;
 
+/// What an instance spends of the allowance in the first window after its start. Its former process may
+/// have spent its part in the same window: where all instances are killed in the midst of trouble, 80 of
+/// them spent 160 before and 160 after, of 235. With half a repeat there is one as soon as four requests
+/// have come.
+const PART_AFTER_START: f64 = 0.5;
+
 /// The fewest instances that are taken to share the allowance.
 const FEWEST_INSTANCES: f64 = 12.0;
 
@@ -48,6 +54,8 @@
 pub struct RepeatBudget {
     bounds: BudgetBounds,
     instances: usize,
+    /// When it was first told of others: about when the instance started.
+    started: Option<Timestamp>,
     /// The most instances that were known, and since when.
     most: Option<(usize, Timestamp)>,
     services: BTreeMap<ServiceName, Counts>,
@@ -56,7 +64,7 @@
 impl RepeatBudget {
     /// A budget within `bounds`.
     pub fn new(bounds: BudgetBounds) -> Self {
-        Self { bounds, instances: 0, most: None, services: BTreeMap::new() }
+        Self { bounds, instances: 0, started: None, most: None, services: BTreeMap::new() }
     }
 
     /// Puts new bounds in force; what was counted stays.
@@ -67,6 +75,7 @@
     /// Sets how many instances are known to share it at `now`, this one included.
     pub fn set_instances(&mut self, now: Timestamp, instances: usize) {
         self.instances = instances;
+        self.started.get_or_insert(now);
         if self.most.is_none_or(|(most, _)| instances > most) {
             self.most = Some((instances, now));
         }
@@ -82,8 +91,20 @@
 
     /// Takes one repeat for `service` out of the budget, if there is one.
     pub fn take(&mut self, now: Timestamp, service: &ServiceName) -> bool {
-        let BudgetBounds { ratio, window, .. } = self.bounds;
         let part = self.allowance_part(now);
+        self.take_beside(now, service, part)
+    }
+
+    /// Takes one repeat that is not needed, but may help: none out of the allowance, which is for requests
+    /// that have failed. What is taken by the ratio is in proportion to an instance's own requests, so it
+    /// stays within the budget also where all instances have just started again.
+    pub fn take_spare(&mut self, now: Timestamp, service: &ServiceName) -> bool {
+        self.take_beside(now, service, 0.0)
+    }
+
+    /// Takes one repeat, if the ratio and this `part` of the allowance have room.
+    fn take_beside(&mut self, now: Timestamp, service: &ServiceName, part: f64) -> bool {
+        let BudgetBounds { ratio, window, .. } = self.bounds;
         let counts = self.counts(service);
         forget(&mut counts.requests, now, window);
         forget(&mut counts.repeats, now, window);
@@ -99,7 +120,9 @@
         let instances = (self.instances as f64 * UNKNOWN_INSTANCES).max(FEWEST_INSTANCES);
         let part = (self.bounds.allowance / instances).floor();
         let counts = self.most.is_none_or(|(_, since)| now.since(since) < COUNT_TIME);
-        if counts { part.min(PART_WHILE_COUNTING) } else { part }
+        let part = if counts { part.min(PART_WHILE_COUNTING) } else { part };
+        let is_new = self.started.is_none_or(|at| now.since(at) < self.bounds.window);
+        if is_new { part.min(PART_AFTER_START) } else { part }
     }
 
     fn counts(&mut self, service: &ServiceName) -> &mut Counts {
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -142,7 +142,7 @@
         };
         match placed {
             Err(began) => self.settle(run, began),
-            Ok(Ok(second)) if self.is_worth_it(&run, &second) && self.take_second_run() => {
+            Ok(Ok(second)) if self.is_worth_it(&run, &second) && self.run_beside() => {
                 match self.start(second, None).await {
                     Ok(second) => self.race(run, second).await,
                     Err(_) => self.only(run).await,
--- a/crates/ringbend-relay/src/silence.rs
+++ b/crates/ringbend-relay/src/silence.rs
@@ -63,7 +63,7 @@
         let deadline = self.attempts.deadline();
         if by < deadline {
             match self.timed(on, by, &mut work).await {
-                Err(Broken::Late) if self.take_second_run() => return Err(Broken::Replaced),
+                Err(Broken::Late) if self.replace_silent() => return Err(Broken::Replaced),
                 Err(Broken::Late) => {}
                 done => return done,
             }
@@ -71,13 +71,19 @@
         self.timed(on, deadline, work).await
     }
 
-    /// Takes a second run of the request out of the budget of repeats, if it may have one.
-    pub(crate) fn take_second_run(&mut self) -> bool {
+    fn replace_silent(&mut self) -> bool {
         let now = self.node.clock.now();
         let budget = &mut self.node.budget.borrow_mut();
         self.attempts.replace_silent(now, &self.terms.service.name, budget)
     }
 
+    /// Takes a second run beside the first out of the budget of repeats, if there may be one.
+    pub(crate) fn run_beside(&mut self) -> bool {
+        let now = self.node.clock.now();
+        let budget = &mut self.node.budget.borrow_mut();
+        self.attempts.run_beside(now, &self.terms.service.name, budget)
+    }
+
     /// Waits until `by` or until the process of an endpoint that the work depends on has ended.
     pub(crate) async fn timed<T>(
         &self,
