feat(gateway): a long prompt that would make others late waits while it has time

Cause: in bursts of long prompts each is sent as soon as enough engines have nothing to read, and the cheapest placement then often stalls streams that are written or goes on top of parts that wait; those are late, the next ones find fewer engines free, and parts grow from 0.4 s to 2 s. Engines have time for all of them: 33 of 54 engine seconds a second.

Change: Turn::TooDear. A late prompt has less to lose and gives way for 0.4 of its caller's time.

Test: gateway/tests/giving_way.rs.

--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -13,9 +13,10 @@
 
 use crate::directory::Endpoint;
 use crate::engine::{EngineProfile, MOST_ENGINES};
-use crate::load::{EndpointLoad, Held, Writer};
+use crate::load::{EndpointLoad, Held, LATE_STAKE, Writer};
 use crate::quiet::quiet_engines;
 use crate::view::{View, room, spread};
+use crate::waiting::Waiting;
 use crate::weights::PlacementWeights;
 
 /// What is asked of the endpoints.
@@ -51,6 +52,8 @@
     pub held: SmallVec<[Held; 2]>,
     /// What it is expected to cost, in stakes.
     pub cost: f64,
+    /// What of that is the cost to other requests.
+    pub harm: f64,
     /// When the first event is expected, in milliseconds.
     pub first_ms: f64,
 }
@@ -65,6 +68,10 @@
 /// longest would wait for ever for short ones. A quarter is left to others.
 const ENOUGH: f64 = 0.75;
 
+/// The part of its caller's time for which a long prompt that is late gives way to others. It must be read
+/// while its caller is still there, and parts of others may go before it.
+const GIVES_WAY: f64 = 0.4;
+
 /// What is late already still prefers to be served in about this time, in milliseconds.
 const LATE_AIM_MS: f64 = 300.0;
 
@@ -265,24 +272,51 @@
     placements.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
-/// Whether the cheapest placement would take an engine for longer than any prompt may.
+/// Why a long prompt had better wait than be placed now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Wait {
+    /// The cheapest placement would take an engine for longer than any prompt may.
+    TooLong,
+    /// The cheapest placement would make others late, and there is time to wait.
+    TooDear,
+}
+
+/// Whether a long prompt that waits had better go on waiting than be placed now.
 ///
 /// Answers a crowd of short prompts right after long ones. A prompt of 600,000 tokens is 34 s of
 /// reading; sent when short prompts had left it four engines, it took each for 8.5 s, and of 168 short
 /// prompts that came in the next two seconds 62 waited for engines that were expected to be free. It
 /// waits until more engines are open to it. To split it further among the same engines instead cost
 /// more than it gained.
-pub(crate) fn takes_too_long(
+///
+/// A prompt that would make others late, and has time, waits as well: within a second or two streams that
+/// are written now have ended and parts that wait now have been read. One that is late already has less
+/// to lose and gives way for part of its caller's time.
+pub(crate) fn had_better_wait(
     view: View<'_>,
     profile: &EngineProfile,
     candidates: &[&Endpoint],
     wish: &Wish,
-) -> bool {
+    waiting: &Waiting,
+) -> Option<Wait> {
     let read_ms = profile.read_ms(wish.demand.prompt_tokens);
     let enough = (candidates.len().min(MOST_ENGINES) as f64 * ENOUGH).max(1.0);
     let longest_ms = view.weights.longest_ms.max(read_ms / enough);
-    let placement = place_on_engines(view, profile, candidates, wish);
-    placement.is_some_and(|placement| millis(placement.part) > longest_ms)
+    let placement = place_on_engines(view, profile, candidates, wish)?;
+    if millis(placement.part) > longest_ms {
+        return Some(Wait::TooLong);
+    }
+    let w = view.weights;
+    let stake = stake(w, wish.demand.prompt_tokens);
+    let left_ms = millis(wish.first_in);
+    let Waiting { since, until, .. } = *waiting;
+    let gives_way_until = since + until.since(since).mul_f64(GIVES_WAY);
+    let (stake, has_time) = match placement.first_ms > left_ms {
+        true => (stake * LATE_STAKE, view.now < gives_way_until),
+        false => (stake, placement.first_ms + w.spare_ms < left_ms),
+    };
+    let is_dear = placement.harm > w.dear * stake;
+    (is_dear && has_time).then_some(Wait::TooDear)
 }
 
 /// What one engine costs as a part of a placement, in stakes.
@@ -360,6 +394,7 @@
         helpers: helpers.iter().map(|at| engines[*at].endpoint.id.clone()).collect(),
         part: profile.part_time(wish.demand.prompt_tokens, parts),
         held,
+        harm,
         cost: harm + own + prices[lead].lead + no_memory + w.helper * helpers.len() as f64,
         first_ms: helping().map(|at| first_of(at, false)).fold(first_as_lead, f64::max),
     })
@@ -411,5 +446,5 @@
     let (cost, best) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
     let (lead, helpers) = (best.id.clone(), SmallVec::new());
     let held = SmallVec::new();
-    Some(Placement { lead, helpers, part: Duration::ZERO, held, cost, first_ms: 0.0 })
+    Some(Placement { lead, helpers, part: Duration::ZERO, held, cost, harm: 0.0, first_ms: 0.0 })
 }
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -122,7 +122,7 @@
 }
 
 /// What a late request still has to lose, as a share of its stake: its caller may leave.
-const LATE_STAKE: f64 = 0.3;
+pub(crate) const LATE_STAKE: f64 = 0.3;
 
 /// A pass that reads nothing takes about this long on the engines that were measured.
 const SHORT_PASS: Duration = Duration::from_millis(45);
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -9,7 +9,7 @@
 
 use ringbend_types::{ServiceName, Timestamp};
 
-use crate::choice::{Wish, takes_too_long};
+use crate::choice::{Wait, Wish, had_better_wait};
 use crate::directory::Endpoint;
 use crate::engine::{EngineProfile, MOST_ENGINES};
 use crate::load::WorkId;
@@ -29,6 +29,8 @@
     In(Duration),
     /// It would take an engine for too long, as short prompts have taken the others.
     TooFew,
+    /// It would make others late, and has time to wait.
+    TooDear,
     /// Its caller would leave before it could be read.
     TooLate,
 }
@@ -145,7 +147,16 @@
         return Turn::In(STARTING_LOOK);
     }
     match in_order(view, profile, candidates, claim) {
-        Turn::Now if takes_too_long(view, profile, candidates, &claim.wish) => Turn::TooFew,
+        Turn::Now => {
+            let own = view.load.waits(claim.id);
+            let wait =
+                own.and_then(|own| had_better_wait(view, profile, candidates, &claim.wish, own));
+            match wait {
+                Some(Wait::TooLong) => Turn::TooFew,
+                Some(Wait::TooDear) => Turn::TooDear,
+                None => Turn::Now,
+            }
+        }
         turn => turn,
     }
 }
--- a/crates/ringbend-gateway/src/weights.rs
+++ b/crates/ringbend-gateway/src/weights.rs
@@ -47,6 +47,11 @@
     pub full_share: f64,
     /// What 100 ms of reading cost for each tight request, beside what it makes late now.
     pub read: f64,
+    /// A long prompt waits while the cheapest placement would cost others more than this share of its own
+    /// stake, if it has time to.
+    pub dear: f64,
+    /// The time that such a prompt keeps in hand, in milliseconds, as later placements may take longer.
+    pub spare_ms: f64,
     /// What it costs to hold all of a prompt's memory on helpers.
     pub hold: f64,
 }
@@ -70,6 +75,8 @@
             quiet_spare: 0.0,
             full_share: 0.95,
             read: 0.03,
+            dear: 0.25,
+            spare_ms: 1_000.0,
             hold: 0.5,
         }
     }
--- /dev/null
+++ b/crates/ringbend-gateway/tests/giving_way.rs
@@ -0,0 +1,93 @@
+//! Long prompts that would make others late wait while they have time.
+//!
+//! The pattern: long prompts arrive at 2.8 times their usual rate for ten seconds. Engines have places
+//! and time for all of them, but each one that is sent at once goes on top of parts that are being read and
+//! beside streams that are being written; those are late then, and the next ones find fewer engines free.
+//! Grounds of the figures: a stream of a long prompt is written within 1 to 2 s, a part of one is read in
+//! 0.4 to 1 s, and the aim of long prompts is 3 s or more, so there is time to wait for either.
+
+mod support;
+
+use ringbend_gateway::{Claim, Demand, Turn, Waiting, Wish, Work, is_long, stake, turn};
+use ringbend_types::Timestamp;
+use support::{Scene, at, endpoint, ms, profile, service, work, work_id};
+
+const PROMPT: u64 = 150_000;
+const OWN: u64 = 100;
+
+/// When the prompt that waits is due, and when its caller leaves.
+const FIRST_BY: u64 = 4_000;
+const UNTIL: u64 = 15_000;
+
+/// Engines that all write for a long prompt, whose streams allow a second between events.
+fn writing_for_long_ones(engines: usize) -> Scene {
+    let mut scene = Scene::new(engines);
+    for engine in 1..=engines {
+        let lead = Work {
+            long: true,
+            gap: ms(1_000),
+            stake: stake(&scene.weights, PROMPT),
+            ..work(engine, ms(0))
+        };
+        scene.load.place(at(0), work_id(engine as u64), lead);
+        scene.load.first_event(work_id(engine as u64));
+    }
+    scene
+}
+
+/// What becomes of a prompt that arrived at the start.
+fn turn_at(scene: &mut Scene, now: Timestamp) -> Turn {
+    let demand = Demand { prompt_tokens: PROMPT, answer_tokens: 1_000 };
+    assert!(is_long(&scene.weights, &profile(), demand));
+    let read = profile().part_time(PROMPT, 1);
+    let waiting = Waiting {
+        service: service("engines"),
+        read,
+        since: at(0),
+        first_by: at(FIRST_BY),
+        until: at(UNTIL),
+    };
+    scene.now = now;
+    scene.load.advance(now);
+    scene.load.wait(work_id(OWN), waiting);
+    let wish = Wish { demand, first_in: at(FIRST_BY).since(now), gap: ms(1_000) };
+    let claim = Claim { id: work_id(OWN), unused: ms(0), wish };
+    turn(scene.view(), &profile(), &scene.candidates(), &claim)
+}
+
+#[test]
+fn a_prompt_that_would_stall_streams_waits_while_it_has_time() {
+    let mut scene = writing_for_long_ones(2);
+    assert_eq!(turn_at(&mut scene, at(10)), Turn::TooDear);
+    // Two engines read it in 0.9 s; a second is kept in hand.
+    assert_eq!(turn_at(&mut scene, at(2_200)), Turn::Now);
+}
+
+#[test]
+fn it_goes_once_the_streams_have_ended() {
+    let mut scene = writing_for_long_ones(2);
+    assert_eq!(turn_at(&mut scene, at(10)), Turn::TooDear);
+    (1..=2).for_each(|id| scene.load.end(at(500), work_id(id)));
+    assert_eq!(turn_at(&mut scene, at(500)), Turn::Now);
+}
+
+#[test]
+fn one_that_makes_nobody_late_does_not_wait() {
+    let mut scene = writing_for_long_ones(8);
+    // Parts of 0.2 s on eight engines are within the second that the streams allow.
+    assert_eq!(turn_at(&mut scene, at(10)), Turn::Now);
+}
+
+#[test]
+fn one_that_is_late_gives_way_for_part_of_its_callers_time() {
+    let mut scene = writing_for_long_ones(2);
+    assert_eq!(turn_at(&mut scene, at(5_000)), Turn::TooDear);
+    assert_eq!(turn_at(&mut scene, at(6_500)), Turn::Now);
+}
+
+#[test]
+fn an_engine_that_started_again_writes_for_nobody() {
+    let mut scene = writing_for_long_ones(2);
+    (1..=2).for_each(|engine| scene.load.lose_endpoint(at(20), &endpoint(engine).id));
+    assert_eq!(turn_at(&mut scene, at(20)), Turn::Now);
+}
--- a/crates/ringbend-relay/src/asking.rs
+++ b/crates/ringbend-relay/src/asking.rs
@@ -153,6 +153,7 @@
             part: work.part,
             held: work.held.clone(),
             cost: grant.cost,
+            harm: 0.0,
             first_ms: grant.first_us as f64 / 1e3,
         };
         self.load.borrow_mut().place(now, id, work);
--- a/crates/ringbend-relay/src/turns.rs
+++ b/crates/ringbend-relay/src/turns.rs
@@ -30,7 +30,7 @@
         let began = self.clock.now();
         self.begin_to_wait(id, job, engine, demand);
         let mut passed_over_at: Option<Timestamp> = None;
-        let mut had_too_few = false;
+        let (mut had_too_few, mut had_to_give_way) = (false, false);
         loop {
             let now = self.clock.now();
             let unused = passed_over_at.map_or(Duration::ZERO, |at| now.since(at));
@@ -46,6 +46,13 @@
                     had_too_few = true;
                     LONGEST_LOOK
                 }
+                Turn::TooDear => {
+                    if !had_to_give_way {
+                        log::info!(target: "request", id = job.request.as_ref(); "gives way");
+                    }
+                    had_to_give_way = true;
+                    LONGEST_LOOK
+                }
                 Turn::PassedOver => {
                     passed_over_at.get_or_insert(now);
                     SHORTEST_LOOK
