fix(relay): a reader that lost the store leaves reading to others by their first proof

The reader of the tables was turned away by the store; another instance read 1.2 s later, but the former one looked whether others reach the store only when it asked the lost store again, after a pause that grows with the number of instances, up to 12 s at 85. As a reader it takes no endpoints from others, and it schedules for a third of a data centre.

Ruled out: the copy of endpoints (the others took it within 0.1 s), the restart of endpoints (the code before reads the same way).

Change: each proof that is heard is looked at for that.

--- a/crates/ringbend-gateway/src/reader.rs
+++ b/crates/ringbend-gateway/src/reader.rs
@@ -51,9 +51,19 @@
         self.reads = true;
     }
 
-    /// Stops reading, as the store is not reached and another instance proves the copy.
-    pub fn end(&mut self) {
-        self.reads = false;
+    /// Stops reading if the store is not reached since `lost_at` and another instance has proved the
+    /// copy later, at `proved_at`. Returns whether it stops.
+    pub fn leaves_to_others(
+        &mut self,
+        lost_at: Option<Timestamp>,
+        proved_at: Option<Timestamp>,
+    ) -> bool {
+        let others_reach = lost_at.is_some_and(|lost_at| proved_at > Some(lost_at));
+        let stops = self.reads && others_reach;
+        if stops {
+            self.reads = false;
+        }
+        stops
     }
 
     /// Notes that the instance that started as `start` answered, at `peers` on its clock, a greeting
--- a/crates/ringbend-gateway/tests/currency.rs
+++ b/crates/ringbend-gateway/tests/currency.rs
@@ -360,3 +360,18 @@
     readers.proved_by(7, Timestamp::from_millis(300));
     assert_eq!(readers.reader(), Some(7));
 }
+
+/// Seen on 85 instances, half of which the store turned away while endpoints were replaced: the reader
+/// asked the lost store again after a pause that grows with the number of instances, and looked only
+/// then whether others had reached it. It sent requests to an endpoint 3.4 s after that had said it leaves.
+#[test]
+fn a_reader_that_lost_the_store_leaves_reading_to_others_by_their_first_proof() {
+    let mut readers = Readers::new(1);
+    readers.begin();
+    assert!(!readers.leaves_to_others(None, Some(at(900))), "the store is not lost");
+    assert!(!readers.leaves_to_others(Some(at(1_000)), Some(at(900))), "the proof is its own");
+    assert!(readers.reads());
+    assert!(readers.leaves_to_others(Some(at(1_000)), Some(at(1_200))));
+    assert!(!readers.reads());
+    assert!(!readers.leaves_to_others(Some(at(1_000)), Some(at(1_300))), "it does so once");
+}
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -69,14 +69,7 @@
 
     /// Reads for as long as no other instance does; then only once the copy is old.
     async fn turn(&self, node: &Node) -> Ask {
-        let proved_at = node.replica.borrow().proved_at();
-        let others_reach =
-            node.store_lost_at.get().is_some_and(|lost_at| proved_at > Some(lost_at));
-        if others_reach && node.readers.borrow().reads() {
-            log::info!(target: "store", reads = false; "others reach the store");
-            node.readers.borrow_mut().end();
-            node.ceases_to_read.notify_waiters();
-        }
+        leave_reading_to_others(node);
         if node.readers.borrow().reads() {
             return Ask::Store(CONFIG_WAIT);
         }
@@ -135,6 +128,16 @@
     fn regained(&self, _: &Node) {}
 }
 
+/// Stops reading if the store is lost and another instance has proved the copy since: what that one
+/// reads must be heard of at once, and not once this one asks the lost store again.
+pub(crate) fn leave_reading_to_others(node: &Node) {
+    let proved_at = node.replica.borrow().proved_at();
+    if node.readers.borrow_mut().leaves_to_others(node.store_lost_at.get(), proved_at) {
+        log::info!(target: "store", reads = false; "others reach the store");
+        node.ceases_to_read.notify_waiters();
+    }
+}
+
 /// Feeds the directory.
 pub(crate) struct EndpointCopy;
 
--- a/crates/ringbend-relay/src/relayed.rs
+++ b/crates/ringbend-relay/src/relayed.rs
@@ -8,7 +8,7 @@
 use ringbend_types::Timestamp;
 use ringbend_wire::{Currency, EndpointChanges, LoadDigest, WireError, change_of, role_of};
 
-use crate::copies::apply_endpoints;
+use crate::copies::{apply_endpoints, leave_reading_to_others};
 use crate::node::Node;
 use crate::ports::Cursor;
 
@@ -107,6 +107,7 @@
     let before = node.replica.borrow().proved_at().unwrap_or_default();
     node.replica.borrow_mut().prove_at(version, proved_at);
     node.begun.notify_waiters();
+    leave_reading_to_others(node);
     let after = node.replica.borrow().proved_at().unwrap_or_default();
     if node.schedules() && after.since(before) >= PROOF_STEP {
         // The instances of this data centre hear of it here.
