feat(relay): an engine whose connection breaks is asked how it is

Cause: when engines crash, their failures were told to the scheduler of the own data centre alone. The one that plans long prompts met the dead ones one refusal after the other: a prompt of 329,000 tokens was sent four times within 0.2 s, each time to ten engines with another dead one among them, and refused as its instance had no repeat left.

Ruled out: telling all failures to all schedulers (resets of single answers would distrust sound engines).

Change: a broken connection is a reason to ask, as a late first event is; an engine that does not answer that is told to all schedulers as unfit.

--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -73,6 +73,10 @@
         if !matches!(why, Broken::Ended) {
             self.trust(&endpoint.id, TrustEvent::Bad);
         }
+        if matches!(why, Broken::Exchange(_)) && self.terms.service.engine.is_some() {
+            // Schedulers of other data centres hear of it if it does not say how it is either.
+            self.node.suspect(&endpoint.id);
+        }
         if matches!(why, Broken::Replaced) {
             log::warn!(target: "request", id = self.id(), endpoint:% = endpoint.id, why:%; "left");
             return Failed::Replaced;
