refactor(gateway): candidates and deferral in modules of their own; fix(gateway): half of the allowance after a start

The choice of engines was 450 lines that priced one engine, chose among them and decided whether to wait: candidate.rs, choice.rs and deferral.rs have one of these each; nothing moves but code.

An instance that has just started spends half of its part of the allowance, one repeat at least, in place of half a repeat: tests of endpoints that break (platform/tests/breaking.rs) failed with less, as a lone instance could not repeat its first request. gateway/tests/repeats.rs still holds for 80 instances that all start again.

New settings placement.dear and placement.spare_ms are known and checked.

--- a/crates/ringbend-gateway/src/budget.rs
+++ b/crates/ringbend-gateway/src/budget.rs
@@ -34,11 +34,10 @@
 /// What an instance spends of the allowance before: operators allow at least two repeats an instance.
 const PART_WHILE_COUNTING: f64 = 2.0;
 
-/// What an instance spends of the allowance in the first window after its start. Its former process may
-/// have spent its part in the same window: where all instances are killed in the midst of trouble, 80 of
-/// them spent 160 before and 160 after, of 235. With half a repeat there is one as soon as four requests
-/// have come.
-const PART_AFTER_START: f64 = 0.5;
+/// The share of its part of the allowance that an instance spends in the first window after its start, one
+/// repeat at least. Its former process may have spent its part in the same window: where all instances are
+/// killed in the midst of trouble, 80 of them spent 160 before and 160 after, of 235.
+const SHARE_AFTER_START: f64 = 0.5;
 
 /// The fewest instances that are taken to share the allowance.
 const FEWEST_INSTANCES: f64 = 12.0;
@@ -120,9 +119,9 @@
         let instances = (self.instances as f64 * UNKNOWN_INSTANCES).max(FEWEST_INSTANCES);
         let part = (self.bounds.allowance / instances).floor();
         let counts = self.most.is_none_or(|(_, since)| now.since(since) < COUNT_TIME);
-        let part = if counts { part.min(PART_WHILE_COUNTING) } else { part };
         let is_new = self.started.is_none_or(|at| now.since(at) < self.bounds.window);
-        if is_new { part.min(PART_AFTER_START) } else { part }
+        let part = if is_new { (part * SHARE_AFTER_START).floor().max(1.0) } else { part };
+        if counts { part.min(PART_WHILE_COUNTING) } else { part }
     }
 
     fn counts(&mut self, service: &ServiceName) -> &mut Counts {
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod attempts;
 mod budget;
+mod candidate;
 mod choice;
+mod deferral;
 mod directory;
 mod engine;
 mod events;
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -9,7 +9,8 @@
 
 use ringbend_types::{ServiceName, Timestamp};
 
-use crate::choice::{Wait, Wish, had_better_wait};
+use crate::choice::Wish;
+use crate::deferral::{Wait, had_better_wait};
 use crate::directory::Endpoint;
 use crate::engine::{EngineProfile, MOST_ENGINES};
 use crate::load::WorkId;
--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -137,7 +137,7 @@
 }
 
 /// Names that the file knows, for suggestions.
-const KNOWN_NAMES: [&str; 30] = [
+const KNOWN_NAMES: [&str; 32] = [
     "instance",
     "data_centre",
     "cpu_share",
@@ -161,6 +161,8 @@
     "part_ms",
     "free_ms",
     "longest_ms",
+    "dear",
+    "spare_ms",
     "full_share",
     "quiet_growth",
     "quiet_spare",
@@ -232,6 +234,8 @@
         ("placement.free_ms", "zero or more", is_span(w.free_ms)),
         ("placement.longest_ms", "above zero", w.longest_ms.is_finite() && w.longest_ms > 0.0),
         ("placement.full_share", "above 0, at most 1", w.full_share > 0.0 && w.full_share <= 1.0),
+        ("placement.dear", "zero or more", is_span(w.dear)),
+        ("placement.spare_ms", "zero or more", is_span(w.spare_ms)),
         ("placement.quiet_growth", "zero or more", is_span(w.quiet_growth)),
         ("placement.quiet_spare", "zero or more", is_span(w.quiet_spare)),
     ])
