--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -1,6 +1,6 @@
 //! The endpoints that are registered, and since when some of them are not.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -77,6 +77,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     entries: BTreeMap<EndpointId, Entry>,
+    /// Who is registered at each address. An instance that starts takes in some thousand endpoints, and
+    /// each is held against those at its address.
+    at_address: HashMap<SocketAddrV4, SmallVec<[EndpointId; 1]>>,
     former: BTreeMap<EndpointId, Former>,
     regained_at: Option<Timestamp>,
 }
@@ -104,9 +107,9 @@
 
     /// Takes in the whole list. Returns the endpoints whose processes it shows to have ended.
     pub fn replace(&mut self, now: Timestamp, all: Vec<Endpoint>) -> Ended {
-        let mut missing: Vec<EndpointId> = self.entries.keys().cloned().collect();
-        missing.retain(|id| !all.iter().any(|e| e.id == *id));
-        for id in missing {
+        let named: HashSet<&EndpointId> = all.iter().map(|endpoint| &endpoint.id).collect();
+        let missing = self.entries.keys().filter(|id| !named.contains(id));
+        for id in missing.cloned().collect::<Vec<_>>() {
             self.miss(now, &id);
         }
         all.into_iter().flat_map(|endpoint| self.present(now, endpoint)).collect()
@@ -154,25 +157,49 @@
         }
         let entry = Entry { endpoint, since, missing_until: None, replaced_by };
         self.former.remove(&entry.endpoint.id);
-        self.entries.insert(entry.endpoint.id.clone(), entry);
+        self.insert(entry);
         ended
     }
 
+    fn insert(&mut self, entry: Entry) {
+        let (id, address) = (entry.endpoint.id.clone(), entry.endpoint.address);
+        if let Some(before) = self.entries.insert(id.clone(), entry) {
+            self.leave_address(&before.endpoint);
+        }
+        self.at_address.entry(address).or_default().push(id);
+    }
+
+    fn leave_address(&mut self, endpoint: &Endpoint) {
+        if let Some(ids) = self.at_address.get_mut(&endpoint.address) {
+            ids.retain(|id| *id != endpoint.id);
+            if ids.is_empty() {
+                self.at_address.remove(&endpoint.address);
+            }
+        }
+    }
+
+    /// The endpoints at an address that no other one has taken over.
+    fn listening(&self, address: SocketAddrV4) -> impl Iterator<Item = &Entry> {
+        let ids = self.at_address.get(&address).into_iter().flatten();
+        ids.filter_map(|id| self.entries.get(id)).filter(|entry| entry.replaced_by.is_none())
+    }
+
     /// The endpoint of the same service that listens at this one's address.
     fn holder(&self, endpoint: &Endpoint) -> Option<&Endpoint> {
-        let others = self.entries.values().filter(|entry| entry.replaced_by.is_none());
-        others.map(|entry| &entry.endpoint).find(|other| other.is_at_address_of(endpoint))
+        let mut others = self.listening(endpoint.address).map(|entry| &entry.endpoint);
+        others.find(|other| other.is_at_address_of(endpoint))
     }
 
     /// Notes that an endpoint that has just started listens at its address, so whichever did before has
     /// ended. Only within a service: a row of a service that nobody knows proves nothing of others. Of
     /// two that were first seen together it is not known which started later.
     fn take_over(&mut self, now: Timestamp, endpoint: &Endpoint) -> Ended {
-        let mut ended = Ended::new();
-        for entry in self.entries.values_mut().filter(|entry| entry.since < now) {
-            if entry.replaced_by.is_none() && entry.endpoint.is_at_address_of(endpoint) {
+        let others = self.listening(endpoint.address).filter(|entry| entry.since < now);
+        let others = others.filter(|entry| entry.endpoint.is_at_address_of(endpoint));
+        let ended: Ended = others.map(|entry| entry.endpoint.id.clone()).collect();
+        for id in &ended {
+            if let Some(entry) = self.entries.get_mut(id) {
                 entry.replaced_by = Some(endpoint.id.clone());
-                ended.push(entry.endpoint.id.clone());
             }
         }
         ended
@@ -189,11 +216,15 @@
 
     fn remove(&mut self, now: Timestamp, id: &EndpointId) {
         let Some(entry) = self.entries.remove(id) else { return };
+        self.leave_address(&entry.endpoint);
         self.former.retain(|_, former| now < former.until);
         let former = Former { start: entry.endpoint.start, until: now + FORMER_TIME };
         self.former.insert(id.clone(), former);
-        for other in self.entries.values_mut() {
-            other.replaced_by.take_if(|by| by == id);
+        let at_address = self.at_address.get(&entry.endpoint.address).into_iter().flatten();
+        for other in at_address {
+            if let Some(other) = self.entries.get_mut(other) {
+                other.replaced_by.take_if(|by| by == id);
+            }
         }
     }
 
@@ -230,8 +261,7 @@
 
     /// The endpoint at an address.
     pub fn by_address(&self, address: SocketAddrV4) -> Option<&Endpoint> {
-        let mut listening = self.entries.values().filter(|e| e.replaced_by.is_none());
-        listening.find(|e| e.endpoint.address == address).map(|e| &e.endpoint)
+        self.listening(address).next().map(|entry| &entry.endpoint)
     }
 
     /// How many endpoints are registered, leaving ones included.
