refactor(gateway): one place decides whether a request runs again before its first run's end is known

Whether a silent run is replaced and whether a second run is begun beside one differ in what they take out of the budget alone. No behaviour changes: gateway/tests/repeats.rs, second_run.rs and platform/tests/restarting.rs pass as before.

--- a/crates/ringbend-gateway/src/attempts.rs
+++ b/crates/ringbend-gateway/src/attempts.rs
@@ -110,12 +110,7 @@
         service: &ServiceName,
         budget: &mut RepeatBudget,
     ) -> bool {
-        let may = self.repeat.may_repeat() && self.may_run_again() && now < self.deadline;
-        if may && budget.take(now, service) {
-            self.runs += 1;
-            return true;
-        }
-        false
+        self.runs_again(now, || budget.take(now, service))
     }
 
     /// Whether another run is begun beside one that is overdue. It counts as if the first one had been
@@ -126,12 +121,15 @@
         service: &ServiceName,
         budget: &mut RepeatBudget,
     ) -> bool {
+        self.runs_again(now, || budget.take_spare(now, service))
+    }
+
+    /// Whether there is another run before the first one's end is known; notes it if `take` has one.
+    fn runs_again(&mut self, now: Timestamp, take: impl FnOnce() -> bool) -> bool {
         let may = self.repeat.may_repeat() && self.may_run_again() && now < self.deadline;
-        if may && budget.take_spare(now, service) {
-            self.runs += 1;
-            return true;
-        }
-        false
+        let runs = may && take();
+        self.runs += u8::from(runs);
+        runs
     }
 
     /// Whether a run whose end is unknown may be followed by another.
