feat(relay): lines of a request tell its fingerprint, the same for each of its tries

Cause: two request ids could not be told to be the same request, so the lines could not separate a request that ends engines from engines that end by themselves. The lines "ended" and "send failed" carry it. Ruled out: a quick hash, as a caller could make up a request with the fingerprint of another's. No decision rests on it yet.

--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -4,14 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::ConnectionType;
+use actix_http::{ConnectionType, RequestHead};
 use futures_util::future::LocalBoxFuture;
 use rand::Rng;
 use ringbend_gateway::{Admitted, Arrival, Attempts, admit};
-use ringbend_runtime::{Handler, HttpRequest, HttpResponse, read_body};
+use ringbend_runtime::{Handler, HttpRequest, HttpResponse, read_body_with};
 use ringbend_types::Timestamp;
 
 use crate::fields::Millis;
+use crate::fingerprint::FingerprintMaker;
 use crate::life::{Life, Origin, Terms};
 use crate::node::Node;
 use crate::ports::Call;
@@ -85,15 +86,19 @@
         let limits = admitted.snapshot.limits;
         let deadline = arrived + admitted.route.timeout.min(patience(call));
         let time = deadline.since(self.node.clock.now());
-        let body = read_body(req.take_payload(), limits.body_bytes, time).await;
+        let mut maker =
+            FingerprintMaker::new(admitted.account.as_ref(), host(req.head()), req.head());
+        let show = |piece: &[u8]| maker.body(piece);
+        let body = read_body_with(req.take_payload(), limits.body_bytes, time, show).await;
         let body = body.map_err(|e| Refusal::from(&e))?;
+        let fingerprint = maker.finish();
         let draw = self.node.rng.borrow_mut().random::<f64>();
         let service = admitted.route.pick_service(draw).ok_or(Refusal::NoService)?.clone();
         let service = admitted.snapshot.service(&service).ok_or(Refusal::NoService)?.clone();
         self.node.budget.borrow_mut().request(self.node.clock.now(), &service.name);
         let Admitted { route, account, snapshot } = admitted;
         let attempts = Attempts::new(route.repeat, route.max_runs, deadline);
-        let origin = Origin { head: req.head().clone(), body };
+        let origin = Origin { head: req.head().clone(), body, fingerprint };
         let life = Life::new(
             self.node.clone(),
             call.clone(),
@@ -124,14 +129,18 @@
         arrived: Timestamp,
     ) -> Result<Admitted, Refusal> {
         let head = req.head();
-        let host = head.headers().get("host").and_then(|host| host.to_str().ok());
-        let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-        let arrival = Arrival { host, path: head.uri.path(), key: call.key.as_deref() };
+        let arrival = Arrival { host: host(head), path: head.uri.path(), key: call.key.as_deref() };
         let bounds = self.node.cfg.borrow().bounds.gate();
         admit(&self.node.replica.borrow(), arrived, &bounds, arrival).map_err(Refusal::Denied)
     }
 }
 
+/// The host that the caller means.
+fn host(head: &RequestHead) -> &str {
+    let named = head.headers().get("host").and_then(|host| host.to_str().ok());
+    named.or_else(|| head.uri.host()).unwrap_or_default()
+}
+
 /// How long the caller waits; as long as the route allows when it does not say.
 fn patience(call: &Call) -> Duration {
     call.patience.unwrap_or(Duration::MAX)
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod fetch;
 mod fields;
+mod fingerprint;
 mod granting;
 mod headers;
 mod hearing;
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -12,7 +12,7 @@
     Account, Attempts, ConfigVersion, Next, Route, SendEnd, Service, TrustEvent,
 };
 use ringbend_runtime::HttpResponse;
-use ringbend_types::{EndpointId, PromptBucket, RunState, Timestamp, TokenCount};
+use ringbend_types::{EndpointId, Fingerprint, PromptBucket, RunState, Timestamp, TokenCount};
 
 use crate::exchange::Answer;
 use crate::fields::Millis;
@@ -28,6 +28,8 @@
 pub(crate) struct Origin {
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
+    /// The same for the same request under another id.
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// What the configuration says about the request.
@@ -219,7 +221,8 @@
         let aim_ms = self.terms.route.aim.as_millis() as u64;
         let gap_aim_ms = self.gap().as_millis() as u64;
         log::info!(
-            target: "request", id, route:%, config:% = self.terms.version, outcome, ms, sends,
+            target: "request", id, fingerprint:% = self.origin.fingerprint, route:%,
+            config:% = self.terms.version, outcome, ms, sends,
             first_ms:%, gap_ms, aim_ms, gap_aim_ms;
             "ended"
         );
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -83,7 +83,8 @@
         }
         let end = if why.nothing_sent() { SendEnd::NotSent } else { SendEnd::Unknown };
         log::warn!(
-            target: "request", id = self.id(), endpoint:% = endpoint.id, why:%, end:? = end;
+            target: "request", id = self.id(), fingerprint:% = self.origin.fingerprint,
+            endpoint:% = endpoint.id, why:%, end:? = end;
             "send failed"
         );
         Failed::Send(end)
--- a/crates/ringbend-runtime/src/body.rs
+++ b/crates/ringbend-runtime/src/body.rs
@@ -37,13 +37,31 @@
 ///
 /// The body is too large, too slow, or broken.
 pub async fn read_body(payload: Payload, limit: usize, time: Duration) -> Result<Bytes, BodyError> {
-    match tokio::time::timeout(time, collect(payload, limit)).await {
+    read_body_with(payload, limit, time, |_| {}).await
+}
+
+/// The same, and shows each piece of the body as it comes.
+///
+/// # Errors
+///
+/// The body is too large, too slow, or broken.
+pub async fn read_body_with(
+    payload: Payload,
+    limit: usize,
+    time: Duration,
+    show: impl FnMut(&[u8]),
+) -> Result<Bytes, BodyError> {
+    match tokio::time::timeout(time, collect(payload, limit, show)).await {
         Ok(body) => body,
         Err(_) => Err(BodyError::TooSlow),
     }
 }
 
-async fn collect(mut payload: Payload, limit: usize) -> Result<Bytes, BodyError> {
+async fn collect(
+    mut payload: Payload,
+    limit: usize,
+    mut show: impl FnMut(&[u8]),
+) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
     let mut only = None;
     while let Some(chunk) = payload.next().await {
@@ -51,6 +69,7 @@
         if body.len() + only.as_ref().map_or(0, Bytes::len) + chunk.len() > limit {
             return Err(BodyError::TooLarge(limit));
         }
+        show(&chunk);
         if body.is_empty() && only.is_none() {
             // Most bodies are one chunk, which is kept as it is.
             only = Some(chunk);
--- a/crates/ringbend-runtime/src/lib.rs
+++ b/crates/ringbend-runtime/src/lib.rs
@@ -9,7 +9,7 @@
 mod server;
 mod timers;
 
-pub use body::{BodyError, read_body};
+pub use body::{BodyError, read_body, read_body_with};
 pub use clock::{Clock, unix_millis};
 pub use reply::{StreamError, StreamReply, empty, json, stream, text};
 pub use server::{Handler, HttpRequest, HttpResponse, Server, ServerConfig, serve};
--- a/crates/ringbend-types/src/lib.rs
+++ b/crates/ringbend-types/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! Nothing here does I/O or reads a clock: the driver passes a [`Timestamp`] and a seed in.
 
+mod fingerprint;
 mod id;
 mod quantity;
 mod run_state;
 mod seed;
 mod time;
 
+pub use fingerprint::{Fingerprint, ParseFingerprintError};
 pub use id::{
     AttemptId, ChangeId, ClassName, ClientAccountId, DataCentre, EndpointId, InstanceId, LeaseName,
     ModelName, ParseIdError, RequestId, RequestKey, ServiceName,
