--- a/crates/ringbend-runtime/src/clock.rs
+++ b/crates/ringbend-runtime/src/clock.rs
@@ -1,5 +1,6 @@
 //! The one place where clocks are read.
 
+use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use ringbend_types::Timestamp;
@@ -7,11 +8,20 @@
 /// A monotonic clock.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
-    /// What it showed at its start.
+    /// Reads the time since some moment that does not change while the process lives.
+    read: fn() -> Duration,
+    /// What that was at the start.
+    start: Duration,
+    /// What the clock showed at its start.
     at_start: Timestamp,
 }
 
+/// The machine's steady time, since the first time that it was asked for.
+fn steady_time() -> Duration {
+    static FIRST: OnceLock<Instant> = OnceLock::new();
+    FIRST.get_or_init(Instant::now).elapsed()
+}
+
 impl Clock {
     /// A clock that starts now, at zero.
     pub fn start() -> Self {
@@ -21,12 +31,17 @@
     /// A clock that starts now and shows `at_start`, so that moments up to so long before its start
     /// can be told.
     pub fn start_at(at_start: Timestamp) -> Self {
-        Self { start: Instant::now(), at_start }
+        Self::reading(steady_time, at_start)
+    }
+
+    /// A clock that goes by what `read` tells and shows `at_start` now.
+    pub fn reading(read: fn() -> Duration, at_start: Timestamp) -> Self {
+        Self { read, start: read(), at_start }
     }
 
     /// The time now.
     pub fn now(&self) -> Timestamp {
-        self.at_start + self.start.elapsed()
+        self.at_start + (self.read)().saturating_sub(self.start)
     }
 
     /// The time at the start.
@@ -34,11 +49,15 @@
         self.at_start
     }
 
-    /// The runtime's instant of a timestamp; that of the start for what lies before it.
+    /// The runtime's instant of a timestamp; now for what has passed.
     pub fn instant(&self, at: Timestamp) -> tokio::time::Instant {
         const FAR: Duration = Duration::from_secs(365 * 24 * 3600);
-        let offset = at.since(self.at_start).min(FAR);
-        tokio::time::Instant::from_std(self.start + offset)
+        tokio::time::Instant::now() + at.since(self.now()).min(FAR)
+    }
+
+    /// Waits until the clock shows `at`.
+    pub async fn sleep_until(&self, at: Timestamp) {
+        tokio::time::sleep_until(self.instant(at)).await;
     }
 }
 
