--- a/crates/ringbend-gateway/src/attempts.rs
+++ b/crates/ringbend-gateway/src/attempts.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Notes that a send was broken off here: what came of it is not known.
+    pub fn broken_off(&mut self) {
+        self.runs += 1;
+    }
+
     /// Whether a run that has been silent for long is given up for another one. If not, it is waited
     /// for: silence alone is no reason to end an answer.
     pub fn replace_silent(
--- a/crates/ringbend-gateway/src/candidate.rs
+++ b/crates/ringbend-gateway/src/candidate.rs
@@ -8,7 +8,7 @@
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
 use crate::load::{EndpointLoad, Writer};
-use crate::view::{View, room, spread};
+use crate::view::{View, beside_suspect, room, spread};
 use crate::weights::PlacementWeights;
 
 /// The gap of tight requests that are still to come.
@@ -82,7 +82,7 @@
             reading_ms: pace * load.readers().map(|reader| millis(reader.left)).fold(0.0, f64::max),
             kept_for,
             quiet: load.quiet(),
-            fixed: far + tried + distrust,
+            fixed: far + tried + distrust + beside_suspect(view, &endpoint.id),
             spread: view.alone.map_or(0.0, |draw| spread(draw, &endpoint.id)),
         }
     }
--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -16,7 +16,7 @@
 use crate::engine::{EngineProfile, MOST_ENGINES};
 use crate::load::Held;
 use crate::quiet::quiet_engines;
-use crate::view::{View, room};
+use crate::view::{View, beside_suspect, room};
 use crate::weights::PlacementWeights;
 
 /// What is asked of the endpoints.
@@ -243,7 +243,8 @@
         let far = if e.data_centre == *view.home { 0.0 } else { FAR_COST };
         let tried = if view.tried.contains(&e.id) { TRIED_COST } else { 0.0 };
         let distrust = view.trust.distrust(view.now, &e.id) * DISTRUST_COST;
-        open / f64::from(e.slots.max(1)) + far + tried + distrust
+        let beside = beside_suspect(view, &e.id);
+        open / f64::from(e.slots.max(1)) + far + tried + distrust + beside
     };
     let costs = candidates.iter().map(|e| (cost(e), *e));
     let (cost, best) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -235,6 +235,14 @@
         is_later || entry.replaced_by.is_some()
     }
 
+    /// Whether an endpoint is registered as it was known, and neither leaves nor is missing: if its process
+    /// ends, nobody meant it to.
+    pub fn is_settled(&self, endpoint: &Endpoint) -> bool {
+        let Some(entry) = self.entries.get(&endpoint.id) else { return false };
+        let is_same = entry.endpoint.start == endpoint.start;
+        is_same && !entry.endpoint.leaving && entry.missing_until.is_none()
+    }
+
     /// The endpoints of a service that take new work.
     pub fn of_service<'a>(
         &'a self,
--- a/crates/ringbend-gateway/src/job.rs
+++ b/crates/ringbend-gateway/src/job.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ringbend_types::{EndpointId, ServiceName, Timestamp};
+use ringbend_types::{EndpointId, Fingerprint, ServiceName, Timestamp};
 use smallvec::SmallVec;
 
 use crate::choice::{Demand, Placement, Wish, stake};
@@ -33,6 +33,8 @@
     pub tried: SmallVec<[EndpointId; 4]>,
     /// Whether it is placed at once, however long its prompt is: its stream has begun.
     pub at_once: bool,
+    /// Set if endpoints ended that ran the request: it runs on one at a time, apart from other suspects.
+    pub suspect: Option<Fingerprint>,
 }
 
 impl Job {
@@ -56,6 +58,7 @@
             first_by: self.first_by,
             stake: stake(w, demand.prompt_tokens),
             until: self.deadline,
+            suspect: self.suspect,
         }
     }
 }
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use ringbend_types::{EndpointId, Timestamp};
+use ringbend_types::{EndpointId, Fingerprint, Timestamp};
 use smallvec::SmallVec;
 
 use crate::pace::Pace;
@@ -41,6 +41,8 @@
     pub until: Timestamp,
     /// Whether its prompt is long: it waited for its turn and is kept off quiet engines.
     pub long: bool,
+    /// The request, if it is suspected of ending endpoints.
+    pub suspect: Option<Fingerprint>,
 }
 
 /// Memory on a helper that holds a part of a prompt which is too large for its lead.
@@ -318,6 +320,8 @@
         let known = self.open.get(&id).map(|open| &open.work);
         if known.is_none_or(|known| known.lead != work.lead || known.helpers != work.helpers) {
             self.place(now, id, work);
+        } else if let Some(fingerprint) = work.suspect {
+            self.mark_suspect(id, fingerprint);
         }
         if writing {
             self.first_event(id);
@@ -364,6 +368,24 @@
         }
     }
 
+    /// Notes that open work belongs to a suspect.
+    pub fn mark_suspect(&mut self, id: WorkId, fingerprint: Fingerprint) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.work.suspect = Some(fingerprint);
+        }
+    }
+
+    /// Whether a suspect is open on any endpoint.
+    pub fn is_open(&self, suspect: Fingerprint) -> bool {
+        self.open.values().any(|open| open.work.suspect == Some(suspect))
+    }
+
+    /// Whether a suspect is open on this endpoint.
+    pub fn has_suspect(&self, endpoint: &EndpointId) -> bool {
+        let suspects = self.open.values().filter(|open| open.work.suspect.is_some());
+        suspects.flat_map(|open| open.work.endpoints()).any(|on| on == endpoint)
+    }
+
     /// Forgets the work on an endpoint whose process has ended: what it led is over, and what it was to
     /// read of others will not be read.
     pub fn lose_endpoint(&mut self, now: Timestamp, endpoint: &EndpointId) {
--- a/crates/ringbend-gateway/src/outbox.rs
+++ b/crates/ringbend-gateway/src/outbox.rs
@@ -1,6 +1,6 @@
 //! What is still to be told to other instances.
 
-use ringbend_types::{EndpointId, EndpointStart};
+use ringbend_types::{EndpointId, EndpointStart, Fingerprint};
 
 use crate::load::WorkId;
 use crate::pace::Pace;
@@ -30,4 +30,8 @@
     pub gone: Vec<u64>,
     /// How this instance's requests went at endpoints; for the one that schedules for it.
     pub results: Vec<(EndpointId, TrustEvent)>,
+    /// Requests that are suspected of ending endpoints, or no more, for all instances.
+    pub suspicions: Vec<Fingerprint>,
+    /// The same, for those of this data centre that do not schedule.
+    pub suspicions_at_home: Vec<Fingerprint>,
 }
--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -5,6 +5,8 @@
 
 mod roles;
 
+pub use roles::Arbiter;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
--- a/crates/ringbend-gateway/src/peers/roles.rs
+++ b/crates/ringbend-gateway/src/peers/roles.rs
@@ -15,6 +15,15 @@
 /// may have named others, which are being greeted.
 const UNSERVED_TIME: Duration = Duration::from_millis(300);
 
+/// The instance that places all suspects of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arbiter {
+    /// This one.
+    Own,
+    /// The one that listens there.
+    At(SocketAddrV4),
+}
+
 impl Peers {
     /// Whether this instance schedules.
     pub fn schedules(&self) -> bool {
@@ -125,6 +134,31 @@
         service: &ServiceName,
         asked: &[SocketAddrV4],
     ) -> Option<SocketAddrV4> {
+        match self.placing_for(now, service, asked, true) {
+            Some(Arbiter::At(address)) => Some(address),
+            Some(Arbiter::Own) | None => None,
+        }
+    }
+
+    /// The instance that places the suspects of a service for all, but for those in `asked`, so that two
+    /// tries of one request cannot begin at once, nor two suspects on one engine. None if no instance that
+    /// schedules is heard and this one does not.
+    pub fn arbiter(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        asked: &[SocketAddrV4],
+    ) -> Option<Arbiter> {
+        self.placing_for(now, service, asked, self.schedules())
+    }
+
+    fn placing_for(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        asked: &[SocketAddrV4],
+        with_own: bool,
+    ) -> Option<Arbiter> {
         let rank = |standing: &Standing| {
             let mut hasher = DefaultHasher::new();
             (service.as_str(), standing.address()).hash(&mut hasher);
@@ -135,8 +169,8 @@
         };
         let others = self.there(now).filter(|(address, peer)| usable(address, peer));
         let others = others.map(|(address, peer)| Standing::new(peer.capacity, address));
-        let planner = others.chain([self.own]).min_by_key(rank)?;
-        (planner != self.own).then(|| planner.address())
+        let best = others.chain(with_own.then_some(self.own)).min_by_key(rank)?;
+        Some(if best == self.own { Arbiter::Own } else { Arbiter::At(best.address()) })
     }
 
     /// The scheduler that asks an engine how it is; none if it is this instance. Engines are spread over
--- /dev/null
+++ b/crates/ringbend-gateway/src/quarantine.rs
@@ -0,0 +1,240 @@
+//! Which requests have ended the engines that ran them, over all tries of their callers and all instances.
+//!
+//! A request is known by its fingerprint. Each process of an endpoint that ended while it ran the request
+//! is a strike. One strike makes a suspect: most suspects only ran beside the request that is to blame, and
+//! are cleared by the first run that ends well anywhere. With `HELD_AT` strikes the request is held: it is
+//! sent to no endpoint any more, but for a few tries long afterwards.
+//!
+//! What is known of a request only grows within a round, and a later round goes before an earlier one. So
+//! instances can tell each other in any order, more than once, and end up with the same.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ringbend_types::{EndpointId, EndpointStart, Fingerprint, Timestamp};
+use smallvec::SmallVec;
+
+/// Strikes that hold a request. Two are no proof: an endpoint that ends by itself strikes all that run on it,
+/// and some of those meet a second one. Three in a row, each apart from other suspects, were seen in no run
+/// in which endpoints ended by themselves.
+pub const HELD_AT: usize = 3;
+
+/// How long after its last strike or try a held request is tried again, once for each entry: endpoints of
+/// another version may run it well. Few, as each try may end an endpoint with all that runs there.
+const TRIES_AFTER: [Duration; 2] = [Duration::from_secs(60), Duration::from_secs(600)];
+
+/// How long a suspect is remembered after its last strike, and one that was cleared. Longer than callers go on
+/// coming back with one request.
+const SUSPECT_TIME: Duration = Duration::from_secs(120);
+
+/// How long a held request is remembered after its last strike or try.
+const HELD_TIME: Duration = Duration::from_secs(24 * 3600);
+
+/// The most requests that are remembered; some 150 bytes each. What gives way first has the fewest strikes,
+/// and of those the oldest.
+const MOST_KEPT: usize = 4_096;
+
+/// What was noted within this time is told again with each heartbeat, as datagrams are lost. Longer than
+/// an instance may be silent before it counts as gone; one that comes back after that is told all.
+const TOLD_AGAIN: Duration = Duration::from_secs(5);
+
+/// The process of an endpoint that ended.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EndedProcess {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// When the process had started, if endpoints tell.
+    pub start: Option<EndpointStart>,
+}
+
+/// What is known of one request, as instances tell each other.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspicion {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Raised each time that it is cleared.
+    pub round: u32,
+    /// The processes that ended while they ran it, in order; `HELD_AT` at most.
+    pub ended: SmallVec<[EndedProcess; HELD_AT]>,
+    /// How often it was tried since it is held.
+    pub tries: u8,
+}
+
+/// What follows for a request from what is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuspectState {
+    /// Nothing is known against it.
+    Clear,
+    /// It ran on so many endpoints that ended: it runs on one at a time, apart from other suspects.
+    Suspect(usize),
+    /// It is sent to no endpoint.
+    Held,
+}
+
+#[derive(Debug, Clone)]
+struct Record {
+    suspicion: Suspicion,
+    /// When this instance last heard something new.
+    changed: Timestamp,
+}
+
+impl Record {
+    fn is_held(&self) -> bool {
+        self.suspicion.ended.len() >= HELD_AT
+    }
+
+    fn lasts(&self) -> Duration {
+        if self.is_held() { HELD_TIME } else { SUSPECT_TIME }
+    }
+}
+
+/// The requests that are suspected or held.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    records: HashMap<Fingerprint, Record>,
+}
+
+impl Quarantine {
+    /// What follows for a request.
+    pub fn state(&self, fingerprint: Fingerprint) -> SuspectState {
+        let strikes = self.records.get(&fingerprint).map_or(0, |r| r.suspicion.ended.len());
+        match strikes {
+            0 => SuspectState::Clear,
+            strikes if strikes < HELD_AT => SuspectState::Suspect(strikes),
+            _ => SuspectState::Held,
+        }
+    }
+
+    /// Notes that a process ended while it ran the request. Returns whether that is new.
+    pub fn strike(&mut self, now: Timestamp, of: Fingerprint, process: EndedProcess) -> bool {
+        let (round, tries) =
+            self.records.get(&of).map_or((0, 0), |r| (r.suspicion.round, r.suspicion.tries));
+        let ended = [process].into_iter().collect();
+        self.merge(now, &Suspicion { fingerprint: of, round, ended, tries })
+    }
+
+    /// Notes that a run of the request ended well. Returns whether anything was held against it.
+    pub fn clear(&mut self, now: Timestamp, of: Fingerprint) -> bool {
+        let Some(record) = self.records.get_mut(&of) else { return false };
+        if record.suspicion.ended.is_empty() {
+            return false;
+        }
+        record.suspicion.round += 1;
+        record.suspicion.ended.clear();
+        record.suspicion.tries = 0;
+        record.changed = now;
+        true
+    }
+
+    /// Takes in what another instance knows. Returns whether any of it is new.
+    pub fn merge(&mut self, now: Timestamp, told: &Suspicion) -> bool {
+        let Some(record) = self.records.get_mut(&told.fingerprint) else {
+            self.insert(now, told.clone());
+            return true;
+        };
+        let known = &mut record.suspicion;
+        if told.round < known.round {
+            return false;
+        }
+        if told.round > known.round {
+            *known = told.clone();
+            record.changed = now;
+            return true;
+        }
+        let before = (known.ended.len(), known.tries);
+        for process in &told.ended {
+            if known.ended.len() < HELD_AT && !known.ended.contains(process) {
+                known.ended.push(process.clone());
+            }
+        }
+        known.tries = known.tries.max(told.tries);
+        let is_new = (known.ended.len(), known.tries) != before;
+        if is_new {
+            record.changed = now;
+        }
+        is_new
+    }
+
+    fn insert(&mut self, now: Timestamp, told: Suspicion) {
+        if self.records.len() >= MOST_KEPT {
+            self.make_room(now);
+        }
+        self.records.insert(told.fingerprint, Record { suspicion: told, changed: now });
+    }
+
+    fn make_room(&mut self, now: Timestamp) {
+        self.sweep(now);
+        let least = |(_, r): &(&Fingerprint, &Record)| (r.suspicion.ended.len(), r.changed);
+        while self.records.len() >= MOST_KEPT {
+            let Some(least) = self.records.iter().min_by_key(least).map(|(id, _)| *id) else {
+                return;
+            };
+            self.records.remove(&least);
+        }
+    }
+
+    /// Forgets what was noted long ago.
+    pub fn sweep(&mut self, now: Timestamp) {
+        self.records.retain(|_, record| now.since(record.changed) < record.lasts());
+    }
+
+    /// The number, from one, of the try that a held request is due; none if it is not.
+    pub fn try_due(&self, now: Timestamp, of: Fingerprint) -> Option<u8> {
+        let (at, number) = self.next_try(of)?;
+        (at <= now).then_some(number)
+    }
+
+    /// How long until a held request may be tried; none if it never is.
+    pub fn until_try(&self, now: Timestamp, of: Fingerprint) -> Option<Duration> {
+        self.next_try(of).map(|(at, _)| at.since(now))
+    }
+
+    fn next_try(&self, of: Fingerprint) -> Option<(Timestamp, u8)> {
+        let record = self.records.get(&of).filter(|record| record.is_held())?;
+        let tries = record.suspicion.tries;
+        let after = TRIES_AFTER.get(usize::from(tries))?;
+        Some((record.changed + *after, tries + 1))
+    }
+
+    /// Notes that some instance has the try of this number.
+    pub fn tried(&mut self, now: Timestamp, of: Fingerprint, number: u8) {
+        if let Some(record) = self.records.get_mut(&of)
+            && record.suspicion.tries < number
+        {
+            record.suspicion.tries = number;
+            record.changed = now;
+        }
+    }
+
+    /// What is known of a request.
+    pub fn of(&self, fingerprint: Fingerprint) -> Option<&Suspicion> {
+        self.records.get(&fingerprint).map(|record| &record.suspicion)
+    }
+
+    /// All that an instance needs to know which has just started: what has two strikes or more.
+    pub fn grave(&self) -> impl Iterator<Item = &Suspicion> {
+        self.records.values().map(|r| &r.suspicion).filter(|s| s.ended.len() + 1 >= HELD_AT)
+    }
+
+    /// What was noted lately and matters most, to be told again.
+    pub fn recent(&self, now: Timestamp) -> impl Iterator<Item = &Suspicion> {
+        let is_recent = move |record: &&Record| now.since(record.changed) < TOLD_AGAIN;
+        let recent = self.records.values().filter(is_recent).map(|record| &record.suspicion);
+        recent.filter(|s| s.ended.len() + 1 >= HELD_AT || (s.ended.is_empty() && s.round > 0))
+    }
+
+    /// How many requests are held.
+    pub fn held(&self) -> usize {
+        self.records.values().filter(|record| record.is_held()).count()
+    }
+
+    /// How many are remembered, those that were cleared included.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- a/crates/ringbend-gateway/src/view.rs
+++ b/crates/ringbend-gateway/src/view.rs
@@ -36,6 +36,18 @@
     pub trust: &'a TrustBook,
     /// Endpoints that this request was sent to before.
     pub tried: &'a [EndpointId],
+    /// Whether the request is suspected of ending endpoints.
+    pub is_suspect: bool,
+}
+
+/// What it costs to put a suspect beside another, in stakes: more than to be late, and less than to leave
+/// the last endpoint. If the endpoint ends, neither can be told from the other.
+const BESIDE_SUSPECT_COST: f64 = 20.0;
+
+/// What it costs that a suspect is on the endpoint already.
+pub(crate) fn beside_suspect(view: View<'_>, endpoint: &EndpointId) -> f64 {
+    let is_beside = view.is_suspect && view.load.has_suspect(endpoint);
+    if is_beside { BESIDE_SUSPECT_COST } else { 0.0 }
 }
 
 /// Memory that is free on an engine, in tokens.
--- a/crates/ringbend-gateway/tests/start.rs
+++ b/crates/ringbend-gateway/tests/start.rs
@@ -96,6 +96,7 @@
         stake: stake(&scene.weights, demand.prompt_tokens),
         until: scene.now + ms(10_000),
         long: false,
+        suspect: None,
     }
 }
 
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -72,6 +72,7 @@
         stake: 1.0,
         until: at(2_000_000),
         long: false,
+        suspect: None,
     }
 }
 
@@ -115,6 +116,7 @@
             weights: &self.weights,
             trust: &self.trust,
             tried: &[],
+            is_suspect: false,
         }
     }
 }
--- a/crates/ringbend-relay/src/asking.rs
+++ b/crates/ringbend-relay/src/asking.rs
@@ -130,6 +130,7 @@
             return match grant.verdict() {
                 Verdict::TooLate => Some(Err(Denied::NoTurn)),
                 Verdict::NoEndpoint => Some(Err(Denied::NoEndpoint)),
+                Verdict::Held => Some(Err(Denied::Held)),
                 _ => Some(Ok(self.take_grant(id, &grant, asked.len() > 1)?)),
             };
         }
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -99,7 +99,7 @@
         let Admitted { route, account, snapshot } = admitted;
         let attempts = Attempts::new(route.repeat, route.max_runs, deadline);
         let origin = Origin { head: req.head().clone(), body, fingerprint };
-        let life = Life::new(
+        let mut life = Life::new(
             self.node.clone(),
             call.clone(),
             origin,
@@ -108,6 +108,9 @@
             arrived,
             open,
         );
+        if life.is_held() {
+            life.is_try = self.node.claim_try(fingerprint).await;
+        }
         Ok(life.run().await)
     }
 
--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -86,7 +86,7 @@
                 return Ask::Store(Duration::ZERO);
             }
             tokio::select! {
-                () = tokio::time::sleep_until(node.clock.instant(due)) => {}
+                () = node.clock.sleep_until(due) => {}
                 () = self.news(node) => return Ask::Peers,
             }
         }
--- /dev/null
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -0,0 +1,150 @@
+//! What an endpoint's process does to the requests on it when it ends.
+//!
+//! A connection that breaks proves nothing: engines cut answers, connections are reset, and engines leave.
+//! That a process has ended is proved by its address, which refuses connections right after one broke; or by
+//! its own later word or that of the one that took its place. Where neither comes, nothing is held against
+//! the request: a strike that is missed costs one more engine, a wrong one may hold up a request that harms
+//! nobody. A process that leaves is meant to end, so its end is no strike either.
+
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ringbend_gateway::{EndedProcess, Endpoint};
+use ringbend_types::{Fingerprint, Timestamp};
+use tokio::net::TcpStream;
+
+use crate::life::Life;
+use crate::node::Node;
+use crate::silence::Broken;
+
+/// How long an endpoint is given to take or refuse a connection: within a region it takes some
+/// milliseconds, and the request waits for it.
+const LOOK_TIME: Duration = Duration::from_millis(100);
+
+/// How long what was found holds for others whose connections broke: those of one process break together.
+const FOUND_TIME: Duration = Duration::from_millis(300);
+
+/// A stream that has been written for so long did not end its engine: one that does ends it as soon as it has
+/// begun. Keeps the strikes off long answers, which meet most ends of engines.
+const HARMLESS_AFTER: Duration = Duration::from_secs(1);
+
+/// What came of a look at an endpoint's address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Found {
+    /// Somebody listens.
+    Listening,
+    /// Nobody does.
+    Refused,
+    /// No answer.
+    Silent,
+}
+
+struct Lookup {
+    at: Timestamp,
+    /// None while it is looked at.
+    found: Option<Found>,
+}
+
+/// The endpoints that were lately looked at.
+#[derive(Default)]
+pub(crate) struct Lookups(HashMap<SocketAddrV4, Lookup>);
+
+impl Node {
+    /// Looks whether an endpoint's process is there; the first of those that ask at once looks for all.
+    async fn look_at(self: &Rc<Self>, address: SocketAddrV4) -> Found {
+        let now = self.clock.now();
+        let known = self.lookups.borrow().0.get(&address).map(|lookup| (lookup.at, lookup.found));
+        match known {
+            Some((at, Some(found))) if now.since(at) < FOUND_TIME => return found,
+            Some((at, None)) if now.since(at) < FOUND_TIME => {}
+            _ => return self.connect_to(now, address).await,
+        }
+        let until = now + LOOK_TIME;
+        while self.clock.now() < until {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            if let Some(found) = self.lookups.borrow().0.get(&address).and_then(|l| l.found) {
+                return found;
+            }
+        }
+        Found::Silent
+    }
+
+    async fn connect_to(&self, now: Timestamp, address: SocketAddrV4) -> Found {
+        let lookup = Lookup { at: now, found: None };
+        {
+            let lookups = &mut self.lookups.borrow_mut().0;
+            lookups.retain(|_, lookup| now.since(lookup.at) < FOUND_TIME);
+            lookups.insert(address, lookup);
+        }
+        let connected = tokio::time::timeout(LOOK_TIME, TcpStream::connect(address)).await;
+        let found = match connected {
+            Ok(Ok(_)) => Found::Listening,
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Found::Refused,
+            Ok(Err(_)) | Err(_) => Found::Silent,
+        };
+        if let Some(lookup) = self.lookups.borrow_mut().0.get_mut(&address) {
+            lookup.found = Some(found);
+        }
+        found
+    }
+
+    /// Looks whether endpoints on which a request broke off have ended, and notes it if they have. Goes on
+    /// though the request's caller leaves.
+    async fn look_for_ends(self: Rc<Self>, on: Vec<Endpoint>, of: Fingerprint) {
+        for endpoint in on {
+            let found = self.look_at(endpoint.address).await;
+            let is_settled = self.directory.borrow().is_settled(&endpoint);
+            log::info!(
+                target: "endpoints", endpoint:% = endpoint.id, fingerprint:% = of, found:?, is_settled;
+                "broke off"
+            );
+            if found == Found::Refused && is_settled {
+                self.strike(of, &endpoint);
+            }
+        }
+    }
+
+    /// Notes that an endpoint's process ended while it ran a request.
+    pub(crate) fn strike(self: &Rc<Self>, of: Fingerprint, endpoint: &Endpoint) {
+        let process = EndedProcess { endpoint: endpoint.id.clone(), start: endpoint.start };
+        let now = self.clock.now();
+        if self.quarantine.borrow_mut().strike(now, of, process) {
+            self.metrics.strike();
+            self.changed_suspect(of, true);
+            self.keep_suspect(of);
+        }
+    }
+}
+
+impl Life {
+    /// Whether the request may be to blame if an engine ends on which it runs now.
+    fn may_be_to_blame(&self) -> bool {
+        let now = self.node.clock.now();
+        self.writes_since.is_none_or(|since| now.since(since) < HARMLESS_AFTER)
+    }
+
+    /// Finds out whether a send broke because endpoints ended, before it is sent elsewhere.
+    pub(crate) async fn find_cause(&self, on: &[Endpoint], why: &Broken) {
+        if !self.may_be_to_blame() {
+            return;
+        }
+        let of = self.origin.fingerprint;
+        match why {
+            Broken::Exchange(e) if !e.nothing_sent() => {
+                let looking = self.node.clone().look_for_ends(on.to_vec(), of);
+                if tokio::task::spawn_local(looking).await.is_err() {
+                    log::debug!(target: "endpoints", id = self.id(); "the look was cut short");
+                }
+            }
+            Broken::Ended => {
+                let node = &self.node;
+                let has_ended = |endpoint: &&Endpoint| node.directory.borrow().has_ended(endpoint);
+                on.iter().filter(has_ended).for_each(|endpoint| node.strike(of, endpoint));
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/ringbend-relay/src/granting.rs
+++ b/crates/ringbend-relay/src/granting.rs
@@ -133,10 +133,10 @@
         };
         let engine = service.engine;
         let plans = ask.owner.is_some();
-        if !plans {
+        if !plans && job.suspect.is_none() {
             self.grants.borrow_mut().serve(id.instance);
         }
-        let waits = !job.at_once && self.is_long(&job, engine);
+        let waits = job.suspect.is_some() || (!job.at_once && self.is_long(&job, engine));
         let until = job.deadline;
         if !waits {
             let grant = self.grant(id, &job, self.place_now(id, &job, engine));
@@ -162,9 +162,10 @@
         engine: Option<EngineProfile>,
         plans: bool,
     ) {
-        let placed = match plans {
-            true => self.place_in_turn(id, &job, engine).await,
-            false => self.plan(id, &job, engine).await,
+        let placed = match (job.suspect, plans) {
+            (Some(of), _) => self.place_suspect(id, &job, engine, of).await,
+            (None, true) => self.place_in_turn(id, &job, engine).await,
+            (None, false) => self.plan(id, &job, engine).await,
         };
         let grant = self.grant(id, &job, placed);
         self.tell(&LoadDigest { grants: vec![grant.clone()], ..self.digest() }, from);
@@ -182,6 +183,7 @@
                 return verdict(id, Verdict::TooLate);
             }
             Err(Denied::NoEndpoint) => return verdict(id, Verdict::NoEndpoint),
+            Err(Denied::Held) => return verdict(id, Verdict::Held),
         };
         log::debug!(target: "peers", request = job.request.as_ref(); "granted");
         let load = self.load.borrow();
--- a/crates/ringbend-relay/src/hearing.rs
+++ b/crates/ringbend-relay/src/hearing.rs
@@ -56,6 +56,7 @@
             let (own, peers) = (Timestamp(own), Timestamp(digest.clock_us));
             self.readers.borrow_mut().pair(start, own, peers);
         }
+        self.note_suspicions(digest, role_of(digest) == Role::Scheduler);
         self.note_work(now, from, digest);
         for start in &digest.gone {
             self.load.borrow_mut().forget_instance(now, *start);
@@ -162,7 +163,7 @@
             ..self.introduction()
         };
         let work = if schedules { self.work_of_home() } else { Vec::new() };
-        for digest in self.with_work(answer, work) {
+        for digest in self.with_work(answer, work).into_iter().chain(self.all_suspects()) {
             self.tell(&digest, from);
         }
     }
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod config;
 mod copies;
+mod crashes;
 mod doors;
 mod ends;
 mod exchange;
@@ -18,6 +19,7 @@
 mod headers;
 mod hearing;
 mod joining;
+mod keeping;
 mod life;
 mod link;
 mod memory;
@@ -33,6 +35,7 @@
 mod sending;
 mod silence;
 mod streams;
+mod suspects;
 mod telling;
 mod turns;
 mod watch;
@@ -40,7 +43,7 @@
 pub use config::{BoundsConfig, ListenConfig, RelayConfig, RelayConfigError, StoreConfig};
 pub use ports::{
     AnswerFacts, BadCall, BadRow, Batch, Call, ConfigDecoder, ConfigItem, ConfigSource, Cursor,
-    Dialect, EndpointSource, Helper, MemoryOrder, OrderCall, Presence, Present, Report, ReportCall,
-    SendOrder, Source, SourceError,
+    Dialect, EndpointSource, Helper, Keeper, KeptRow, MemoryOrder, OrderCall, Presence, Present,
+    Report, ReportCall, SendOrder, Source, SourceError,
 };
 pub use relay::{Ports, Relay, RelayError, Stopped};
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -53,6 +53,10 @@
     /// When an endpoint said that it may have room.
     pub(crate) hint: Option<Duration>,
     ended: bool,
+    /// Since when the run that writes its stream does so.
+    pub(crate) writes_since: Option<Timestamp>,
+    /// Whether it is the try of a held request.
+    pub(crate) is_try: bool,
     pace: Pace,
     /// The pauses of its stream, as far as they tell of its engine.
     pub(crate) pauses: PauseCount,
@@ -103,6 +107,8 @@
             failed,
             hint,
             ended,
+            writes_since: None,
+            is_try: false,
             pace: Pace::default(),
             pauses: PauseCount::default(),
             _open: open,
@@ -135,6 +141,13 @@
                     state => Refusal::of_state(state),
                 })
             }
+            Failed::Held => {
+                self.hint = self.until_try();
+                Some(match self.attempts.run_state() {
+                    RunState::NotRun => Refusal::Held,
+                    state => Refusal::of_state(state),
+                })
+            }
             Failed::NoMemory | Failed::NoEndpoint => match self.attempts.run_state() {
                 RunState::NotRun => Some(Refusal::NoEndpoint),
                 state => Some(Refusal::of_state(state)),
@@ -147,6 +160,12 @@
         }
     }
 
+    /// How long until a held request may be tried again.
+    fn until_try(&self) -> Option<Duration> {
+        let (now, of) = (self.node.clock.now(), self.origin.fingerprint);
+        self.node.quarantine.borrow().until_try(now, of)
+    }
+
     /// When a prompt that the engines have no time for may find some: what they are busy with now has
     /// aims like its own. Spread, so that those who are refused together do not return together.
     fn come_back(&self) -> Duration {
@@ -266,6 +285,7 @@
             return Err(Failed::Send(SendEnd::FailedAnswer));
         }
         self.trust(&run.endpoint.id, TrustEvent::Good);
+        self.node.clear_suspect(self.origin.fingerprint);
         Ok(Reply::Whole(res, status))
     }
 }
@@ -286,6 +306,8 @@
     NoEndpoint,
     /// Engines had too little memory to hold; nothing was sent.
     NoMemory,
+    /// It is held, as it ends endpoints.
+    Held,
     /// Another send takes its place.
     Replaced,
     /// It ended like this.
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -1,6 +1,7 @@
 //! What all parts of one relay share.
 
 use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,21 +11,23 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Directory, LoadBook, Outbox, PaceAsks, Peers, Readers, RepeatBudget, Replica, Standing,
-    TrustBook, WorkId, asking_factor,
+    Directory, LoadBook, Outbox, PaceAsks, Peers, Quarantine, Readers, RepeatBudget, Replica,
+    Standing, TrustBook, WorkId, asking_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
-use ringbend_types::Timestamp;
+use ringbend_types::{Fingerprint, Timestamp};
 use ringbend_wire::EndpointChanges;
 use tokio::sync::Notify;
 
 use crate::asking::Asks;
 use crate::config::RelayConfig;
+use crate::crashes::Lookups;
 use crate::granting::Grants;
+use crate::keeping::LEARN_TIME;
 use crate::link::{Link, Signals};
 use crate::memory::HeldMemory;
-use crate::ports::{ConfigDecoder, Cursor, Dialect, Present};
+use crate::ports::{ConfigDecoder, Cursor, Dialect, Keeper, Present};
 
 /// One relay's state. It lives on one thread.
 pub(crate) struct Node {
@@ -86,6 +89,17 @@
     pub(crate) endpoint_ended: Notify,
     /// Endpoint changes that others have not been told yet.
     pub(crate) endpoint_changes: RefCell<Option<EndpointChanges>>,
+    /// Requests that are suspected of ending endpoints, or held for it.
+    pub(crate) quarantine: RefCell<Quarantine>,
+    /// Told when a request is held that was not.
+    pub(crate) held_news: Notify,
+    /// Whether this instance knows what there was to know of suspects when it started.
+    pub(crate) knows_suspects: Cell<bool>,
+    pub(crate) keeper: Rc<dyn Keeper>,
+    /// Endpoints that were looked at as their connections broke.
+    pub(crate) lookups: RefCell<Lookups>,
+    /// The requests whose sends are open here.
+    pub(crate) sends: RefCell<HashMap<WorkId, Fingerprint>>,
     pub(crate) metrics: Metrics,
     pub(crate) http: ServiceConfig,
     /// When a stop was asked for.
@@ -110,6 +124,7 @@
         clock: Clock,
         dialect: Rc<dyn Dialect>,
         decoder: Rc<dyn ConfigDecoder>,
+        keeper: Rc<dyn Keeper>,
     ) -> Rc<Self> {
         let incarnation = rand::random();
         let budget = RepeatBudget::new(cfg.bounds.budget());
@@ -152,6 +167,12 @@
             endpoints_cursor: Cell::default(),
             endpoint_ended: Notify::new(),
             endpoint_changes: RefCell::default(),
+            quarantine: RefCell::default(),
+            held_news: Notify::new(),
+            knows_suspects: Cell::new(false),
+            keeper,
+            lookups: RefCell::default(),
+            sends: RefCell::default(),
             metrics: Metrics::default(),
             http: ServiceConfig::default(),
             stopping: Cell::new(None),
@@ -169,14 +190,20 @@
     /// Whether new callers should come here.
     pub(crate) fn is_ready(&self) -> bool {
         let age = self.replica.borrow().age(self.clock.now());
-        let known = !self.directory.borrow().is_empty();
+        let known = !self.directory.borrow().is_empty() && self.may_serve_unknown();
         self.stopping.get().is_none() && known && age.is_some_and(|age| age < READY_AGE)
     }
 
     /// Whether there are a configuration that was proved current once, and endpoints.
     pub(crate) fn has_begun(&self) -> bool {
         let proved = self.replica.borrow().proved_at().is_some();
-        proved && !self.directory.borrow().is_empty()
+        proved && !self.directory.borrow().is_empty() && self.may_serve_unknown()
+    }
+
+    /// Whether suspects are known, or cannot be had in time: the store is away and no other instance knows.
+    fn may_serve_unknown(&self) -> bool {
+        let waited = self.clock.now().since(self.clock.started_at());
+        self.knows_suspects.get() || waited >= LEARN_TIME
     }
 
     /// Whether the instance is stopping and takes no more requests, also from kept connections.
@@ -240,6 +267,7 @@
 
 impl Drop for Placed {
     fn drop(&mut self) {
+        self.node.sends.borrow_mut().remove(&self.id);
         self.node.end(self.id);
     }
 }
--- a/crates/ringbend-relay/src/pacing.rs
+++ b/crates/ringbend-relay/src/pacing.rs
@@ -69,7 +69,7 @@
             tokio::select! {
                 biased;
                 done = &mut work => return done,
-                () = tokio::time::sleep_until(node.clock.instant(overdue_at)) => {}
+                () = node.clock.sleep_until(overdue_at) => {}
             }
             engines.iter().for_each(|engine| node.suspect(engine));
             work.await
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -25,6 +25,8 @@
     NoTurn,
     /// No endpoint was left to send to.
     NoEndpoint,
+    /// The request ends endpoints.
+    Held,
 }
 
 impl Node {
@@ -36,6 +38,9 @@
         job: &Job,
         engine: Option<EngineProfile>,
     ) -> Result<Placement, Denied> {
+        if let Some(of) = job.suspect {
+            return self.schedule_suspect(id, job, engine, of).await;
+        }
         if self.schedules() {
             return self.plan(id, job, engine).await;
         }
@@ -119,6 +124,7 @@
             weights: &cfg.placement,
             trust: &trust,
             tried: &job.tried,
+            is_suspect: job.suspect.is_some(),
         };
         with(view, &candidates)
     }
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -273,3 +273,29 @@
     /// Removes what `announce` wrote.
     async fn withdraw(&self) -> Result<(), SourceError>;
 }
+
+/// A row that the instances keep for each other.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptRow {
+    /// Its key.
+    pub key: Arc<str>,
+    /// What it holds; the relay's own bytes.
+    pub value: Bytes,
+}
+
+/// Where what must outlast all instances is kept.
+#[async_trait(?Send)]
+pub trait Keeper {
+    /// All rows.
+    async fn all(&self) -> Result<Vec<KeptRow>, SourceError>;
+
+    /// Writes a row, over one of that key.
+    async fn keep(&self, row: &KeptRow) -> Result<(), SourceError>;
+
+    /// Removes rows; those that are not there are none.
+    async fn remove(&self, keys: &[Arc<str>]) -> Result<(), SourceError>;
+
+    /// Writes a row unless one of its key is there. Whether this call has written it; a call whose answer
+    /// was lost counts as one that has not.
+    async fn claim(&self, row: &KeptRow) -> Result<bool, SourceError>;
+}
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -30,6 +30,8 @@
     NotTaken,
     /// It was sent, and what came of it is not known or was of no use.
     MayHaveRun,
+    /// It is held because it ends endpoints, and was not sent.
+    Held,
     /// Its time is up and it was not run.
     LateNotRun,
     /// Its time is up.
@@ -80,6 +82,7 @@
             Self::NoEndpoint => "no-endpoint",
             Self::NotTaken => "not-taken",
             Self::MayHaveRun => "may-have-run",
+            Self::Held => "held",
             Self::LateNotRun => "late-not-run",
             Self::Late => "late",
         }
@@ -103,7 +106,7 @@
         match self {
             Self::Denied(Denied::NoConfig | Denied::StaleConfig) => Some(COME_BACK_STALE),
             Self::Stopping => Some(Duration::ZERO),
-            Self::NoService | Self::NoEndpoint | Self::NotTaken | Self::LateNotRun => {
+            Self::NoService | Self::NoEndpoint | Self::NotTaken | Self::Held | Self::LateNotRun => {
                 Some(hint.unwrap_or(COME_BACK))
             }
             _ => None,
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -19,9 +19,12 @@
 use crate::fetch::CopiesDoor;
 use crate::hearing::receive;
 use crate::joining::{greet_seeds, join};
+use crate::keeping::learn_suspects;
 use crate::link::Link;
 use crate::node::Node;
-use crate::ports::{ConfigDecoder, ConfigItem, ConfigSource, Dialect, EndpointSource, Presence};
+use crate::ports::{
+    ConfigDecoder, ConfigItem, ConfigSource, Dialect, EndpointSource, Keeper, Presence,
+};
 use crate::telling::Teller;
 use crate::watch::Watch;
 
@@ -54,6 +57,8 @@
     pub endpoints: Rc<EndpointSource>,
     /// Where other instances are found.
     pub presence: Rc<dyn Presence>,
+    /// Where what must outlast all instances is kept.
+    pub keeper: Rc<dyn Keeper>,
 }
 
 /// How many requests a stop cut off.
@@ -109,7 +114,7 @@
         let clock = Clock::start_at(CLOCK_AT_START);
         let listen = cfg.listen.clone();
         let seeds = cfg.listen.seeds.clone();
-        let node = Node::new(cfg, clock, ports.dialect, ports.decoder);
+        let node = Node::new(cfg, clock, ports.dialect, ports.decoder, ports.keeper);
         let mut servers = Vec::new();
         let callers = Rc::new(Callers { node: node.clone() });
         servers.push(open(listen.callers.into(), callers).await?);
@@ -124,6 +129,7 @@
             Watch::<Endpoint, EndpointChange, _>::new(node.clone(), ports.endpoints, EndpointCopy);
         let mut tasks =
             vec![tokio::task::spawn_local(config.run()), tokio::task::spawn_local(endpoints.run())];
+        tasks.push(tokio::task::spawn_local(learn_suspects(node.clone())));
         if let Some(address) = listen.peers {
             let door = open(address.into(), Rc::new(CopiesDoor { node: node.clone() })).await?;
             let address = SocketAddrV4::new(*address.ip(), door.address().port());
@@ -207,6 +213,11 @@
         self.node.load.borrow().open_requests()
     }
 
+    /// How many requests are held because they end endpoints.
+    pub fn held_requests(&self) -> usize {
+        self.node.quarantine.borrow().held()
+    }
+
     /// Puts new settings in force. Addresses stay as they were at the start.
     pub fn reload(&self, path: &Path) {
         match RelayConfig::read(path) {
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -12,7 +12,9 @@
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
-use ringbend_gateway::{Endpoint, EventId, Placement, SendEnd, overdue_after, second_run_at};
+use ringbend_gateway::{
+    Endpoint, EventId, Placement, SendEnd, SuspectState, overdue_after, second_run_at,
+};
 use ringbend_types::Timestamp;
 use smallvec::SmallVec;
 
@@ -96,6 +98,11 @@
         let on = self.depends_on(&endpoint, &placement);
         self.hold_memory(&placement, &mut placed).await?;
         let head = self.request_head(&endpoint, &placement, placed.memory.as_ref(), last_event);
+        if self.is_held() {
+            return Err(Failed::Held);
+        }
+        self.node.sends.borrow_mut().insert(placed.id, self.origin.fingerprint);
+        self.writes_since = None;
         self.attempts.sending(&endpoint.id);
         if self.node.directory.borrow().has_ended(&endpoint) {
             return Err(Failed::Send(SendEnd::NotSent));
@@ -142,7 +149,9 @@
         };
         match placed {
             Err(began) => self.settle(run, began),
-            Ok(Ok(second)) if self.is_worth_it(&run, &second) && self.run_beside() => {
+            Ok(Ok(second))
+                if !self.is_suspect() && self.is_worth_it(&run, &second) && self.run_beside() =>
+            {
                 match self.start(second, None).await {
                     Ok(second) => self.race(run, second).await,
                     Err(_) => self.only(run).await,
@@ -152,10 +161,15 @@
         }
     }
 
+    /// Whether the request is suspected of ending endpoints, so that it runs on one at a time.
+    fn is_suspect(&self) -> bool {
+        self.node.suspect_state(self.origin.fingerprint) != SuspectState::Clear
+    }
+
     /// When a second run is begun if the first one has not begun to answer; none if it is not.
     fn second_run_at(&self, run: &Run) -> Option<Timestamp> {
         let is_short = self.terms.service.engine.is_some() && run.placed.memory.is_none();
-        if !is_short || !self.may_run_twice() {
+        if !is_short || !self.may_run_twice() || self.is_suspect() {
             return None;
         }
         second_run_at(run.sent, run.expected, self.first_by())
@@ -214,7 +228,7 @@
         self.settle(run, began)
     }
 
-    fn settle(&self, run: Run, began: Result<Began, Broken>) -> Result<(Run, Began), Failed> {
+    fn settle(&mut self, run: Run, began: Result<Began, Broken>) -> Result<(Run, Began), Failed> {
         match began {
             Ok(began) => Ok((run, began)),
             Err(why) => Err(self.broken(&run.endpoint, &why)),
--- a/crates/ringbend-relay/src/scheduled.rs
+++ b/crates/ringbend-relay/src/scheduled.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use ringbend_gateway::{Endpoint, Job, Placement, Ticket, TicketId, TrustEvent, WorkId};
-use ringbend_types::Timestamp;
+use ringbend_gateway::{
+    Endpoint, Job, Placement, SuspectState, Ticket, TicketId, TrustEvent, WorkId,
+};
+use ringbend_types::{Fingerprint, Timestamp};
 
 use crate::life::{Failed, Life};
 use crate::memory::{HeldMemory, Place};
@@ -46,12 +48,16 @@
 impl Life {
     /// Has the request placed. One whose stream has begun does not wait for its turn.
     pub(crate) async fn schedule(&self, at_once: bool) -> Result<Scheduled, Failed> {
+        if self.is_held() {
+            return Err(Failed::Held);
+        }
         let placed = Placed::new(self.node.clone());
         let job = self.job(at_once);
         let placement = self.node.schedule(placed.id, &job, self.terms.service.engine).await;
         let placement = placement.map_err(|denied| match denied {
             Denied::NoTurn => Failed::NoTurn,
             Denied::NoEndpoint => Failed::NoEndpoint,
+            Denied::Held => Failed::Held,
         })?;
         let endpoint = self.node.directory.borrow().get(&placement.lead).cloned();
         let endpoint = endpoint.ok_or(Failed::NoEndpoint)?;
@@ -71,9 +77,22 @@
             deadline: self.attempts.deadline(),
             tried: self.attempts.tried().iter().cloned().collect(),
             at_once,
+            suspect: self.suspect(),
         }
     }
 
+    /// Whether no endpoint may get the request.
+    pub(crate) fn is_held(&self) -> bool {
+        !self.is_try && self.node.suspect_state(self.origin.fingerprint) == SuspectState::Held
+    }
+
+    /// The request, if it is suspected of ending endpoints. The one try of a held one needs no arbiter.
+    fn suspect(&self) -> Option<Fingerprint> {
+        let of = self.origin.fingerprint;
+        let is_suspect = matches!(self.node.suspect_state(of), SuspectState::Suspect(_));
+        (is_suspect && !self.is_try).then_some(of)
+    }
+
     /// Holds memory for the request where its lead has too little.
     pub(crate) async fn hold_memory(
         &self,
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -69,7 +69,16 @@
     }
 
     /// Notes a send that broke.
-    pub(crate) fn broken(&self, endpoint: &Endpoint, why: &Broken) -> Failed {
+    pub(crate) fn broken(&mut self, endpoint: &Endpoint, why: &Broken) -> Failed {
+        if matches!(why, Broken::Held) {
+            log::warn!(
+                target: "request", id = self.id(), fingerprint:% = self.origin.fingerprint,
+                endpoint:% = endpoint.id, why:%;
+                "broken off"
+            );
+            self.attempts.broken_off();
+            return Failed::Held;
+        }
         if !matches!(why, Broken::Ended) {
             self.trust(&endpoint.id, TrustEvent::Bad);
         }
--- a/crates/ringbend-relay/src/silence.rs
+++ b/crates/ringbend-relay/src/silence.rs
@@ -91,15 +91,17 @@
         by: Timestamp,
         work: impl Future<Output = Result<T, ExchangeError>>,
     ) -> Result<T, Broken> {
-        let timed = tokio::time::timeout_at(self.node.clock.instant(by), work);
-        tokio::select! {
+        let done = tokio::select! {
             biased;
-            done = timed => match done {
-                Ok(done) => done.map_err(Broken::Exchange),
-                Err(_) => Err(Broken::Late),
-            },
+            done = work => done.map_err(Broken::Exchange),
+            () = self.node.clock.sleep_until(by) => Err(Broken::Late),
             () = self.node.ended(on) => Err(Broken::Ended),
+            () = self.node.held(self.origin.fingerprint), if !self.is_try => Err(Broken::Held),
+        };
+        if let Err(why) = &done {
+            self.find_cause(on, why).await;
         }
+        done
     }
 }
 
@@ -114,6 +116,8 @@
     Late,
     /// The endpoint's process has ended, or that of one that it depends on.
     Ended,
+    /// The request is held now, as it ends endpoints.
+    Held,
 }
 
 impl Broken {
@@ -129,6 +133,7 @@
             Self::Replaced => write!(f, "silent for long, replaced"),
             Self::Late => write!(f, "the time is up"),
             Self::Ended => write!(f, "the endpoint has ended"),
+            Self::Held => write!(f, "the request ends endpoints"),
         }
     }
 }
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -92,6 +92,7 @@
             }
             return;
         }
+        life.node.clear_suspect(life.origin.fingerprint);
         life.log_end("streamed");
     });
     res
@@ -118,6 +119,7 @@
     let mut last = first.id.or(life.call.last_event);
     deliver(tx, first).await;
     life.passed_on(&endpoint.id);
+    life.writes_since = Some(life.node.clock.now());
     loop {
         let by = gap_limit(life);
         match life.patient(&on, by, events.next()).await {
@@ -136,6 +138,7 @@
                 last = next.id.or(last);
                 deliver(tx, next).await;
                 life.passed_on(&endpoint.id);
+                life.writes_since = Some(life.node.clock.now());
             }
         }
     }
@@ -171,7 +174,7 @@
             Failed::Replaced => true,
             Failed::Send(end) => life.next(end) == Next::SendAgain,
             Failed::NoMemory => life.wait_for_memory().await,
-            Failed::NoEndpoint | Failed::NoTurn => false,
+            Failed::NoEndpoint | Failed::NoTurn | Failed::Held => false,
         };
         if !goes_on || last.is_none() {
             return Err(Cut::Broken);
--- /dev/null
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -0,0 +1,192 @@
+//! What instances tell each other of suspected requests, and where those run.
+
+use std::rc::Rc;
+
+use ringbend_gateway::{Arbiter, EngineProfile, Job, Placement, SuspectState, WorkId};
+use ringbend_types::{Fingerprint, Timestamp};
+use ringbend_wire::{LoadDigest, Suspicion, suspicion_of, told_suspicion};
+use std::time::Duration;
+
+use crate::node::Node;
+use crate::placing::Denied;
+
+/// The most suspects told in one datagram, so that it stays well below what is read.
+const TOLD_AT_ONCE: usize = 64;
+
+/// How often it is looked whether a suspect still runs elsewhere. A run that ends well takes some tens of
+/// milliseconds at least.
+const LOOK: Duration = Duration::from_millis(10);
+
+impl Node {
+    pub(crate) fn suspect_state(&self, of: Fingerprint) -> SuspectState {
+        self.quarantine.borrow().state(of)
+    }
+
+    /// Writes the line of what is now known of a request, marks its runs here, and has others told.
+    pub(crate) fn changed_suspect(&self, of: Fingerprint, for_all: bool) {
+        let state = self.suspect_state(of);
+        let known = self.quarantine.borrow().of(of).cloned();
+        let ended = known.iter().flat_map(|s| &s.ended).map(|p| p.endpoint.as_str());
+        let ended = ended.collect::<Vec<_>>().join(" ");
+        let (round, tries) = known.as_ref().map_or((0, 0), |s| (s.round, s.tries));
+        log::info!(target: "suspects", fingerprint:% = of, state:?, ended, round, tries; "suspect");
+        self.metrics.held_requests.set(self.quarantine.borrow().held() as i64);
+        {
+            let mut outbox = self.outbox.borrow_mut();
+            outbox.suspicions_at_home.push(of);
+            if for_all {
+                outbox.suspicions.push(of);
+            }
+            if state != SuspectState::Clear {
+                let sends = self.sends.borrow();
+                for (id, _) in sends.iter().filter(|(_, fingerprint)| **fingerprint == of) {
+                    self.load.borrow_mut().mark_suspect(*id, of);
+                    outbox.placed.push(*id);
+                }
+            }
+        }
+        self.signals.now.notify_one();
+        if state == SuspectState::Held {
+            self.held_news.notify_waiters();
+        }
+    }
+
+    /// Notes that a run of a request ended well.
+    pub(crate) fn clear_suspect(self: &Rc<Self>, of: Fingerprint) {
+        let was_grave =
+            !matches!(self.suspect_state(of), SuspectState::Clear | SuspectState::Suspect(1));
+        if self.quarantine.borrow_mut().clear(self.clock.now(), of) {
+            self.changed_suspect(of, true);
+            if was_grave {
+                self.unkeep_suspect(of);
+            }
+        }
+    }
+
+    /// What is known of these requests, as told to others, and what was noted lately.
+    pub(crate) fn told_suspicions(&self, of: &[Fingerprint], now: Timestamp) -> Vec<Suspicion> {
+        let quarantine = self.quarantine.borrow();
+        let named = of.iter().filter_map(|of| quarantine.of(*of));
+        let recent = quarantine.recent(now).filter(|s| !of.contains(&s.fingerprint));
+        named.chain(recent).take(TOLD_AT_ONCE).map(told_suspicion).collect()
+    }
+
+    /// All that an instance needs to know which has just started, in as many digests as it takes; none if
+    /// this one does not know it either.
+    pub(crate) fn all_suspects(&self) -> Vec<LoadDigest> {
+        if !self.knows_suspects.get() {
+            return Vec::new();
+        }
+        let all: Vec<Suspicion> = self.quarantine.borrow().grave().map(told_suspicion).collect();
+        let digest = |part: &[Suspicion]| LoadDigest { suspicions: part.to_vec(), ..self.digest() };
+        let mut digests: Vec<LoadDigest> = all.chunks(TOLD_AT_ONCE).map(digest).collect();
+        digests.push(LoadDigest { knows_suspects: true, ..self.digest() });
+        digests
+    }
+
+    /// Takes in what another instance knows of suspects. What one that does not schedule tells is told on
+    /// to all, what a scheduler tells to those that do not schedule.
+    pub(crate) fn note_suspicions(&self, digest: &LoadDigest, from_scheduler: bool) {
+        let now = self.clock.now();
+        for told in &digest.suspicions {
+            match suspicion_of(told) {
+                Ok(told) => {
+                    if self.quarantine.borrow_mut().merge(now, &told) {
+                        self.changed_suspect(told.fingerprint, !from_scheduler);
+                    }
+                }
+                Err(e) => log::warn!(target: "peers", error:% = e; "suspicion refused"),
+            }
+        }
+        if digest.knows_suspects {
+            self.know_suspects("another instance");
+        }
+    }
+
+    /// Notes that this instance knows what there was to know of suspects when it started.
+    pub(crate) fn know_suspects(&self, from: &str) {
+        if !self.knows_suspects.replace(true) {
+            let held = self.quarantine.borrow().held();
+            log::info!(target: "suspects", from, held; "suspects known");
+            self.begun.notify_waiters();
+        }
+    }
+
+    /// Waits until a request is held.
+    pub(crate) async fn held(&self, of: Fingerprint) {
+        loop {
+            let mut told = std::pin::pin!(self.held_news.notified());
+            // What is held from here on is told.
+            told.as_mut().enable();
+            if self.suspect_state(of) == SuspectState::Held {
+                return;
+            }
+            told.await;
+        }
+    }
+
+    /// Has a suspect placed by the instance that places all suspects of its service. Where none answers, one
+    /// strike does not keep it from being served, two do.
+    pub(crate) async fn schedule_suspect(
+        self: &Rc<Self>,
+        id: WorkId,
+        job: &Job,
+        engine: Option<EngineProfile>,
+        of: Fingerprint,
+    ) -> Result<Placement, Denied> {
+        let arbiter = self.peers.borrow().arbiter(self.clock.now(), &job.service, &[]);
+        match arbiter {
+            Some(Arbiter::Own) => return self.place_suspect(id, job, engine, of).await,
+            Some(Arbiter::At(_)) => {
+                let next = |peers: &ringbend_gateway::Peers, now, asked: &[_]| match peers.arbiter(
+                    now,
+                    &job.service,
+                    asked,
+                ) {
+                    Some(Arbiter::At(address)) => Some(address),
+                    Some(Arbiter::Own) | None => None,
+                };
+                if let Some(answer) = self.ask(id, job, next).await {
+                    return answer;
+                }
+            }
+            None => {}
+        }
+        let state = self.suspect_state(of);
+        log::info!(target: "request", id = job.request.as_ref(), state:?; "suspect without arbiter");
+        match state {
+            SuspectState::Clear | SuspectState::Suspect(1) => {
+                self.place_in_turn(id, job, engine).await
+            }
+            SuspectState::Suspect(_) | SuspectState::Held => Err(Denied::Held),
+        }
+    }
+
+    /// Places a suspect once no other try of it is open anywhere.
+    pub(crate) async fn place_suspect(
+        self: &Rc<Self>,
+        id: WorkId,
+        job: &Job,
+        engine: Option<EngineProfile>,
+        of: Fingerprint,
+    ) -> Result<Placement, Denied> {
+        self.wait_for_turn(id, job, engine).await?;
+        let began = self.clock.now();
+        let until = job.patience.min(job.deadline);
+        while self.load.borrow().is_open(of) {
+            if self.suspect_state(of) == SuspectState::Held {
+                return Err(Denied::Held);
+            }
+            if self.clock.now() >= until {
+                return Err(Denied::NoTurn);
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        if self.suspect_state(of) == SuspectState::Held {
+            return Err(Denied::Held);
+        }
+        let waited_ms = self.clock.now().since(began).as_millis() as u64;
+        log::info!(target: "request", id = job.request.as_ref(), fingerprint:% = of, waited_ms; "suspect placed");
+        self.place_now(id, job, engine)
+    }
+}
--- a/crates/ringbend-relay/src/telling.rs
+++ b/crates/ringbend-relay/src/telling.rs
@@ -80,7 +80,10 @@
         let now = self.node.clock.now();
         self.told.scheduler.set(None);
         let news = self.has_news(now) || changes.is_some();
+        let suspects_at_home = !outbox.suspicions_at_home.is_empty();
+        let news = news || suspects_at_home;
         let first = LoadDigest {
+            suspicions: self.node.told_suspicions(&outbox.suspicions, now),
             unfit: outbox.unfit.iter().map(EndpointId::to_string).collect(),
             gone: outbox.gone.clone(),
             restarts: restarts(outbox),
@@ -104,6 +107,7 @@
         let heartbeat = LoadDigest {
             endpoint_changes: changes,
             restarts: restarts(outbox),
+            suspicions: self.node.told_suspicions(&outbox.suspicions_at_home, now),
             ..self.node.digest()
         };
         let peers = self.node.peers.borrow();
@@ -121,6 +125,8 @@
             outbox.placed.extend(self.node.own_work());
         }
         let news = self.has_news(now) || changes.is_some();
+        let news = news || !outbox.suspicions.is_empty();
+        let suspicions = self.node.told_suspicions(&outbox.suspicions, now);
         if let Some(scheduler) = scheduler {
             let results = outbox.results.iter().map(|(id, event)| endpoint_result(id, *event));
             let first = LoadDigest {
@@ -128,6 +134,7 @@
                 results: results.collect(),
                 restarts: restarts(&outbox),
                 suspects: outbox.suspects.iter().map(EndpointId::to_string).collect(),
+                suspicions: suspicions.clone(),
                 open: news.then(|| self.node.open_work()),
                 endpoint_changes: changes.clone(),
                 ..self.node.digest()
@@ -136,7 +143,8 @@
             digests.iter().for_each(|digest| self.node.tell(digest, scheduler));
         }
         if news {
-            let heartbeat = LoadDigest { endpoint_changes: changes, ..self.node.digest() };
+            let heartbeat =
+                LoadDigest { endpoint_changes: changes, suspicions, ..self.node.digest() };
             let others = self.node.peers.borrow().home_schedulers(now);
             let others = others.into_iter().filter(|address| Some(*address) != scheduler);
             self.node.tell_all(&heartbeat, others);
--- a/crates/ringbend-runtime/src/clock.rs
+++ b/crates/ringbend-runtime/src/clock.rs
@@ -3,6 +3,7 @@
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use ringbend_types::Timestamp;
 
 /// A monotonic clock.
@@ -16,12 +17,24 @@
     at_start: Timestamp,
 }
 
+/// The time since the machine was started, that in which it was suspended included. Leases of others, keys
+/// and reservations run out while it is, so a clock that stands still would find them in force. A machine
+/// without such a clock gets the steady one.
+fn time_since_boot() -> Duration {
+    let boot_time = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from);
+    boot_time.unwrap_or_else(|_| steady_time())
+}
+
 /// The machine's steady time, since the first time that it was asked for.
 fn steady_time() -> Duration {
     static FIRST: OnceLock<Instant> = OnceLock::new();
     FIRST.get_or_init(Instant::now).elapsed()
 }
 
+/// How long a wait goes on at most after a suspension in which it would have ended: timers of the runtime
+/// do not count that time. Each wait looks at the clock so often.
+const LOOK_AGAIN: Duration = Duration::from_millis(500);
+
 impl Clock {
     /// A clock that starts now, at zero.
     pub fn start() -> Self {
@@ -31,7 +44,7 @@
     /// A clock that starts now and shows `at_start`, so that moments up to so long before its start
     /// can be told.
     pub fn start_at(at_start: Timestamp) -> Self {
-        Self::reading(steady_time, at_start)
+        Self::reading(time_since_boot, at_start)
     }
 
     /// A clock that goes by what `read` tells and shows `at_start` now.
@@ -57,7 +70,13 @@
 
     /// Waits until the clock shows `at`.
     pub async fn sleep_until(&self, at: Timestamp) {
-        tokio::time::sleep_until(self.instant(at)).await;
+        loop {
+            let left = at.since(self.now());
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left.min(LOOK_AGAIN)).await;
+        }
     }
 }
 
--- a/crates/ringbend-runtime/src/timers.rs
+++ b/crates/ringbend-runtime/src/timers.rs
@@ -92,9 +92,9 @@
 async fn run(clock: Clock, shared: Rc<Shared>) {
     loop {
         let next = shared.entries.borrow().values().map(|e| e.due).min();
-        let due = clock.instant(next.unwrap_or(Timestamp::NEVER));
+        let due = next.unwrap_or(Timestamp::NEVER);
         tokio::select! {
-            () = tokio::time::sleep_until(due) => fire(clock.now(), &shared),
+            () = clock.sleep_until(due) => fire(clock.now(), &shared),
             () = shared.changed.notified() => {}
         }
     }
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -51,6 +51,9 @@
     claims: Counter,
     table_calls: Counter,
     peer_bytes: Counter,
+    strikes: Counter,
+    /// Requests that are held because they end endpoints.
+    pub held_requests: Gauge,
     /// The settings version in force.
     pub settings_version: Gauge,
     /// Admitted requests that have not ended.
@@ -80,6 +83,8 @@
             claims: Counter::default(),
             table_calls: Counter::default(),
             peer_bytes: Counter::default(),
+            strikes: Counter::default(),
+            held_requests: Gauge::default(),
             settings_version: Gauge::default(),
             open_requests: Gauge::default(),
             queued_requests: Gauge::default(),
@@ -143,6 +148,11 @@
         self.peer_bytes.inc_by(bytes);
     }
 
+    /// Counts an endpoint that ended while it ran a request.
+    pub fn strike(&self) {
+        self.strikes.inc();
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut registry = Registry::with_prefix("ringbend");
@@ -172,6 +182,8 @@
             Unit::Bytes,
             self.peer_bytes.clone(),
         );
+        r.register("strikes", "Requests on endpoints that ended", self.strikes.clone());
+        r.register("held_requests", "Held as they end endpoints", self.held_requests.clone());
         r.register("settings_version", "Settings in force", self.settings_version.clone());
         r.register("open_requests", "Admitted and not ended", self.open_requests.clone());
         r.register("queued_requests", "Waiting for an endpoint", self.queued_requests.clone());
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -167,6 +167,9 @@
     /// Whether its prompt is long, so that it waited for its turn.
     #[prost(bool, tag = "12")]
     pub long: bool,
+    /// The request's fingerprint, if it is suspected of ending endpoints.
+    #[prost(bytes = "vec", tag = "13")]
+    pub suspect: ::prost::alloc::vec::Vec<u8>,
 }
 /// A long prompt that waits at the sender for its turn to be read.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -274,6 +277,37 @@
     /// How much slower than configured engines are, by their own word.
     #[prost(message, repeated, tag = "28")]
     pub paces: ::prost::alloc::vec::Vec<EnginePace>,
+    /// Requests that are suspected of ending endpoints, or no more.
+    #[prost(message, repeated, tag = "29")]
+    pub suspicions: ::prost::alloc::vec::Vec<Suspicion>,
+    /// In the answer to a hello: `suspicions`, here and in the digests just before, are all that the sender
+    /// knows, and that is what there is to know.
+    #[prost(bool, tag = "30")]
+    pub knows_suspects: bool,
+}
+/// A process of an endpoint that ended.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndedProcess {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// When it had started, as a Unix time in milliseconds.
+    #[prost(uint64, optional, tag = "2")]
+    pub start_ms: ::core::option::Option<u64>,
+}
+/// What is known of a request that may end the endpoints which run it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Suspicion {
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: ::prost::alloc::vec::Vec<u8>,
+    /// Raised each time that it is cleared.
+    #[prost(uint32, tag = "2")]
+    pub round: u32,
+    /// The processes that ended while they ran it.
+    #[prost(message, repeated, tag = "3")]
+    pub ended: ::prost::alloc::vec::Vec<EndedProcess>,
+    /// How often it was tried since it is held.
+    #[prost(uint32, tag = "4")]
+    pub tries: u32,
 }
 /// What is new of one instance's work.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -339,6 +373,9 @@
     /// The start of the instance whose request it is, where a scheduler asks for it.
     #[prost(fixed64, optional, tag = "13")]
     pub owner: ::core::option::Option<u64>,
+    /// The request's fingerprint, if it is suspected of ending endpoints.
+    #[prost(bytes = "vec", tag = "14")]
+    pub suspect: ::prost::alloc::vec::Vec<u8>,
 }
 /// What became of an ask.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -555,6 +592,8 @@
     TooLate = 3,
     /// The service has no endpoint.
     NoEndpoint = 4,
+    /// It is held: it is sent to no endpoint.
+    Held = 5,
 }
 impl Verdict {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -568,6 +607,7 @@
             Self::Placed => "PLACED",
             Self::TooLate => "TOO_LATE",
             Self::NoEndpoint => "NO_ENDPOINT",
+            Self::Held => "HELD",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -578,6 +618,7 @@
             "PLACED" => Some(Self::Placed),
             "TOO_LATE" => Some(Self::TooLate),
             "NO_ENDPOINT" => Some(Self::NoEndpoint),
+            "HELD" => Some(Self::Held),
             _ => None,
         }
     }
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -5,6 +5,7 @@
 mod endpoints;
 mod load;
 mod map;
+mod suspicions;
 
 /// Generated messages; see `proto/peer.proto` for what each field holds.
 #[allow(missing_docs, clippy::all, unreachable_pub)]
@@ -13,10 +14,11 @@
 
 pub use endpoints::{change_of, restart, restart_of, row_of};
 pub use generated::{
-    Ask, ConfigCopy, Currency, Demand, EndpointChanges, EndpointRestart, EndpointResult,
-    EndpointRow, EnginePace, EntriesReply, EntriesRequest, Envelope, Gossip, GossipKind, Grant,
-    GrantReply, GrantRequest, HeldMemory, Hello, LoadDigest, Member, MemberState, OpenWork,
-    OwnersWork, PlacedWork, ResultKind, Share, Update, Verdict, WaitingWork, envelope, update,
+    Ask, ConfigCopy, Currency, Demand, EndedProcess, EndpointChanges, EndpointRestart,
+    EndpointResult, EndpointRow, EnginePace, EntriesReply, EntriesRequest, Envelope, Gossip,
+    GossipKind, Grant, GrantReply, GrantRequest, HeldMemory, Hello, LoadDigest, Member,
+    MemberState, OpenWork, OwnersWork, PlacedWork, ResultKind, Share, Suspicion, Update, Verdict,
+    WaitingWork, envelope, update,
 };
 pub use load::{
     ask_of, endpoint_result, job_of, pace_of, placed_work, result_of, role_of, told_role,
@@ -24,6 +26,7 @@
 };
 pub use map::WireError;
 pub use prost::Message;
+pub use suspicions::{suspicion_of, told_suspicion};
 
 /// Instances whose protocol numbers are equal understand each other.
 pub const PROTOCOL: u32 = 1;
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ringbend_gateway::{Demand, Held, Job, Pace, Role, TrustEvent, Waiting, Work, WorkId};
-use ringbend_types::{EndpointId, ParseIdError, Timestamp};
+use ringbend_types::{EndpointId, Fingerprint, ParseFingerprintError, ParseIdError, Timestamp};
 
 use crate::generated::{
     self as wire, Ask, EndpointResult, EnginePace, HeldMemory, LoadDigest, PlacedWork, ResultKind,
@@ -30,9 +30,18 @@
         writing,
         held: work.held.iter().map(held_memory).collect(),
         long: work.long,
+        suspect: suspect_bytes(work.suspect),
     }
 }
 
+fn suspect_bytes(suspect: Option<Fingerprint>) -> Vec<u8> {
+    suspect.map_or_else(Vec::new, |suspect| suspect.as_bytes().to_vec())
+}
+
+fn suspect_of(bytes: &[u8]) -> Result<Option<Fingerprint>, ParseFingerprintError> {
+    if bytes.is_empty() { Ok(None) } else { bytes.try_into().map(Some) }
+}
+
 fn held_memory(held: &Held) -> HeldMemory {
     HeldMemory { endpoint: held.endpoint.to_string(), tokens: held.tokens }
 }
@@ -59,6 +68,7 @@
         stake: placed.stake,
         until: now + Duration::from_millis(placed.left_ms),
         long: placed.long,
+        suspect: suspect_of(&placed.suspect)?,
     })
 }
 
@@ -105,6 +115,7 @@
         tried: job.tried.iter().map(EndpointId::to_string).collect(),
         at_once: job.at_once,
         owner: None,
+        suspect: suspect_bytes(job.suspect),
     }
 }
 
@@ -127,6 +138,7 @@
         deadline: now + Duration::from_millis(ask.left_ms),
         tried: tried.collect::<Result<_, ParseIdError>>()?,
         at_once: ask.at_once,
+        suspect: suspect_of(&ask.suspect)?,
     })
 }
 
--- a/crates/ringbend-wire/src/map.rs
+++ b/crates/ringbend-wire/src/map.rs
@@ -6,7 +6,7 @@
 use ringbend_membership as gossip;
 use ringbend_policy as policy;
 use ringbend_settings::{LogEntry, Replica, Snapshot};
-use ringbend_types::{Incarnation, ParseIdError, SettingsVersion};
+use ringbend_types::{Incarnation, ParseFingerprintError, ParseIdError, SettingsVersion};
 
 use crate::generated as wire;
 
@@ -25,6 +25,8 @@
     Settings(serde_json::Error),
     /// The bytes are not a message.
     Decode(prost::DecodeError),
+    /// A fingerprint is malformed.
+    Fingerprint(ParseFingerprintError),
 }
 
 impl fmt::Display for WireError {
@@ -36,6 +38,7 @@
             Self::Missing(part) => write!(f, "{part} is missing"),
             Self::Settings(e) => write!(f, "settings: {e}"),
             Self::Decode(e) => write!(f, "not a message: {e}"),
+            Self::Fingerprint(e) => write!(f, "fingerprint: {e}"),
         }
     }
 }
@@ -48,6 +51,12 @@
     }
 }
 
+impl From<ParseFingerprintError> for WireError {
+    fn from(e: ParseFingerprintError) -> Self {
+        Self::Fingerprint(e)
+    }
+}
+
 impl From<AddrParseError> for WireError {
     fn from(e: AddrParseError) -> Self {
         Self::Address(e)
--- a/crates/ringbendd/src/sweep.rs
+++ b/crates/ringbendd/src/sweep.rs
@@ -48,7 +48,7 @@
             }
             held = holds;
             let due = lease.borrow().next_wakeup();
-            tokio::time::sleep_until(app.clock.instant(due)).await;
+            app.clock.sleep_until(due).await;
             let mut action = lease.borrow_mut().handle(app.now(), LeaseEvent::Tick);
             while let Some(LeaseAction::Call(call)) = action {
                 let reply = app.table.call(call).await;
