--- a/crates/ringbend-relay/src/keeping.rs
+++ b/crates/ringbend-relay/src/keeping.rs
@@ -19,9 +19,16 @@
 /// store takes; one that is away must not keep callers from being served.
 pub(crate) const LEARN_TIME: Duration = Duration::from_millis(1_500);
 
-/// How long others are given to tell of suspects before the store is asked.
+/// How long others are given to tell of suspects before one that schedules asks the store.
 const TOLD_TIME: Duration = Duration::from_millis(60);
 
+/// The same for one that does not schedule: those that do tell it as soon as they know. Where all instances
+/// start together, a few calls to the store are enough for all.
+const MEMBER_TOLD_TIME: Duration = Duration::from_millis(500);
+
+/// How often it is looked whether others have told.
+const LOOK: Duration = Duration::from_millis(10);
+
 /// How long one call may take.
 const CALL_TIME: Duration = Duration::from_millis(1_000);
 
@@ -41,7 +48,7 @@
 /// Learns what other instances or the store know of suspects.
 pub(crate) async fn learn_suspects(node: Rc<Node>) {
     if node.cfg.borrow().listen.peers.is_some() {
-        tokio::time::sleep(TOLD_TIME).await;
+        wait_to_be_told(&node).await;
     }
     while !node.knows_suspects.get() {
         match bounded(node.keeper.all()).await {
@@ -57,6 +64,18 @@
     }
 }
 
+async fn wait_to_be_told(node: &Node) {
+    let began = node.clock.now();
+    while !node.knows_suspects.get() {
+        let waited = node.clock.now().since(began);
+        let longest = if node.schedules() { TOLD_TIME } else { MEMBER_TOLD_TIME };
+        if waited >= longest {
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Reads a claim's key.
 fn claim_of(key: &str) -> Option<(Fingerprint, u8)> {
     let (fingerprint, number) = key.split_once(CLAIM_MARK)?;
--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -1,5 +1,6 @@
 //! What instances tell each other of suspected requests, and where those run.
 
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use ringbend_gateway::{Arbiter, EngineProfile, Job, Placement, SuspectState, WorkId};
@@ -109,9 +110,22 @@
             let held = self.quarantine.borrow().held();
             log::info!(target: "suspects", from, held; "suspects known");
             self.begun.notify_waiters();
+            self.tell_started();
         }
     }
 
+    /// Tells those that may have started together with this one what it has just learnt.
+    fn tell_started(&self) {
+        if !self.schedules() {
+            return;
+        }
+        let (now, digests) = (self.clock.now(), self.all_suspects());
+        let peers = self.peers.borrow();
+        let others: Vec<SocketAddrV4> = peers.members(now).chain(peers.fellows(now)).collect();
+        drop(peers);
+        digests.iter().for_each(|digest| self.tell_all(digest, others.iter().copied()));
+    }
+
     /// Waits until a request is held.
     pub(crate) async fn held(&self, of: Fingerprint) {
         loop {
