feat(relay, cli): operators list suspected requests and clear one; test: suspended machines before a real relay

What is held had no way back by hand. Relays have no operators' key, so the address is open to whoever watches the instance, as their peers' address is.

--- a/crates/ringbend-cli/src/args.rs
+++ b/crates/ringbend-cli/src/args.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 use ringbend_settings::{NodePath, SettingKey};
-use ringbend_types::{ChangeId, SettingsVersion};
+use ringbend_types::{ChangeId, Fingerprint, SettingsVersion};
 
 /// The operators' tool of Ringbend.
 #[derive(FromArgs)]
@@ -29,6 +29,7 @@
     Status(StatusArgs),
     Endpoints(EndpointsArgs),
     Drain(DrainArgs),
+    Suspects(SuspectsArgs),
     Certs(CertsArgs),
 }
 
@@ -47,6 +48,15 @@
 #[argh(subcommand, name = "drain")]
 pub(crate) struct DrainArgs {}
 
+/// list requests that are suspected of ending endpoints, or held for it; at a relay's metrics address
+#[derive(FromArgs)]
+#[argh(subcommand, name = "suspects")]
+pub(crate) struct SuspectsArgs {
+    /// the fingerprint of one to clear at all instances
+    #[argh(option)]
+    pub(crate) clear: Option<Fingerprint>,
+}
+
 /// write a test set of keys and certificates between instances
 #[derive(FromArgs)]
 #[argh(subcommand, name = "certs")]
--- a/crates/ringbend-cli/src/commands.rs
+++ b/crates/ringbend-cli/src/commands.rs
@@ -6,7 +6,7 @@
 use ringbend_types::{ChangeId, SettingsVersion};
 use serde_json::{Value, json};
 
-use crate::args::{Args, Command, SettingsCommand};
+use crate::args::{Args, Command, SettingsCommand, SuspectsArgs};
 use crate::client::{AdminClient, CliError};
 use crate::print;
 
@@ -17,18 +17,33 @@
         println!("wrote authority.pem, peer.pem and peer.key to {}", certs.out.display());
         return Ok(());
     }
+    if let Command::Suspects(suspects) = &args.command {
+        // Relays have no operators' key: their metrics address is open to whoever watches them.
+        let client = AdminClient::new(&args.admin, String::new());
+        print::value(&run_suspects(&client, suspects).await?, args.json);
+        return Ok(());
+    }
     let client = AdminClient::new(&args.admin, key(args.key_file.as_deref())?);
     let value = match args.command {
         Command::Status(_) => client.get("/v1/status", &[]).await?,
         Command::Endpoints(_) => client.get("/v1/endpoints", &[]).await?,
         Command::Drain(_) => client.post("/v1/drain", &Value::Null).await?,
         Command::Settings(settings) => run_settings(&client, settings.command).await?,
-        Command::Certs(_) => return Ok(()),
+        Command::Suspects(_) | Command::Certs(_) => return Ok(()),
     };
     print::value(&value, args.json);
     Ok(())
 }
 
+async fn run_suspects(client: &AdminClient, args: &SuspectsArgs) -> Result<Value, CliError> {
+    match &args.clear {
+        Some(fingerprint) => {
+            client.post(&format!("/v1/suspects/{fingerprint}/clear"), &Value::Null).await
+        }
+        None => client.get("/v1/suspects", &[]).await,
+    }
+}
+
 async fn run_settings(client: &AdminClient, command: SettingsCommand) -> Result<Value, CliError> {
     match command {
         SettingsCommand::Get(args) => {
--- a/crates/ringbend-gateway/src/quarantine.rs
+++ b/crates/ringbend-gateway/src/quarantine.rs
@@ -237,6 +237,11 @@
         self.records.get(&fingerprint).map(|record| &record.suspicion)
     }
 
+    /// What is known of each request that is suspected or held.
+    pub fn suspicions(&self) -> impl Iterator<Item = &Suspicion> {
+        self.records.values().map(|r| &r.suspicion).filter(|s| !s.ended.is_empty())
+    }
+
     /// All that an instance needs to know which has just started: what has two strikes or more.
     pub fn grave(&self) -> impl Iterator<Item = &Suspicion> {
         self.records.values().map(|r| &r.suspicion).filter(|s| s.ended.len() + 1 >= HELD_AT)
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -110,8 +110,28 @@
     ///
     /// An address cannot be listened on.
     pub async fn start(cfg: RelayConfig, ports: Ports) -> Result<Self, Report<RelayError>> {
+        Self::start_at(cfg, ports, Clock::start_at(CLOCK_AT_START)).await
+    }
+
+    /// The same by a clock that goes by what `read` tells, for tests of suspended machines.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be listened on.
+    pub async fn start_by(
+        cfg: RelayConfig,
+        ports: Ports,
+        read: fn() -> Duration,
+    ) -> Result<Self, Report<RelayError>> {
+        Self::start_at(cfg, ports, Clock::reading(read, CLOCK_AT_START)).await
+    }
+
+    async fn start_at(
+        cfg: RelayConfig,
+        ports: Ports,
+        clock: Clock,
+    ) -> Result<Self, Report<RelayError>> {
         cfg.unknown.iter().for_each(|warning| log::warn!(target: "relay", "{warning}"));
-        let clock = Clock::start_at(CLOCK_AT_START);
         let listen = cfg.listen.clone();
         let seeds = cfg.listen.seeds.clone();
         let node = Node::new(cfg, clock, ports.dialect, ports.decoder, ports.keeper);
