--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -380,10 +380,14 @@
         self.open.values().any(|open| open.work.suspect == Some(suspect))
     }
 
-    /// Whether a suspect is open on this endpoint.
-    pub fn has_suspect(&self, endpoint: &EndpointId) -> bool {
-        let suspects = self.open.values().filter(|open| open.work.suspect.is_some());
-        suspects.flat_map(|open| open.work.endpoints()).any(|on| on == endpoint)
+    /// The suspects that are open on this endpoint.
+    pub fn suspects_on<'a>(
+        &'a self,
+        endpoint: &'a EndpointId,
+    ) -> impl Iterator<Item = Fingerprint> + 'a {
+        let is_there = move |work: &Work| work.endpoints().any(|on| on == endpoint);
+        let works = self.open.values().map(|open| &open.work);
+        works.filter_map(move |work| work.suspect.filter(|_| is_there(work)))
     }
 
     /// Forgets the work on an endpoint whose process has ended: what it led is over, and what it was to
--- a/crates/ringbend-gateway/src/quarantine.rs
+++ b/crates/ringbend-gateway/src/quarantine.rs
@@ -65,6 +65,11 @@
 }
 
 impl Suspicion {
+    /// Whether one strike more holds the request, or it is held: all instances must know, also later ones.
+    pub fn is_grave(&self) -> bool {
+        self.ended.len() + 1 >= HELD_AT
+    }
+
     fn of(fingerprint: Fingerprint) -> Self {
         Self { fingerprint, round: 0, ended: SmallVec::new(), tries: 0 }
     }
@@ -119,6 +124,18 @@
         self.records.get(&of).map_or(0, |record| record.suspicion.ended.len())
     }
 
+    /// Whether a suspect may be put where these run. What has two strikes runs beside no other suspect, so that
+    /// its third strike is by nobody else; others are kept apart only where there is room, as where many
+    /// endpoints end at once there are more suspects than endpoints.
+    pub fn may_run_beside(
+        &self,
+        of: Fingerprint,
+        mut others: impl Iterator<Item = Fingerprint>,
+    ) -> bool {
+        let is_grave = |of| self.strikes(of) + 1 >= HELD_AT;
+        others.all(|other| !is_grave(of) && !is_grave(other))
+    }
+
     /// Notes that a process ended while it ran the request, by a run that began when the request had so many
     /// strikes. Returns whether that is one strike more.
     pub fn strike(
@@ -199,9 +216,17 @@
         }
     }
 
-    /// Forgets what was noted long ago.
-    pub fn sweep(&mut self, now: Timestamp) {
-        self.records.retain(|_, record| now.since(record.changed) < record.lasts());
+    /// Forgets what was noted long ago. Returns the requests of which rows may be kept.
+    pub fn sweep(&mut self, now: Timestamp) -> Vec<Fingerprint> {
+        let mut kept = Vec::new();
+        self.records.retain(|fingerprint, record| {
+            let stays = now.since(record.changed) < record.lasts();
+            if !stays && record.suspicion.is_grave() {
+                kept.push(*fingerprint);
+            }
+            stays
+        });
+        kept
     }
 
     /// The number, from one, of the try that a held request is due; none if it is not.
@@ -244,14 +269,14 @@
 
     /// All that an instance needs to know which has just started: what has two strikes or more.
     pub fn grave(&self) -> impl Iterator<Item = &Suspicion> {
-        self.records.values().map(|r| &r.suspicion).filter(|s| s.ended.len() + 1 >= HELD_AT)
+        self.records.values().map(|r| &r.suspicion).filter(|s| s.is_grave())
     }
 
     /// What was noted lately and matters most, to be told again.
     pub fn recent(&self, now: Timestamp) -> impl Iterator<Item = &Suspicion> {
         let is_recent = move |record: &&Record| now.since(record.changed) < TOLD_AGAIN;
         let recent = self.records.values().filter(is_recent).map(|record| &record.suspicion);
-        recent.filter(|s| s.ended.len() + 1 >= HELD_AT || (s.ended.is_empty() && s.round > 0))
+        recent.filter(|s| s.is_grave() || (s.ended.is_empty() && s.round > 0))
     }
 
     /// How many requests are held.
--- a/crates/ringbend-gateway/tests/quarantine.rs
+++ b/crates/ringbend-gateway/tests/quarantine.rs
@@ -52,6 +52,18 @@
     assert_eq!(quarantine.state(request(1)), SuspectState::Suspect(2));
 }
 
+#[test]
+fn what_has_two_strikes_runs_beside_no_other_suspect_whichever_comes_later() {
+    let mut quarantine = Quarantine::default();
+    struck(&mut quarantine, request(1), 1);
+    struck(&mut quarantine, request(2), 1);
+    struck(&mut quarantine, request(3), 2);
+    let may = |of, other| quarantine.may_run_beside(request(of), [request(other)].into_iter());
+    assert!(may(1, 2) && may(2, 1));
+    assert!(!may(1, 3) && !may(3, 1));
+    assert!(quarantine.may_run_beside(request(3), std::iter::empty()));
+}
+
 #[test]
 fn strikes_that_two_instances_note_at_once_are_one() {
     let (mut one, mut two) = (Quarantine::default(), Quarantine::default());
@@ -100,7 +112,8 @@
     let mut quarantine = Quarantine::default();
     struck(&mut quarantine, request(1), 1);
     struck(&mut quarantine, request(2), HELD_AT);
-    quarantine.sweep(at(10) + MINUTE * 2);
+    struck(&mut quarantine, request(3), 2);
+    assert_eq!(quarantine.sweep(at(10) + MINUTE * 2), [request(3)]);
     assert_eq!(quarantine.len(), 1);
     quarantine.sweep(at(10) + MINUTE * 60 * 23);
     assert_eq!(quarantine.held(), 1);
--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -155,6 +155,17 @@
 }
 
 impl Life {
+    fn blamed(&self) -> Blamed {
+        Blamed { fingerprint: self.origin.fingerprint, strikes_before: self.strikes_before }
+    }
+
+    /// Finds out whether an engine has ended that helped to read the prompt, as the one that it was sent to
+    /// has named it at fault.
+    pub(crate) fn find_cause_at(&self, helper: &Endpoint) {
+        let on = [helper.clone()].into_iter().collect();
+        tokio::task::spawn_local(self.node.clone().look_twice(on, self.blamed()));
+    }
+
     /// Whether the request may be to blame if an engine ends on which it runs now.
     fn may_be_to_blame(&self) -> bool {
         let now = self.node.clock.now();
@@ -166,8 +177,7 @@
         if !self.may_be_to_blame() {
             return;
         }
-        let run =
-            Blamed { fingerprint: self.origin.fingerprint, strikes_before: self.strikes_before };
+        let run = self.blamed();
         match why {
             Broken::Exchange(e) if !e.nothing_sent() => {
                 let looking = self.node.clone().look_twice(on.iter().cloned().collect(), run);
--- a/crates/ringbend-relay/src/keeping.rs
+++ b/crates/ringbend-relay/src/keeping.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ringbend_gateway::{SuspectState, Suspicion};
-use ringbend_types::Fingerprint;
+use ringbend_gateway::Suspicion;
+use ringbend_types::{Fingerprint, Timestamp};
 use ringbend_wire::{Message, Suspicion as ToldSuspicion, WireError, suspicion_of, told_suspicion};
 
 use crate::node::Node;
@@ -106,17 +106,11 @@
 
     /// Has a request kept that has two strikes or more, for as long as that stays so.
     pub(crate) fn keep_suspect(self: &Rc<Self>, of: Fingerprint) {
-        let is_grave = |state| !matches!(state, SuspectState::Clear | SuspectState::Suspect(1));
-        if !is_grave(self.suspect_state(of)) {
-            return;
-        }
         let node = self.clone();
         tokio::task::spawn_local(async move {
             for _ in 0..MOST_WRITES {
-                let known = node.quarantine.borrow().of(of).cloned();
-                let Some(known) = known.filter(|_| is_grave(node.suspect_state(of))) else {
-                    return;
-                };
+                let known = node.quarantine.borrow().of(of).filter(|s| s.is_grave()).cloned();
+                let Some(known) = known else { return };
                 let value = told_suspicion(&known).encode_to_vec().into();
                 let row = KeptRow { key: of.to_string().into(), value };
                 match bounded(node.keeper.keep(&row)).await {
@@ -130,6 +124,14 @@
         });
     }
 
+    /// Forgets suspects of long ago. The instance that reads the watched tables removes their rows.
+    pub(crate) fn sweep_suspects(self: &Rc<Self>, now: Timestamp) {
+        let forgotten = self.quarantine.borrow_mut().sweep(now);
+        if self.readers.borrow().reads() {
+            forgotten.into_iter().for_each(|of| self.unkeep_suspect(of));
+        }
+    }
+
     /// Removes what is kept of a request that was cleared. A row that stays is of an earlier round.
     pub(crate) fn unkeep_suspect(self: &Rc<Self>, of: Fingerprint) {
         let node = self.clone();
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -109,7 +109,8 @@
         let now = self.clock.now();
         self.load.borrow_mut().advance(now);
         let directory = self.directory.borrow();
-        let candidates: Vec<&Endpoint> = directory.of_service(now, &job.service).collect();
+        let all = directory.of_service(now, &job.service);
+        let candidates: Vec<&Endpoint> = all.filter(|e| self.may_run_on(job, e)).collect();
         let (cfg, load, trust) = (self.cfg.borrow(), self.load.borrow(), self.trust.borrow());
         let (schedules, instances) = (self.schedules(), self.peers.borrow().instances(now));
         // Where others schedule, the book here misses what they place.
--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-use ringbend_gateway::{Arbiter, EngineProfile, HELD_AT, Job, Placement, SuspectState, WorkId};
+use ringbend_gateway::{Arbiter, Endpoint, EngineProfile, Job, Placement, SuspectState, WorkId};
 use ringbend_types::{Fingerprint, Timestamp};
 use ringbend_wire::{LoadDigest, Suspicion, suspicion_of, told_suspicion};
 use std::time::Duration;
@@ -54,8 +54,7 @@
 
     /// Notes that a run of a request ended well.
     pub(crate) fn clear_suspect(self: &Rc<Self>, of: Fingerprint) {
-        let was_grave =
-            !matches!(self.suspect_state(of), SuspectState::Clear | SuspectState::Suspect(1));
+        let was_grave = self.quarantine.borrow().of(of).is_some_and(|s| s.is_grave());
         if self.quarantine.borrow_mut().clear(self.clock.now(), of) {
             self.changed_suspect(of, true);
             if was_grave {
@@ -176,15 +175,19 @@
         }
     }
 
-    /// Whether there is an endpoint for a suspect on which no other one runs. Needed for the last strike only:
-    /// where many endpoints end at once there are more suspects than endpoints, and most harm nobody.
-    fn has_room_apart(&self, job: &Job, of: Fingerprint) -> bool {
-        if self.quarantine.borrow().strikes(of) + 1 < HELD_AT {
-            return true;
-        }
-        self.decide(job, |view, candidates| {
-            candidates.is_empty() || candidates.iter().any(|e| !view.load.has_suspect(&e.id))
-        })
+    /// Whether there is an endpoint where a suspect may run; also if there is none at all.
+    fn has_room_apart(&self, job: &Job) -> bool {
+        let service = &job.service;
+        let is_empty =
+            self.directory.borrow().of_service(self.clock.now(), service).next().is_none();
+        is_empty || self.decide(job, |_, candidates| !candidates.is_empty())
+    }
+
+    /// Whether the request may be put on an endpoint beside the suspects that run there.
+    pub(crate) fn may_run_on(&self, job: &Job, endpoint: &Endpoint) -> bool {
+        let Some(of) = job.suspect else { return true };
+        let load = self.load.borrow();
+        self.quarantine.borrow().may_run_beside(of, load.suspects_on(&endpoint.id))
     }
 
     /// Places a suspect once no other try of it is open anywhere, apart from other suspects.
@@ -198,7 +201,7 @@
         self.wait_for_turn(id, job, engine).await?;
         let began = self.clock.now();
         let until = job.patience.min(job.deadline);
-        while self.load.borrow().is_open(of) || !self.has_room_apart(job, of) {
+        while self.load.borrow().is_open(of) || !self.has_room_apart(job) {
             if self.suspect_state(of) == SuspectState::Held {
                 return Err(Denied::Held);
             }
--- a/crates/ringbend-relay/src/telling.rs
+++ b/crates/ringbend-relay/src/telling.rs
@@ -185,6 +185,7 @@
             self.forget_told_by(address);
         }
         self.grants.borrow_mut().sweep(now);
+        self.sweep_suspects(now);
         self.review_role();
         let instances = self.peers.borrow().instances(now);
         if self.metrics.live_instances.get() != instances as i64 {
