--- a/crates/ringbend-relay/src/silence.rs
+++ b/crates/ringbend-relay/src/silence.rs
@@ -71,6 +71,12 @@
         self.timed(on, deadline, work).await
     }
 
+    /// Whether a send ends once its request is held. A stream that is being written goes on: if it ends well, it
+    /// clears a request that was held by mistake.
+    fn may_be_broken_off(&self) -> bool {
+        !self.is_try && self.writes_since.is_none()
+    }
+
     fn replace_silent(&mut self) -> bool {
         let now = self.node.clock.now();
         let budget = &mut self.node.budget.borrow_mut();
@@ -96,7 +102,9 @@
             done = work => done.map_err(Broken::Exchange),
             () = self.node.clock.sleep_until(by) => Err(Broken::Late),
             () = self.node.ended(on) => Err(Broken::Ended),
-            () = self.node.held(self.origin.fingerprint), if !self.is_try => Err(Broken::Held),
+            () = self.node.held(self.origin.fingerprint), if self.may_be_broken_off() => {
+                Err(Broken::Held)
+            }
         };
         if let Err(why) = &done {
             self.find_cause(on, why).await;
