fix(relay): a suspect waits a quarter of a second at most for another try of it

The same where a try hangs on its engine. Another try of the same request no longer counts as another suspect beside it.

--- a/crates/ringbend-gateway/src/quarantine.rs
+++ b/crates/ringbend-gateway/src/quarantine.rs
@@ -133,7 +133,7 @@
         mut others: impl Iterator<Item = Fingerprint>,
     ) -> bool {
         let is_grave = |of| self.strikes(of) + 1 >= HELD_AT;
-        others.all(|other| !is_grave(of) && !is_grave(other))
+        others.all(|other| other == of || (!is_grave(of) && !is_grave(other)))
     }
 
     /// Notes that a process ended while it ran the request, by a run that began when the request had so many
--- a/crates/ringbend-gateway/tests/quarantine.rs
+++ b/crates/ringbend-gateway/tests/quarantine.rs
@@ -61,6 +61,7 @@
     let may = |of, other| quarantine.may_run_beside(request(of), [request(other)].into_iter());
     assert!(may(1, 2) && may(2, 1));
     assert!(!may(1, 3) && !may(3, 1));
+    assert!(may(3, 3), "another try of the same request tells nobody apart");
     assert!(quarantine.may_run_beside(request(3), std::iter::empty()));
 }
 
--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -20,6 +20,10 @@
 /// milliseconds at least.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// How long a suspect waits for another try of it to end. One that ends its engine does so within a third of
+/// this; one that hangs, or whose instance is frozen, must not keep all that send the same call waiting.
+const OTHER_TRY_TIME: Duration = Duration::from_millis(250);
+
 impl Node {
     /// What follows for a request from what is known of it here.
     pub(crate) fn suspect_state(&self, of: Fingerprint) -> SuspectState {
@@ -189,7 +193,7 @@
         self.quarantine.borrow().may_run_beside(of, load.suspects_on(&endpoint.id))
     }
 
-    /// Places a suspect once no other try of it is open anywhere, apart from other suspects.
+    /// Places a suspect once no other try of it is open anywhere, or for long, apart from other suspects.
     pub(crate) async fn place_suspect(
         self: &Rc<Self>,
         id: WorkId,
@@ -200,7 +204,12 @@
         self.wait_for_turn(id, job, engine).await?;
         let began = self.clock.now();
         let until = job.patience.min(job.deadline);
-        while self.load.borrow().is_open(of) || !self.has_room_apart(job) {
+        let others_until = began + OTHER_TRY_TIME;
+        let waits_for_other = || {
+            let now = self.clock.now();
+            now < others_until && self.load.borrow().is_open(of)
+        };
+        while waits_for_other() || !self.has_room_apart(job) {
             if self.suspect_state(of) == SuspectState::Held {
                 return Err(Denied::Held);
             }
