fix(relay): a stream that has begun waits for another engine until its deadline

Cause: a job's patience was the time at which a caller leaves without a first event, also where the first event had come long before; the arbiter of a suspect, which waits for another try of it, gave up at once and the stream was cut. A job whose stream has begun has its deadline as patience. Ruled out: the budget (a repeat was left), room (idle engines). Only suspects that go on elsewhere are decided differently: patience is read there and for prompts that wait for a turn. crashing.rs: three of five events before, all five now; the other 14 tests there pass.

--- a/crates/ringbend-relay/src/scheduled.rs
+++ b/crates/ringbend-relay/src/scheduled.rs
@@ -66,6 +66,7 @@
     }
 
     fn job(&self, at_once: bool) -> Job {
+        let deadline = self.attempts.deadline();
         Job {
             request: self.id().into(),
             service: self.terms.service.name.clone(),
@@ -73,8 +74,9 @@
             since: self.arrived,
             first_by: self.first_by(),
             gap: self.gap(),
-            patience: self.first_event_patience(),
-            deadline: self.attempts.deadline(),
+            // A caller that has a first event leaves at its deadline.
+            patience: if at_once { deadline } else { self.first_event_patience() },
+            deadline,
             tried: self.attempts.tried().iter().cloned().collect(),
             at_once,
             suspect: self.suspect(),
