fix(relay): a scheduler's 'no endpoint' is not final for an instance that knows more of the table

Cause: changes of the endpoints' table reach instances some milliseconds apart; a scheduler that had not heard of an engine answered 'no endpoint' and the instance that asked refused its caller, with an idle engine on its own list. Each digest tells how far its sender's copy goes, so the one that asks can tell: it goes on to the next scheduler, and places the request by itself if that one is behind too.

--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -199,6 +199,11 @@
         if near.is_empty() { holders().map(|(address, _)| address).collect() } else { near }
     }
 
+    /// Whether the copy of the endpoints' table at `address` is not known to go as far as `endpoints`.
+    pub fn is_behind(&self, address: SocketAddrV4, endpoints: u64) -> bool {
+        self.peers.get(&address).is_none_or(|peer| peer.holds.endpoints < endpoints)
+    }
+
     /// Notes that the instance at `address` stops.
     pub fn left(&mut self, address: SocketAddrV4) {
         self.peers.remove(&address);
--- a/crates/ringbend-relay/src/asking.rs
+++ b/crates/ringbend-relay/src/asking.rs
@@ -128,6 +128,8 @@
                 "scheduled"
             );
             return match grant.verdict() {
+                // It may not have heard yet of an endpoint that this instance knows.
+                Verdict::NoEndpoint if self.is_ahead_of(scheduler) => continue,
                 Verdict::TooLate => Some(Err(Denied::NoTurn)),
                 Verdict::NoEndpoint => Some(Err(Denied::NoEndpoint)),
                 Verdict::Held => Some(Err(Denied::Held)),
@@ -137,6 +139,13 @@
         None
     }
 
+    /// Whether this instance knows changes of the endpoints' table that the one at `scheduler` does not. They
+    /// reach instances some milliseconds apart, and a caller that is refused meanwhile loses a trip and its wait,
+    /// with an idle endpoint known here.
+    fn is_ahead_of(&self, scheduler: SocketAddrV4) -> bool {
+        self.peers.borrow().is_behind(scheduler, self.endpoints_cursor.get().0)
+    }
+
     /// Puts a granted placement on this instance's book; none if it cannot be read.
     fn take_grant(&self, id: WorkId, grant: &Grant, is_doubtful: bool) -> Option<Placement> {
         let now = self.clock.now();
