fix(relay): a suspect is placed by the next instance where two that should are silent

Cause: a call with two strikes is placed by one instance of its service. Two were asked, 40 ms each; where both were silent, as paused ones are, the call was refused as held with no word on when to come back, though the next one, or the instance itself, would place it. It now asks on for half a second: three schedulers take 120 ms, and who hears none takes up scheduling after 300.

--- a/crates/ringbend-relay/src/granting.rs
+++ b/crates/ringbend-relay/src/granting.rs
@@ -184,6 +184,7 @@
             }
             Err(Denied::NoEndpoint) => return verdict(id, Verdict::NoEndpoint),
             Err(Denied::Held) => return verdict(id, Verdict::Held),
+            Err(Denied::NoArbiter) => return verdict(id, Verdict::NotHere),
         };
         log::debug!(target: "peers", request = job.request.as_ref(); "granted");
         let load = self.load.borrow();
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -139,22 +139,14 @@
             Failed::NoMemory if self.wait_for_memory().await => None,
             Failed::NoTurn => {
                 self.hint = Some(self.come_back());
-                Some(match self.attempts.run_state() {
-                    RunState::NotRun => Refusal::LateNotRun,
-                    state => Refusal::of_state(state),
-                })
+                Some(self.unsent(Refusal::LateNotRun))
             }
             Failed::Held => {
                 self.hint = self.until_try();
-                Some(match self.attempts.run_state() {
-                    RunState::NotRun => Refusal::Held,
-                    state => Refusal::of_state(state),
-                })
+                Some(self.unsent(Refusal::Held))
             }
-            Failed::NoMemory | Failed::NoEndpoint => match self.attempts.run_state() {
-                RunState::NotRun => Some(Refusal::NoEndpoint),
-                state => Some(Refusal::of_state(state)),
-            },
+            Failed::NoArbiter => Some(self.unsent(Refusal::Suspected)),
+            Failed::NoMemory | Failed::NoEndpoint => Some(self.unsent(Refusal::NoEndpoint)),
             Failed::Send(end) => match self.next(end) {
                 Next::SendAgain => None,
                 Next::PassOn => Some(Refusal::MayHaveRun),
@@ -163,6 +155,14 @@
         }
     }
 
+    /// This refusal if nothing was run; else the one that says so.
+    fn unsent(&self, refusal: Refusal) -> Refusal {
+        match self.attempts.run_state() {
+            RunState::NotRun => refusal,
+            state => Refusal::of_state(state),
+        }
+    }
+
     /// How long until a held request may be tried again.
     fn until_try(&self) -> Option<Duration> {
         let (now, of) = (self.node.clock.now(), self.origin.fingerprint);
@@ -311,6 +311,8 @@
     NoMemory,
     /// It is held, as it ends endpoints.
     Held,
+    /// It may end endpoints, and no instance that places such requests answers.
+    NoArbiter,
     /// Another send takes its place.
     Replaced,
     /// It ended like this.
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -27,6 +27,8 @@
     NoEndpoint,
     /// The request ends endpoints.
     Held,
+    /// The request may end endpoints, and no instance that places such ones answers.
+    NoArbiter,
 }
 
 impl Node {
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -32,6 +32,8 @@
     MayHaveRun,
     /// It is held because it ends endpoints, and was not sent.
     Held,
+    /// It may end endpoints, and no instance that places such requests answers. It was not sent.
+    Suspected,
     /// Its time is up and it was not run.
     LateNotRun,
     /// Its time is up.
@@ -83,6 +85,7 @@
             Self::NotTaken => "not-taken",
             Self::MayHaveRun => "may-have-run",
             Self::Held => "held",
+            Self::Suspected => "suspected",
             Self::LateNotRun => "late-not-run",
             Self::Late => "late",
         }
@@ -106,9 +109,12 @@
         match self {
             Self::Denied(Denied::NoConfig | Denied::StaleConfig) => Some(COME_BACK_STALE),
             Self::Stopping => Some(Duration::ZERO),
-            Self::NoService | Self::NoEndpoint | Self::NotTaken | Self::Held | Self::LateNotRun => {
-                Some(hint.unwrap_or(COME_BACK))
-            }
+            Self::NoService
+            | Self::NoEndpoint
+            | Self::NotTaken
+            | Self::Held
+            | Self::Suspected
+            | Self::LateNotRun => Some(hint.unwrap_or(COME_BACK)),
             _ => None,
         }
     }
--- a/crates/ringbend-relay/src/scheduled.rs
+++ b/crates/ringbend-relay/src/scheduled.rs
@@ -58,6 +58,7 @@
             Denied::NoTurn => Failed::NoTurn,
             Denied::NoEndpoint => Failed::NoEndpoint,
             Denied::Held => Failed::Held,
+            Denied::NoArbiter => Failed::NoArbiter,
         })?;
         let endpoint = self.node.directory.borrow().get(&placement.lead).cloned();
         let endpoint = endpoint.ok_or(Failed::NoEndpoint)?;
--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -24,6 +24,11 @@
 /// this; one that hangs, or whose instance is frozen, must not keep all that send the same call waiting.
 const OTHER_TRY_TIME: Duration = Duration::from_millis(250);
 
+/// How long a suspect with two strikes looks for an instance that places it. Three schedulers are asked one after the
+/// other in 120 ms, and an instance that hears none any more takes up scheduling after 300; who has none by then comes
+/// back later, rather than to wait for instances that are paused.
+const ARBITER_TIME: Duration = Duration::from_millis(500);
+
 impl Node {
     /// What follows for a request from what is known of it here.
     pub(crate) fn suspect_state(&self, of: Fingerprint) -> SuspectState {
@@ -146,8 +151,8 @@
         }
     }
 
-    /// Has a suspect placed by the instance that places all suspects of its service. Where none answers, one
-    /// strike does not keep it from being served, two do.
+    /// Has a suspect placed by the instance that places all suspects of its service, or by the next one where
+    /// that is silent. Where none answers, one strike does not keep it from being served; two do after a while.
     pub(crate) async fn schedule_suspect(
         self: &Rc<Self>,
         id: WorkId,
@@ -155,26 +160,31 @@
         engine: Option<EngineProfile>,
         of: Fingerprint,
     ) -> Result<Placement, Denied> {
-        let arbiter = self.peers.borrow().arbiter(self.clock.now(), &job.service, &[]);
-        match arbiter {
-            Some(Arbiter::Own) => return self.place_suspect(id, job, engine, of).await,
-            Some(Arbiter::At(_)) => {
-                let next = |peers: &Peers, now, asked: &[SocketAddrV4]| {
-                    peers.arbiter(now, &job.service, asked).and_then(Arbiter::address)
-                };
-                if let Some(answer) = self.ask(id, job, next).await {
-                    return answer;
+        let until = (self.clock.now() + ARBITER_TIME).min(job.patience).min(job.deadline);
+        loop {
+            let now = self.clock.now();
+            let arbiter = self.peers.borrow().arbiter(now, &job.service, &[]);
+            match arbiter {
+                Some(Arbiter::Own) => return self.place_suspect(id, job, engine, of).await,
+                Some(Arbiter::At(_)) => {
+                    let next = |peers: &Peers, now, asked: &[SocketAddrV4]| {
+                        peers.arbiter(now, &job.service, asked).and_then(Arbiter::address)
+                    };
+                    if let Some(answer) = self.ask(id, job, next).await {
+                        return answer;
+                    }
                 }
+                None => {}
             }
-            None => {}
-        }
-        let state = self.suspect_state(of);
-        log::info!(target: "request", id = job.request.as_ref(), state:?; "suspect without arbiter");
-        match state {
-            SuspectState::Clear | SuspectState::Suspect(1) => {
-                self.place_in_turn(id, job, engine).await
+            match self.suspect_state(of) {
+                SuspectState::Clear | SuspectState::Suspect(1) => {
+                    log::info!(target: "request", id = job.request.as_ref(); "suspect without arbiter");
+                    return self.place_in_turn(id, job, engine).await;
+                }
+                SuspectState::Held => return Err(Denied::Held),
+                SuspectState::Suspect(_) if now >= until => return Err(Denied::NoArbiter),
+                SuspectState::Suspect(_) => tokio::time::sleep(LOOK).await,
             }
-            SuspectState::Suspect(_) | SuspectState::Held => Err(Denied::Held),
         }
     }
 
