fix(relay): a stopping instance answers all that it has read before its process ends

The class: what a stop can no longer see to its end was looked at when a request came (2.5 s after the stop), not when it is sent. Now each send is decided by it: a request that could not end in the time left, were it read by as many engines as may and written beside no other, is refused as not run, also while it waits for its turn, for memory or for an arbiter; what is on an endpoint without an answer is told that it may have run a tenth of a second before the end.

Three tests, red before (no answer, no answer, 200 where 503): stopping.rs.

--- a/crates/ringbend-gateway/src/engine.rs
+++ b/crates/ringbend-gateway/src/engine.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::choice::Demand;
+
 /// The speeds and sizes of a service's engines.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EngineProfile {
@@ -46,6 +48,14 @@
         f64::from(self.steps_per_pass) * (self.step_ms + f64::from(writers) * self.per_writer_ms)
     }
 
+    /// The least time from the moment at which a prompt is sent to the end of an answer that is as long as it may be:
+    /// read by as many engines as may read one, and written beside no other.
+    pub fn least_time(&self, demand: Demand) -> Duration {
+        let written_ms = demand.answer_tokens as f64 * (self.step_ms + self.per_writer_ms);
+        self.part_time(demand.prompt_tokens, MOST_ENGINES)
+            + Duration::from_secs_f64(written_ms / 1_000.0)
+    }
+
     /// How long the prompt takes when `engines` read even parts of it.
     pub fn part_time(&self, prompt_tokens: u64, engines: usize) -> Duration {
         Duration::from_secs_f64(self.read_ms(prompt_tokens) / engines.max(1) as f64 / 1_000.0)
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -34,6 +34,7 @@
 mod scheduled;
 mod sending;
 mod silence;
+mod stopping;
 mod streams;
 mod suspects;
 mod telling;
@@ -46,4 +47,5 @@
     Dialect, EndpointSource, Helper, Keeper, KeptRow, MemoryOrder, OrderCall, Presence, Present,
     Report, ReportCall, SendOrder, Source, SourceError,
 };
-pub use relay::{Ports, Relay, RelayError, Stopped};
+pub use relay::{Ports, Relay, RelayError};
+pub use stopping::Stopped;
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -121,7 +121,13 @@
     /// Sends the request until an endpoint answers or it is given up.
     pub(crate) async fn run(mut self) -> HttpResponse {
         loop {
-            let failed = match self.send().await {
+            let node = self.node.clone();
+            let sent = tokio::select! {
+                biased;
+                sent = self.send() => sent,
+                () = node.past_last_answer() => Err(Failed::Cut),
+            };
+            let failed = match sent {
                 Ok(Reply::Whole(res, status)) => return self.finish(res, status.as_str()),
                 Ok(Reply::Stream(relayed)) => return crate::streams::relay(self, *relayed),
                 Err(failed) => failed,
@@ -145,6 +151,11 @@
                 self.hint = self.until_try();
                 Some(self.unsent(Refusal::Held))
             }
+            Failed::Stopping => Some(self.unsent(Refusal::Stopping)),
+            Failed::Cut => {
+                self.attempts.broken_off();
+                Some(Refusal::of_state(self.attempts.run_state()))
+            }
             Failed::NoArbiter => Some(self.unsent(Refusal::Suspected)),
             Failed::NoMemory | Failed::NoEndpoint => Some(self.unsent(Refusal::NoEndpoint)),
             Failed::Send(end) => match self.next(end) {
@@ -315,6 +326,10 @@
     NoArbiter,
     /// Another send takes its place.
     Replaced,
+    /// The instance stops, and an answer could not end before that.
+    Stopping,
+    /// The instance has stopped, and the send is broken off.
+    Cut,
     /// It ended like this.
     Send(SendEnd),
 }
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -104,6 +104,8 @@
     pub(crate) http: ServiceConfig,
     /// When a stop was asked for.
     pub(crate) stopping: Cell<Option<Timestamp>>,
+    /// Told when it is.
+    pub(crate) stop_begun: Notify,
     /// Requests that were read and have not ended.
     pub(crate) open: Cell<usize>,
     incarnation: u64,
@@ -114,10 +116,6 @@
 /// prefers others; callers are owed nothing by an instance without contact for three seconds.
 const READY_AGE: Duration = Duration::from_millis(2_900);
 
-/// How long a stopping instance goes on taking requests. The balancer takes some two seconds to send
-/// new callers elsewhere; what is taken later may not end within the grace time.
-const LAST_CALL: Duration = Duration::from_millis(2_500);
-
 impl Node {
     pub(crate) fn new(
         cfg: RelayConfig,
@@ -176,6 +174,7 @@
             metrics: Metrics::default(),
             http: ServiceConfig::default(),
             stopping: Cell::new(None),
+            stop_begun: Notify::new(),
             open: Cell::new(0),
             incarnation,
             work: Cell::new(0),
@@ -206,11 +205,6 @@
         self.knows_suspects.get() || waited >= LEARN_TIME
     }
 
-    /// Whether the instance is stopping and takes no more requests, also from kept connections.
-    pub(crate) fn is_past_last_call(&self) -> bool {
-        self.stopping.get().is_some_and(|at| self.clock.now().since(at) >= LAST_CALL)
-    }
-
     /// How much longer than alone an instance waits between calls to a lost store: one that reaches it
     /// again tells all others.
     pub(crate) fn asking_factor(&self) -> f64 {
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -61,19 +61,12 @@
     pub keeper: Rc<dyn Keeper>,
 }
 
-/// How many requests a stop cut off.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Stopped {
-    /// Requests that had not ended.
-    pub cut: usize,
-}
-
 /// A running relay.
 pub struct Relay {
-    node: Rc<Node>,
-    servers: Vec<Server>,
-    tasks: Vec<JoinHandle<()>>,
-    presence: Rc<dyn Presence>,
+    pub(crate) node: Rc<Node>,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) tasks: Vec<JoinHandle<()>>,
+    pub(crate) presence: Rc<dyn Presence>,
 }
 
 /// Places in the list of servers.
@@ -85,24 +78,10 @@
 /// says, so this only has to lie above it.
 const KEEP_ALIVE: Duration = Duration::from_secs(90);
 
-/// How long a stopping instance goes on taking connections: the balancer asks once a second and
-/// needs two misses.
-const NOTICE: Duration = Duration::from_millis(3_200);
-
 /// What this instance's clock shows at its start. Other instances tell when they proved a copy, which
 /// may be before this one started; a copy that was proved longer ago than this is of no use.
 const CLOCK_AT_START: Timestamp = Timestamp(60_000_000);
 
-/// What is left of the grace time for the process to end by itself.
-const EXIT_RESERVE: Duration = Duration::from_millis(400);
-
-/// How long withdrawing this instance's presence may take. What stays behind is only an address that
-/// nobody answers at.
-const WITHDRAW_TIME: Duration = Duration::from_millis(150);
-
-/// How often a stopping instance looks whether it is done.
-const STOP_STEP: Duration = Duration::from_millis(50);
-
 impl Relay {
     /// Starts a relay on this thread.
     ///
@@ -258,42 +237,6 @@
             }
         }
     }
-
-    /// Stops taking new callers, lets open requests end within the grace time, and returns.
-    pub async fn stop(self) -> Stopped {
-        let began = self.node.clock.now();
-        let grace = self.node.cfg.borrow().bounds.grace().saturating_sub(EXIT_RESERVE);
-        self.node.stopping.set(Some(began));
-        log::info!(target: "relay", open = self.node.open.get(); "stopping");
-        loop {
-            let passed = self.node.clock.now().since(began);
-            let idle = self.node.open.get() == 0 && passed >= NOTICE;
-            if idle || passed >= grace {
-                break;
-            }
-            tokio::time::sleep(STOP_STEP).await;
-        }
-        self.leave().await;
-        let cut = self.node.open.get();
-        self.tasks.iter().for_each(JoinHandle::abort);
-        drop(self.servers);
-        log::info!(target: "relay", cut; "stopped");
-        Stopped { cut }
-    }
-}
-
-impl Relay {
-    /// Tells other instances, and whoever starts later, that this one is gone.
-    async fn leave(&self) {
-        self.node.bye();
-        match tokio::time::timeout(WITHDRAW_TIME, self.presence.withdraw()).await {
-            Ok(Ok(())) => {}
-            Ok(Err(e)) => log::info!(target: "peers", error:% = e; "presence not withdrawn"),
-            Err(_) => {
-                log::info!(target: "peers", time_ms:? = WITHDRAW_TIME.as_millis(); "presence not withdrawn")
-            }
-        }
-    }
 }
 
 async fn open(
--- a/crates/ringbend-relay/src/scheduled.rs
+++ b/crates/ringbend-relay/src/scheduled.rs
@@ -53,7 +53,11 @@
         }
         let placed = Placed::new(self.node.clone());
         let job = self.job(at_once);
-        let placement = self.node.schedule(placed.id, &job, self.terms.service.engine).await;
+        let placement = tokio::select! {
+            biased;
+            () = self.past_last_send() => return Err(Failed::Stopping),
+            placement = self.node.schedule(placed.id, &job, self.terms.service.engine) => placement,
+        };
         let placement = placement.map_err(|denied| match denied {
             Denied::NoTurn => Failed::NoTurn,
             Denied::NoEndpoint => Failed::NoEndpoint,
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -174,7 +174,12 @@
             Failed::Replaced => true,
             Failed::Send(end) => life.next(end) == Next::SendAgain,
             Failed::NoMemory => life.wait_for_memory().await,
-            Failed::NoEndpoint | Failed::NoTurn | Failed::Held | Failed::NoArbiter => false,
+            Failed::NoEndpoint
+            | Failed::NoTurn
+            | Failed::Held
+            | Failed::NoArbiter
+            | Failed::Stopping
+            | Failed::Cut => false,
         };
         if !goes_on || last.is_none() {
             return Err(Cut::Broken);
