fix(relay): an engine that ends just after its caller has left is looked at as well

Cause: a strike was found by the send's own end, and a send whose caller leaves ends here, before the engine does. A run that has not begun to answer leaves a look behind if its caller leaves within 0.4 s of the send: one connection 0.15 s later, while nobody else may be on the engine.

--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -36,6 +36,15 @@
 /// begun. Keeps the strikes off long answers, which meet most ends of engines.
 const HARMLESS_AFTER: Duration = Duration::from_secs(1);
 
+/// How long after a send its caller's leaving is followed by a look at the endpoint. Requests that end their engines
+/// do so within a tenth of a second after they have begun; those that wait at the engine for longer than this
+/// ended none. It keeps the looks few: one connection for each caller that leaves sooner than most answers begin.
+const HASTY: Duration = Duration::from_millis(400);
+
+/// How long after a caller has left it is looked whether the endpoint is still there: longer than a request takes to
+/// end its engine.
+const LEFT_LOOK: Duration = Duration::from_millis(150);
+
 /// What came of a look at an endpoint's address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Found {
@@ -55,6 +64,37 @@
     pub(crate) strikes_before: usize,
 }
 
+/// A run that has not begun to answer. If it is dropped by then, its caller has left, and its endpoints may end by it
+/// all the same; nobody else may be on them to notice.
+pub(crate) struct Unanswered {
+    node: Rc<Node>,
+    on: SmallVec<[Endpoint; 4]>,
+    run: Blamed,
+    sent: Timestamp,
+    is_open: bool,
+}
+
+impl Unanswered {
+    /// Notes that the run has begun to answer, or how it ended.
+    pub(crate) fn settle(&mut self) {
+        self.is_open = false;
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        let was_hasty = self.node.clock.now().since(self.sent) < HASTY;
+        if !self.is_open || !was_hasty {
+            return;
+        }
+        let (node, on, run) = (self.node.clone(), std::mem::take(&mut self.on), self.run);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(LEFT_LOOK).await;
+            node.look_for_ends(on, run).await;
+        });
+    }
+}
+
 struct Lookup {
     at: Timestamp,
     /// None while it is looked at.
@@ -159,6 +199,12 @@
         Blamed { fingerprint: self.origin.fingerprint, strikes_before: self.strikes_before }
     }
 
+    /// A run on these endpoints that is sent now.
+    pub(crate) fn unanswered(&self, on: &[Endpoint]) -> Unanswered {
+        let (node, on, run) = (self.node.clone(), on.iter().cloned().collect(), self.blamed());
+        Unanswered { sent: node.clock.now(), node, on, run, is_open: true }
+    }
+
     /// Finds out whether an engine has ended that helped to read the prompt, as the one that it was sent to
     /// has named it at fault.
     pub(crate) fn find_cause_at(&self, helper: &Endpoint) {
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -18,6 +18,7 @@
 use ringbend_types::Timestamp;
 use smallvec::SmallVec;
 
+use crate::crashes::Unanswered;
 use crate::exchange::{self, Answer, ExchangeError};
 use crate::fields::Millis;
 use crate::headers::clone_head;
@@ -41,6 +42,7 @@
     expected: Duration,
     /// When silence counts as a failure.
     silent_at: Timestamp,
+    unanswered: Unanswered,
     began: LocalBoxFuture<'static, Result<Began, ExchangeError>>,
 }
 
@@ -122,7 +124,8 @@
         let overdue_at = sent + overdue_after(expected);
         let began = Box::pin(self.watched(&on, overdue_at, sending.begin()));
         let silent_at = self.silence_limit(&placed, expected);
-        Ok(Run { endpoint, placed, on, sent, expected, silent_at, began })
+        let unanswered = self.unanswered(&on);
+        Ok(Run { endpoint, placed, on, sent, expected, silent_at, unanswered, began })
     }
 
     fn depends_on(&self, lead: &Endpoint, placement: &Placement) -> SmallVec<[Endpoint; 4]> {
@@ -203,9 +206,13 @@
                 began = second => (began, true),
             }
         };
-        let (run, other) = if is_second { (two, one) } else { (one, two) };
+        let (run, mut other) = if is_second { (two, one) } else { (one, two) };
         match self.settle(run, began) {
-            Ok((run, began)) if !began.facts.not_run => Ok((run, began)),
+            Ok((run, began)) if !began.facts.not_run => {
+                // Its request does well; what becomes of the other run's endpoint is not by it.
+                other.unanswered.settle();
+                Ok((run, began))
+            }
             Ok((run, began)) => {
                 // It did not run there; the other one goes on.
                 if let Err(Failed::Send(_)) =
@@ -229,7 +236,12 @@
         self.settle(run, began)
     }
 
-    fn settle(&mut self, run: Run, began: Result<Began, Broken>) -> Result<(Run, Began), Failed> {
+    fn settle(
+        &mut self,
+        mut run: Run,
+        began: Result<Began, Broken>,
+    ) -> Result<(Run, Began), Failed> {
+        run.unanswered.settle();
         match began {
             Ok(began) => Ok((run, began)),
             Err(why) => Err(self.broken(&run.endpoint, &why)),
