--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -26,7 +26,7 @@
 
 /// How long a suspect with two strikes looks for an instance that places it. Three schedulers are asked one after the
 /// other in 120 ms, and an instance that hears none any more takes up scheduling after 300; who has none by then comes
-/// back later, rather than to wait for instances that are paused.
+/// back later rather than wait for instances that are paused.
 const ARBITER_TIME: Duration = Duration::from_millis(500);
 
 impl Node {
