fix(relay): an instance looks for those of its own data centre though it hears others

Cause, two parts: an instance that had heard anybody did not look for others in the store, and a seed of another data centre that was still starting names nobody and tells no more; and one that takes up scheduling greeted only those that it knew as schedulers, not those heard while they started. Each instance then took itself for the only one, for good, with the whole budget of repeats.

--- a/crates/ringbend-gateway/src/peers/roles.rs
+++ b/crates/ringbend-gateway/src/peers/roles.rs
@@ -85,13 +85,23 @@
 
     /// The other schedulers: the best placed of each data centre.
     pub fn fellows(&self, now: Timestamp) -> Vec<SocketAddrV4> {
+        self.best_of_each(now, Peer::schedules)
+    }
+
+    /// Those that are or may have become the other schedulers: one that was heard while it started has not told
+    /// this one what it became.
+    pub fn likely_fellows(&self, now: Timestamp) -> Vec<SocketAddrV4> {
+        self.best_of_each(now, |peer| peer.part.role != Role::Member)
+    }
+
+    /// The best placed of each data centre.
+    fn best_of_each(&self, now: Timestamp, is_meant: fn(&Peer) -> bool) -> Vec<SocketAddrV4> {
         let mut centres: Vec<&DataCentre> =
             self.there(now).filter_map(|(_, peer)| peer.data_centre.as_ref()).collect();
         centres.sort();
         centres.dedup();
-        let best = |centre| self.best(now, centre, Peer::schedules);
-        let named = centres.into_iter().flat_map(best);
-        let unplaced = self.there(now).filter(|(_, p)| p.data_centre.is_none() && p.schedules());
+        let named = centres.into_iter().flat_map(|centre| self.best(now, centre, is_meant));
+        let unplaced = self.there(now).filter(|(_, p)| p.data_centre.is_none() && is_meant(p));
         named.chain(unplaced.map(|(address, _)| address)).collect()
     }
 
--- a/crates/ringbend-relay/src/hearing.rs
+++ b/crates/ringbend-relay/src/hearing.rs
@@ -112,7 +112,7 @@
     /// Asks the other schedulers for what runs where, and tells them of the own requests.
     pub(crate) fn begin_to_schedule(&self) {
         log::info!(target: "peers", schedules = true; "role");
-        let fellows = self.peers.borrow().fellows(self.clock.now());
+        let fellows = self.peers.borrow().likely_fellows(self.clock.now());
         fellows.into_iter().for_each(|fellow| self.say_hello(fellow));
         self.greet_elsewhere();
         self.outbox.borrow_mut().placed.extend(self.own_work());
--- a/crates/ringbend-relay/src/joining.rs
+++ b/crates/ringbend-relay/src/joining.rs
@@ -89,8 +89,10 @@
     node.peers.borrow().role() == Role::Member
 }
 
-fn hears_others(node: &Node) -> bool {
-    node.peers.borrow().instances(node.clock.now()) > 1
+/// Whether an instance of this data centre is heard. One of another that was asked while it started does not name
+/// those here, and tells this one nothing more.
+fn hears_home(node: &Node) -> bool {
+    node.peers.borrow().instances_at_home(node.clock.now()) > 1
 }
 
 /// Only those that schedule need a row: whoever starts asks the best placed that have one, and hears
@@ -98,7 +100,7 @@
 /// they were, so one call is enough after a loss of all.
 async fn announce(node: &Rc<Node>, presence: &dyn Presence) -> Result<(), SourceError> {
     let Some(address) = node.peers_address() else { return Ok(()) };
-    if !hears_others(node) {
+    if !hears_home(node) {
         read_rows(node, presence).await?;
         if node.rows.borrow().is_empty() {
             let wait = node.rng.borrow_mut().random_range(FIRST_ROW_WAIT_MS);
@@ -117,7 +119,7 @@
         Present { address, data_centre: Some(cfg.data_centre.clone()), capacity: cfg.capacity() }
     };
     bounded(presence.announce(&own)).await?;
-    if !hears_others(node) {
+    if !hears_home(node) {
         // Of two that start together, the later reader sees the other.
         read_rows(node, presence).await?;
         greet_home(node).await;
