--- a/crates/ringbend-gateway/tests/quarantine.rs
+++ b/crates/ringbend-gateway/tests/quarantine.rs
@@ -6,8 +6,8 @@
 
 use quickcheck::{TestResult, quickcheck};
 use ringbend_gateway::{
-    Demand, EndedProcess, HELD_AT, Quarantine, SuspectState, Suspicion, Wish, place_on_engines,
-    place_on_service,
+    Demand, EndedProcess, HELD_AT, LoadBook, Quarantine, SuspectState, Suspicion, Wish, Work,
+    place_on_engines, place_on_service,
 };
 use ringbend_types::{EndpointStart, Fingerprint, Timestamp};
 use support::{Scene, at, endpoint, ms, profile, work, work_id};
@@ -52,6 +52,30 @@
     assert_eq!(quarantine.state(request(1)), SuspectState::Suspect(2));
 }
 
+/// A call that all send came again to the endpoint that had just ended, was cut off there once more, and had two strikes
+/// by one process (soak, seed 202).
+#[test]
+fn one_process_is_one_strike() {
+    let mut quarantine = Quarantine::default();
+    assert!(quarantine.strike(at(0), request(1), process(1), 0));
+    assert!(!quarantine.strike(at(1), request(1), process(1), 1));
+    assert_eq!(quarantine.state(request(1)), SuspectState::Suspect(1));
+}
+
+/// A call with two strikes was put where the request that is to blame had been until 6 and 11 ms before, while
+/// that endpoint ended by it, and was held (soak, seeds 202 and 213).
+#[test]
+fn an_endpoint_counts_as_a_suspects_for_a_while_after_its_run() {
+    let mut load = LoadBook::default();
+    let on = endpoint(1).id;
+    let suspects = |load: &LoadBook, now| load.suspects_on(at(now), &on).collect::<Vec<_>>();
+    load.place(at(0), work_id(1), Work { suspect: Some(request(1)), ..work(1, ms(0)) });
+    assert_eq!(suspects(&load, 60), [request(1)]);
+    load.end(at(60), work_id(1));
+    assert_eq!(suspects(&load, 70), [request(1)]);
+    assert_eq!(suspects(&load, 60 + 250), []);
+}
+
 #[test]
 fn what_has_two_strikes_runs_beside_no_other_suspect_whichever_comes_later() {
     let mut quarantine = Quarantine::default();
