fix(relay): one instance of all data centres places a suspect

Cause: the arbiter was looked for by whoever had the request; an instance that does not schedule hears its own data centre alone, so there was one arbiter for each, and two of them could begin a suspect within a millisecond. What such an instance asks now goes on to the arbiter, as long prompts go on to their planner. crashing.rs: red before (the better placed one of another data centre was not asked), 19 tests pass.

--- a/crates/ringbend-relay/src/granting.rs
+++ b/crates/ringbend-relay/src/granting.rs
@@ -152,8 +152,8 @@
         verdict(id, Verdict::Queued)
     }
 
-    /// Waits for a long prompt's turn and tells whoever asked; one that another scheduler asked for is
-    /// planned here.
+    /// Waits for a long prompt's turn, or a suspect's, and tells whoever asked. What an instance that does not schedule
+    /// asked goes on to the one that plans or places it for all data centres; what a scheduler asked is placed here.
     async fn grant_in_turn(
         self: Rc<Self>,
         from: SocketAddrV4,
@@ -163,7 +163,8 @@
         plans: bool,
     ) {
         let placed = match (job.suspect, plans) {
-            (Some(of), _) => self.place_suspect(id, &job, engine, of).await,
+            (Some(of), true) => self.place_suspect(id, &job, engine, of).await,
+            (Some(of), false) => self.schedule_suspect(id, &job, engine, of).await,
             (None, true) => self.place_in_turn(id, &job, engine).await,
             (None, false) => self.plan(id, &job, engine).await,
         };
