--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -5,6 +5,10 @@
 //! its own later word or that of the one that took its place. Where neither comes, nothing is held against
 //! the request: a strike that is missed costs one more engine, a wrong one may hold up a request that harms
 //! nobody. A process that leaves is meant to end, so its end is no strike either.
+//!
+//! Only the endpoint that a request was sent to counts, not those that help it to read a long prompt. One that ends
+//! each engine which begins it ends its lead as well, so a lead that goes on speaks for it; and where many engines
+//! have ended by themselves a long prompt meets another one of them with each try.
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -14,7 +18,6 @@
 
 use ringbend_gateway::{EndedProcess, Endpoint};
 use ringbend_types::{Fingerprint, Timestamp};
-use smallvec::SmallVec;
 use tokio::net::TcpStream;
 
 use crate::life::Life;
@@ -64,11 +67,11 @@
     pub(crate) strikes_before: usize,
 }
 
-/// A run that has not begun to answer. If it is dropped by then, its caller has left, and its endpoints may end by it
-/// all the same; nobody else may be on them to notice.
+/// A run that has not begun to answer. If it is dropped by then, its caller has left, and its endpoint may end by it
+/// all the same; nobody else may be on it to notice.
 pub(crate) struct Unanswered {
     node: Rc<Node>,
-    on: SmallVec<[Endpoint; 4]>,
+    endpoint: Endpoint,
     run: Blamed,
     sent: Timestamp,
     is_open: bool,
@@ -87,10 +90,10 @@
         if !self.is_open || !was_hasty {
             return;
         }
-        let (node, on, run) = (self.node.clone(), std::mem::take(&mut self.on), self.run);
+        let (node, endpoint, run) = (self.node.clone(), self.endpoint.clone(), self.run);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(LEFT_LOOK).await;
-            node.look_for_ends(on, run).await;
+            node.look_for_end(&endpoint, run).await;
         });
     }
 }
@@ -144,40 +147,30 @@
         found
     }
 
-    /// Looks whether endpoints on which a request broke off have ended, and notes it if they have. Goes on
-    /// though the request's caller leaves. Returns those that were found to listen.
-    async fn look_for_ends(
-        self: Rc<Self>,
-        on: SmallVec<[Endpoint; 4]>,
-        run: Blamed,
-    ) -> SmallVec<[Endpoint; 4]> {
-        let mut listening = SmallVec::new();
-        for endpoint in on {
-            let found = self.look_at(endpoint.address).await;
-            let is_settled = self.directory.borrow().is_settled(&endpoint);
-            log::info!(
-                target: "endpoints", endpoint:% = endpoint.id, fingerprint:% = run.fingerprint, found:?, is_settled;
-                "broke off"
-            );
-            match found {
-                Found::Refused if is_settled => self.strike(run, &endpoint),
-                Found::Listening if is_settled => listening.push(endpoint),
-                _ => {}
-            }
+    /// Looks whether an endpoint on which a request broke off has ended, and notes it if it has. Returns whether
+    /// somebody was found to listen there.
+    async fn look_for_end(self: &Rc<Self>, endpoint: &Endpoint, run: Blamed) -> bool {
+        let found = self.look_at(endpoint.address).await;
+        let is_settled = self.directory.borrow().is_settled(endpoint);
+        log::info!(
+            target: "endpoints", endpoint:% = endpoint.id, fingerprint:% = run.fingerprint, found:?, is_settled;
+            "broke off"
+        );
+        if found == Found::Refused && is_settled {
+            self.strike(run, endpoint);
         }
-        listening
+        found == Found::Listening && is_settled
     }
 
     /// The same, and again a little later where somebody was found to listen; the request does not wait for
-    /// that.
-    async fn look_twice(self: Rc<Self>, on: SmallVec<[Endpoint; 4]>, run: Blamed) {
-        let listening = self.clone().look_for_ends(on, run).await;
-        if listening.is_empty() {
+    /// that. Goes on though the request's caller leaves.
+    async fn look_twice(self: Rc<Self>, endpoint: Endpoint, run: Blamed) {
+        if !self.look_for_end(&endpoint, run).await {
             return;
         }
         tokio::task::spawn_local(async move {
             tokio::time::sleep(SECOND_LOOK).await;
-            self.look_for_ends(listening, run).await;
+            self.look_for_end(&endpoint, run).await;
         });
     }
 
@@ -199,17 +192,10 @@
         Blamed { fingerprint: self.origin.fingerprint, strikes_before: self.strikes_before }
     }
 
-    /// A run on these endpoints that is sent now.
-    pub(crate) fn unanswered(&self, on: &[Endpoint]) -> Unanswered {
-        let (node, on, run) = (self.node.clone(), on.iter().cloned().collect(), self.blamed());
-        Unanswered { sent: node.clock.now(), node, on, run, is_open: true }
-    }
-
-    /// Finds out whether an engine has ended that helped to read the prompt, as the one that it was sent to
-    /// has named it at fault.
-    pub(crate) fn find_cause_at(&self, helper: &Endpoint) {
-        let on = [helper.clone()].into_iter().collect();
-        tokio::task::spawn_local(self.node.clone().look_twice(on, self.blamed()));
+    /// A run on this endpoint that is sent now.
+    pub(crate) fn unanswered(&self, endpoint: &Endpoint) -> Unanswered {
+        let (node, endpoint, run) = (self.node.clone(), endpoint.clone(), self.blamed());
+        Unanswered { sent: node.clock.now(), node, endpoint, run, is_open: true }
     }
 
     /// Whether the request may be to blame if an engine ends on which it runs now.
@@ -218,23 +204,21 @@
         self.writes_since.is_none_or(|since| now.since(since) < HARMLESS_AFTER)
     }
 
-    /// Finds out whether a send broke because endpoints ended, before it is sent elsewhere.
-    pub(crate) async fn find_cause(&self, on: &[Endpoint], why: &Broken) {
+    /// Finds out whether a send broke because its endpoint ended, before it is sent elsewhere.
+    pub(crate) async fn find_cause(&self, endpoint: &Endpoint, why: &Broken) {
         if !self.may_be_to_blame() {
             return;
         }
-        let run = self.blamed();
+        let (node, run) = (&self.node, self.blamed());
         match why {
             Broken::Exchange(e) if !e.nothing_sent() => {
-                let looking = self.node.clone().look_twice(on.iter().cloned().collect(), run);
+                let looking = node.clone().look_twice(endpoint.clone(), run);
                 if tokio::task::spawn_local(looking).await.is_err() {
                     log::debug!(target: "endpoints", id = self.id(); "the look was cut short");
                 }
             }
-            Broken::Ended => {
-                let node = &self.node;
-                let has_ended = |endpoint: &&Endpoint| node.directory.borrow().has_ended(endpoint);
-                on.iter().filter(has_ended).for_each(|endpoint| node.strike(run, endpoint));
+            Broken::Ended if node.directory.borrow().has_ended(endpoint) => {
+                node.strike(run, endpoint);
             }
             _ => {}
         }
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -124,7 +124,7 @@
         let overdue_at = sent + overdue_after(expected);
         let began = Box::pin(self.watched(&on, overdue_at, sending.begin()));
         let silent_at = self.silence_limit(&placed, expected);
-        let unanswered = self.unanswered(&on);
+        let unanswered = self.unanswered(&endpoint);
         Ok(Run { endpoint, placed, on, sent, expected, silent_at, unanswered, began })
     }
 
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -43,7 +43,6 @@
     pub(crate) fn distrust_address(&self, address: SocketAddrV4) {
         let directory = self.node.directory.borrow();
         let Some(endpoint) = directory.by_address(address) else { return };
-        self.find_cause_at(endpoint);
         self.trust(&endpoint.id, TrustEvent::Bad);
         self.tell_unfit(&endpoint.id);
     }
--- a/crates/ringbend-relay/src/silence.rs
+++ b/crates/ringbend-relay/src/silence.rs
@@ -90,7 +90,8 @@
         self.attempts.run_beside(now, &self.terms.service.name, budget)
     }
 
-    /// Waits until `by` or until the process of an endpoint that the work depends on has ended.
+    /// Waits until `by` or until the process of an endpoint that the work depends on has ended. The first of those is
+    /// the one that it was sent to.
     pub(crate) async fn timed<T>(
         &self,
         on: &[Endpoint],
@@ -106,8 +107,8 @@
                 Err(Broken::Held)
             }
         };
-        if let Err(why) = &done {
-            self.find_cause(on, why).await;
+        if let (Err(why), Some(lead)) = (&done, on.first()) {
+            self.find_cause(lead, why).await;
         }
         done
     }
