fix(relay): tries of a suspect go one by one

Cause: a try waited at most a quarter of a second, counted from its own beginning, for others of the same request; where several waited for engines to be back, all had waited long enough and were sent together. The time counts from the last try that was sent now, so one goes in each quarter of a second; all go once the request is cleared. The tests that asked whether a suspect is open ask when its last run was placed, which tells the same.

--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -382,9 +382,10 @@
         }
     }
 
-    /// Whether a suspect is open on any endpoint.
-    pub fn is_open(&self, suspect: Fingerprint) -> bool {
-        self.suspect_work().any(|work| work.suspect == Some(suspect))
+    /// When the latest run of a suspect that is open on any endpoint was placed.
+    pub fn last_placed(&self, suspect: Fingerprint) -> Option<Timestamp> {
+        let open = self.suspects.open().filter_map(|id| self.open.get(id));
+        open.filter(|open| open.work.suspect == Some(suspect)).map(|open| open.since).max()
     }
 
     /// The suspects that are open on this endpoint, or were until a moment ago.
--- a/crates/ringbend-gateway/tests/quarantine.rs
+++ b/crates/ringbend-gateway/tests/quarantine.rs
@@ -251,13 +251,13 @@
 fn runs_that_began_before_their_request_was_suspected_count_as_its_own() {
     let mut scene = Scene::new(2);
     scene.load.place(at(0), work_id(1), work(0, ms(1)));
-    assert!(!scene.load.is_open(request(1)));
+    assert!(scene.load.last_placed(request(1)).is_none());
     scene.load.mark_suspect(work_id(1), request(1));
-    assert!(scene.load.is_open(request(1)));
+    assert!(scene.load.last_placed(request(1)).is_some());
     let told = ringbend_gateway::Work { suspect: Some(request(2)), ..work(1, ms(1)) };
     scene.load.place_told(at(1), work_id(2), work(1, ms(1)), true);
     scene.load.place_told(at(2), work_id(2), told, true);
-    assert!(scene.load.is_open(request(2)));
+    assert!(scene.load.last_placed(request(2)).is_some());
     scene.load.end(at(3), work_id(2));
-    assert!(!scene.load.is_open(request(2)));
+    assert!(scene.load.last_placed(request(2)).is_none());
 }
--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -20,8 +20,9 @@
 /// milliseconds at least.
 const LOOK: Duration = Duration::from_millis(10);
 
-/// How long a suspect waits for another try of it to end. One that ends its engine does so within a third of
-/// this; one that hangs, or whose instance is frozen, must not keep all that send the same call waiting.
+/// How long after one try of a suspect the next one is sent if the first has not ended. One that ends its engine does
+/// so within a third of this; one that hangs, or whose instance is frozen, must not keep all that send the same
+/// call waiting. Those that wait go one by one, or as soon as one of them has ended well.
 const OTHER_TRY_TIME: Duration = Duration::from_millis(250);
 
 /// How long a suspect with two strikes looks for an instance that places it. Three schedulers are asked one after the
@@ -205,7 +206,22 @@
             .may_run_beside(of, load.suspects_on(self.clock.now(), &endpoint.id))
     }
 
-    /// Places a suspect once no other try of it is open anywhere, or for long, apart from other suspects.
+    /// Whether a suspect may be sent now: it was cleared, or no other try of it was sent lately and is open, and there
+    /// is an endpoint for it apart from other suspects.
+    fn may_place_suspect(&self, job: &Job, of: Fingerprint) -> Result<bool, Denied> {
+        match self.suspect_state(of) {
+            SuspectState::Clear => Ok(true),
+            SuspectState::Held => Err(Denied::Held),
+            SuspectState::Suspect(_) => {
+                let last = self.load.borrow().last_placed(of);
+                let now = self.clock.now();
+                let is_alone = last.is_none_or(|at| now.since(at) >= OTHER_TRY_TIME);
+                Ok(is_alone && self.has_room_apart(job))
+            }
+        }
+    }
+
+    /// Places a suspect once it may be sent.
     pub(crate) async fn place_suspect(
         self: &Rc<Self>,
         id: WorkId,
@@ -216,23 +232,12 @@
         self.wait_for_turn(id, job, engine).await?;
         let began = self.clock.now();
         let until = job.patience.min(job.deadline);
-        let others_until = began + OTHER_TRY_TIME;
-        let waits_for_other = || {
-            let now = self.clock.now();
-            now < others_until && self.load.borrow().is_open(of)
-        };
-        while waits_for_other() || !self.has_room_apart(job) {
-            if self.suspect_state(of) == SuspectState::Held {
-                return Err(Denied::Held);
-            }
+        while !self.may_place_suspect(job, of)? {
             if self.clock.now() >= until {
                 return Err(Denied::NoTurn);
             }
             tokio::time::sleep(LOOK).await;
         }
-        if self.suspect_state(of) == SuspectState::Held {
-            return Err(Denied::Held);
-        }
         let waited_ms = self.clock.now().since(began).as_millis() as u64;
         log::info!(target: "request", id = job.request.as_ref(), fingerprint:% = of, waited_ms; "suspect placed");
         self.place_now(id, job, engine)
