fix(gateway): who starts is told of all suspects, those with most strikes first

Cause: the answer to a greeting held what has two strikes or more, to be short; but the rule that a call with two strikes runs beside no other suspect needs both to be known. All are told now, 512 at most in eight datagrams.

--- a/crates/ringbend-gateway/src/quarantine.rs
+++ b/crates/ringbend-gateway/src/quarantine.rs
@@ -12,6 +12,7 @@
 //! What is known of a request only grows within a round, and a later round goes before an earlier one. So
 //! instances can tell each other in any order, more than once, and end up with the same.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -38,6 +39,10 @@
 /// and of those the oldest.
 const MOST_KEPT: usize = 4_096;
 
+/// The most requests that an instance is told of which has just started: eight datagrams. Those with three strikes
+/// come first, those with one are forgotten after two minutes.
+const MOST_TOLD_AT_START: usize = 512;
+
 /// What was noted within this time is told again with each heartbeat, as datagrams are lost. Longer than
 /// an instance may be silent before it counts as gone; one that comes back after that is told all.
 const TOLD_AGAIN: Duration = Duration::from_secs(5);
@@ -271,9 +276,13 @@
         self.records.values().map(|r| &r.suspicion).filter(|s| !s.ended.is_empty())
     }
 
-    /// All that an instance needs to know which has just started: what has two strikes or more.
-    pub fn grave(&self) -> impl Iterator<Item = &Suspicion> {
-        self.records.values().map(|r| &r.suspicion).filter(|s| s.is_grave())
+    /// What an instance needs to know that has just started: those with most strikes first. One that does not know of
+    /// a first strike would put that request beside a call with two.
+    pub fn for_starting(&self) -> impl Iterator<Item = &Suspicion> {
+        let struck = self.records.values().map(|r| &r.suspicion).filter(|s| !s.ended.is_empty());
+        let mut struck: Vec<&Suspicion> = struck.collect();
+        struck.sort_by_key(|s| (Reverse(s.ended.len()), s.fingerprint));
+        struck.into_iter().take(MOST_TOLD_AT_START)
     }
 
     /// What was noted lately and matters most, to be told again.
--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -90,7 +90,8 @@
         if !self.knows_suspects.get() {
             return Vec::new();
         }
-        let all: Vec<Suspicion> = self.quarantine.borrow().grave().map(told_suspicion).collect();
+        let all: Vec<Suspicion> =
+            self.quarantine.borrow().for_starting().map(told_suspicion).collect();
         let digest = |part: &[Suspicion]| LoadDigest { suspicions: part.to_vec(), ..self.digest() };
         let mut digests: Vec<LoadDigest> = all.chunks(TOLD_AT_ONCE).map(digest).collect();
         let last = digests.pop().unwrap_or_else(|| self.digest());
