feat(relay): a line and a metric tell which limit endpoints name

The on-call could not tell from lines or metrics that an endpoint names a limit, who heard it or when (incident of an engine that gets more than the limit it names). Server-Limit is decoded once in the adapter, into a typed rate or a typed error; each instance writes a line when what it has heard from an endpoint changes. Nothing is decided by it yet.

--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod joining;
 mod keeping;
 mod life;
+mod limits;
 mod link;
 mod memory;
 mod node;
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -11,7 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Directory, LoadBook, Outbox, PaceAsks, Peers, Quarantine, Readers, RepeatBudget, Replica,
+    Directory, Limits, LoadBook, Outbox, PaceAsks, Peers, Quarantine, Readers, RepeatBudget, Replica,
     Standing, TrustBook, WorkId, asking_factor,
 };
 use ringbend_runtime::Clock;
@@ -45,6 +45,8 @@
     pub(crate) directory: RefCell<Directory>,
     pub(crate) load: RefCell<LoadBook>,
     pub(crate) trust: RefCell<TrustBook>,
+    /// What endpoints take, by their own word.
+    pub(crate) limits: RefCell<Limits>,
     pub(crate) budget: RefCell<RepeatBudget>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) peers: RefCell<Peers>,
@@ -141,6 +143,7 @@
             directory: RefCell::default(),
             load: RefCell::default(),
             trust: RefCell::default(),
+            limits: RefCell::default(),
             budget: RefCell::new(budget),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
             peers: RefCell::new(peers),
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -10,7 +10,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use ringbend_gateway::{
-    Demand, Endpoint, EndpointChange, EventId, OrderAnswer, Pace, SnapshotParts, Ticket, TicketId,
+    Demand, Endpoint, EndpointChange, EventId, LimitWord, OrderAnswer, Pace, SnapshotParts, Ticket, TicketId,
 };
 use ringbend_types::{ClientAccountId, DataCentre, EndpointId, EndpointStart};
 use smallvec::SmallVec;
@@ -104,6 +104,8 @@
     pub retry_after: Option<Duration>,
     /// The engine that was at fault, where another than the one that answers.
     pub at_fault: Option<SocketAddrV4>,
+    /// How much it takes from all instances together.
+    pub limit: LimitWord,
 }
 
 /// A question to an engine, ready to be sent.
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use ringbend_gateway::{
-    Endpoint, EventId, Placement, SendEnd, SuspectState, overdue_after, second_run_at,
+    Endpoint, EventId, Placement, SendEnd, SuspectState, WordIn, overdue_after, second_run_at,
 };
 use ringbend_types::Timestamp;
 use smallvec::SmallVec;
@@ -76,9 +76,13 @@
 impl Sending {
     async fn begin(self) -> Result<Began, ExchangeError> {
         let Self { node, endpoint, head, body, request_id, last_event, streaming } = self;
+        let asked = node.clock.now();
         let answer = exchange::send(&node.http, endpoint.address, head, body).await?;
         let head = clone_head(&answer.head);
         let facts = node.dialect.answer(head.status, &head.headers);
+        if !facts.is_foreign && facts.request_id == request_id {
+            node.hear_limit(&endpoint, asked, facts.limit, WordIn::Answer);
+        }
         let is_own = !facts.not_run && facts.request_id == request_id;
         if !(streaming && is_own && head.status == StatusCode::OK) {
             return Ok(Began { head, facts, rest: Rest::Body(answer) });
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -54,6 +54,8 @@
     strikes: Counter,
     /// Requests that are held because they end endpoints.
     pub held_requests: Gauge,
+    /// Endpoints that name a limit.
+    pub limited_endpoints: Gauge,
     /// The settings version in force.
     pub settings_version: Gauge,
     /// Admitted requests that have not ended.
@@ -85,6 +87,7 @@
             peer_bytes: Counter::default(),
             strikes: Counter::default(),
             held_requests: Gauge::default(),
+            limited_endpoints: Gauge::default(),
             settings_version: Gauge::default(),
             open_requests: Gauge::default(),
             queued_requests: Gauge::default(),
@@ -184,6 +187,8 @@
         );
         r.register("strikes", "Requests on endpoints that ended", self.strikes.clone());
         r.register("held_requests", "Held as they end endpoints", self.held_requests.clone());
+        let limited = self.limited_endpoints.clone();
+        r.register("limited_endpoints", "Endpoints that name a limit", limited);
         r.register("settings_version", "Settings in force", self.settings_version.clone());
         r.register("open_requests", "Admitted and not ended", self.open_requests.clone());
         r.register("queued_requests", "Waiting for an endpoint", self.queued_requests.clone());
--- a/crates/ringbend-types/src/lib.rs
+++ b/crates/ringbend-types/src/lib.rs
@@ -5,6 +5,7 @@
 mod fingerprint;
 mod id;
 mod quantity;
+mod request_rate;
 mod run_state;
 mod seed;
 mod time;
@@ -18,6 +19,7 @@
     ByteCount, EndpointStart, FencingNumber, Incarnation, ParseQuantityError, PromptBucket,
     SettingsVersion, TokenCount, TokensPerSecond,
 };
+pub use request_rate::{ParseRequestRateError, RequestRate};
 pub use run_state::{ParseRunStateError, RunState};
 pub use seed::{IdMint, Seed};
 pub use time::Timestamp;
