--- a/crates/ringbend-relay/src/limits.rs
+++ b/crates/ringbend-relay/src/limits.rs
@@ -14,8 +14,7 @@
         word: LimitWord,
         from: WordIn,
     ) {
-        let heard =
-            self.limits.borrow_mut().hear(self.clock.now(), endpoint, asked, word, from);
+        let heard = self.limits.borrow_mut().hear(self.clock.now(), endpoint, asked, word, from);
         match heard {
             HeardLimit::Known => {}
             HeardLimit::Changed => self.changed_limit(endpoint, "its answer"),
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -11,8 +11,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Directory, Limits, LoadBook, Outbox, PaceAsks, Peers, Quarantine, Readers, RepeatBudget, Replica,
-    Standing, TrustBook, WorkId, asking_factor,
+    Directory, Limits, LoadBook, Outbox, PaceAsks, Peers, Quarantine, Readers, RepeatBudget,
+    Replica, Standing, TrustBook, WorkId, asking_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -10,7 +10,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use ringbend_gateway::{
-    Demand, Endpoint, EndpointChange, EventId, LimitWord, OrderAnswer, Pace, SnapshotParts, Ticket, TicketId,
+    Demand, Endpoint, EndpointChange, EventId, LimitWord, OrderAnswer, Pace, SnapshotParts, Ticket,
+    TicketId,
 };
 use ringbend_types::{ClientAccountId, DataCentre, EndpointId, EndpointStart};
 use smallvec::SmallVec;
