fix(relay): one instance gives away what an endpoint with a limit takes from all

Cause: the limit is said to one instance and is a sum over all. Nobody read it, nobody told it, nobody counted the sum. Class: a word to one instance that means all.

Ruled out: each instance by the limit alone (no instance went by it, one of them sent 14 of 20 alone), second runs (3 of 38 and 10 of 47 sends).

Change: whoever hears a limit raises its version and tells all by the way of suspects; who starts is told before it serves. For each service one scheduler gives away the places of its limited endpoints, others ask it as they ask for suspects and long prompts; endpoints without a limit are placed as before. Where all are limited requests wait in line by rank and due time, and are refused at once with a time to come back if none comes in time. A limited engine lends itself to no other's prompt, is asked how it is more seldom, and loses no trust when it refuses.

Why it holds: places are given away one by one at one instance, 1.5 kept at most; another one begins only after 2.2 s of silence or a goodbye, with none, and with the share of those that are heard while others are silent.

--- a/crates/ringbend-gateway/src/candidate.rs
+++ b/crates/ringbend-gateway/src/candidate.rs
@@ -8,7 +8,7 @@
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
 use crate::load::{EndpointLoad, Writer};
-use crate::view::{View, beside_suspect, room, spread};
+use crate::view::{View, beside_suspect, limited, room, spread};
 use crate::weights::PlacementWeights;
 
 /// The gap of tight requests that are still to come.
@@ -56,6 +56,8 @@
     kept_for: f64,
     /// What choosing it costs whatever its part.
     pub(crate) fixed: f64,
+    /// What choosing it as the lead costs more if it names a limit, which none that helps may do.
+    pub(crate) limited: f64,
     /// Its place in this request's own order of engines, from zero to one.
     pub(crate) spread: f64,
 }
@@ -83,6 +85,7 @@
             kept_for,
             quiet: load.quiet(),
             fixed: far + tried + distrust + beside_suspect(view, &endpoint.id),
+            limited: limited(view, endpoint),
             spread: view.alone.map_or(0.0, |draw| spread(draw, &endpoint.id)),
         }
     }
--- a/crates/ringbend-gateway/src/choice.rs
+++ b/crates/ringbend-gateway/src/choice.rs
@@ -16,7 +16,7 @@
 use crate::engine::{EngineProfile, MOST_ENGINES};
 use crate::load::Held;
 use crate::quiet::quiet_engines;
-use crate::view::{View, beside_suspect, room};
+use crate::view::{View, beside_suspect, limited, room};
 use crate::weights::PlacementWeights;
 
 /// What is asked of the endpoints.
@@ -169,14 +169,19 @@
             harm: e.harm(w, view.now, part_ms, parts > 1) + e.fixed,
             own: own(false),
             own_as_lead: own(true),
-            lead: e.lead_cost(view, profile, wish, stake),
+            lead: e.lead_cost(view, profile, wish, stake) + e.limited,
             spread: ALONE_SPREAD * stake * e.spread,
         }
     };
     let prices: Vec<Price> = engines.iter().map(price).collect();
     let by_lead = |a: &usize, b: &usize| prices[*a].as_lead().total_cmp(&prices[*b].as_lead());
     let lead = (0..engines.len()).min_by(by_lead)?;
-    let helpers = cheapest_helpers(&prices, lead, parts - 1);
+    // A part of a prompt is one more request to an engine that takes few.
+    let may_help = |at: &usize| *at != lead && engines[*at].limited == 0.0;
+    let helpers = cheapest_helpers(&prices, (0..engines.len()).filter(may_help), parts - 1);
+    if helpers.len() + 1 < parts {
+        return None;
+    }
     let helping = || helpers.iter().copied();
     let own = helping().map(|at| prices[at].own).fold(prices[lead].own_as_lead, f64::max);
     let harm = prices[lead].harm + helping().map(|at| prices[at].harm).sum::<f64>();
@@ -203,14 +208,18 @@
     })
 }
 
-/// The cheapest `count` engines beside the lead, the cheapest first. The others are not put into order:
+/// The cheapest `count` engines among those that may help, the cheapest first. The others are not put into order:
 /// of 850 engines sixteen help at most, and eleven numbers of parts are tried for each prompt.
-fn cheapest_helpers(prices: &[Price], lead: usize, count: usize) -> Vec<usize> {
+fn cheapest_helpers(
+    prices: &[Price],
+    may_help: impl Iterator<Item = usize>,
+    count: usize,
+) -> Vec<usize> {
     let cheaper = |a: &usize, b: &usize| {
         let by_price = prices[*a].as_helper().total_cmp(&prices[*b].as_helper());
         by_price.then(a.cmp(b))
     };
-    let mut helpers: Vec<usize> = (0..prices.len()).filter(|at| *at != lead).collect();
+    let mut helpers: Vec<usize> = may_help.collect();
     if count > 0 && count < helpers.len() {
         helpers.select_nth_unstable_by(count - 1, cheaper);
     }
@@ -244,7 +253,8 @@
         let tried = if view.tried.contains(&e.id) { TRIED_COST } else { 0.0 };
         let distrust = view.trust.distrust(view.now, &e.id) * DISTRUST_COST;
         let beside = beside_suspect(view, &e.id);
-        open / f64::from(e.slots.max(1)) + far + tried + distrust + beside
+        let limited = limited(view, e);
+        open / f64::from(e.slots.max(1)) + far + tried + distrust + beside + limited
     };
     let costs = candidates.iter().map(|e| (cost(e), *e));
     let (cost, best) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
--- a/crates/ringbend-gateway/src/job.rs
+++ b/crates/ringbend-gateway/src/job.rs
@@ -33,6 +33,8 @@
     pub tried: SmallVec<[EndpointId; 4]>,
     /// Whether it is placed at once, however long its prompt is: its stream has begun.
     pub at_once: bool,
+    /// Its rank among those that wait for a place, zero first: by its account, or by its route.
+    pub rank: u8,
     /// Set if endpoints ended that ran the request: it runs on one at a time, apart from other suspects.
     pub suspect: Option<Fingerprint>,
 }
--- a/crates/ringbend-gateway/src/limits.rs
+++ b/crates/ringbend-gateway/src/limits.rs
@@ -266,6 +266,11 @@
         self.entries.values().filter(recent).map(|entry| &entry.known)
     }
 
+    /// Whether nothing is remembered of any endpoint.
+    pub fn is_unknown(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// How many endpoints name a limit.
     pub fn len(&self) -> usize {
         self.all().count()
--- a/crates/ringbend-gateway/src/outbox.rs
+++ b/crates/ringbend-gateway/src/outbox.rs
@@ -34,4 +34,8 @@
     pub suspicions: Vec<Fingerprint>,
     /// The same, for those of this data centre that do not schedule.
     pub suspicions_at_home: Vec<Fingerprint>,
+    /// Endpoints whose limit is another now, for all instances.
+    pub limits: Vec<EndpointId>,
+    /// The same, for those of this data centre that do not schedule.
+    pub limits_at_home: Vec<EndpointId>,
 }
--- a/crates/ringbend-gateway/src/pace.rs
+++ b/crates/ringbend-gateway/src/pace.rs
@@ -69,6 +69,9 @@
 /// and each question costs a connection.
 const ASK_AGAIN: Duration = Duration::from_millis(700);
 
+/// The same for an engine that names a limit: it may count questions as requests.
+pub const ASK_LIMITED_AGAIN: Duration = Duration::from_secs(2);
+
 /// How much later than expected a first event is a reason to ask: more than the pass that most first
 /// events wait for.
 const OVERDUE: Duration = Duration::from_millis(120);
@@ -88,10 +91,11 @@
 }
 
 impl PaceAsks {
-    /// Whether the engine should be asked now; notes that it is.
-    pub fn begin(&mut self, now: Timestamp, engine: &EndpointId) -> bool {
-        self.asked.retain(|_, at| now.since(*at) < ASK_AGAIN);
-        if self.asked.contains_key(engine) {
+    /// Whether the engine should be asked now; notes that it is. One that names a limit is asked more seldom.
+    pub fn begin(&mut self, now: Timestamp, engine: &EndpointId, is_limited: bool) -> bool {
+        self.asked.retain(|_, at| now.since(*at) < ASK_LIMITED_AGAIN);
+        let again = if is_limited { ASK_LIMITED_AGAIN } else { ASK_AGAIN };
+        if self.asked.get(engine).is_some_and(|at| now.since(*at) < again) {
             return false;
         }
         self.asked.insert(engine.clone(), now);
--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -87,7 +87,11 @@
     }
 
     fn is_there(&self, now: Timestamp) -> bool {
-        self.heard.is_some_and(|(at, _)| now.since(at) < SILENCE)
+        self.was_heard_within(now, SILENCE)
+    }
+
+    fn was_heard_within(&self, now: Timestamp, time: Duration) -> bool {
+        self.heard.is_some_and(|(at, _)| now.since(at) < time)
     }
 
     fn schedules(&self) -> bool {
@@ -235,7 +239,7 @@
     /// How many instances are there, this one included: those that are heard, and those that
     /// schedulers tell of.
     pub fn instances(&self, now: Timestamp) -> usize {
-        let heard = self.instances_by_centre(now);
+        let heard = self.count_by_centre(|peer| peer.is_there(now));
         if self.schedules() {
             return heard;
         }
@@ -244,11 +248,12 @@
         schedulers.map(|(_, peer)| peer.part.fleet).fold(heard, usize::max)
     }
 
-    fn instances_by_centre(&self, now: Timestamp) -> usize {
+    /// How many instances there are, this one included, by the peers that are meant and by what they tell.
+    fn count_by_centre(&self, is_meant: impl Fn(&Peer) -> bool) -> usize {
         let mut counts: BTreeMap<&DataCentre, (usize, usize)> = BTreeMap::new();
         counts.insert(&self.home, (1, 0));
         let mut elsewhere = 0;
-        for (_, peer) in self.there(now) {
+        for peer in self.peers.values().filter(|peer| is_meant(peer)) {
             let Some(data_centre) = &peer.data_centre else {
                 elsewhere += 1;
                 continue;
--- a/crates/ringbend-gateway/src/peers/roles.rs
+++ b/crates/ringbend-gateway/src/peers/roles.rs
@@ -15,7 +15,10 @@
 /// may have named others, which are being greeted.
 const UNSERVED_TIME: Duration = Duration::from_millis(300);
 
-/// The instance that places all suspects of a service.
+/// How long an instance that counts for all may be silent until another one does: two heartbeats.
+const COUNTER_SILENCE: Duration = Duration::from_millis(2_200);
+
+/// The instance that places all suspects of a service, or counts for all what its limited endpoints get.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Arbiter {
     /// This one.
@@ -169,23 +172,53 @@
         self.placing_for(now, service, asked, self.schedules())
     }
 
-    /// The best placed scheduler, in an order that differs by service; this instance only if `with_own`.
+    /// The instance that counts for all what the limited endpoints of a service get. None if no instance that
+    /// schedules is heard and this one does not.
+    ///
+    /// One that did not answer in time is still the one: of two that count, each would give away the whole limit.
+    /// Another takes its part once it is not heard any more.
+    pub fn counter(&self, now: Timestamp, service: &ServiceName) -> Option<Arbiter> {
+        let usable =
+            |_, peer: &Peer| peer.schedules() && peer.was_heard_within(now, COUNTER_SILENCE);
+        self.best_for(now, service, usable, self.schedules())
+    }
+
+    /// The part of the known instances that is heard, this one included, from zero to one. Those that have fallen
+    /// silent may be cut off and send to the same endpoints.
+    pub fn heard_share(&self, now: Timestamp) -> f64 {
+        let heard = self.count_by_centre(|peer| peer.was_heard_within(now, COUNTER_SILENCE));
+        let known = self.count_by_centre(|peer| peer.heard.is_some());
+        heard as f64 / known.max(1) as f64
+    }
+
+    /// The best placed scheduler that is not doubted; this instance only if `with_own`.
     fn placing_for(
         &self,
         now: Timestamp,
         service: &ServiceName,
         asked: &[SocketAddrV4],
         with_own: bool,
+    ) -> Option<Arbiter> {
+        let usable = |address: SocketAddrV4, peer: &Peer| {
+            peer.schedules() && !peer.is_doubted(now) && !asked.contains(&address)
+        };
+        self.best_for(now, service, usable, with_own)
+    }
+
+    /// The best placed of the usable instances, in an order that differs by service; this one only if `with_own`.
+    fn best_for(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        usable: impl Fn(SocketAddrV4, &Peer) -> bool,
+        with_own: bool,
     ) -> Option<Arbiter> {
         let rank = |standing: &Standing| {
             let mut hasher = DefaultHasher::new();
             (service.as_str(), standing.address()).hash(&mut hasher);
             (Reverse(standing.capacity()), hasher.finish())
         };
-        let usable = |address: &SocketAddrV4, peer: &Peer| {
-            peer.schedules() && !peer.is_doubted(now) && !asked.contains(address)
-        };
-        let others = self.there(now).filter(|(address, peer)| usable(address, peer));
+        let others = self.there(now).filter(|(address, peer)| usable(*address, peer));
         let others = others.map(|(address, peer)| Standing::new(peer.capacity, address));
         let best = others.chain(with_own.then_some(self.own)).min_by_key(rank)?;
         Some(if best == self.own { Arbiter::Own } else { Arbiter::At(best.address()) })
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -171,6 +171,10 @@
 ) -> Turn {
     let reading = reading_engines(view, profile, candidates);
     let engines = reading.len();
+    if engines == 0 {
+        // There is nothing to wait for here: those that are left name limits, or there is none.
+        return Turn::Now;
+    }
     let (w, now) = (view.weights, view.now);
     let free = Duration::from_secs_f64(w.free_ms / 1e3);
     let left = |e: &&Endpoint| {
--- a/crates/ringbend-gateway/src/view.rs
+++ b/crates/ringbend-gateway/src/view.rs
@@ -4,7 +4,9 @@
 
 use ringbend_types::{DataCentre, EndpointId, Timestamp};
 
+use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
+use crate::limits::Limits;
 use crate::load::{EndpointLoad, LoadBook};
 use crate::trust::TrustBook;
 use crate::weights::PlacementWeights;
@@ -38,6 +40,8 @@
     pub tried: &'a [EndpointId],
     /// Whether the request is suspected of ending endpoints.
     pub is_suspect: bool,
+    /// What endpoints take, by their own word.
+    pub limits: &'a Limits,
 }
 
 /// What it costs to put a suspect beside another, in stakes: more than to be late, and less than to leave
@@ -50,6 +54,15 @@
     if is_beside { BESIDE_SUSPECT_COST } else { 0.0 }
 }
 
+/// What it costs to take a place of an endpoint that has few, in stakes. A place is one request, however long its
+/// prompt, so it is left to those that gain most by it.
+const LIMITED_COST: f64 = 0.1;
+
+/// What it costs that the endpoint names a limit.
+pub(crate) fn limited(view: View<'_>, endpoint: &Endpoint) -> f64 {
+    if view.limits.of(endpoint).is_some() { LIMITED_COST } else { 0.0 }
+}
+
 /// Memory that is free on an engine, in tokens.
 pub(crate) fn room(profile: &EngineProfile, load: &EndpointLoad) -> u64 {
     let planned = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
--- a/crates/ringbend-gateway/tests/pace.rs
+++ b/crates/ringbend-gateway/tests/pace.rs
@@ -118,9 +118,11 @@
 #[test]
 fn an_engine_that_many_suspect_is_asked_once() {
     let mut asks = PaceAsks::default();
-    let asked = (0..600).filter(|time| asks.begin(at(*time), &endpoint(1).id)).count();
+    let asked = (0..600).filter(|time| asks.begin(at(*time), &endpoint(1).id, false)).count();
     assert_eq!(asked, 1);
-    assert!(asks.begin(at(601), &endpoint(2).id) && asks.begin(at(800), &endpoint(1).id));
+    assert!(
+        asks.begin(at(601), &endpoint(2).id, false) && asks.begin(at(800), &endpoint(1).id, false)
+    );
 }
 
 #[test]
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use ringbend_gateway::{
-    ConfigVersion, Endpoint, EngineProfile, LoadBook, PlacementWeights, Repeat, Route, RouteEntry,
-    Snapshot, SnapshotParts, Split, TrustBook, View, Work, WorkId,
+    ConfigVersion, Endpoint, EngineProfile, Limits, LoadBook, PlacementWeights, Repeat, Route,
+    RouteEntry, Snapshot, SnapshotParts, Split, TrustBook, View, Work, WorkId,
 };
 use ringbend_types::{DataCentre, ServiceName, Timestamp};
 use smallvec::{SmallVec, smallvec};
@@ -81,6 +81,7 @@
     pub fleet: Vec<Endpoint>,
     pub load: LoadBook,
     pub trust: TrustBook,
+    pub limits: Limits,
     pub weights: PlacementWeights,
     pub home: DataCentre,
     pub now: Timestamp,
@@ -94,6 +95,7 @@
             fleet: fleet(engines),
             load: LoadBook::default(),
             trust: TrustBook::default(),
+            limits: Limits::default(),
             weights: PlacementWeights::default(),
             home: "z1".parse().unwrap(),
             now: at(0),
@@ -117,6 +119,7 @@
             trust: &self.trust,
             tried: &[],
             is_suspect: false,
+            limits: &self.limits,
         }
     }
 }
--- a/crates/ringbend-relay/src/asking.rs
+++ b/crates/ringbend-relay/src/asking.rs
@@ -133,6 +133,9 @@
                 Verdict::TooLate => Some(Err(Denied::NoTurn)),
                 Verdict::NoEndpoint => Some(Err(Denied::NoEndpoint)),
                 Verdict::Held => Some(Err(Denied::Held)),
+                Verdict::Limited => {
+                    Some(Err(Denied::Limited(Duration::from_millis(grant.come_back_ms))))
+                }
                 _ => Some(Ok(self.take_grant(id, &grant, asked.len() > 1)?)),
             };
         }
--- a/crates/ringbend-relay/src/granting.rs
+++ b/crates/ringbend-relay/src/granting.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 
 use crate::node::Node;
-use crate::placing::Denied;
+use crate::placing::{Counted, Denied, Unplaced};
 
 /// What became of one ask.
 struct Granting {
@@ -138,8 +138,10 @@
         }
         let waits = job.suspect.is_some() || (!job.at_once && self.is_long(&job, engine));
         let until = job.deadline;
-        if !waits {
-            let grant = self.grant(id, &job, self.place_now(id, &job, engine));
+        let placed =
+            if waits { Err(Unplaced::Elsewhere) } else { self.place_now(id, &job, engine) };
+        if let Some(placed) = settled(placed) {
+            let grant = self.grant(id, &job, placed);
             let (grant_kept, waiting) = (Some(grant.clone()), None);
             let granting = Granting { address: from, grant: grant_kept, waiting, until };
             self.grants.borrow_mut().open.insert(id, granting);
@@ -165,7 +167,7 @@
         let placed = match (job.suspect, plans) {
             (Some(of), true) => self.place_suspect(id, &job, engine, of).await,
             (Some(of), false) => self.schedule_suspect(id, &job, engine, of).await,
-            (None, true) => self.place_in_turn(id, &job, engine).await,
+            (None, true) => self.place_in_turn(id, &job, engine, Counted::Here).await,
             (None, false) => self.plan(id, &job, engine).await,
         };
         let grant = self.grant(id, &job, placed);
@@ -185,7 +187,12 @@
             }
             Err(Denied::NoEndpoint) => return verdict(id, Verdict::NoEndpoint),
             Err(Denied::Held) => return verdict(id, Verdict::Held),
-            Err(Denied::NoArbiter) => return verdict(id, Verdict::NotHere),
+            Err(Denied::NoArbiter | Denied::NotHere) => return verdict(id, Verdict::NotHere),
+            Err(Denied::Limited(after)) => {
+                self.end(id);
+                let come_back_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+                return Grant { come_back_ms, ..verdict(id, Verdict::Limited) };
+            }
         };
         log::debug!(target: "peers", request = job.request.as_ref(); "granted");
         let load = self.load.borrow();
@@ -200,6 +207,15 @@
     }
 }
 
+/// What is decided; none if it has to wait, or others decide it.
+fn settled(placed: Result<Placement, Unplaced>) -> Option<Result<Placement, Denied>> {
+    match placed {
+        Ok(placement) => Some(Ok(placement)),
+        Err(Unplaced::NoEndpoint) => Some(Err(Denied::NoEndpoint)),
+        Err(Unplaced::Elsewhere) => None,
+    }
+}
+
 fn verdict(id: WorkId, verdict: Verdict) -> Grant {
     let owner = Some(id.instance);
     Grant { sequence: id.sequence, verdict: verdict.into(), owner, ..Grant::default() }
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -151,6 +151,10 @@
                 self.hint = self.until_try();
                 Some(self.unsent(Refusal::Held))
             }
+            Failed::Limited(after) => {
+                self.hint = Some(after);
+                Some(self.unsent(Refusal::Limited))
+            }
             Failed::Stopping => Some(self.unsent(Refusal::Stopping)),
             Failed::Cut => {
                 self.attempts.broken_off();
@@ -324,6 +328,8 @@
     Held,
     /// It may end endpoints, and no instance that places such requests answers.
     NoArbiter,
+    /// Endpoints that are left have no place for it before this time.
+    Limited(Duration),
     /// Another send takes its place.
     Replaced,
     /// The instance stops, and an answer could not end before that.
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -11,8 +11,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Directory, Limits, LoadBook, Outbox, PaceAsks, Peers, Quarantine, Readers, RepeatBudget,
-    Replica, Standing, TrustBook, WorkId, asking_factor,
+    Directory, Limits, LoadBook, Outbox, PaceAsks, Peers, Places, Quarantine, Readers,
+    RepeatBudget, Replica, Standing, TrustBook, WorkId, asking_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -47,6 +47,8 @@
     pub(crate) trust: RefCell<TrustBook>,
     /// What endpoints take, by their own word.
     pub(crate) limits: RefCell<Limits>,
+    /// The places that such endpoints have left, where this instance counts them.
+    pub(crate) places: RefCell<Places>,
     pub(crate) budget: RefCell<RepeatBudget>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) peers: RefCell<Peers>,
@@ -144,6 +146,7 @@
             load: RefCell::default(),
             trust: RefCell::default(),
             limits: RefCell::default(),
+            places: RefCell::default(),
             budget: RefCell::new(budget),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
             peers: RefCell::new(peers),
--- a/crates/ringbend-relay/src/pacing.rs
+++ b/crates/ringbend-relay/src/pacing.rs
@@ -10,7 +10,7 @@
 
 use actix_http::{Method, RequestHead, Uri};
 use bytes::Bytes;
-use ringbend_gateway::{Endpoint, Pace, TrustEvent};
+use ringbend_gateway::{ASK_LIMITED_AGAIN, Endpoint, Pace, TrustEvent, WordIn};
 use ringbend_types::{EndpointId, Timestamp};
 use ringbend_wire::{EnginePace, LoadDigest, pace_of};
 use smallvec::SmallVec;
@@ -97,7 +97,7 @@
         let now = self.clock.now();
         let mut others: SmallVec<[(SocketAddrV4, EndpointId); 4]> = SmallVec::new();
         for engine in suspects {
-            if !self.pace_asks.borrow_mut().begin(now, &engine) {
+            if !self.may_be_asked(now, &engine) {
                 continue;
             }
             match self.peers.borrow().asker(now, &engine) {
@@ -119,9 +119,10 @@
             if !report.pace.is_slow() {
                 return;
             }
-            tokio::time::sleep(ASK_SLOW_AGAIN).await;
+            let is_limited = self.is_limited(&engine);
+            tokio::time::sleep(if is_limited { ASK_LIMITED_AGAIN } else { ASK_SLOW_AGAIN }).await;
             // Others that suspect it meanwhile need not have it asked.
-            self.pace_asks.borrow_mut().begin(self.clock.now(), &engine);
+            self.may_be_asked(self.clock.now(), &engine);
         }
     }
 
@@ -185,17 +186,30 @@
         self.look_into(suspects);
     }
 
+    /// Whether an engine may be asked how it is; notes that it is.
+    pub(crate) fn may_be_asked(&self, now: Timestamp, engine: &EndpointId) -> bool {
+        self.pace_asks.borrow_mut().begin(now, engine, self.is_limited(engine))
+    }
+
+    fn is_limited(&self, engine: &EndpointId) -> bool {
+        self.limits.borrow().known(engine).is_some_and(|known| known.rate.is_some())
+    }
+
     async fn report(&self, engine: &EndpointId) -> Result<Option<Report>, ExchangeError> {
-        let address = self.directory.borrow().get(engine).map(|endpoint| endpoint.address);
-        let Some(address) = address else { return Ok(None) };
+        let Some(endpoint) = self.directory.borrow().get(engine).cloned() else { return Ok(None) };
         let call = self.dialect.report(engine);
         let mut head = RequestHead::default();
         head.method = Method::GET;
         head.uri = Uri::from_static(call.path);
         head.headers = call.headers;
         head.set_connection_type(actix_http::ConnectionType::Close);
-        let mut answer = exchange::send(&self.http, address, head, Bytes::new()).await?;
+        let asked = self.clock.now();
+        let mut answer = exchange::send(&self.http, endpoint.address, head, Bytes::new()).await?;
         let status = answer.head.status;
+        let facts = self.dialect.answer(status, &answer.head.headers);
+        if !facts.is_foreign {
+            self.hear_limit(&endpoint, asked, facts.limit, WordIn::Report);
+        }
         let body = answer.whole(MAX_REPORT_BYTES).await?;
         Ok(self.dialect.report_answer(status, &body))
     }
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -12,6 +12,7 @@
 use ringbend_types::{EndpointId, Timestamp};
 
 use crate::fields::Millis;
+use crate::limits::Closed;
 use crate::node::Node;
 
 /// How long an instance that has just started listens for others before it takes itself for the only
@@ -29,6 +30,28 @@
     Held,
     /// The request may end endpoints, and no instance that places such ones answers.
     NoArbiter,
+    /// Endpoints that are left name limits, and have no place for it before this time.
+    Limited(Duration),
+    /// This instance was asked to count the places of such endpoints, and does not.
+    NotHere,
+}
+
+/// Why a request could not be placed at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Unplaced {
+    /// No endpoint was left to send to.
+    NoEndpoint,
+    /// It takes a place of an endpoint that names a limit: it waits for one, where they are counted.
+    Elsewhere,
+}
+
+/// Who decides where a request goes that takes a place of an endpoint which names a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Counted {
+    /// The one instance that counts such places.
+    ByOne,
+    /// This instance was asked as that one.
+    Here,
 }
 
 impl Node {
@@ -51,7 +74,7 @@
             return answer;
         }
         log::info!(target: "request", id = job.request.as_ref(); "placed without schedulers");
-        self.place_in_turn(id, job, engine).await
+        self.place_in_turn(id, job, engine, Counted::ByOne).await
     }
 
     /// Has a long prompt placed by the scheduler that plans all those of its service; places any other
@@ -70,7 +93,7 @@
                 return answer;
             }
         }
-        self.place_in_turn(id, job, engine).await
+        self.place_in_turn(id, job, engine, Counted::ByOne).await
     }
 
     /// Waits for a request's turn, chooses endpoints and puts its work on the book.
@@ -79,9 +102,14 @@
         id: WorkId,
         job: &Job,
         engine: Option<EngineProfile>,
+        counted: Counted,
     ) -> Result<Placement, Denied> {
         self.wait_for_turn(id, job, engine).await?;
-        self.place_now(id, job, engine)
+        match self.place_now(id, job, engine) {
+            Ok(placement) => Ok(placement),
+            Err(Unplaced::NoEndpoint) => Err(Denied::NoEndpoint),
+            Err(Unplaced::Elsewhere) => self.place_where_counted(id, job, engine, counted).await,
+        }
     }
 
     /// Chooses endpoints, puts the work on the book and tells other schedulers of it.
@@ -90,14 +118,40 @@
         id: WorkId,
         job: &Job,
         engine: Option<EngineProfile>,
-    ) -> Result<Placement, Denied> {
-        let placement = self.choose(job, engine).ok_or(Denied::NoEndpoint)?;
+    ) -> Result<Placement, Unplaced> {
+        let closed = self.closed_to(id, job);
+        let Some(placement) = self.choose(job, engine, &closed) else {
+            return Err(if closed.is_empty() { Unplaced::NoEndpoint } else { Unplaced::Elsewhere });
+        };
+        self.take_place(job, &placement)?;
+        Ok(self.commit(id, job, engine, placement))
+    }
+
+    /// The same on endpoints that name no limit; none if there is none.
+    pub(crate) fn place_unlimited(
+        &self,
+        id: WorkId,
+        job: &Job,
+        engine: Option<EngineProfile>,
+    ) -> Option<Placement> {
+        let placement = self.choose(job, engine, &self.limited(&job.service))?;
+        Some(self.commit(id, job, engine, placement))
+    }
+
+    /// Puts placed work on the book and tells other schedulers of it.
+    fn commit(
+        &self,
+        id: WorkId,
+        job: &Job,
+        engine: Option<EngineProfile>,
+        placement: Placement,
+    ) -> Placement {
         let long = self.is_long(job, engine);
         let work = job.work(&self.cfg.borrow().placement, &placement, long);
         self.load.borrow_mut().place(self.clock.now(), id, work);
         self.outbox.borrow_mut().placed.push(id);
         self.signals.now.notify_one();
-        Ok(placement)
+        placement
     }
 
     /// Whether the prompt is long, so that it waits for its turn.
@@ -106,13 +160,20 @@
         engine.is_some_and(|(e, demand)| is_long(&self.cfg.borrow().placement, e, demand))
     }
 
-    /// Decides with what is known of the service's endpoints now.
-    pub(crate) fn decide<T>(&self, job: &Job, with: impl FnOnce(View<'_>, &[&Endpoint]) -> T) -> T {
+    /// Decides with what is known of the service's endpoints now, but for those that are closed.
+    pub(crate) fn decide<T>(
+        &self,
+        job: &Job,
+        closed: &Closed,
+        with: impl FnOnce(View<'_>, &[&Endpoint]) -> T,
+    ) -> T {
         let now = self.clock.now();
         self.load.borrow_mut().advance(now);
         let directory = self.directory.borrow();
         let all = directory.of_service(now, &job.service);
-        let candidates: Vec<&Endpoint> = all.filter(|e| self.may_run_on(job, e)).collect();
+        let is_open = |e: &&Endpoint| !closed.contains(&e.id) && self.may_run_on(job, e);
+        let candidates: Vec<&Endpoint> = all.filter(is_open).collect();
+        let limits = self.limits.borrow();
         let (cfg, load, trust) = (self.cfg.borrow(), self.load.borrow(), self.trust.borrow());
         let (schedules, instances) = (self.schedules(), self.peers.borrow().instances(now));
         // Where others schedule, the book here misses what they place.
@@ -128,13 +189,19 @@
             trust: &trust,
             tried: &job.tried,
             is_suspect: job.suspect.is_some(),
+            limits: &limits,
         };
         with(view, &candidates)
     }
 
     /// Picks endpoints and writes the line of that decision.
-    fn choose(&self, job: &Job, engine: Option<EngineProfile>) -> Option<Placement> {
-        let (placement, candidates) = self.decide(job, |view, candidates| {
+    fn choose(
+        &self,
+        job: &Job,
+        engine: Option<EngineProfile>,
+        closed: &Closed,
+    ) -> Option<Placement> {
+        let (placement, candidates) = self.decide(job, closed, |view, candidates| {
             let placement = match (engine, job.demand) {
                 (Some(engine), Some(demand)) => {
                     place_on_engines(view, &engine, candidates, &job.wish(view.now, demand))
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -32,6 +32,8 @@
     MayHaveRun,
     /// It is held because it ends endpoints, and was not sent.
     Held,
+    /// Endpoints that are left take few requests and have no place for it in time. It was not sent.
+    Limited,
     /// It may end endpoints, and no instance that places such requests answers. It was not sent.
     Suspected,
     /// Its time is up and it was not run.
@@ -85,6 +87,7 @@
             Self::NotTaken => "not-taken",
             Self::MayHaveRun => "may-have-run",
             Self::Held => "held",
+            Self::Limited => "limited",
             Self::Suspected => "suspected",
             Self::LateNotRun => "late-not-run",
             Self::Late => "late",
@@ -113,6 +116,7 @@
             | Self::NoEndpoint
             | Self::NotTaken
             | Self::Held
+            | Self::Limited
             | Self::Suspected
             | Self::LateNotRun => Some(hint.unwrap_or(COME_BACK)),
             _ => None,
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -222,6 +222,11 @@
         self.node.quarantine.borrow().suspects()
     }
 
+    /// How many endpoints are known to name a limit.
+    pub fn limited_endpoints(&self) -> usize {
+        self.node.limits.borrow().len()
+    }
+
     /// Puts new settings in force. Addresses stay as they were at the start.
     pub fn reload(&self, path: &Path) {
         match RelayConfig::read(path) {
--- a/crates/ringbend-relay/src/scheduled.rs
+++ b/crates/ringbend-relay/src/scheduled.rs
@@ -63,6 +63,8 @@
             Denied::NoEndpoint => Failed::NoEndpoint,
             Denied::Held => Failed::Held,
             Denied::NoArbiter => Failed::NoArbiter,
+            Denied::Limited(after) => Failed::Limited(after),
+            Denied::NotHere => Failed::NoEndpoint,
         })?;
         let endpoint = self.node.directory.borrow().get(&placement.lead).cloned();
         let endpoint = endpoint.ok_or(Failed::NoEndpoint)?;
@@ -84,6 +86,7 @@
             deadline,
             tried: self.attempts.tried().iter().cloned().collect(),
             at_once,
+            rank: self.urgency(),
             suspect: self.suspect(),
         }
     }
@@ -155,10 +158,14 @@
     /// The rank among requests that wait at an engine: by account or route, then by how soon the
     /// first event is due, so that a long prompt that waits for memory does not hold up short ones.
     pub(crate) fn rank(&self) -> u8 {
-        let account = self.terms.account.as_ref().and_then(|account| account.priority);
-        let urgency = account.unwrap_or(self.terms.route.priority);
         let patience = PATIENT_AIMS.iter().filter(|aim| self.terms.route.aim > **aim).count() as u8;
-        urgency.saturating_mul(RANKS_PER_PRIORITY).saturating_add(patience).min(LAST_RANK)
+        self.urgency().saturating_mul(RANKS_PER_PRIORITY).saturating_add(patience).min(LAST_RANK)
+    }
+
+    /// The priority of its account, or of its route.
+    fn urgency(&self) -> u8 {
+        let account = self.terms.account.as_ref().and_then(|account| account.priority);
+        account.unwrap_or(self.terms.route.priority)
     }
 
     /// How long one engine would read the prompt.
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use actix_http::{RequestHead, StatusCode};
-use ringbend_gateway::{Endpoint, EventId, Placement, SendEnd, TrustEvent};
+use ringbend_gateway::{Endpoint, EventId, LimitWord, Placement, SendEnd, TrustEvent};
 use ringbend_types::EndpointId;
 use smallvec::SmallVec;
 
@@ -28,6 +28,8 @@
             match facts.at_fault.filter(|address| *address != endpoint.address) {
                 Some(address) => self.distrust_address(address),
                 None if facts.is_foreign => self.distrust_foreign(&endpoint.id),
+                // It takes no more for now than it has named, and is as good as before.
+                None if matches!(facts.limit, LimitWord::Names(_)) => {}
                 None => self.trust(&endpoint.id, TrustEvent::Full),
             }
             return Err(Failed::Send(SendEnd::NotRun));
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -178,6 +178,7 @@
             | Failed::NoTurn
             | Failed::Held
             | Failed::NoArbiter
+            | Failed::Limited(_)
             | Failed::Stopping
             | Failed::Cut => false,
         };
--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -11,7 +11,7 @@
 use ringbend_wire::{LoadDigest, Suspicion, suspicion_of, told_suspicion};
 
 use crate::node::Node;
-use crate::placing::Denied;
+use crate::placing::{Counted, Denied, Unplaced};
 
 /// The most suspects told in one datagram, so that it stays well below what is read.
 const TOLD_AT_ONCE: usize = 64;
@@ -181,7 +181,7 @@
             match self.suspect_state(of) {
                 SuspectState::Clear | SuspectState::Suspect(1) => {
                     log::info!(target: "request", id = job.request.as_ref(); "suspect without arbiter");
-                    return self.place_in_turn(id, job, engine).await;
+                    return self.place_in_turn(id, job, engine, Counted::ByOne).await;
                 }
                 SuspectState::Held => return Err(Denied::Held),
                 SuspectState::Suspect(_) if now >= until => return Err(Denied::NoArbiter),
@@ -191,11 +191,12 @@
     }
 
     /// Whether there is an endpoint where a suspect may run; also if there is none at all.
-    fn has_room_apart(&self, job: &Job) -> bool {
+    fn has_room_apart(&self, id: WorkId, job: &Job) -> bool {
         let service = &job.service;
         let is_empty =
             self.directory.borrow().of_service(self.clock.now(), service).next().is_none();
-        is_empty || self.decide(job, |_, candidates| !candidates.is_empty())
+        is_empty
+            || self.decide(job, &self.closed_to(id, job), |_, candidates| !candidates.is_empty())
     }
 
     /// Whether the request may be put on an endpoint beside the suspects that run there.
@@ -209,7 +210,7 @@
 
     /// Whether a suspect may be sent now: it was cleared, or no other try of it was sent lately and is open, and there
     /// is an endpoint for it apart from other suspects.
-    fn may_place_suspect(&self, job: &Job, of: Fingerprint) -> Result<bool, Denied> {
+    fn may_place_suspect(&self, id: WorkId, job: &Job, of: Fingerprint) -> Result<bool, Denied> {
         match self.suspect_state(of) {
             SuspectState::Clear => Ok(true),
             SuspectState::Held => Err(Denied::Held),
@@ -217,7 +218,7 @@
                 let last = self.load.borrow().last_placed(of);
                 let now = self.clock.now();
                 let is_alone = last.is_none_or(|at| now.since(at) >= OTHER_TRY_TIME);
-                Ok(is_alone && self.has_room_apart(job))
+                Ok(is_alone && self.has_room_apart(id, job))
             }
         }
     }
@@ -233,14 +234,21 @@
         self.wait_for_turn(id, job, engine).await?;
         let began = self.clock.now();
         let until = job.patience.min(job.deadline);
-        while !self.may_place_suspect(job, of)? {
+        let placement = loop {
+            if self.may_place_suspect(id, job, of)? {
+                match self.place_now(id, job, engine) {
+                    Ok(placement) => break placement,
+                    Err(Unplaced::NoEndpoint) => return Err(Denied::NoEndpoint),
+                    Err(Unplaced::Elsewhere) => {}
+                }
+            }
             if self.clock.now() >= until {
                 return Err(Denied::NoTurn);
             }
             tokio::time::sleep(LOOK).await;
-        }
+        };
         let waited_ms = self.clock.now().since(began).as_millis() as u64;
         log::info!(target: "request", id = job.request.as_ref(), fingerprint:% = of, waited_ms; "suspect placed");
-        self.place_now(id, job, engine)
+        Ok(placement)
     }
 }
--- a/crates/ringbend-relay/src/telling.rs
+++ b/crates/ringbend-relay/src/telling.rs
@@ -81,9 +81,10 @@
         self.told.scheduler.set(None);
         let news = self.has_news(now) || changes.is_some();
         let suspects_at_home = !outbox.suspicions_at_home.is_empty();
-        let news = news || suspects_at_home;
+        let news = news || suspects_at_home || !outbox.limits_at_home.is_empty();
         let first = LoadDigest {
             suspicions: self.node.told_suspicions(&outbox.suspicions, now),
+            limits: self.node.told_limits(&outbox.limits, now),
             unfit: outbox.unfit.iter().map(EndpointId::to_string).collect(),
             gone: outbox.gone.clone(),
             restarts: restarts(outbox),
@@ -108,6 +109,7 @@
             endpoint_changes: changes,
             restarts: restarts(outbox),
             suspicions: self.node.told_suspicions(&outbox.suspicions_at_home, now),
+            limits: self.node.told_limits(&outbox.limits_at_home, now),
             ..self.node.digest()
         };
         let peers = self.node.peers.borrow();
@@ -125,7 +127,8 @@
             outbox.placed.extend(self.node.own_work());
         }
         let news = self.has_news(now) || changes.is_some();
-        let news = news || !outbox.suspicions.is_empty();
+        let news = news || !outbox.suspicions.is_empty() || !outbox.limits.is_empty();
+        let limits = self.node.told_limits(&outbox.limits, now);
         let suspicions = self.node.told_suspicions(&outbox.suspicions, now);
         if let Some(scheduler) = scheduler {
             let results = outbox.results.iter().map(|(id, event)| endpoint_result(id, *event));
@@ -135,6 +138,7 @@
                 restarts: restarts(&outbox),
                 suspects: outbox.suspects.iter().map(EndpointId::to_string).collect(),
                 suspicions: suspicions.clone(),
+                limits: limits.clone(),
                 open: news.then(|| self.node.open_work()),
                 endpoint_changes: changes.clone(),
                 ..self.node.digest()
@@ -144,7 +148,7 @@
         }
         if news {
             let heartbeat =
-                LoadDigest { endpoint_changes: changes, suspicions, ..self.node.digest() };
+                LoadDigest { endpoint_changes: changes, suspicions, limits, ..self.node.digest() };
             let others = self.node.peers.borrow().home_schedulers(now);
             let others = others.into_iter().filter(|address| Some(*address) != scheduler);
             self.node.tell_all(&heartbeat, others);
@@ -186,6 +190,7 @@
         }
         self.grants.borrow_mut().sweep(now);
         self.sweep_suspects(now);
+        self.sweep_limits(now);
         self.review_role();
         let instances = self.peers.borrow().instances(now);
         if self.metrics.live_instances.get() != instances as i64 {
--- a/crates/ringbend-relay/src/turns.rs
+++ b/crates/ringbend-relay/src/turns.rs
@@ -35,7 +35,9 @@
             let now = self.clock.now();
             let unused = passed_over_at.map_or(Duration::ZERO, |at| now.since(at));
             let claim = Claim { id, unused, wish: job.wish(now, demand) };
-            let turn = self.decide(job, |view, candidates| turn(view, &engine, candidates, &claim));
+            let closed = self.closed_to(id, job);
+            let turn = self
+                .decide(job, &closed, |view, candidates| turn(view, &engine, candidates, &claim));
             let look = match turn {
                 Turn::Now => break,
                 Turn::TooLate => return Err(Denied::NoTurn),
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of one instance, with units in the names.
 
 use std::fmt;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, text::encode};
@@ -34,6 +35,11 @@
     prompt: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndpointLabels {
+    endpoint: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CodeLabels {
     code: &'static str,
@@ -52,6 +58,7 @@
     table_calls: Counter,
     peer_bytes: Counter,
     strikes: Counter,
+    endpoint_limits: Family<EndpointLabels, Gauge<f64, AtomicU64>>,
     /// Requests that are held because they end endpoints.
     pub held_requests: Gauge,
     /// Endpoints that name a limit.
@@ -86,6 +93,7 @@
             table_calls: Counter::default(),
             peer_bytes: Counter::default(),
             strikes: Counter::default(),
+            endpoint_limits: Family::default(),
             held_requests: Gauge::default(),
             limited_endpoints: Gauge::default(),
             settings_version: Gauge::default(),
@@ -156,6 +164,15 @@
         self.strikes.inc();
     }
 
+    /// Notes how many requests a second an endpoint takes by its own word; none if it names no limit.
+    pub fn set_endpoint_limit(&self, endpoint: &str, rate: Option<f64>) {
+        let labels = EndpointLabels { endpoint: endpoint.to_owned() };
+        match rate {
+            Some(rate) => drop(self.endpoint_limits.get_or_create(&labels).set(rate)),
+            None => drop(self.endpoint_limits.remove(&labels)),
+        }
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut registry = Registry::with_prefix("ringbend");
@@ -187,6 +204,8 @@
         );
         r.register("strikes", "Requests on endpoints that ended", self.strikes.clone());
         r.register("held_requests", "Held as they end endpoints", self.held_requests.clone());
+        let rates = self.endpoint_limits.clone();
+        r.register("endpoint_limit", "Requests a second that an endpoint takes", rates);
         let limited = self.limited_endpoints.clone();
         r.register("limited_endpoints", "Endpoints that name a limit", limited);
         r.register("settings_version", "Settings in force", self.settings_version.clone());
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -284,6 +284,24 @@
     /// knows, and that is what there is to know.
     #[prost(bool, tag = "30")]
     pub knows_suspects: bool,
+    /// What is known of limits that endpoints name.
+    #[prost(message, repeated, tag = "31")]
+    pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+}
+/// How many requests an endpoint takes from all instances together, by its own word.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointLimit {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// When its process had started, as a Unix time in milliseconds.
+    #[prost(uint64, optional, tag = "2")]
+    pub start_ms: ::core::option::Option<u64>,
+    /// Raised each time that something else is heard of it.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// In millionths of a request a second; none if it takes what comes.
+    #[prost(uint64, optional, tag = "4")]
+    pub rate: ::core::option::Option<u64>,
 }
 /// A process of an endpoint that ended.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -376,6 +394,9 @@
     /// The request's fingerprint, if it is suspected of ending endpoints.
     #[prost(bytes = "vec", tag = "14")]
     pub suspect: ::prost::alloc::vec::Vec<u8>,
+    /// Its rank among those that wait for a place, zero first.
+    #[prost(uint32, tag = "15")]
+    pub rank: u32,
 }
 /// What became of an ask.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -395,6 +416,9 @@
     /// As in the ask.
     #[prost(fixed64, optional, tag = "6")]
     pub owner: ::core::option::Option<u64>,
+    /// When a place is expected for it, in milliseconds from now, if it is limited.
+    #[prost(uint64, tag = "7")]
+    pub come_back_ms: u64,
 }
 /// How one request went at an endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -594,6 +618,8 @@
     NoEndpoint = 4,
     /// It is held: it is sent to no endpoint.
     Held = 5,
+    /// The endpoints that are left name limits, and have no place for it in time.
+    Limited = 6,
 }
 impl Verdict {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -608,6 +634,7 @@
             Self::TooLate => "TOO_LATE",
             Self::NoEndpoint => "NO_ENDPOINT",
             Self::Held => "HELD",
+            Self::Limited => "LIMITED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -619,6 +646,7 @@
             "TOO_LATE" => Some(Self::TooLate),
             "NO_ENDPOINT" => Some(Self::NoEndpoint),
             "HELD" => Some(Self::Held),
+            "LIMITED" => Some(Self::Limited),
             _ => None,
         }
     }
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! default.
 
 mod endpoints;
+mod limits;
 mod load;
 mod map;
 mod suspicions;
@@ -14,12 +15,13 @@
 
 pub use endpoints::{change_of, restart, restart_of, row_of};
 pub use generated::{
-    Ask, ConfigCopy, Currency, Demand, EndedProcess, EndpointChanges, EndpointRestart,
-    EndpointResult, EndpointRow, EnginePace, EntriesReply, EntriesRequest, Envelope, Gossip,
-    GossipKind, Grant, GrantReply, GrantRequest, HeldMemory, Hello, LoadDigest, Member,
-    MemberState, OpenWork, OwnersWork, PlacedWork, ResultKind, Share, Suspicion, Update, Verdict,
-    WaitingWork, envelope, update,
+    Ask, ConfigCopy, Currency, Demand, EndedProcess, EndpointChanges, EndpointLimit,
+    EndpointRestart, EndpointResult, EndpointRow, EnginePace, EntriesReply, EntriesRequest,
+    Envelope, Gossip, GossipKind, Grant, GrantReply, GrantRequest, HeldMemory, Hello, LoadDigest,
+    Member, MemberState, OpenWork, OwnersWork, PlacedWork, ResultKind, Share, Suspicion, Update,
+    Verdict, WaitingWork, envelope, update,
 };
+pub use limits::{limit_of, told_limit};
 pub use load::{
     ask_of, endpoint_result, job_of, pace_of, placed_work, result_of, role_of, told_role,
     waiting_of, waiting_work, work_of,
--- /dev/null
+++ b/crates/ringbend-wire/src/limits.rs
@@ -0,0 +1,31 @@
+//! Between what instances tell of endpoints' limits and the types that decide by them.
+
+use ringbend_gateway::NamedLimit;
+use ringbend_types::{EndpointStart, RequestRate};
+
+use crate::generated::EndpointLimit;
+use crate::map::WireError;
+
+/// What is known of an endpoint's limit, as told to peers.
+pub fn told_limit(limit: &NamedLimit) -> EndpointLimit {
+    EndpointLimit {
+        endpoint: limit.endpoint.to_string(),
+        start_ms: limit.start.map(|start| start.0),
+        version: limit.version,
+        rate: limit.rate.map(|rate| rate.0),
+    }
+}
+
+/// The same, as told by a peer.
+///
+/// # Errors
+///
+/// The endpoint's id is malformed.
+pub fn limit_of(told: &EndpointLimit) -> Result<NamedLimit, WireError> {
+    Ok(NamedLimit {
+        endpoint: told.endpoint.parse()?,
+        start: told.start_ms.map(EndpointStart),
+        version: told.version,
+        rate: told.rate.map(RequestRate),
+    })
+}
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -116,6 +116,7 @@
         at_once: job.at_once,
         owner: None,
         suspect: suspect_bytes(job.suspect),
+        rank: job.rank.into(),
     }
 }
 
@@ -138,6 +139,7 @@
         deadline: now + Duration::from_millis(ask.left_ms),
         tried: tried.collect::<Result<_, ParseIdError>>()?,
         at_once: ask.at_once,
+        rank: u8::try_from(ask.rank).unwrap_or(u8::MAX),
         suspect: suspect_of(&ask.suspect)?,
     })
 }
