--- a/crates/ringbend-gateway/src/limits.rs
+++ b/crates/ringbend-gateway/src/limits.rs
@@ -67,8 +67,10 @@
 pub enum WordIn {
     /// The answer to a request of a caller.
     Answer,
-    /// What it says when it is asked how it is.
+    /// What it says when it is asked how it is. Not every endpoint names its limit there.
     Report,
+    /// The answer to an order, where a limit that is not named says nothing.
+    Order,
 }
 
 /// What is known of one endpoint's limit, as instances tell each other.
@@ -126,6 +128,17 @@
     is_bad: bool,
 }
 
+impl Entry {
+    /// Whether the limit has ended if it is not named there.
+    fn ends_by(&self, from: WordIn) -> bool {
+        match from {
+            WordIn::Answer => true,
+            WordIn::Report => self.in_report,
+            WordIn::Order => false,
+        }
+    }
+}
+
 /// The limits that endpoints name.
 #[derive(Debug, Clone, Default)]
 pub struct Limits {
@@ -164,8 +177,7 @@
         if rate.is_some() {
             entry.named = now;
             entry.in_report |= from == WordIn::Report;
-        } else if asked <= entry.named || (from == WordIn::Report && !entry.in_report) {
-            // Not every endpoint names its limit in its reports.
+        } else if asked <= entry.named || !entry.ends_by(from) {
             return HeardLimit::Known;
         }
         if entry.known.rate == rate {
--- a/crates/ringbend-relay/src/memory.rs
+++ b/crates/ringbend-relay/src/memory.rs
@@ -6,7 +6,7 @@
 
 use actix_http::{Method, RequestHead, Uri};
 use futures_util::future::join_all;
-use ringbend_gateway::{HOLD, OrderAnswer, RENEW, Ticket, TicketId};
+use ringbend_gateway::{HOLD, OrderAnswer, RENEW, Ticket, TicketId, WordIn};
 use ringbend_types::Timestamp;
 use tokio::task::JoinHandle;
 
@@ -125,6 +125,8 @@
     let call = node.dialect.order(order);
     let (MemoryOrder::Hold(ticket, _) | MemoryOrder::Release(ticket)) = order;
     let endpoint = ticket.endpoint.clone();
+    let known = node.directory.borrow().get(&endpoint).cloned();
+    let asked = node.clock.now();
     let mut head = RequestHead::default();
     head.method = Method::POST;
     head.uri = Uri::from_static(call.path);
@@ -132,6 +134,10 @@
     head.set_connection_type(actix_http::ConnectionType::Close);
     let mut answer = exchange::send(&node.http, address, head, call.body).await?;
     let status = answer.head.status;
+    let facts = node.dialect.answer(status, &answer.head.headers);
+    if let Some(known) = known.filter(|_| !facts.is_foreign) {
+        node.hear_limit(&known, asked, facts.limit, WordIn::Order);
+    }
     let body = answer.whole(MAX_ANSWER_BYTES).await?;
     if let Some(start) = node.dialect.order_start(&body) {
         node.note_start(&endpoint, start);
