fix(relay): a call for changes that another table's answer has overtaken is asked again

Cause: the endpoints' reader asks the store to wait nine seconds. That its connection went silent was to be noticed by the configuration's watch, whose calls wait for one; but where one answer alone is lost, that watch is answered.

Ruled out: a shorter wait (two calls a second more for all the time, and 1.5 s at best); who reads changing hands (the copy of the configuration was proved current all the while).

Change: the store counts the changes of all tables together. Where the configuration's answer is beyond what the endpoints' call started from, and that call has no answer 350 ms later, it is asked again without waiting. Why it holds: an answer that shows a later count was made after the change, so the waiting call was answered by then; at most one call more for each change of another table.

--- a/crates/ringbend-relay/src/copies.rs
+++ b/crates/ringbend-relay/src/copies.rs
@@ -19,9 +19,13 @@
 const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
 
 /// How long the endpoints' reader asks the store to wait. Nothing rests on when this table was last
-/// proved current; that its connection went silent is noticed by the configuration's watch.
+/// proved current; that the store is lost, or an answer of it, is noticed by the configuration's watch.
 const ENDPOINTS_WAIT: Duration = Duration::from_millis(9_000);
 
+/// How much later than another table's answer one of the endpoints' may come: a slow store takes up to a third
+/// of a second.
+const OVERTAKEN_TIME: Duration = Duration::from_millis(350);
+
 /// The most endpoint changes told to others in one datagram; after more they read by themselves.
 const MAX_RELAYED: usize = 12;
 
@@ -64,6 +68,7 @@
 
     fn apply(&self, node: &Node, items: Vec<ConfigItem>, cursor: Cursor) {
         node.config_cursor.set(node.config_cursor.get().max(cursor));
+        node.store_read.notify_waiters();
         items.into_iter().for_each(|item| Self::offer(node, item));
     }
 
@@ -101,6 +106,11 @@
         fetch::config(node).await
     }
 
+    /// Its calls wait for a second at most.
+    async fn overtaken(&self, _: &Node, _: Cursor) {
+        std::future::pending().await
+    }
+
     fn known(&self, node: &Node) -> Cursor {
         node.config_cursor.get()
     }
@@ -234,6 +244,21 @@
         node.readers.borrow().reads() || fetch::endpoints(node).await
     }
 
+    /// The store counts the changes of all its tables together, and answers at once when there is one: a
+    /// call that still waits well after another table was read beyond it may have lost its answer.
+    async fn overtaken(&self, node: &Node, from: Cursor) {
+        loop {
+            let mut read = std::pin::pin!(node.store_read.notified());
+            // What is read from here on is told.
+            read.as_mut().enable();
+            if node.config_cursor.get() > from {
+                tokio::time::sleep(OVERTAKEN_TIME).await;
+                return;
+            }
+            read.await;
+        }
+    }
+
     fn known(&self, node: &Node) -> Cursor {
         node.endpoints_cursor.get()
     }
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -73,6 +73,8 @@
     pub(crate) store_lost_at: Cell<Option<Timestamp>>,
     /// Told when the sentinel reaches the store again.
     pub(crate) store_regained: Notify,
+    /// Told when this instance has read the configuration's table.
+    pub(crate) store_read: Notify,
     /// Who reads the watched tables.
     pub(crate) readers: RefCell<Readers>,
     /// Told when this instance begins to read.
@@ -161,6 +163,7 @@
             store_lost: Notify::new(),
             store_lost_at: Cell::new(None),
             store_regained: Notify::new(),
+            store_read: Notify::new(),
             readers: RefCell::new(Readers::new(incarnation)),
             begins_to_read: Notify::new(),
             ceases_to_read: Notify::new(),
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -59,6 +59,9 @@
     /// Notes that a row could not be read.
     fn bad_row(&self, node: &Node);
 
+    /// Waits until a call for changes after `from` should have been answered, by what other calls show.
+    async fn overtaken(&self, node: &Node, from: Cursor);
+
     /// Notes that the table was current.
     fn prove(&self, node: &Node, proof: Proof, paired: bool);
 
@@ -119,6 +122,8 @@
 
     /// Follows changes until the history is gone.
     async fn follow(&mut self, mut cursor: Cursor) {
+        // The answer of the last call may be lost, so the next one does not wait.
+        let mut is_overtaken = false;
         loop {
             let is_up_to_date = self.copy.take_news(&self.node).await;
             let wait = match is_up_to_date {
@@ -126,16 +131,22 @@
                 true => match self.copy.turn(&self.node).await {
                     Ask::Peers => continue,
                     // After a failure the first call does not wait, so that contact is proved at once.
-                    Ask::Store(_) if self.lost_at.is_some() => Duration::ZERO,
+                    Ask::Store(_) if self.lost_at.is_some() || is_overtaken => Duration::ZERO,
                     Ask::Store(wait) => wait,
                 },
             };
             cursor = cursor.max(self.copy.known(&self.node));
+            is_overtaken = false;
             let sent = self.node.clock.now();
             let call = bounded(wait + CALL_TIME, self.source.changes(cursor, wait));
             let answer = tokio::select! {
                 answer = call => answer,
                 () = self.copy.news(&self.node), if is_up_to_date => continue,
+                () = self.copy.overtaken(&self.node, cursor), if !wait.is_zero() => {
+                    log::info!(target: "store", table = C::NAME, cursor = cursor.0; "overtaken, asking again");
+                    is_overtaken = true;
+                    continue;
+                }
                 // A call that waits for long would hang for long after a cut.
                 () = self.node.store_lost.notified(), if !C::SENTINEL => {
                     Err(SourceError::Unreachable)
