--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod memory;
 mod node;
 mod pacing;
+mod places;
 mod placing;
 mod ports;
 mod refusal;
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -12,8 +12,8 @@
 use ringbend_types::{EndpointId, Timestamp};
 
 use crate::fields::Millis;
-use crate::limits::Closed;
 use crate::node::Node;
+use crate::places::Closed;
 
 /// How long an instance that has just started listens for others before it takes itself for the only
 /// one. A read of the store, which may take a third of a second when it is slow, tells of them.
