fix(relay): a suspect that no limited endpoint takes in time is refused at once

What callers saw: 503 after two seconds, late-not-run, where every endpoint that is left names a limit and none has a place in time. Cause: a suspect waited for its turn by itself, outside the line in which others wait for a place. Change: it is refused with the time of the next place as they are. The test was red (late-not-run after 2 s) before. suspecting, crashing, holding and limiting pass: 36 tests.

--- a/crates/ringbend-relay/src/places.rs
+++ b/crates/ringbend-relay/src/places.rs
@@ -193,20 +193,38 @@
             if !self.counts(&job.service) {
                 return Err(Denied::NotHere);
             }
-            let now = self.clock.now();
-            let needed = waiting.needed();
-            let wait = self.until_places(job, needed);
-            if wait.is_none_or(|wait| now + wait > waiting.place.due) {
-                return Err(Denied::Limited(self.come_back(job, needed, wait)));
-            }
-            let look = wait.unwrap_or(LOOK).clamp(SHORTEST_LOOK, LOOK);
-            tokio::time::sleep(look).await;
+            let wait = self.until_place(job, waiting.needed(), waiting.place.due)?;
+            tokio::time::sleep(wait.clamp(SHORTEST_LOOK, LOOK)).await;
         }
     }
 
-    fn until_places(&self, job: &Job, count: usize) -> Option<Duration> {
+    /// How long until there is a place for a request that needs the `needed`th one by `due`.
+    ///
+    /// # Errors
+    ///
+    /// It comes too late.
+    fn until_place(&self, job: &Job, needed: usize, due: Timestamp) -> Result<Duration, Denied> {
+        let now = self.clock.now();
         let limited = self.limited(&job.service);
-        self.places.borrow().until(self.clock.now(), limited.iter(), count)
+        let wait = self.places.borrow().until(now, limited.iter(), needed);
+        match wait {
+            Some(wait) if now + wait <= due => Ok(wait),
+            _ => Err(Denied::Limited(self.come_back(job, needed, wait))),
+        }
+    }
+
+    /// Whether a suspect may go on waiting until it may be sent, where all endpoints that are left name limits.
+    ///
+    /// # Errors
+    ///
+    /// The next place comes after `due`.
+    pub(crate) fn may_wait(&self, job: &Job, due: Timestamp) -> Result<(), Denied> {
+        let limited = self.limited(&job.service).len();
+        let all = self.directory.borrow().of_service(self.clock.now(), &job.service).count();
+        if all > limited {
+            return Ok(());
+        }
+        self.until_place(job, 1, due).map(drop)
     }
 
     /// When a caller should come back that gets no place; writes the line of it.
--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -245,6 +245,7 @@
             if self.clock.now() >= until {
                 return Err(Denied::NoTurn);
             }
+            self.may_wait(job, until)?;
             tokio::time::sleep(LOOK).await;
         };
         let waited_ms = self.clock.now().since(began).as_millis() as u64;
