fix(relay): a silent stream is not left where nothing may be sent in its place

Cause: a stream that is silent for 1.2 s is left for another run. As an instance stops, sends are refused that could not end in time; that was looked at only once the silent one had been left.

Change and why it holds: whether a send may follow is asked before the silent one is left.

--- a/crates/ringbend-relay/src/silence.rs
+++ b/crates/ringbend-relay/src/silence.rs
@@ -77,7 +77,12 @@
         !self.is_try && self.writes_since.is_none()
     }
 
+    /// Whether a silent send is left for another one. Where none may be sent any more, the silent one is all that its
+    /// caller can get.
     fn replace_silent(&mut self) -> bool {
+        if self.is_past_last_send() {
+            return false;
+        }
         let now = self.node.clock.now();
         let budget = &mut self.node.budget.borrow_mut();
         self.attempts.replace_silent(now, &self.terms.service.name, budget)
--- a/crates/ringbend-relay/src/stopping.rs
+++ b/crates/ringbend-relay/src/stopping.rs
@@ -83,9 +83,20 @@
     /// Waits until it is too late, as the instance stops, to send the request to endpoints: at its fastest it
     /// would be cut.
     pub(crate) async fn past_last_send(&self) {
+        self.node.stops_within(self.least_time() + LAST_SENDS).await;
+    }
+
+    /// Whether it is.
+    pub(crate) fn is_past_last_send(&self) -> bool {
+        let Some(began) = self.node.stopping.get() else { return false };
+        let last = self.node.time_to_stop().saturating_sub(self.least_time() + LAST_SENDS);
+        self.node.clock.now().since(began) >= last
+    }
+
+    /// The least time from a send to the end of its answer.
+    fn least_time(&self) -> Duration {
         let work = self.terms.service.engine.zip(self.call.demand);
-        let least = work.map_or(Duration::ZERO, |(engine, demand)| engine.least_time(demand));
-        self.node.stops_within(least + LAST_SENDS).await;
+        work.map_or(Duration::ZERO, |(engine, demand)| engine.least_time(demand))
     }
 }
 
