fix(relay): a request that waits for a place goes to whoever counts by then

What callers saw: no-endpoint, 503 without a sensible time to come back, where the places of a service's limited endpoints began to be counted by another instance while a request waited in line. Cause: the wait ended as if this instance had been asked wrongly. Change: the new counter is asked. A service without a limited endpoint no longer looks who would count for it while another service has one. Code that runs while an endpoint names a limit, only.

--- a/crates/ringbend-relay/src/places.rs
+++ b/crates/ringbend-relay/src/places.rs
@@ -24,7 +24,8 @@
 /// processor time goes on within a tenth of a second.
 const COUNTER_TIME: Duration = Duration::from_millis(250);
 
-/// When to come back if nobody counts the places: by then another instance does.
+/// When to come back if nobody counts the places. Another instance does some two seconds after the last word of the
+/// former one, half of which has passed on average.
 const UNCOUNTED_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Endpoints that a request may not be put on now, as they have named a limit.
@@ -57,7 +58,7 @@
 }
 
 impl Node {
-    /// Counts on the places of all limited endpoints, also while nobody wants any.
+    /// Goes on counting the places of all limited endpoints, also while nobody wants any.
     pub(crate) fn count_places(&self) {
         let now = self.clock.now();
         let services: BTreeSet<ServiceName> = {
@@ -90,10 +91,10 @@
     /// The endpoints that a request may not take a place of now: they have none left, or others go first. Where
     /// this instance does not count, it offers as many to the one that does as the limit allows.
     pub(crate) fn closed_to(&self, id: WorkId, job: &Job) -> Closed {
-        if self.limits.borrow().is_empty() {
+        let service = &job.service;
+        if self.limits.borrow().is_empty() || self.limited(service).is_empty() {
             return Closed::new();
         }
-        let service = &job.service;
         let limited = self.limited_places(self.clock.now(), service);
         let is_next = job.suspect.is_some() || self.places.borrow().is_next(service, id);
         let closed = limited.into_iter().filter(|(_, has_place)| !(*has_place && is_next));
@@ -145,7 +146,11 @@
         let until = self.clock.now() + COUNTER_TIME;
         loop {
             if self.counts(&job.service) {
-                return self.wait_for_place(id, job, engine).await;
+                match self.wait_for_place(id, job, engine).await {
+                    // Another instance counts by now.
+                    Err(Denied::NotHere) if counted == Counted::ByOne => continue,
+                    placed => return placed,
+                }
             }
             if counted == Counted::Here {
                 return Err(Denied::NotHere);
