--- a/crates/ringbend-gateway/src/quarantine.rs
+++ b/crates/ringbend-gateway/src/quarantine.rs
@@ -20,8 +20,8 @@
 use smallvec::SmallVec;
 
 /// Strikes that hold a request. Two are no proof: an endpoint that ends by itself strikes all that run on it,
-/// and some of those meet a second one. Three in a row, each apart from other suspects, were seen in no run
-/// in which endpoints ended by themselves.
+/// and some of those meet a second one. That three do so in a row, each apart from other suspects, is most
+/// unlikely.
 pub const HELD_AT: usize = 3;
 
 /// How long after its last strike or try a held request is tried again, once for each entry: endpoints of
--- a/crates/ringbend-gateway/src/suspect_work.rs
+++ b/crates/ringbend-gateway/src/suspect_work.rs
@@ -10,8 +10,8 @@
 
 /// How long an endpoint counts as a suspect's after its run there. Requests that end their engines do so within a
 /// tenth of a second, also if their caller has left or they were broken off, and it takes up to another until that is
-/// noticed and told. A call that all send was held in two of 30 runs of the soak because it came to an
-/// endpoint 6 to 11 ms after the request that ended it.
+/// noticed and told. Else a call that all send, and that comes to the endpoint just after it, would get a strike for
+/// its end.
 const AFTERMATH: Duration = Duration::from_millis(250);
 
 /// A run of a suspect that is over.
