feat(relay): signals in the heads of endpoints' responses are decoded once, logged and counted

No send is decided by them yet. Logs could not tell whether an announcement of draining or a requested back-off was read and ignored, or not read. Now: 'endpoint is draining', 'endpoint requests back-off', 'back-off ended', 'malformed signal', 'unknown response header', and 'sent against a signal' at a send that ignores one; gauges draining_endpoints and endpoint_backoffs, counter unknown_signals.

--- /dev/null
+++ b/crates/ringbend-gateway/src/backoffs.rs
@@ -0,0 +1,120 @@
+//! Endpoints that have asked this instance to send them nothing for a while.
+//!
+//! An overloaded endpoint rejects a request and names a delay. The delay binds the instance that got the response
+//! and no other, until its end: a later success does not shorten it. After it one request at a time is let
+//! through until the endpoint takes one, so that requests that waited do not overload it again at once.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ringbend_types::{EndpointId, EndpointStart, RetryAfter, Timestamp};
+
+use crate::directory::Endpoint;
+
+/// The most endpoints that are kept, some 100 bytes each; the one whose delay ends first gives way.
+const MAX_KEPT: usize = 4_096;
+
+/// How long the one request after a delay is waited for before another one is let through.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
+/// How long after its end a delay is forgotten if nothing was sent to the endpoint.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+
+#[derive(Debug, Clone)]
+struct Backoff {
+    start: Option<EndpointStart>,
+    until: Timestamp,
+    /// Set while the one request after the delay is waited for.
+    probed_until: Option<Timestamp>,
+}
+
+impl Backoff {
+    fn is_of(&self, endpoint: &Endpoint) -> bool {
+        !endpoint.start.zip(self.start).is_some_and(|(start, known)| start > known)
+    }
+
+    fn closed_until(&self, now: Timestamp) -> Option<Timestamp> {
+        let until = self.probed_until.unwrap_or(self.until).max(self.until);
+        (now < until).then_some(until)
+    }
+}
+
+/// The delays that endpoints asked of this instance.
+#[derive(Debug, Clone, Default)]
+pub struct Backoffs {
+    entries: HashMap<EndpointId, Backoff>,
+}
+
+impl Backoffs {
+    /// Notes a delay that begins now. Returns whether it ends later than what was known.
+    pub fn begin(&mut self, now: Timestamp, endpoint: &Endpoint, delay: RetryAfter) -> bool {
+        let until = now + delay.delay();
+        if let Some(known) = self.entries.get_mut(&endpoint.id)
+            && known.is_of(endpoint)
+        {
+            let is_later = until > known.until;
+            known.until = known.until.max(until);
+            known.probed_until = None;
+            return is_later;
+        }
+        if until <= now {
+            return false;
+        }
+        if self.entries.len() >= MAX_KEPT {
+            let first = self.entries.iter().min_by_key(|(_, backoff)| backoff.until);
+            if let Some(first) = first.map(|(id, _)| id.clone()) {
+                self.entries.remove(&first);
+            }
+        }
+        let backoff = Backoff { start: endpoint.start, until, probed_until: None };
+        self.entries.insert(endpoint.id.clone(), backoff);
+        true
+    }
+
+    /// Notes a response without a delay to something that was sent at `sent`. Returns whether the endpoint takes
+    /// requests as before by that.
+    pub fn answered(&mut self, sent: Timestamp, endpoint: &Endpoint) -> bool {
+        let is_over = self.entries.get(&endpoint.id).is_some_and(|backoff| sent >= backoff.until);
+        if is_over {
+            self.entries.remove(&endpoint.id);
+        }
+        is_over
+    }
+
+    /// Until when nothing may be sent to the endpoint; none if something may.
+    pub fn closed_until(&self, now: Timestamp, endpoint: &Endpoint) -> Option<Timestamp> {
+        let backoff = self.entries.get(&endpoint.id).filter(|backoff| backoff.is_of(endpoint))?;
+        backoff.closed_until(now)
+    }
+
+    /// Notes that something is sent to an endpoint that may be sent to.
+    pub fn sending(&mut self, now: Timestamp, endpoint: &Endpoint) {
+        if let Some(backoff) = self.entries.get_mut(&endpoint.id) {
+            backoff.probed_until = Some(now + PROBE_TIME);
+        }
+    }
+
+    /// The endpoints that may not be sent to, those first whose delays end last.
+    pub fn closed(&self, now: Timestamp) -> Vec<EndpointId> {
+        let closed = self.entries.iter();
+        let closed = closed.filter_map(|(id, backoff)| Some((backoff.closed_until(now)?, id)));
+        let mut closed: Vec<(Timestamp, &EndpointId)> = closed.collect();
+        closed.sort_by(|a, b| b.cmp(a));
+        closed.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// How many delays are kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Drops delays that ended long ago.
+    pub fn sweep(&mut self, now: Timestamp) {
+        self.entries.retain(|_, backoff| now.since(backoff.until) < FORGOTTEN_AFTER);
+    }
+}
--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -7,6 +7,8 @@
 use ringbend_types::{DataCentre, EndpointId, EndpointStart, ServiceName, Timestamp};
 use smallvec::SmallVec;
 
+use crate::drains::{Drain, Drains};
+
 /// One registered endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Endpoint {
@@ -81,6 +83,7 @@
     /// each is held against those at its address.
     at_address: HashMap<SocketAddrV4, SmallVec<[EndpointId; 1]>>,
     former: BTreeMap<EndpointId, Former>,
+    drains: Drains,
     regained_at: Option<Timestamp>,
 }
 
@@ -127,6 +130,24 @@
         Ended::from_iter([id.clone()])
     }
 
+    /// Notes that an endpoint has announced that it is draining. Returns whether it is news.
+    pub fn note_drain(&mut self, now: Timestamp, drain: Drain) -> bool {
+        let known = self.entries.get(&drain.endpoint).and_then(|entry| entry.endpoint.start);
+        let is_former = known.zip(drain.start).is_some_and(|(known, start)| known > start);
+        !is_former && self.drains.note(now, drain)
+    }
+
+    /// The endpoints that have announced that they are draining.
+    pub fn drains(&self) -> &Drains {
+        &self.drains
+    }
+
+    /// Drops old announcements of endpoints that are gone.
+    pub fn sweep_drains(&mut self, now: Timestamp) {
+        let Self { drains, entries, .. } = self;
+        drains.sweep(now, |id| entries.contains_key(id));
+    }
+
     fn present(&mut self, now: Timestamp, endpoint: Endpoint) -> Ended {
         let mut ended = Ended::new();
         let known = self.entries.get(&endpoint.id);
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -5,11 +5,13 @@
 //! clock and no thread: the driver passes the time in.
 
 mod attempts;
+mod backoffs;
 mod budget;
 mod candidate;
 mod choice;
 mod deferral;
 mod directory;
+mod drains;
 mod engine;
 mod events;
 mod freshness;
@@ -29,6 +31,7 @@
 mod reservation;
 mod schedulers;
 mod second_run;
+mod signals;
 mod snapshot;
 mod suspect_work;
 mod trust;
@@ -38,9 +41,11 @@
 mod weights;
 
 pub use attempts::{Attempts, Next, SendEnd};
+pub use backoffs::Backoffs;
 pub use budget::{BudgetBounds, RepeatBudget};
 pub use choice::{Demand, Placement, Wish, is_long, place_on_engines, place_on_service, stake};
 pub use directory::{Directory, Ended, Endpoint, EndpointChange, RETURN_TIME};
+pub use drains::{Drain, Drains};
 pub use engine::EngineProfile;
 pub use events::{Event, EventCutter, EventId, EventTooLong};
 pub use freshness::{Freshness, Proof};
@@ -59,6 +64,7 @@
 pub use reservation::{HOLD, OrderAnswer, RENEW, Ticket, TicketId};
 pub use schedulers::{Role, SCHEDULERS, Standing};
 pub use second_run::second_run_at;
+pub use signals::{Draining, EndpointSignals, MalformedSignal, Signal};
 pub use snapshot::{
     Account, CallerLimits, ConfigVersion, Repeat, Route, RouteEntry, Service, Snapshot,
     SnapshotParts, Split,
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod runs;
 mod scheduled;
 mod sending;
+mod signals;
 mod silence;
 mod stopping;
 mod streams;
--- a/crates/ringbend-relay/src/memory.rs
+++ b/crates/ringbend-relay/src/memory.rs
@@ -136,7 +136,7 @@
     let status = answer.head.status;
     let facts = node.dialect.answer(status, &answer.head.headers);
     if let Some(known) = known.filter(|_| !facts.is_foreign) {
-        node.hear_limit(&known, asked, facts.limit, WordIn::Order);
+        node.apply_signals(&known, asked, &facts.signals, WordIn::Order);
     }
     let body = answer.whole(MAX_ANSWER_BYTES).await?;
     if let Some(start) = node.dialect.order_start(&body) {
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -11,7 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Directory, Limits, LoadBook, Outbox, PaceAsks, Peers, Places, Quarantine, Readers,
+    Backoffs, Directory, Limits, LoadBook, Outbox, PaceAsks, Peers, Places, Quarantine, Readers,
     RepeatBudget, Replica, Standing, TrustBook, WorkId, asking_factor,
 };
 use ringbend_runtime::Clock;
@@ -28,6 +28,7 @@
 use crate::link::{Link, Signals};
 use crate::memory::HeldMemory;
 use crate::ports::{ConfigDecoder, Cursor, Dialect, Keeper, Present};
+use crate::signals::LoggedSignals;
 
 /// One relay's state. It lives on one thread.
 pub(crate) struct Node {
@@ -47,6 +48,10 @@
     pub(crate) trust: RefCell<TrustBook>,
     /// What endpoints take, by their own word.
     pub(crate) limits: RefCell<Limits>,
+    /// What endpoints asked this instance not to send for a while.
+    pub(crate) backoffs: RefCell<Backoffs>,
+    /// What of endpoints' signals was logged.
+    pub(crate) logged_signals: RefCell<LoggedSignals>,
     /// The places that such endpoints have left, where this instance counts them.
     pub(crate) places: RefCell<Places>,
     pub(crate) budget: RefCell<RepeatBudget>,
@@ -148,6 +153,8 @@
             load: RefCell::default(),
             trust: RefCell::default(),
             limits: RefCell::default(),
+            backoffs: RefCell::default(),
+            logged_signals: RefCell::default(),
             places: RefCell::default(),
             budget: RefCell::new(budget),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
--- a/crates/ringbend-relay/src/pacing.rs
+++ b/crates/ringbend-relay/src/pacing.rs
@@ -208,7 +208,7 @@
         let status = answer.head.status;
         let facts = self.dialect.answer(status, &answer.head.headers);
         if !facts.is_foreign {
-            self.hear_limit(&endpoint, asked, facts.limit, WordIn::Report);
+            self.apply_signals(&endpoint, asked, &facts.signals, WordIn::Report);
         }
         let body = answer.whole(MAX_REPORT_BYTES).await?;
         Ok(self.dialect.report_answer(status, &body))
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -10,8 +10,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use ringbend_gateway::{
-    Demand, Endpoint, EndpointChange, EventId, LimitWord, OrderAnswer, Pace, SnapshotParts, Ticket,
-    TicketId,
+    Demand, Endpoint, EndpointChange, EndpointSignals, EventId, OrderAnswer, Pace, SnapshotParts,
+    Ticket, TicketId,
 };
 use ringbend_types::{ClientAccountId, DataCentre, EndpointId, EndpointStart};
 use smallvec::SmallVec;
@@ -101,12 +101,10 @@
     pub not_run: bool,
     /// Whether another endpoint than the one that was meant answered at its address.
     pub is_foreign: bool,
-    /// When it may have room again.
-    pub retry_after: Option<Duration>,
     /// The engine that was at fault, where another than the one that answers.
     pub at_fault: Option<SocketAddrV4>,
-    /// How much it takes from all instances together.
-    pub limit: LimitWord,
+    /// What it signals about itself.
+    pub signals: EndpointSignals,
 }
 
 /// A question to an engine, ready to be sent.
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -80,8 +80,8 @@
         let answer = exchange::send(&node.http, endpoint.address, head, body).await?;
         let head = clone_head(&answer.head);
         let facts = node.dialect.answer(head.status, &head.headers);
-        if !facts.is_foreign && facts.request_id == request_id {
-            node.hear_limit(&endpoint, asked, facts.limit, WordIn::Answer);
+        if !facts.is_foreign && (facts.request_id.is_none() || facts.request_id == request_id) {
+            node.apply_signals(&endpoint, asked, &facts.signals, WordIn::Answer);
         }
         let is_own = !facts.not_run && facts.request_id == request_id;
         if !(streaming && is_own && head.status == StatusCode::OK) {
@@ -114,6 +114,9 @@
         if self.node.directory.borrow().has_ended(&endpoint) {
             return Err(Failed::Send(SendEnd::NotSent));
         }
+        if let Some(signal) = self.node.signal_against(&endpoint) {
+            log::info!(target: "request", id = self.id(), endpoint:% = endpoint.id, signal; "sent against a signal");
+        }
         self.node.metrics.attempt(self.attempts.tried().len() as u32);
         let sending = Sending {
             node: self.node.clone(),
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use actix_http::{RequestHead, StatusCode};
-use ringbend_gateway::{Endpoint, EventId, LimitWord, Placement, SendEnd, TrustEvent};
+use ringbend_gateway::{Endpoint, EventId, LimitWord, Placement, SendEnd, Signal, TrustEvent};
 use ringbend_types::EndpointId;
 use smallvec::SmallVec;
 
@@ -24,12 +24,14 @@
         let (id, status) = (self.id(), status.as_u16());
         if facts.not_run {
             log::info!(target: "request", id, endpoint:% = endpoint.id, status; "not run");
-            self.hint = facts.retry_after.or(self.hint);
+            if let Signal::Present(after) = facts.signals.backoff {
+                self.hint = Some(after.delay());
+            }
             match facts.at_fault.filter(|address| *address != endpoint.address) {
                 Some(address) => self.distrust_address(address),
                 None if facts.is_foreign => self.distrust_foreign(&endpoint.id),
                 // It takes no more for now than it has named, and is as good as before.
-                None if matches!(facts.limit, LimitWord::Names(_)) => {}
+                None if matches!(facts.signals.limit, LimitWord::Names(_)) => {}
                 None => self.trust(&endpoint.id, TrustEvent::Full),
             }
             return Err(Failed::Send(SendEnd::NotRun));
--- /dev/null
+++ b/crates/ringbend-relay/src/signals.rs
@@ -0,0 +1,106 @@
+//! Signals in the heads of endpoints' responses: each is noted in one place.
+
+use std::collections::HashSet;
+
+use ringbend_gateway::{Drain, Endpoint, EndpointSignals, MalformedSignal, Signal, WordIn};
+use ringbend_types::{EndpointId, RetryAfter, Timestamp};
+
+use crate::node::Node;
+
+/// The most endpoints and headers that a line is remembered for.
+const MAX_LOGGED: usize = 256;
+
+/// What was logged already, so that endpoints cannot flood the log.
+#[derive(Default)]
+pub(crate) struct LoggedSignals {
+    malformed: HashSet<EndpointId>,
+    unknown: HashSet<Box<str>>,
+}
+
+/// Whether a line is the first one of its kind.
+fn is_first<T: Eq + std::hash::Hash>(logged: &mut HashSet<T>, of: T) -> bool {
+    logged.len() < MAX_LOGGED && logged.insert(of)
+}
+
+impl Node {
+    /// Notes the signals of a response to something that was sent at `sent`.
+    pub(crate) fn apply_signals(
+        &self,
+        endpoint: &Endpoint,
+        sent: Timestamp,
+        signals: &EndpointSignals,
+        from: WordIn,
+    ) {
+        self.hear_limit(endpoint, sent, signals.limit, from);
+        match signals.draining {
+            Signal::Present(_) => {
+                let (id, start) = (endpoint.id.clone(), endpoint.start);
+                self.note_drain(Drain { endpoint: id, start }, "response");
+            }
+            Signal::Malformed(why) => self.log_malformed(endpoint, "draining", why),
+            Signal::Absent => {}
+        }
+        match signals.backoff {
+            Signal::Present(after) => self.begin_backoff(endpoint, after),
+            Signal::Malformed(why) => self.log_malformed(endpoint, "retry-after", why),
+            Signal::Absent => self.end_backoff(endpoint, sent),
+        }
+        for name in &signals.unknown {
+            self.metrics.unknown_signal();
+            if is_first(&mut self.logged_signals.borrow_mut().unknown, name.clone()) {
+                log::warn!(target: "endpoints", endpoint:% = endpoint.id, header = name; "unknown response header");
+            }
+        }
+    }
+
+    fn note_drain(&self, drain: Drain, from: &str) {
+        let (endpoint, now) = (drain.endpoint.clone(), self.clock.now());
+        if !self.directory.borrow_mut().note_drain(now, drain) {
+            return;
+        }
+        let draining = self.directory.borrow().drains().len();
+        log::info!(target: "endpoints", endpoint:%, from, draining; "endpoint is draining");
+        self.metrics.draining_endpoints.set(draining as i64);
+    }
+
+    fn begin_backoff(&self, endpoint: &Endpoint, after: RetryAfter) {
+        let mut backoffs = self.backoffs.borrow_mut();
+        if !backoffs.begin(self.clock.now(), endpoint, after) {
+            return;
+        }
+        let (delay_ms, backing_off) = (after.delay().as_millis() as u64, backoffs.len());
+        log::info!(target: "endpoints", endpoint:% = endpoint.id, delay_ms, backing_off; "endpoint requests back-off");
+        self.metrics.endpoint_backoffs.set(backing_off as i64);
+    }
+
+    fn end_backoff(&self, endpoint: &Endpoint, sent: Timestamp) {
+        let mut backoffs = self.backoffs.borrow_mut();
+        if backoffs.answered(sent, endpoint) {
+            log::info!(target: "endpoints", endpoint:% = endpoint.id; "back-off ended");
+            self.metrics.endpoint_backoffs.set(backoffs.len() as i64);
+        }
+    }
+
+    fn log_malformed(&self, endpoint: &Endpoint, signal: &str, why: MalformedSignal) {
+        if is_first(&mut self.logged_signals.borrow_mut().malformed, endpoint.id.clone()) {
+            log::warn!(target: "endpoints", endpoint:% = endpoint.id, signal, why:%; "malformed signal");
+        }
+    }
+
+    /// The signal that speaks against a send to the endpoint now.
+    pub(crate) fn signal_against(&self, endpoint: &Endpoint) -> Option<&'static str> {
+        if self.directory.borrow().drains().contains(endpoint) {
+            return Some("draining");
+        }
+        let closed = self.backoffs.borrow().closed_until(self.clock.now(), endpoint);
+        closed.map(|_| "back-off")
+    }
+
+    /// Drops signals of endpoints that are gone, and delays that ended long ago.
+    pub(crate) fn sweep_signals(&self, now: Timestamp) {
+        self.directory.borrow_mut().sweep_drains(now);
+        self.backoffs.borrow_mut().sweep(now);
+        self.metrics.draining_endpoints.set(self.directory.borrow().drains().len() as i64);
+        self.metrics.endpoint_backoffs.set(self.backoffs.borrow().len() as i64);
+    }
+}
--- a/crates/ringbend-relay/src/telling.rs
+++ b/crates/ringbend-relay/src/telling.rs
@@ -191,6 +191,7 @@
         self.grants.borrow_mut().sweep(now);
         self.sweep_suspects(now);
         self.sweep_limits(now);
+        self.sweep_signals(now);
         self.review_role();
         let instances = self.peers.borrow().instances(now);
         if self.metrics.live_instances.get() != instances as i64 {
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -58,11 +58,16 @@
     table_calls: Counter,
     peer_bytes: Counter,
     strikes: Counter,
+    unknown_signals: Counter,
     endpoint_limits: Family<EndpointLabels, Gauge<f64, AtomicU64>>,
     /// Requests that are held because they end endpoints.
     pub held_requests: Gauge,
     /// Endpoints that name a limit.
     pub limited_endpoints: Gauge,
+    /// Endpoints that have announced that they are draining.
+    pub draining_endpoints: Gauge,
+    /// Endpoints that have asked this instance to back off.
+    pub endpoint_backoffs: Gauge,
     /// The settings version in force.
     pub settings_version: Gauge,
     /// Admitted requests that have not ended.
@@ -93,9 +98,12 @@
             table_calls: Counter::default(),
             peer_bytes: Counter::default(),
             strikes: Counter::default(),
+            unknown_signals: Counter::default(),
             endpoint_limits: Family::default(),
             held_requests: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            draining_endpoints: Gauge::default(),
+            endpoint_backoffs: Gauge::default(),
             settings_version: Gauge::default(),
             open_requests: Gauge::default(),
             queued_requests: Gauge::default(),
@@ -164,6 +172,11 @@
         self.strikes.inc();
     }
 
+    /// Counts a response header of the endpoint protocol that is not known.
+    pub fn unknown_signal(&self) {
+        self.unknown_signals.inc();
+    }
+
     /// Notes how many requests a second an endpoint takes by its own word; none if it names no limit.
     pub fn set_endpoint_limit(&self, endpoint: &str, rate: Option<f64>) {
         let labels = EndpointLabels { endpoint: endpoint.to_owned() };
@@ -208,6 +221,12 @@
         r.register("endpoint_limit", "Requests a second that an endpoint takes", rates);
         let limited = self.limited_endpoints.clone();
         r.register("limited_endpoints", "Endpoints that name a limit", limited);
+        let draining = self.draining_endpoints.clone();
+        r.register("draining_endpoints", "Endpoints that announced that they drain", draining);
+        let backoffs = self.endpoint_backoffs.clone();
+        r.register("endpoint_backoffs", "Endpoints that asked this instance to back off", backoffs);
+        let unknown = self.unknown_signals.clone();
+        r.register("unknown_signals", "Unknown headers in responses of endpoints", unknown);
         r.register("settings_version", "Settings in force", self.settings_version.clone());
         r.register("open_requests", "Admitted and not ended", self.open_requests.clone());
         r.register("queued_requests", "Waiting for an endpoint", self.queued_requests.clone());
--- a/crates/ringbend-types/src/lib.rs
+++ b/crates/ringbend-types/src/lib.rs
@@ -6,6 +6,7 @@
 mod id;
 mod quantity;
 mod request_rate;
+mod retry_after;
 mod run_state;
 mod seed;
 mod time;
@@ -20,6 +21,7 @@
     SettingsVersion, TokenCount, TokensPerSecond,
 };
 pub use request_rate::{ParseRequestRateError, RequestRate};
+pub use retry_after::{ParseRetryAfterError, RetryAfter};
 pub use run_state::{ParseRunStateError, RunState};
 pub use seed::{IdMint, Seed};
 pub use time::Timestamp;
