fix(relay): an endpoint that announces in a response that it is draining gets no new requests

Callers saw no failure; requests reached an engine 11.9 and 12.7 s after the instance that sent them had passed on its announcement. Cause: the announcement in responses was read by nobody. Leaving was known from the endpoints' table alone, and the row could not be written while the store was away. Class: a signal that is relayed and ignored.

Change: an announcement is final for its process (Drains, kept by the Directory): no row, copy or later response revokes it, a later start does. One check before every send (admission.rs) decides from what this instance knows, also for requests that waited, hold memory or were placed by a scheduler that does not know; they are placed again, at no cost in retries or trust, as nothing was sent. All instances are told at once and for 5 s, new ones before they serve. Streams in progress go on. Reports are not asked of draining endpoints.

Why it works: the check is where the request is sent and reads what the response wrote.

--- a/crates/ringbend-gateway/src/backoffs.rs
+++ b/crates/ringbend-gateway/src/backoffs.rs
@@ -30,7 +30,7 @@
 
 impl Backoff {
     fn is_of(&self, endpoint: &Endpoint) -> bool {
-        !endpoint.start.zip(self.start).is_some_and(|(start, known)| start > known)
+        endpoint.start.zip(self.start).is_none_or(|(start, known)| start <= known)
     }
 
     fn closed_until(&self, now: Timestamp) -> Option<Timestamp> {
--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -24,7 +24,7 @@
     pub data_centre: DataCentre,
     /// Requests it processes at once.
     pub slots: u32,
-    /// Whether it is about to leave and takes no new work.
+    /// Whether its row says that it is about to leave and takes no new work.
     pub leaving: bool,
 }
 
@@ -137,6 +137,11 @@
         !is_former && self.drains.note(now, drain)
     }
 
+    /// Whether an endpoint is about to leave, by its row or by its own announcement.
+    pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        endpoint.leaving || self.drains.contains(endpoint)
+    }
+
     /// The endpoints that have announced that they are draining.
     pub fn drains(&self) -> &Drains {
         &self.drains
@@ -228,9 +233,10 @@
 
     fn miss(&mut self, now: Timestamp, id: &EndpointId) {
         let doubt_until = self.regained_at.map(|at| at + RETURN_TIME).filter(|until| now < *until);
+        let is_leaving = self.get(id).is_some_and(|endpoint| self.is_leaving(endpoint));
         let Some(entry) = self.entries.get_mut(id) else { return };
         match doubt_until {
-            Some(until) if !entry.endpoint.leaving => entry.missing_until = Some(until),
+            Some(until) if !is_leaving => entry.missing_until = Some(until),
             _ => self.remove(now, id),
         }
     }
@@ -261,7 +267,7 @@
     pub fn is_settled(&self, endpoint: &Endpoint) -> bool {
         let Some(entry) = self.entries.get(&endpoint.id) else { return false };
         let is_same = entry.endpoint.start == endpoint.start;
-        is_same && !entry.endpoint.leaving && entry.missing_until.is_none()
+        is_same && !self.is_leaving(&entry.endpoint) && entry.missing_until.is_none()
     }
 
     /// The endpoints of a service that take new work.
@@ -275,7 +281,7 @@
             .filter(move |e| e.missing_until.is_none_or(|until| now < until))
             .filter(|e| e.replaced_by.is_none())
             .map(|e| &e.endpoint)
-            .filter(move |e| e.service == *service && !e.leaving)
+            .filter(move |e| e.service == *service && !self.is_leaving(e))
     }
 
     /// The endpoints whose entries are there, leaving ones included.
@@ -300,7 +306,7 @@
 
     /// How many registered endpoints are about to leave.
     pub fn leaving(&self) -> usize {
-        self.entries.values().filter(|entry| entry.endpoint.leaving).count()
+        self.entries.values().filter(|entry| self.is_leaving(&entry.endpoint)).count()
     }
 
     /// Whether none is registered.
--- a/crates/ringbend-gateway/src/outbox.rs
+++ b/crates/ringbend-gateway/src/outbox.rs
@@ -38,4 +38,8 @@
     pub limits: Vec<EndpointId>,
     /// The same, for those of this data centre that do not schedule.
     pub limits_at_home: Vec<EndpointId>,
+    /// Endpoints that are now known to be draining, for all instances.
+    pub drains: Vec<EndpointId>,
+    /// The same, for those of this data centre that do not schedule.
+    pub drains_at_home: Vec<EndpointId>,
 }
--- /dev/null
+++ b/crates/ringbend-gateway/tests/backoffs.rs
@@ -0,0 +1,99 @@
+//! Delays that endpoints ask of one instance.
+
+mod support;
+
+use quickcheck::quickcheck;
+use ringbend_gateway::{Backoffs, Endpoint};
+use ringbend_types::{EndpointStart, ParseRetryAfterError, RetryAfter};
+use support::{at, endpoint, ms};
+
+fn delay(text: &str) -> RetryAfter {
+    text.parse().unwrap()
+}
+
+/// Guards against a shorter delay, or a success in between, that ends a longer one.
+#[test]
+fn longest_end_holds() {
+    let mut backoffs = Backoffs::default();
+    assert!(backoffs.begin(at(0), &endpoint(1), delay("3")));
+    assert!(!backoffs.begin(at(100), &endpoint(1), delay("0.5")));
+    assert!(!backoffs.answered(at(200), &endpoint(1)));
+    assert_eq!(backoffs.closed_until(at(2_999), &endpoint(1)), Some(at(3_000)));
+    assert_eq!(backoffs.closed_until(at(3_000), &endpoint(1)), None);
+    assert_eq!(backoffs.closed_until(at(0), &endpoint(2)), None);
+}
+
+/// Guards against a crowd at the end of a delay.
+#[test]
+fn one_request_at_a_time_is_let_through_after_the_end_until_one_is_taken() {
+    let mut backoffs = Backoffs::default();
+    backoffs.begin(at(0), &endpoint(1), delay("1"));
+    backoffs.sending(at(1_500), &endpoint(1));
+    assert!(backoffs.closed_until(at(1_600), &endpoint(1)).is_some());
+    assert_eq!(backoffs.closed_until(at(2_500), &endpoint(1)), None, "its response does not come");
+    backoffs.sending(at(2_500), &endpoint(1));
+    assert!(!backoffs.answered(at(900), &endpoint(1)), "a response to an earlier request");
+    assert!(backoffs.answered(at(2_500), &endpoint(1)));
+    assert!(backoffs.is_empty());
+}
+
+/// Guards against a delay that outlives the process that asked for it.
+#[test]
+fn delay_holds_for_its_process_alone() {
+    let started = |ms| Endpoint { start: Some(EndpointStart(ms)), ..endpoint(1) };
+    let mut backoffs = Backoffs::default();
+    backoffs.begin(at(0), &started(100), delay("86400"));
+    assert!(backoffs.closed_until(at(1), &started(100)).is_some());
+    assert_eq!(backoffs.closed_until(at(1), &started(200)), None);
+    backoffs.begin(at(2), &started(200), delay("1"));
+    assert_eq!(backoffs.closed_until(at(1_002), &started(200)), None);
+}
+
+/// Guards against a table of delays that grows without bound.
+#[test]
+fn delays_are_bounded_and_old_ones_are_dropped() {
+    let mut backoffs = Backoffs::default();
+    for number in 0..5_000 {
+        backoffs.begin(at(number as u64), &endpoint(number), delay("60"));
+    }
+    assert_eq!(backoffs.len(), 4_096);
+    assert_eq!(backoffs.closed(at(5_000)).first(), Some(&endpoint(4_999).id));
+    backoffs.sweep(at(200_000));
+    assert!(backoffs.is_empty());
+}
+
+#[test]
+fn delay_is_a_number_of_seconds_that_is_cut_to_an_hour() {
+    assert_eq!(delay("1.5").delay(), ms(1_500));
+    assert_eq!(delay("0").delay(), ms(0));
+    assert_eq!(delay("86400").delay(), RetryAfter::MAX);
+    let error = |text: &str| text.parse::<RetryAfter>().unwrap_err();
+    assert_eq!(error(""), ParseRetryAfterError::Empty);
+    assert_eq!(error("-1"), ParseRetryAfterError::Negative);
+    assert_eq!(error("NaN"), ParseRetryAfterError::NotFinite);
+    assert_eq!(error("1e309"), ParseRetryAfterError::NotFinite);
+    assert_eq!(error("Wed, 21 Oct 2026 07:28:00 GMT"), ParseRetryAfterError::NotANumber);
+    assert_eq!(error(&"1".repeat(1 << 20)), ParseRetryAfterError::TooLong);
+}
+
+quickcheck! {
+    /// Guards against a response that shortens a delay, in any order of responses.
+    fn nothing_is_sent_before_the_latest_end(delays: Vec<(u16, u16)>) -> bool {
+        let mut backoffs = Backoffs::default();
+        let mut now = 0;
+        let mut latest = 0;
+        for (pause, length) in delays {
+            now += u64::from(pause);
+            let length = u64::from(length);
+            if length > 0 {
+                latest = latest.max(now + length);
+            }
+            backoffs.begin(at(now), &endpoint(1), RetryAfter::new(ms(length)));
+            backoffs.answered(at(now), &endpoint(1));
+            if now < latest && backoffs.closed_until(at(now), &endpoint(1)).is_none() {
+                return false;
+            }
+        }
+        true
+    }
+}
--- a/crates/ringbend-relay/src/hearing.rs
+++ b/crates/ringbend-relay/src/hearing.rs
@@ -58,6 +58,7 @@
         }
         self.note_suspicions(digest, role_of(digest) == Role::Scheduler);
         self.note_limits(digest, role_of(digest) == Role::Scheduler);
+        self.note_drains(digest, role_of(digest) == Role::Scheduler);
         self.note_work(now, from, digest);
         for start in &digest.gone {
             self.load.borrow_mut().forget_instance(now, *start);
@@ -164,7 +165,8 @@
             ..self.introduction()
         };
         let work = if schedules { self.work_of_home() } else { Vec::new() };
-        let known = self.all_limits().into_iter().chain(self.all_suspects());
+        let known =
+            self.all_limits().into_iter().chain(self.all_drains()).chain(self.all_suspects());
         for digest in self.with_work(answer, work).into_iter().chain(known) {
             self.tell(&digest, from);
         }
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! tables keep configuration and endpoints current. The words on the wire and the store's protocol
 //! belong to an adapter that implements [`Dialect`] and [`Source`].
 
+mod admission;
 mod asking;
 mod callers;
 mod config;
--- a/crates/ringbend-relay/src/pacing.rs
+++ b/crates/ringbend-relay/src/pacing.rs
@@ -197,6 +197,9 @@
 
     async fn report(&self, engine: &EndpointId) -> Result<Option<Report>, ExchangeError> {
         let Some(endpoint) = self.directory.borrow().get(engine).cloned() else { return Ok(None) };
+        if self.admission(&endpoint).is_err() {
+            return Ok(None);
+        }
         let call = self.dialect.report(engine);
         let mut head = RequestHead::default();
         head.method = Method::GET;
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -11,6 +11,7 @@
 };
 use ringbend_types::{EndpointId, Timestamp};
 
+use crate::admission::Inadmissible;
 use crate::fields::Millis;
 use crate::node::Node;
 use crate::places::Closed;
@@ -69,14 +70,28 @@
         if self.schedules() {
             return self.plan(id, job, engine).await;
         }
-        let asked = self.ask(id, job, Peers::scheduler).await;
-        if let Some(answer) = asked {
-            return answer;
+        match self.ask(id, job, Peers::scheduler).await {
+            Some(Ok(placement)) => match self.inadmissible(&placement) {
+                None => return Ok(placement),
+                Some((endpoint, why)) => self.reject_placement(id, job, &endpoint, why),
+            },
+            Some(denied) => return denied,
+            None => {
+                log::info!(target: "request", id = job.request.as_ref(); "placed without schedulers");
+            }
         }
-        log::info!(target: "request", id = job.request.as_ref(); "placed without schedulers");
         self.place_in_turn(id, job, engine, Counted::ByOne).await
     }
 
+    /// Takes a placement off the book that a scheduler made and this instance knows better about.
+    fn reject_placement(&self, id: WorkId, job: &Job, endpoint: &EndpointId, why: Inadmissible) {
+        log::info!(
+            target: "request", id = job.request.as_ref(), endpoint:%, why:%;
+            "scheduled onto an endpoint that takes no requests; placing here"
+        );
+        self.load.borrow_mut().end(self.clock.now(), id);
+    }
+
     /// Has a long prompt placed by the scheduler that plans all those of its service; places any other
     /// here, and it too if that one does not answer.
     pub(crate) async fn plan(
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use ringbend_gateway::{
-    Endpoint, EventId, Placement, SendEnd, SuspectState, WordIn, overdue_after, second_run_at,
+    Endpoint, EventId, Placement, SuspectState, WordIn, overdue_after, second_run_at,
 };
 use ringbend_types::Timestamp;
 use smallvec::SmallVec;
@@ -102,21 +102,18 @@
     ) -> Result<Run, Failed> {
         let Scheduled { endpoint, placement, mut placed, expected } = scheduled;
         let on = self.depends_on(&endpoint, &placement);
+        self.admit(&on)?;
         self.hold_memory(&placement, &mut placed).await?;
         let head = self.request_head(&endpoint, &placement, placed.memory.as_ref(), last_event);
         if self.is_held() {
             return Err(Failed::Held);
         }
+        // Holding memory takes some milliseconds.
+        self.admit(&on)?;
         self.node.sends.borrow_mut().insert(placed.id, self.origin.fingerprint);
         self.writes_since = None;
         self.strikes_before = self.node.quarantine.borrow().strikes(self.origin.fingerprint);
         self.attempts.sending(&endpoint.id);
-        if self.node.directory.borrow().has_ended(&endpoint) {
-            return Err(Failed::Send(SendEnd::NotSent));
-        }
-        if let Some(signal) = self.node.signal_against(&endpoint) {
-            log::info!(target: "request", id = self.id(), endpoint:% = endpoint.id, signal; "sent against a signal");
-        }
         self.node.metrics.attempt(self.attempts.tried().len() as u32);
         let sending = Sending {
             node: self.node.clone(),
--- a/crates/ringbend-relay/src/signals.rs
+++ b/crates/ringbend-relay/src/signals.rs
@@ -4,9 +4,13 @@
 
 use ringbend_gateway::{Drain, Endpoint, EndpointSignals, MalformedSignal, Signal, WordIn};
 use ringbend_types::{EndpointId, RetryAfter, Timestamp};
+use ringbend_wire::{EndpointDrain, LoadDigest, drain_of, told_drain};
 
 use crate::node::Node;
 
+/// The most announcements told in one datagram, so that it stays well below what is read.
+const TOLD_AT_ONCE: usize = 64;
+
 /// The most endpoints and headers that a line is remembered for.
 const MAX_LOGGED: usize = 256;
 
@@ -35,7 +39,7 @@
         match signals.draining {
             Signal::Present(_) => {
                 let (id, start) = (endpoint.id.clone(), endpoint.start);
-                self.note_drain(Drain { endpoint: id, start }, "response");
+                self.note_drain(Drain { endpoint: id, start }, "response", true);
             }
             Signal::Malformed(why) => self.log_malformed(endpoint, "draining", why),
             Signal::Absent => {}
@@ -53,7 +57,7 @@
         }
     }
 
-    fn note_drain(&self, drain: Drain, from: &str) {
+    fn note_drain(&self, drain: Drain, from: &str, for_all: bool) {
         let (endpoint, now) = (drain.endpoint.clone(), self.clock.now());
         if !self.directory.borrow_mut().note_drain(now, drain) {
             return;
@@ -61,6 +65,39 @@
         let draining = self.directory.borrow().drains().len();
         log::info!(target: "endpoints", endpoint:%, from, draining; "endpoint is draining");
         self.metrics.draining_endpoints.set(draining as i64);
+        let mut outbox = self.outbox.borrow_mut();
+        outbox.drains_at_home.push(endpoint.clone());
+        if for_all {
+            outbox.drains.push(endpoint);
+        }
+        self.signals.now.notify_one();
+    }
+
+    /// Notes what another instance knows of draining endpoints. What one that does not schedule tells is told on to
+    /// all, what a scheduler tells to those that do not schedule.
+    pub(crate) fn note_drains(&self, digest: &LoadDigest, from_scheduler: bool) {
+        for told in &digest.drains {
+            match drain_of(told) {
+                Ok(drain) => self.note_drain(drain, "another instance", !from_scheduler),
+                Err(e) => log::warn!(target: "peers", error:% = e; "drain refused"),
+            }
+        }
+    }
+
+    /// The announcements of these endpoints as told to others, and recent ones.
+    pub(crate) fn told_drains(&self, of: &[EndpointId], now: Timestamp) -> Vec<EndpointDrain> {
+        let directory = self.directory.borrow();
+        let drains = directory.drains();
+        let named = of.iter().filter_map(|endpoint| drains.get(endpoint));
+        let recent = drains.recent(now).filter(|drain| !of.contains(&drain.endpoint));
+        named.chain(recent).take(TOLD_AT_ONCE).map(told_drain).collect()
+    }
+
+    /// All announcements, for an instance that has just started.
+    pub(crate) fn all_drains(&self) -> Vec<LoadDigest> {
+        let all: Vec<_> = self.directory.borrow().drains().all().map(told_drain).collect();
+        let digest = |part: &[_]| LoadDigest { drains: part.to_vec(), ..self.digest() };
+        all.chunks(TOLD_AT_ONCE).map(digest).collect()
     }
 
     fn begin_backoff(&self, endpoint: &Endpoint, after: RetryAfter) {
@@ -87,15 +124,6 @@
         }
     }
 
-    /// The signal that speaks against a send to the endpoint now.
-    pub(crate) fn signal_against(&self, endpoint: &Endpoint) -> Option<&'static str> {
-        if self.directory.borrow().drains().contains(endpoint) {
-            return Some("draining");
-        }
-        let closed = self.backoffs.borrow().closed_until(self.clock.now(), endpoint);
-        closed.map(|_| "back-off")
-    }
-
     /// Drops signals of endpoints that are gone, and delays that ended long ago.
     pub(crate) fn sweep_signals(&self, now: Timestamp) {
         self.directory.borrow_mut().sweep_drains(now);
--- a/crates/ringbend-relay/src/telling.rs
+++ b/crates/ringbend-relay/src/telling.rs
@@ -82,9 +82,11 @@
         let news = self.has_news(now) || changes.is_some();
         let suspects_at_home = !outbox.suspicions_at_home.is_empty();
         let news = news || suspects_at_home || !outbox.limits_at_home.is_empty();
+        let news = news || !outbox.drains_at_home.is_empty();
         let first = LoadDigest {
             suspicions: self.node.told_suspicions(&outbox.suspicions, now),
             limits: self.node.told_limits(&outbox.limits, now),
+            drains: self.node.told_drains(&outbox.drains, now),
             unfit: outbox.unfit.iter().map(EndpointId::to_string).collect(),
             gone: outbox.gone.clone(),
             restarts: restarts(outbox),
@@ -110,6 +112,7 @@
             restarts: restarts(outbox),
             suspicions: self.node.told_suspicions(&outbox.suspicions_at_home, now),
             limits: self.node.told_limits(&outbox.limits_at_home, now),
+            drains: self.node.told_drains(&outbox.drains_at_home, now),
             ..self.node.digest()
         };
         let peers = self.node.peers.borrow();
@@ -128,7 +131,9 @@
         }
         let news = self.has_news(now) || changes.is_some();
         let news = news || !outbox.suspicions.is_empty() || !outbox.limits.is_empty();
+        let news = news || !outbox.drains.is_empty();
         let limits = self.node.told_limits(&outbox.limits, now);
+        let drains = self.node.told_drains(&outbox.drains, now);
         let suspicions = self.node.told_suspicions(&outbox.suspicions, now);
         if let Some(scheduler) = scheduler {
             let results = outbox.results.iter().map(|(id, event)| endpoint_result(id, *event));
@@ -139,6 +144,7 @@
                 suspects: outbox.suspects.iter().map(EndpointId::to_string).collect(),
                 suspicions: suspicions.clone(),
                 limits: limits.clone(),
+                drains: drains.clone(),
                 open: news.then(|| self.node.open_work()),
                 endpoint_changes: changes.clone(),
                 ..self.node.digest()
@@ -147,8 +153,13 @@
             digests.iter().for_each(|digest| self.node.tell(digest, scheduler));
         }
         if news {
-            let heartbeat =
-                LoadDigest { endpoint_changes: changes, suspicions, limits, ..self.node.digest() };
+            let heartbeat = LoadDigest {
+                endpoint_changes: changes,
+                suspicions,
+                limits,
+                drains,
+                ..self.node.digest()
+            };
             let others = self.node.peers.borrow().home_schedulers(now);
             let others = others.into_iter().filter(|address| Some(*address) != scheduler);
             self.node.tell_all(&heartbeat, others);
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -59,6 +59,7 @@
     peer_bytes: Counter,
     strikes: Counter,
     unknown_signals: Counter,
+    inadmissible: Counter,
     endpoint_limits: Family<EndpointLabels, Gauge<f64, AtomicU64>>,
     /// Requests that are held because they end endpoints.
     pub held_requests: Gauge,
@@ -99,6 +100,7 @@
             peer_bytes: Counter::default(),
             strikes: Counter::default(),
             unknown_signals: Counter::default(),
+            inadmissible: Counter::default(),
             endpoint_limits: Family::default(),
             held_requests: Gauge::default(),
             limited_endpoints: Gauge::default(),
@@ -177,6 +179,11 @@
         self.unknown_signals.inc();
     }
 
+    /// Counts a request that was placed on an endpoint which takes none, and was not sent.
+    pub fn inadmissible(&self) {
+        self.inadmissible.inc();
+    }
+
     /// Notes how many requests a second an endpoint takes by its own word; none if it names no limit.
     pub fn set_endpoint_limit(&self, endpoint: &str, rate: Option<f64>) {
         let labels = EndpointLabels { endpoint: endpoint.to_owned() };
@@ -226,6 +233,8 @@
         let backoffs = self.endpoint_backoffs.clone();
         r.register("endpoint_backoffs", "Endpoints that asked this instance to back off", backoffs);
         let unknown = self.unknown_signals.clone();
+        let inadmissible = self.inadmissible.clone();
+        r.register("inadmissible_placements", "Placed on endpoints that take none", inadmissible);
         r.register("unknown_signals", "Unknown headers in responses of endpoints", unknown);
         r.register("settings_version", "Settings in force", self.settings_version.clone());
         r.register("open_requests", "Admitted and not ended", self.open_requests.clone());
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -287,6 +287,18 @@
     /// What is known of limits that endpoints name.
     #[prost(message, repeated, tag = "31")]
     pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+    /// Endpoints that have announced that they are draining.
+    #[prost(message, repeated, tag = "32")]
+    pub drains: ::prost::alloc::vec::Vec<EndpointDrain>,
+}
+/// An endpoint that has announced that it is draining.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointDrain {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// When its process had started, as a Unix time in milliseconds.
+    #[prost(uint64, optional, tag = "2")]
+    pub start_ms: ::core::option::Option<u64>,
 }
 /// How many requests an endpoint takes from all instances together, by its own word.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! mapped here to the types of the decision crates. Text that does not parse is an error, never a
 //! default.
 
+mod drains;
 mod endpoints;
 mod limits;
 mod load;
@@ -13,9 +14,10 @@
 #[rustfmt::skip]
 mod generated;
 
+pub use drains::{drain_of, told_drain};
 pub use endpoints::{change_of, restart, restart_of, row_of};
 pub use generated::{
-    Ask, ConfigCopy, Currency, Demand, EndedProcess, EndpointChanges, EndpointLimit,
+    Ask, ConfigCopy, Currency, Demand, EndedProcess, EndpointChanges, EndpointDrain, EndpointLimit,
     EndpointRestart, EndpointResult, EndpointRow, EnginePace, EntriesReply, EntriesRequest,
     Envelope, Gossip, GossipKind, Grant, GrantReply, GrantRequest, HeldMemory, Hello, LoadDigest,
     Member, MemberState, OpenWork, OwnersWork, PlacedWork, ResultKind, Share, Suspicion, Update,
