fix(relay): an endpoint that asks for a back-off gets no requests from that instance before its end

Callers lost some milliseconds and a retry each: an engine that rejected everything with 503 and Retry-After: 3 looked idle, was chosen again every 0.35 s by each of eight instances, and got 37 requests in 3 s. Cause: the delay was passed on to callers and kept nowhere; a rejection lowers an endpoint's rank for 0.3 s. Ruled out: schedulers that do not know (the senders placed these themselves) and repeats (first sends). Class: as for draining, a signal that is relayed and ignored.

Change: Backoffs keep the latest end for each endpoint, by process; the check before every send goes by it, and who places a request is told for which endpoints it may not (Ask.closed). It binds the instance that got the response. After its end one request at a time goes there until one is taken, if others are open. Where all endpoints back off requests are refused at once ('backing-off') with the time at which the first takes requests again, spread over 0.5 s. An endpoint's delay is no longer the caller's while others have room.

Why it works: what the response set is checked where the next request is sent.

--- a/crates/ringbend-gateway/src/backoffs.rs
+++ b/crates/ringbend-gateway/src/backoffs.rs
@@ -33,12 +33,26 @@
         endpoint.start.zip(self.start).is_none_or(|(start, known)| start <= known)
     }
 
-    fn closed_until(&self, now: Timestamp) -> Option<Timestamp> {
-        let until = self.probed_until.unwrap_or(self.until).max(self.until);
-        (now < until).then_some(until)
+    fn state(&self, now: Timestamp) -> BackoffState {
+        match self.probed_until {
+            _ if now < self.until => BackoffState::Closed(self.until),
+            Some(until) if now < until => BackoffState::Probed,
+            _ => BackoffState::Open,
+        }
     }
 }
 
+/// Whether an endpoint may be sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackoffState {
+    /// It may.
+    Open,
+    /// Its delay is over, and the one request after it has no response yet: others go elsewhere if they can.
+    Probed,
+    /// It may not until then.
+    Closed(Timestamp),
+}
+
 /// The delays that endpoints asked of this instance.
 #[derive(Debug, Clone, Default)]
 pub struct Backoffs {
@@ -81,10 +95,10 @@
         is_over
     }
 
-    /// Until when nothing may be sent to the endpoint; none if something may.
-    pub fn closed_until(&self, now: Timestamp, endpoint: &Endpoint) -> Option<Timestamp> {
-        let backoff = self.entries.get(&endpoint.id).filter(|backoff| backoff.is_of(endpoint))?;
-        backoff.closed_until(now)
+    /// Whether the endpoint may be sent to.
+    pub fn state(&self, now: Timestamp, endpoint: &Endpoint) -> BackoffState {
+        let backoff = self.entries.get(&endpoint.id).filter(|backoff| backoff.is_of(endpoint));
+        backoff.map_or(BackoffState::Open, |backoff| backoff.state(now))
     }
 
     /// Notes that something is sent to an endpoint that may be sent to.
@@ -94,15 +108,6 @@
         }
     }
 
-    /// The endpoints that may not be sent to, those first whose delays end last.
-    pub fn closed(&self, now: Timestamp) -> Vec<EndpointId> {
-        let closed = self.entries.iter();
-        let closed = closed.filter_map(|(id, backoff)| Some((backoff.closed_until(now)?, id)));
-        let mut closed: Vec<(Timestamp, &EndpointId)> = closed.collect();
-        closed.sort_by(|a, b| b.cmp(a));
-        closed.into_iter().map(|(_, id)| id.clone()).collect()
-    }
-
     /// How many delays are kept.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/ringbend-gateway/src/job.rs
+++ b/crates/ringbend-gateway/src/job.rs
@@ -31,6 +31,8 @@
     pub deadline: Timestamp,
     /// Endpoints that it was sent to before.
     pub tried: SmallVec<[EndpointId; 4]>,
+    /// Endpoints that its instance must not send to now, as they asked it to back off.
+    pub closed: Vec<EndpointId>,
     /// Whether it is placed at once, however long its prompt is: its stream has begun.
     pub at_once: bool,
     /// Its rank among those that wait for a place, zero first: by its account, or by its route.
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -41,7 +41,7 @@
 mod weights;
 
 pub use attempts::{Attempts, Next, SendEnd};
-pub use backoffs::Backoffs;
+pub use backoffs::{BackoffState, Backoffs};
 pub use budget::{BudgetBounds, RepeatBudget};
 pub use choice::{Demand, Placement, Wish, is_long, place_on_engines, place_on_service, stake};
 pub use directory::{Directory, Ended, Endpoint, EndpointChange, RETURN_TIME};
--- a/crates/ringbend-gateway/tests/backoffs.rs
+++ b/crates/ringbend-gateway/tests/backoffs.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use quickcheck::quickcheck;
-use ringbend_gateway::{Backoffs, Endpoint};
+use ringbend_gateway::{BackoffState, Backoffs, Endpoint};
 use ringbend_types::{EndpointStart, ParseRetryAfterError, RetryAfter};
 use support::{at, endpoint, ms};
 
@@ -18,9 +18,9 @@
     assert!(backoffs.begin(at(0), &endpoint(1), delay("3")));
     assert!(!backoffs.begin(at(100), &endpoint(1), delay("0.5")));
     assert!(!backoffs.answered(at(200), &endpoint(1)));
-    assert_eq!(backoffs.closed_until(at(2_999), &endpoint(1)), Some(at(3_000)));
-    assert_eq!(backoffs.closed_until(at(3_000), &endpoint(1)), None);
-    assert_eq!(backoffs.closed_until(at(0), &endpoint(2)), None);
+    assert_eq!(backoffs.state(at(2_999), &endpoint(1)), BackoffState::Closed(at(3_000)));
+    assert_eq!(backoffs.state(at(3_000), &endpoint(1)), BackoffState::Open);
+    assert_eq!(backoffs.state(at(0), &endpoint(2)), BackoffState::Open);
 }
 
 /// Guards against a crowd at the end of a delay.
@@ -29,8 +29,9 @@
     let mut backoffs = Backoffs::default();
     backoffs.begin(at(0), &endpoint(1), delay("1"));
     backoffs.sending(at(1_500), &endpoint(1));
-    assert!(backoffs.closed_until(at(1_600), &endpoint(1)).is_some());
-    assert_eq!(backoffs.closed_until(at(2_500), &endpoint(1)), None, "its response does not come");
+    assert_eq!(backoffs.state(at(1_600), &endpoint(1)), BackoffState::Probed);
+    let state = backoffs.state(at(2_500), &endpoint(1));
+    assert_eq!(state, BackoffState::Open, "its response does not come");
     backoffs.sending(at(2_500), &endpoint(1));
     assert!(!backoffs.answered(at(900), &endpoint(1)), "a response to an earlier request");
     assert!(backoffs.answered(at(2_500), &endpoint(1)));
@@ -43,10 +44,10 @@
     let started = |ms| Endpoint { start: Some(EndpointStart(ms)), ..endpoint(1) };
     let mut backoffs = Backoffs::default();
     backoffs.begin(at(0), &started(100), delay("86400"));
-    assert!(backoffs.closed_until(at(1), &started(100)).is_some());
-    assert_eq!(backoffs.closed_until(at(1), &started(200)), None);
+    assert_ne!(backoffs.state(at(1), &started(100)), BackoffState::Open);
+    assert_eq!(backoffs.state(at(1), &started(200)), BackoffState::Open);
     backoffs.begin(at(2), &started(200), delay("1"));
-    assert_eq!(backoffs.closed_until(at(1_002), &started(200)), None);
+    assert_eq!(backoffs.state(at(1_002), &started(200)), BackoffState::Open);
 }
 
 /// Guards against a table of delays that grows without bound.
@@ -57,7 +58,7 @@
         backoffs.begin(at(number as u64), &endpoint(number), delay("60"));
     }
     assert_eq!(backoffs.len(), 4_096);
-    assert_eq!(backoffs.closed(at(5_000)).first(), Some(&endpoint(4_999).id));
+    assert_ne!(backoffs.state(at(5_000), &endpoint(4_999)), BackoffState::Open);
     backoffs.sweep(at(200_000));
     assert!(backoffs.is_empty());
 }
@@ -90,7 +91,7 @@
             }
             backoffs.begin(at(now), &endpoint(1), RetryAfter::new(ms(length)));
             backoffs.answered(at(now), &endpoint(1));
-            if now < latest && backoffs.closed_until(at(now), &endpoint(1)).is_none() {
+            if now < latest && backoffs.state(at(now), &endpoint(1)) == BackoffState::Open {
                 return false;
             }
         }
--- a/crates/ringbend-gateway/tests/places.rs
+++ b/crates/ringbend-gateway/tests/places.rs
@@ -20,6 +20,7 @@
         gap: ms(200),
         patience: at(since + 2_000),
         deadline: at(since + 10_000),
+        closed: Vec::new(),
         tried: smallvec![],
         at_once: false,
         rank,
--- a/crates/ringbend-relay/src/admission.rs
+++ b/crates/ringbend-relay/src/admission.rs
@@ -4,13 +4,18 @@
 //! decided from what this instance knows at the moment of sending.
 
 use std::fmt;
+use std::time::Duration;
 
-use ringbend_gateway::{Endpoint, Placement, SendEnd};
-use ringbend_types::EndpointId;
+use ringbend_gateway::{BackoffState, Endpoint, Placement, SendEnd};
+use ringbend_types::{EndpointId, ServiceName, Timestamp};
 
 use crate::life::{Failed, Life};
 use crate::node::Node;
 
+/// The most endpoints named to whoever places a request, so that a datagram stays well below what is read. A
+/// placement on one that was not named is rejected here.
+const MAX_CLOSED: usize = 64;
+
 /// Why nothing may be sent to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Inadmissible {
@@ -18,6 +23,8 @@
     Ended,
     /// It is draining, by its row or by its own announcement.
     Draining,
+    /// It has asked this instance to back off.
+    BackingOff,
 }
 
 impl fmt::Display for Inadmissible {
@@ -25,6 +32,7 @@
         f.write_str(match self {
             Self::Ended => "ended",
             Self::Draining => "draining",
+            Self::BackingOff => "backing off",
         })
     }
 }
@@ -44,7 +52,49 @@
         if directory.is_leaving(known) {
             return Err(Inadmissible::Draining);
         }
-        Ok(())
+        match self.backoffs.borrow().state(self.clock.now(), known) {
+            BackoffState::Closed(_) => Err(Inadmissible::BackingOff),
+            BackoffState::Open | BackoffState::Probed => Ok(()),
+        }
+    }
+
+    /// The endpoints of a service that this instance must not send to now, and those where the first request after a
+    /// back-off has no response yet, unless no other one is left.
+    pub(crate) fn closed_endpoints(&self, service: &ServiceName) -> Vec<EndpointId> {
+        let (now, backoffs) = (self.clock.now(), self.backoffs.borrow());
+        if backoffs.is_empty() {
+            return Vec::new();
+        }
+        let directory = self.directory.borrow();
+        let (mut closed, mut probed, mut is_one_open) = (Vec::new(), Vec::new(), false);
+        for endpoint in directory.of_service(now, service) {
+            match backoffs.state(now, endpoint) {
+                BackoffState::Open => is_one_open = true,
+                BackoffState::Probed => probed.push(endpoint.id.clone()),
+                BackoffState::Closed(_) => closed.push(endpoint.id.clone()),
+            }
+        }
+        if is_one_open {
+            closed.append(&mut probed);
+        }
+        closed.truncate(MAX_CLOSED);
+        closed
+    }
+
+    /// How long until the first endpoint of a service takes requests, if all back off; none if one takes them now, or
+    /// there is none.
+    pub(crate) fn all_backing_off(&self, service: &ServiceName) -> Option<Duration> {
+        let (now, backoffs) = (self.clock.now(), self.backoffs.borrow());
+        if backoffs.is_empty() {
+            return None;
+        }
+        let directory = self.directory.borrow();
+        let until = directory.of_service(now, service).map(|e| match backoffs.state(now, e) {
+            BackoffState::Closed(until) => Some(until),
+            BackoffState::Open | BackoffState::Probed => None,
+        });
+        let until: Option<Vec<Timestamp>> = until.collect();
+        Some(until?.into_iter().min()?.since(now))
     }
 
     /// The first endpoint of a placement that nothing may be sent to.
--- a/crates/ringbend-relay/src/life.rs
+++ b/crates/ringbend-relay/src/life.rs
@@ -50,7 +50,7 @@
     pub(crate) arrived: Timestamp,
     /// An endpoint's failure, passed on if no other endpoint does better.
     failed: Option<HttpResponse>,
-    /// When an endpoint said that it may have room.
+    /// When endpoints are expected to take requests again.
     pub(crate) hint: Option<Duration>,
     ended: bool,
     /// Since when the run that writes its stream does so.
@@ -84,6 +84,9 @@
 /// When a long prompt that is refused should come back, in parts of its aim.
 const COME_BACK_SHARE: std::ops::Range<f64> = 0.5..1.0;
 
+/// The time over which callers return after the end of a back-off.
+const COME_BACK_SPREAD: Duration = Duration::from_millis(500);
+
 /// Longest whole answer that is held, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -155,6 +158,10 @@
                 self.hint = Some(after);
                 Some(self.unsent(Refusal::Limited))
             }
+            Failed::BackingOff(after) => {
+                self.hint = Some(self.spread(after));
+                Some(self.unsent(Refusal::BackingOff))
+            }
             Failed::Stopping => Some(self.unsent(Refusal::Stopping)),
             Failed::Cut => {
                 self.attempts.broken_off();
@@ -165,7 +172,11 @@
             Failed::Send(end) => match self.next(end) {
                 Next::SendAgain => None,
                 Next::PassOn => Some(Refusal::MayHaveRun),
-                Next::GiveUp(state) => Some(self.late().unwrap_or(Refusal::of_state(state))),
+                Next::GiveUp(state) => {
+                    let after = self.node.all_backing_off(&self.terms.service.name);
+                    self.hint = after.map(|after| self.spread(after)).or(self.hint);
+                    Some(self.late().unwrap_or(Refusal::of_state(state)))
+                }
             },
         }
     }
@@ -191,6 +202,11 @@
         self.terms.route.aim.mul_f64(share)
     }
 
+    /// When to come back to endpoints that take requests after `wait`, spread so that callers do not return together.
+    fn spread(&self, wait: Duration) -> Duration {
+        wait + COME_BACK_SPREAD.mul_f64(self.node.rng.borrow_mut().random())
+    }
+
     /// Ends the request: with an endpoint's own failure if there is one, else with a refusal.
     fn give_up(&mut self, refusal: Refusal) -> HttpResponse {
         match self.failed.take() {
@@ -330,6 +346,8 @@
     NoArbiter,
     /// Endpoints that are left have no place for it before this time.
     Limited(Duration),
+    /// All endpoints have asked this instance to back off, for so long at least.
+    BackingOff(Duration),
     /// Another send takes its place.
     Replaced,
     /// The instance stops, and an answer could not end before that.
--- a/crates/ringbend-relay/src/places.rs
+++ b/crates/ringbend-relay/src/places.rs
@@ -211,7 +211,8 @@
     fn until_place(&self, job: &Job, needed: usize, due: Timestamp) -> Result<Duration, Denied> {
         let now = self.clock.now();
         let limited = self.limited(&job.service);
-        let wait = self.places.borrow().until(now, limited.iter(), needed);
+        let usable = limited.iter().filter(|id| !job.closed.contains(id));
+        let wait = self.places.borrow().until(now, usable, needed);
         match wait {
             Some(wait) if now + wait <= due => Ok(wait),
             _ => Err(Denied::Limited(self.come_back(job, needed, wait))),
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -186,7 +186,8 @@
         self.load.borrow_mut().advance(now);
         let directory = self.directory.borrow();
         let all = directory.of_service(now, &job.service);
-        let is_open = |e: &&Endpoint| !closed.contains(&e.id) && self.may_run_on(job, e);
+        let is_closed = |e: &Endpoint| closed.contains(&e.id) || job.closed.contains(&e.id);
+        let is_open = |e: &&Endpoint| !is_closed(e) && self.may_run_on(job, e);
         let candidates: Vec<&Endpoint> = all.filter(is_open).collect();
         let limits = self.limits.borrow();
         let (cfg, load, trust) = (self.cfg.borrow(), self.load.borrow(), self.trust.borrow());
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -34,6 +34,8 @@
     Held,
     /// Endpoints that are left take few requests and have no place for it in time. It was not sent.
     Limited,
+    /// All endpoints have asked this instance to back off. It was not sent.
+    BackingOff,
     /// It may end endpoints, and no instance that places such requests answers. It was not sent.
     Suspected,
     /// Its time is up and it was not run.
@@ -88,6 +90,7 @@
             Self::MayHaveRun => "may-have-run",
             Self::Held => "held",
             Self::Limited => "limited",
+            Self::BackingOff => "backing-off",
             Self::Suspected => "suspected",
             Self::LateNotRun => "late-not-run",
             Self::Late => "late",
@@ -117,13 +120,14 @@
             | Self::NotTaken
             | Self::Held
             | Self::Limited
+            | Self::BackingOff
             | Self::Suspected
             | Self::LateNotRun => Some(hint.unwrap_or(COME_BACK)),
             _ => None,
         }
     }
 
-    /// The answer. `hint` is when an endpoint said that it may have room.
+    /// The answer. `hint` is when endpoints are expected to take requests again.
     pub(crate) fn answer(self, hint: Option<Duration>) -> HttpResponse {
         let body = Body { error: self.code(), run: self.run_state() };
         let mut res = json(self.status(), &body);
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -114,6 +114,7 @@
         self.writes_since = None;
         self.strikes_before = self.node.quarantine.borrow().strikes(self.origin.fingerprint);
         self.attempts.sending(&endpoint.id);
+        self.node.backoffs.borrow_mut().sending(self.node.clock.now(), &endpoint);
         self.node.metrics.attempt(self.attempts.tried().len() as u32);
         let sending = Sending {
             node: self.node.clone(),
--- a/crates/ringbend-relay/src/scheduled.rs
+++ b/crates/ringbend-relay/src/scheduled.rs
@@ -51,6 +51,9 @@
         if self.is_held() {
             return Err(Failed::Held);
         }
+        if let Some(after) = self.node.all_backing_off(&self.terms.service.name) {
+            return Err(Failed::BackingOff(after));
+        }
         let placed = Placed::new(self.node.clone());
         let job = self.job(at_once);
         let placement = tokio::select! {
@@ -60,7 +63,7 @@
         };
         let placement = placement.map_err(|denied| match denied {
             Denied::NoTurn => Failed::NoTurn,
-            Denied::NoEndpoint => Failed::NoEndpoint,
+            Denied::NoEndpoint => self.no_endpoint(),
             Denied::Held => Failed::Held,
             Denied::NoArbiter => Failed::NoArbiter,
             Denied::Limited(after) => Failed::Limited(after),
@@ -72,6 +75,12 @@
         Ok(Scheduled { endpoint, placement, placed, expected })
     }
 
+    /// Why no endpoint was left.
+    fn no_endpoint(&self) -> Failed {
+        let after = self.node.all_backing_off(&self.terms.service.name);
+        after.map_or(Failed::NoEndpoint, Failed::BackingOff)
+    }
+
     fn job(&self, at_once: bool) -> Job {
         let deadline = self.attempts.deadline();
         Job {
@@ -85,6 +94,7 @@
             patience: if at_once { deadline } else { self.first_event_patience() },
             deadline,
             tried: self.attempts.tried().iter().cloned().collect(),
+            closed: self.node.closed_endpoints(&self.terms.service.name),
             at_once,
             rank: self.urgency(),
             suspect: self.suspect(),
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use actix_http::{RequestHead, StatusCode};
-use ringbend_gateway::{Endpoint, EventId, LimitWord, Placement, SendEnd, Signal, TrustEvent};
+use ringbend_gateway::{Endpoint, EventId, LimitWord, Placement, SendEnd, TrustEvent};
 use ringbend_types::EndpointId;
 use smallvec::SmallVec;
 
@@ -24,9 +24,6 @@
         let (id, status) = (self.id(), status.as_u16());
         if facts.not_run {
             log::info!(target: "request", id, endpoint:% = endpoint.id, status; "not run");
-            if let Signal::Present(after) = facts.signals.backoff {
-                self.hint = Some(after.delay());
-            }
             match facts.at_fault.filter(|address| *address != endpoint.address) {
                 Some(address) => self.distrust_address(address),
                 None if facts.is_foreign => self.distrust_foreign(&endpoint.id),
--- a/crates/ringbend-relay/src/signals.rs
+++ b/crates/ringbend-relay/src/signals.rs
@@ -47,7 +47,9 @@
         match signals.backoff {
             Signal::Present(after) => self.begin_backoff(endpoint, after),
             Signal::Malformed(why) => self.log_malformed(endpoint, "retry-after", why),
-            Signal::Absent => self.end_backoff(endpoint, sent),
+            // That an endpoint tells how it is does not mean that it takes requests.
+            Signal::Absent if from == WordIn::Answer => self.end_backoff(endpoint, sent),
+            Signal::Absent => {}
         }
         for name in &signals.unknown {
             self.metrics.unknown_signal();
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -179,6 +179,7 @@
             | Failed::Held
             | Failed::NoArbiter
             | Failed::Limited(_)
+            | Failed::BackingOff(_)
             | Failed::Stopping
             | Failed::Cut => false,
         };
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -409,6 +409,9 @@
     /// Its rank among those that wait for a place, zero first.
     #[prost(uint32, tag = "15")]
     pub rank: u32,
+    /// Endpoints that its instance must not send to now, as they asked it to back off.
+    #[prost(string, repeated, tag = "16")]
+    pub closed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// What became of an ask.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -117,6 +117,7 @@
         owner: None,
         suspect: suspect_bytes(job.suspect),
         rank: job.rank.into(),
+        closed: job.closed.iter().map(EndpointId::to_string).collect(),
     }
 }
 
@@ -128,6 +129,7 @@
 pub fn job_of(now: Timestamp, ask: &Ask) -> Result<Job, WireError> {
     let answer_tokens = ask.answer_tokens;
     let tried = ask.tried.iter().map(|id| id.parse());
+    let closed = ask.closed.iter().map(|id| id.parse());
     Ok(Job {
         request: ask.request.as_str().into(),
         service: ask.service.parse()?,
@@ -138,6 +140,7 @@
         patience: now + Duration::from_millis(ask.patience_ms),
         deadline: now + Duration::from_millis(ask.left_ms),
         tried: tried.collect::<Result<_, ParseIdError>>()?,
+        closed: closed.collect::<Result<_, ParseIdError>>()?,
         at_once: ask.at_once,
         rank: u8::try_from(ask.rank).unwrap_or(u8::MAX),
         suspect: suspect_of(&ask.suspect)?,
