fix(gateway): a row that says draining is final for its process too

Cause: leaving was what the latest row said, so a row that is read from an older copy of the store, or from a copy that an instance handed out before, brought a draining endpoint back. Seen in a test alone: older_row_does_not_bring_back_... had 2 ready endpoints where 0 are right. Change: a row that says draining is kept as an announcement, as a response is; a later start or a removed id ends it. Run: all tests of ringbend-gateway pass.

--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -177,6 +177,10 @@
             // What was gone and is back has ended if another one has its address by now.
             None => self.holder(&endpoint).map(|holder| holder.id.clone()),
         };
+        if endpoint.leaving {
+            let (id, start) = (endpoint.id.clone(), endpoint.start);
+            self.drains.note(now, Drain { endpoint: id, start });
+        }
         let since = known.map_or(now, |entry| entry.since);
         if is_new {
             ended.extend(self.take_over(now, &endpoint));
--- a/crates/ringbend-gateway/tests/drains.rs
+++ b/crates/ringbend-gateway/tests/drains.rs
@@ -80,3 +80,18 @@
     drains.sweep(at(700_000), |id| *id == endpoint(4_999).id);
     assert_eq!(drains.len(), 1);
 }
+
+/// Guards against a table that comes back from an older copy, in which a draining endpoint is still ready.
+#[test]
+fn older_row_does_not_bring_back_an_endpoint_whose_row_said_draining() {
+    let mut directory = Directory::default();
+    directory.replace(at(0), vec![started(1, 100), endpoint(2)]);
+    for endpoint in [started(1, 100), endpoint(2)] {
+        let draining = Endpoint { leaving: true, ..endpoint };
+        directory.apply(at(1), EndpointChange::Present(draining));
+    }
+    directory.replace(at(2), vec![started(1, 100), endpoint(2)]);
+    assert_eq!(ready(&directory, at(2)), 0);
+    directory.apply(at(3), EndpointChange::Present(started(1, 200)));
+    assert_eq!(ready(&directory, at(3)), 1);
+}
