fix(relay): a late response of a former process begins no back-off, and a planner's placement is checked like a scheduler's

Found by reading the diff: Backoffs took a response to the former process for one of its successor; a rejection without a delay ended the one-at-a-time phase after a back-off; a long prompt that a planner put on an endpoint which this instance knows to be draining was placed again by the same planner up to eight times, and then refused. Now it is placed here, as a member does. The directory keeps for each entry whether it is draining, so that placement among thousands of endpoints looks nothing up.

--- a/crates/ringbend-gateway/src/backoffs.rs
+++ b/crates/ringbend-gateway/src/backoffs.rs
@@ -4,6 +4,7 @@
 //! and no other, until its end: a later success does not shorten it. After it one request at a time is let
 //! through until the endpoint takes one, so that requests that waited do not overload it again at once.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -29,8 +30,9 @@
 }
 
 impl Backoff {
-    fn is_of(&self, endpoint: &Endpoint) -> bool {
-        endpoint.start.zip(self.start).is_none_or(|(start, known)| start <= known)
+    /// How the process of `endpoint` relates to the one that asked. Unknown starts are the same process.
+    fn order(&self, endpoint: &Endpoint) -> Ordering {
+        endpoint.start.zip(self.start).map_or(Ordering::Equal, |(start, known)| start.cmp(&known))
     }
 
     fn state(&self, now: Timestamp) -> BackoffState {
@@ -63,13 +65,17 @@
     /// Notes a delay that begins now. Returns whether it ends later than what was known.
     pub fn begin(&mut self, now: Timestamp, endpoint: &Endpoint, delay: RetryAfter) -> bool {
         let until = now + delay.delay();
-        if let Some(known) = self.entries.get_mut(&endpoint.id)
-            && known.is_of(endpoint)
-        {
-            let is_later = until > known.until;
-            known.until = known.until.max(until);
-            known.probed_until = None;
-            return is_later;
+        if let Some(known) = self.entries.get_mut(&endpoint.id) {
+            match known.order(endpoint) {
+                Ordering::Less => return false,
+                Ordering::Equal => {
+                    let is_later = until > known.until;
+                    known.until = known.until.max(until);
+                    known.probed_until = None;
+                    return is_later;
+                }
+                Ordering::Greater => {}
+            }
         }
         if until <= now {
             return false;
@@ -85,10 +91,11 @@
         true
     }
 
-    /// Notes a response without a delay to something that was sent at `sent`. Returns whether the endpoint takes
-    /// requests as before by that.
-    pub fn answered(&mut self, sent: Timestamp, endpoint: &Endpoint) -> bool {
-        let is_over = self.entries.get(&endpoint.id).is_some_and(|backoff| sent >= backoff.until);
+    /// Notes that the endpoint took a request that was sent at `sent`. Returns whether it takes requests as before by
+    /// that.
+    pub fn taken(&mut self, sent: Timestamp, endpoint: &Endpoint) -> bool {
+        let backoff = self.entries.get(&endpoint.id);
+        let is_over = backoff.is_some_and(|b| sent >= b.until && b.order(endpoint).is_ge());
         if is_over {
             self.entries.remove(&endpoint.id);
         }
@@ -97,7 +104,7 @@
 
     /// Whether the endpoint may be sent to.
     pub fn state(&self, now: Timestamp, endpoint: &Endpoint) -> BackoffState {
-        let backoff = self.entries.get(&endpoint.id).filter(|backoff| backoff.is_of(endpoint));
+        let backoff = self.entries.get(&endpoint.id).filter(|b| b.order(endpoint).is_le());
         backoff.map_or(BackoffState::Open, |backoff| backoff.state(now))
     }
 
--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -66,6 +66,14 @@
     missing_until: Option<Timestamp>,
     /// The endpoint that took over its address, so that this one has ended.
     replaced_by: Option<EndpointId>,
+    /// Whether its process has announced that it is draining.
+    draining: bool,
+}
+
+impl Entry {
+    fn is_leaving(&self) -> bool {
+        self.endpoint.leaving || self.draining
+    }
 }
 
 /// An endpoint whose entry is gone.
@@ -127,6 +135,7 @@
             return Ended::new();
         }
         entry.endpoint.start = Some(start);
+        entry.draining = self.drains.contains(&entry.endpoint);
         Ended::from_iter([id.clone()])
     }
 
@@ -134,7 +143,12 @@
     pub fn note_drain(&mut self, now: Timestamp, drain: Drain) -> bool {
         let known = self.entries.get(&drain.endpoint).and_then(|entry| entry.endpoint.start);
         let is_former = known.zip(drain.start).is_some_and(|(known, start)| known > start);
-        !is_former && self.drains.note(now, drain)
+        let id = drain.endpoint.clone();
+        let is_news = !is_former && self.drains.note(now, drain);
+        if let Some(entry) = self.entries.get_mut(&id).filter(|_| is_news) {
+            entry.draining = self.drains.contains(&entry.endpoint);
+        }
+        is_news
     }
 
     /// Whether an endpoint is about to leave, by its row or by its own announcement.
@@ -185,7 +199,8 @@
         if is_new {
             ended.extend(self.take_over(now, &endpoint));
         }
-        let entry = Entry { endpoint, since, missing_until: None, replaced_by };
+        let draining = self.drains.contains(&endpoint);
+        let entry = Entry { endpoint, since, missing_until: None, replaced_by, draining };
         self.former.remove(&entry.endpoint.id);
         self.insert(entry);
         ended
@@ -237,10 +252,9 @@
 
     fn miss(&mut self, now: Timestamp, id: &EndpointId) {
         let doubt_until = self.regained_at.map(|at| at + RETURN_TIME).filter(|until| now < *until);
-        let is_leaving = self.get(id).is_some_and(|endpoint| self.is_leaving(endpoint));
         let Some(entry) = self.entries.get_mut(id) else { return };
         match doubt_until {
-            Some(until) if !is_leaving => entry.missing_until = Some(until),
+            Some(until) if !entry.is_leaving() => entry.missing_until = Some(until),
             _ => self.remove(now, id),
         }
     }
@@ -271,7 +285,7 @@
     pub fn is_settled(&self, endpoint: &Endpoint) -> bool {
         let Some(entry) = self.entries.get(&endpoint.id) else { return false };
         let is_same = entry.endpoint.start == endpoint.start;
-        is_same && !self.is_leaving(&entry.endpoint) && entry.missing_until.is_none()
+        is_same && !entry.is_leaving() && entry.missing_until.is_none()
     }
 
     /// The endpoints of a service that take new work.
@@ -283,9 +297,9 @@
         self.entries
             .values()
             .filter(move |e| e.missing_until.is_none_or(|until| now < until))
-            .filter(|e| e.replaced_by.is_none())
+            .filter(|e| e.replaced_by.is_none() && !e.is_leaving())
             .map(|e| &e.endpoint)
-            .filter(move |e| e.service == *service && !self.is_leaving(e))
+            .filter(move |e| e.service == *service)
     }
 
     /// The endpoints whose entries are there, leaving ones included.
@@ -310,7 +324,7 @@
 
     /// How many registered endpoints are about to leave.
     pub fn leaving(&self) -> usize {
-        self.entries.values().filter(|entry| self.is_leaving(&entry.endpoint)).count()
+        self.entries.values().filter(|entry| entry.is_leaving()).count()
     }
 
     /// Whether none is registered.
--- a/crates/ringbend-gateway/src/signals.rs
+++ b/crates/ringbend-gateway/src/signals.rs
@@ -62,6 +62,8 @@
     pub draining: Signal<Draining>,
     /// How long this instance is to send it nothing, if it rejected the request for overload.
     pub backoff: Signal<RetryAfter>,
+    /// Whether it states that it did not take the request.
+    pub rejected: bool,
     /// Headers of the endpoint protocol that this version does not know, by name.
     pub unknown: SmallVec<[Box<str>; 1]>,
 }
--- a/crates/ringbend-gateway/tests/backoffs.rs
+++ b/crates/ringbend-gateway/tests/backoffs.rs
@@ -17,7 +17,7 @@
     let mut backoffs = Backoffs::default();
     assert!(backoffs.begin(at(0), &endpoint(1), delay("3")));
     assert!(!backoffs.begin(at(100), &endpoint(1), delay("0.5")));
-    assert!(!backoffs.answered(at(200), &endpoint(1)));
+    assert!(!backoffs.taken(at(200), &endpoint(1)));
     assert_eq!(backoffs.state(at(2_999), &endpoint(1)), BackoffState::Closed(at(3_000)));
     assert_eq!(backoffs.state(at(3_000), &endpoint(1)), BackoffState::Open);
     assert_eq!(backoffs.state(at(0), &endpoint(2)), BackoffState::Open);
@@ -33,8 +33,8 @@
     let state = backoffs.state(at(2_500), &endpoint(1));
     assert_eq!(state, BackoffState::Open, "its response does not come");
     backoffs.sending(at(2_500), &endpoint(1));
-    assert!(!backoffs.answered(at(900), &endpoint(1)), "a response to an earlier request");
-    assert!(backoffs.answered(at(2_500), &endpoint(1)));
+    assert!(!backoffs.taken(at(900), &endpoint(1)), "a response to an earlier request");
+    assert!(backoffs.taken(at(2_500), &endpoint(1)));
     assert!(backoffs.is_empty());
 }
 
@@ -48,6 +48,8 @@
     assert_eq!(backoffs.state(at(1), &started(200)), BackoffState::Open);
     backoffs.begin(at(2), &started(200), delay("1"));
     assert_eq!(backoffs.state(at(1_002), &started(200)), BackoffState::Open);
+    assert!(!backoffs.begin(at(2_000), &started(100), delay("60")), "a late response");
+    assert_eq!(backoffs.state(at(2_001), &started(200)), BackoffState::Open);
 }
 
 /// Guards against a table of delays that grows without bound.
@@ -90,7 +92,7 @@
                 latest = latest.max(now + length);
             }
             backoffs.begin(at(now), &endpoint(1), RetryAfter::new(ms(length)));
-            backoffs.answered(at(now), &endpoint(1));
+            backoffs.taken(at(now), &endpoint(1));
             if now < latest && backoffs.state(at(now), &endpoint(1)) == BackoffState::Open {
                 return false;
             }
--- a/crates/ringbend-relay/src/admission.rs
+++ b/crates/ringbend-relay/src/admission.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use ringbend_gateway::{BackoffState, Endpoint, Placement, SendEnd};
+use ringbend_gateway::{BackoffState, Directory, Endpoint, Job, Placement, SendEnd};
 use ringbend_types::{EndpointId, ServiceName, Timestamp};
 
 use crate::life::{Failed, Life};
@@ -44,15 +44,10 @@
     ///
     /// Nothing may be sent.
     pub(crate) fn admission(&self, endpoint: &Endpoint) -> Result<(), Inadmissible> {
-        let directory = self.directory.borrow();
-        if directory.has_ended(endpoint) {
-            return Err(Inadmissible::Ended);
-        }
-        let known = directory.get(&endpoint.id).unwrap_or(endpoint);
-        if directory.is_leaving(known) {
-            return Err(Inadmissible::Draining);
+        if let Some(why) = gone(&self.directory.borrow(), endpoint) {
+            return Err(why);
         }
-        match self.backoffs.borrow().state(self.clock.now(), known) {
+        match self.backoffs.borrow().state(self.clock.now(), endpoint) {
             BackoffState::Closed(_) => Err(Inadmissible::BackingOff),
             BackoffState::Open | BackoffState::Probed => Ok(()),
         }
@@ -97,16 +92,32 @@
         Some(until?.into_iter().min()?.since(now))
     }
 
-    /// The first endpoint of a placement that nothing may be sent to.
-    pub(crate) fn inadmissible(&self, placement: &Placement) -> Option<(EndpointId, Inadmissible)> {
-        let ids = std::iter::once(&placement.lead).chain(&placement.helpers);
-        let known = ids.filter_map(|id| self.directory.borrow().get(id).cloned());
-        self.first_inadmissible(&known.collect::<Vec<_>>())
+    /// The first endpoint of a placement that nothing may be sent to for this request. Whoever placed it may know
+    /// less.
+    pub(crate) fn inadmissible(
+        &self,
+        job: &Job,
+        placement: &Placement,
+    ) -> Option<(EndpointId, Inadmissible)> {
+        let directory = self.directory.borrow();
+        let why = |id: &EndpointId| {
+            if job.closed.contains(id) {
+                return Some(Inadmissible::BackingOff);
+            }
+            directory.get(id).and_then(|endpoint| gone(&directory, endpoint))
+        };
+        let mut ids = std::iter::once(&placement.lead).chain(&placement.helpers);
+        ids.find_map(|id| Some((id.clone(), why(id)?)))
     }
+}
 
-    fn first_inadmissible(&self, endpoints: &[Endpoint]) -> Option<(EndpointId, Inadmissible)> {
-        endpoints.iter().find_map(|e| Some((e.id.clone(), self.admission(e).err()?)))
+/// Why an endpoint takes nothing from any instance.
+fn gone(directory: &Directory, endpoint: &Endpoint) -> Option<Inadmissible> {
+    if directory.has_ended(endpoint) {
+        return Some(Inadmissible::Ended);
     }
+    let known = directory.get(&endpoint.id).unwrap_or(endpoint);
+    directory.is_leaving(known).then_some(Inadmissible::Draining)
 }
 
 impl Life {
@@ -116,7 +127,8 @@
     ///
     /// It may not. Nothing was sent, so it is placed again.
     pub(crate) fn admit(&mut self, on: &[Endpoint]) -> Result<(), Failed> {
-        let Some((endpoint, why)) = self.node.first_inadmissible(on) else { return Ok(()) };
+        let rejected = on.iter().find_map(|e| Some((e.id.clone(), self.node.admission(e).err()?)));
+        let Some((endpoint, why)) = rejected else { return Ok(()) };
         if on.first().is_some_and(|lead| lead.id == endpoint) {
             // Whoever places it again may not know yet.
             self.attempts.sending(&endpoint);
--- a/crates/ringbend-relay/src/placing.rs
+++ b/crates/ringbend-relay/src/placing.rs
@@ -11,7 +11,6 @@
 };
 use ringbend_types::{EndpointId, Timestamp};
 
-use crate::admission::Inadmissible;
 use crate::fields::Millis;
 use crate::node::Node;
 use crate::places::Closed;
@@ -70,26 +69,32 @@
         if self.schedules() {
             return self.plan(id, job, engine).await;
         }
-        match self.ask(id, job, Peers::scheduler).await {
-            Some(Ok(placement)) => match self.inadmissible(&placement) {
-                None => return Ok(placement),
-                Some((endpoint, why)) => self.reject_placement(id, job, &endpoint, why),
-            },
-            Some(denied) => return denied,
-            None => {
-                log::info!(target: "request", id = job.request.as_ref(); "placed without schedulers");
-            }
+        if let Some(placed) = self.ask_for_placement(id, job, Peers::scheduler).await {
+            return placed;
         }
+        log::info!(target: "request", id = job.request.as_ref(); "placed without schedulers");
         self.place_in_turn(id, job, engine, Counted::ByOne).await
     }
 
-    /// Takes a placement off the book that a scheduler made and this instance knows better about.
-    fn reject_placement(&self, id: WorkId, job: &Job, endpoint: &EndpointId, why: Inadmissible) {
+    /// Asks a scheduler; none if it does not answer, or places the request where this instance knows that it may not
+    /// be sent.
+    async fn ask_for_placement(
+        self: &Rc<Self>,
+        id: WorkId,
+        job: &Job,
+        next: impl Fn(&Peers, Timestamp, &[SocketAddrV4]) -> Option<SocketAddrV4>,
+    ) -> Option<Result<Placement, Denied>> {
+        let placed = self.ask(id, job, next).await?;
+        let placement = placed.as_ref().ok();
+        let rejected = placement.and_then(|placement| self.inadmissible(job, placement));
+        let Some((endpoint, why)) = rejected else { return Some(placed) };
         log::info!(
             target: "request", id = job.request.as_ref(), endpoint:%, why:%;
             "scheduled onto an endpoint that takes no requests; placing here"
         );
+        self.metrics.inadmissible();
         self.load.borrow_mut().end(self.clock.now(), id);
+        None
     }
 
     /// Has a long prompt placed by the scheduler that plans all those of its service; places any other
@@ -104,8 +109,8 @@
             let planner = |peers: &Peers, now, asked: &[SocketAddrV4]| {
                 peers.planner(now, &job.service, asked)
             };
-            if let Some(answer) = self.ask(id, job, planner).await {
-                return answer;
+            if let Some(placed) = self.ask_for_placement(id, job, planner).await {
+                return placed;
             }
         }
         self.place_in_turn(id, job, engine, Counted::ByOne).await
--- a/crates/ringbend-relay/src/signals.rs
+++ b/crates/ringbend-relay/src/signals.rs
@@ -48,7 +48,9 @@
             Signal::Present(after) => self.begin_backoff(endpoint, after),
             Signal::Malformed(why) => self.log_malformed(endpoint, "retry-after", why),
             // That an endpoint tells how it is does not mean that it takes requests.
-            Signal::Absent if from == WordIn::Answer => self.end_backoff(endpoint, sent),
+            Signal::Absent if from == WordIn::Answer && !signals.rejected => {
+                self.end_backoff(endpoint, sent);
+            }
             Signal::Absent => {}
         }
         for name in &signals.unknown {
@@ -114,7 +116,7 @@
 
     fn end_backoff(&self, endpoint: &Endpoint, sent: Timestamp) {
         let mut backoffs = self.backoffs.borrow_mut();
-        if backoffs.answered(sent, endpoint) {
+        if backoffs.taken(sent, endpoint) {
             log::info!(target: "endpoints", endpoint:% = endpoint.id; "back-off ended");
             self.metrics.endpoint_backoffs.set(backoffs.len() as i64);
         }
