--- a/crates/ringbend-gateway/src/drains.rs
+++ b/crates/ringbend-gateway/src/drains.rs
@@ -20,12 +20,12 @@
 /// silent before it counts as gone.
 const REPEATED_FOR: Duration = Duration::from_secs(5);
 
-/// An announcement, as instances tell each other.
+/// An announcement, as exchanged between instances.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Drain {
     /// The endpoint.
     pub endpoint: EndpointId,
-    /// When its process started, if endpoints tell.
+    /// The start time of its process, where endpoints report it.
     pub start: Option<EndpointStart>,
 }
 
--- a/crates/ringbend-gateway/src/suspect_work.rs
+++ b/crates/ringbend-gateway/src/suspect_work.rs
@@ -8,10 +8,9 @@
 
 use crate::load::WorkId;
 
-/// How long an endpoint counts as a suspect's after its run there. Requests that end their engines do so within a
-/// tenth of a second, also if their caller has left or they were broken off, and it takes up to another until that is
-/// noticed and told. Else a call that all send, and that comes to the endpoint just after it, would get a strike for
-/// its end.
+/// How long after a suspect's run on an endpoint a crash of that endpoint is still attributed to it. A crash follows
+/// its cause within 100 ms, even if the request was cancelled, and is detected and propagated within another 100 ms.
+/// Without this delay an unrelated request that arrives in between would get the strike.
 const AFTERMATH: Duration = Duration::from_millis(250);
 
 /// A run of a suspect that is over.
--- a/crates/ringbend-relay/src/admission.rs
+++ b/crates/ringbend-relay/src/admission.rs
@@ -12,8 +12,8 @@
 use crate::life::{Failed, Life};
 use crate::node::Node;
 
-/// The most endpoints named to whoever places a request, so that a datagram stays well below what is read. A
-/// placement on one that was not named is rejected here.
+/// Maximum number of closed endpoints listed in a placement request, to bound its datagram. A placement on one that was
+/// not listed is rejected before the send.
 const MAX_CLOSED: usize = 64;
 
 /// Why nothing may be sent to an endpoint.
@@ -92,8 +92,8 @@
         Some(until?.into_iter().min()?.since(now))
     }
 
-    /// The first endpoint of a placement that nothing may be sent to for this request. Whoever placed it may know
-    /// less.
+    /// The first endpoint of a placement that must not be used for this request. The scheduler may not have received
+    /// the endpoint's signals yet.
     pub(crate) fn inadmissible(
         &self,
         job: &Job,
@@ -130,7 +130,7 @@
         let rejected = on.iter().find_map(|e| Some((e.id.clone(), self.node.admission(e).err()?)));
         let Some((endpoint, why)) = rejected else { return Ok(()) };
         if on.first().is_some_and(|lead| lead.id == endpoint) {
-            // Whoever places it again may not know yet.
+            // The scheduler may not have received the signal yet; a tried endpoint is not chosen again.
             self.attempts.sending(&endpoint);
         }
         self.node.metrics.inadmissible();
