refactor(types): a non-negative decimal is parsed in one place

RequestRate and RetryAfter had the same parser and an error type each; both use ParseDecimalError now. The tests of both are the same but for the type's name, and pass, as do clippy and the tests of ringbend-types, ringbend-gateway, and of limits, signals and back-offs on the platform.

--- a/crates/ringbend-gateway/src/limits.rs
+++ b/crates/ringbend-gateway/src/limits.rs
@@ -12,7 +12,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use ringbend_types::{EndpointId, EndpointStart, ParseRequestRateError, RequestRate, Timestamp};
+use ringbend_types::{EndpointId, EndpointStart, ParseDecimalError, RequestRate, Timestamp};
 
 use crate::directory::Endpoint;
 
@@ -35,7 +35,7 @@
     /// It is said more than once.
     Twice,
     /// It is no rate of requests.
-    Rate(ParseRequestRateError),
+    Rate(ParseDecimalError),
 }
 
 impl fmt::Display for BadLimit {
--- a/crates/ringbend-gateway/src/signals.rs
+++ b/crates/ringbend-gateway/src/signals.rs
@@ -9,7 +9,7 @@
 
 use std::fmt;
 
-use ringbend_types::{ParseRetryAfterError, RetryAfter};
+use ringbend_types::{ParseDecimalError, RetryAfter};
 use smallvec::SmallVec;
 
 use crate::limits::LimitWord;
@@ -34,7 +34,7 @@
     /// It is neither yes nor no.
     NotAFlag,
     /// It is no delay.
-    Delay(ParseRetryAfterError),
+    Delay(ParseDecimalError),
 }
 
 impl fmt::Display for MalformedSignal {
--- a/crates/ringbend-gateway/tests/backoffs.rs
+++ b/crates/ringbend-gateway/tests/backoffs.rs
@@ -4,7 +4,7 @@
 
 use quickcheck::quickcheck;
 use ringbend_gateway::{BackoffState, Backoffs, Endpoint};
-use ringbend_types::{EndpointStart, ParseRetryAfterError, RetryAfter};
+use ringbend_types::{EndpointStart, ParseDecimalError, RetryAfter};
 use support::{at, endpoint, ms};
 
 fn delay(text: &str) -> RetryAfter {
@@ -71,12 +71,12 @@
     assert_eq!(delay("0").delay(), ms(0));
     assert_eq!(delay("86400").delay(), RetryAfter::MAX);
     let error = |text: &str| text.parse::<RetryAfter>().unwrap_err();
-    assert_eq!(error(""), ParseRetryAfterError::Empty);
-    assert_eq!(error("-1"), ParseRetryAfterError::Negative);
-    assert_eq!(error("NaN"), ParseRetryAfterError::NotFinite);
-    assert_eq!(error("1e309"), ParseRetryAfterError::NotFinite);
-    assert_eq!(error("Wed, 21 Oct 2026 07:28:00 GMT"), ParseRetryAfterError::NotANumber);
-    assert_eq!(error(&"1".repeat(1 << 20)), ParseRetryAfterError::TooLong);
+    assert_eq!(error(""), ParseDecimalError::Empty);
+    assert_eq!(error("-1"), ParseDecimalError::Negative);
+    assert_eq!(error("NaN"), ParseDecimalError::NotFinite);
+    assert_eq!(error("1e309"), ParseDecimalError::NotFinite);
+    assert_eq!(error("Wed, 21 Oct 2026 07:28:00 GMT"), ParseDecimalError::NotANumber);
+    assert_eq!(error(&"1".repeat(1 << 20)), ParseDecimalError::TooLong);
 }
 
 quickcheck! {
--- a/crates/ringbend-gateway/tests/limits.rs
+++ b/crates/ringbend-gateway/tests/limits.rs
@@ -4,7 +4,7 @@
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use ringbend_gateway::{BadLimit, Endpoint, HeardLimit, LimitWord, Limits, NamedLimit, WordIn};
-use ringbend_types::{EndpointStart, ParseRequestRateError, RequestRate};
+use ringbend_types::{EndpointStart, ParseDecimalError, RequestRate};
 use support::{at, endpoint};
 
 const TWO: RequestRate = RequestRate::per_second(2);
@@ -43,7 +43,7 @@
 fn a_word_that_cannot_be_read_changes_nothing_and_is_told_once() {
     let mut limits = Limits::default();
     hear(&mut limits, 10, 0, LimitWord::Names(TWO));
-    let bad = LimitWord::Bad(BadLimit::Rate(ParseRequestRateError::Negative));
+    let bad = LimitWord::Bad(BadLimit::Rate(ParseDecimalError::Negative));
     assert!(matches!(hear(&mut limits, 20, 15, bad), HeardLimit::Bad(_)));
     assert_eq!(hear(&mut limits, 30, 15, bad), HeardLimit::Known);
     assert_eq!(limits.of(&endpoint(1)), Some(TWO));
@@ -165,12 +165,12 @@
     assert_eq!(rate("2.5"), Ok(RequestRate(2_500_000)));
     assert_eq!(rate("0"), Ok(RequestRate(0)));
     assert_eq!(rate("-0"), Ok(RequestRate(0)));
-    assert_eq!(rate(""), Err(ParseRequestRateError::Empty));
-    assert_eq!(rate("-1"), Err(ParseRequestRateError::Negative));
-    assert_eq!(rate("NaN"), Err(ParseRequestRateError::NotFinite));
-    assert_eq!(rate("inf"), Err(ParseRequestRateError::NotFinite));
-    assert_eq!(rate("1e309"), Err(ParseRequestRateError::NotFinite));
-    assert_eq!(rate("many"), Err(ParseRequestRateError::NotANumber));
-    assert_eq!(rate(&"1".repeat(1 << 20)), Err(ParseRequestRateError::TooLong));
+    assert_eq!(rate(""), Err(ParseDecimalError::Empty));
+    assert_eq!(rate("-1"), Err(ParseDecimalError::Negative));
+    assert_eq!(rate("NaN"), Err(ParseDecimalError::NotFinite));
+    assert_eq!(rate("inf"), Err(ParseDecimalError::NotFinite));
+    assert_eq!(rate("1e309"), Err(ParseDecimalError::NotFinite));
+    assert_eq!(rate("many"), Err(ParseDecimalError::NotANumber));
+    assert_eq!(rate(&"1".repeat(1 << 20)), Err(ParseDecimalError::TooLong));
     assert!(rate("1e300").is_ok());
 }
--- a/crates/ringbend-types/src/lib.rs
+++ b/crates/ringbend-types/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O or reads a clock: the driver passes a [`Timestamp`] and a seed in.
 
+mod decimal;
 mod fingerprint;
 mod id;
 mod quantity;
@@ -11,6 +12,7 @@
 mod seed;
 mod time;
 
+pub use decimal::ParseDecimalError;
 pub use fingerprint::{Fingerprint, ParseFingerprintError};
 pub use id::{
     AttemptId, ChangeId, ClassName, ClientAccountId, DataCentre, EndpointId, InstanceId, LeaseName,
@@ -20,8 +22,8 @@
     ByteCount, EndpointStart, FencingNumber, Incarnation, ParseQuantityError, PromptBucket,
     SettingsVersion, TokenCount, TokensPerSecond,
 };
-pub use request_rate::{ParseRequestRateError, RequestRate};
-pub use retry_after::{ParseRetryAfterError, RetryAfter};
+pub use request_rate::RequestRate;
+pub use retry_after::RetryAfter;
 pub use run_state::{ParseRunStateError, RunState};
 pub use seed::{IdMint, Seed};
 pub use time::Timestamp;
