fix(gateway): an instance names the reader that proved its copy

Callers saw nothing; a draining endpoint got a request 2024 ms after the store had acknowledged its row (2000 ms are allowed).

Cause: an instance that counted itself as the reader of the store named itself beside every proof, also beside those that others had made. A reader that was cut off took a proof from its successor and passed it on as its own, and the successor, if its incarnation was larger, stopped reading for it. Nobody read the store until the copies were old once more. Evidence: in the record two successors stop 13 and 16 ms after their own proofs, for an instance without a response for 1.5 and 3 s.

Change: a proof is kept with the incarnation whose read made it, and that one is named; an unknown one is kept as unknown, so that no earlier reader is named beside it. A reader stops only for a read that was made after it had begun.

--- a/crates/ringbend-gateway/src/store_readers.rs
+++ b/crates/ringbend-gateway/src/store_readers.rs
@@ -27,31 +27,39 @@
     peer: Timestamp,
 }
 
+/// The latest proof that this instance's copy was current.
+#[derive(Debug, Clone, Copy)]
+struct CopyProof {
+    at: Timestamp,
+    /// The incarnation whose read made it, if known.
+    reader: Option<u64>,
+}
+
 /// Whether this instance reads, and the clocks of its peers.
 #[derive(Debug, Clone)]
 pub struct StoreReaders {
     own_incarnation: u64,
-    reads: bool,
+    /// Since when this instance reads, if it does.
+    reads_since: Option<Timestamp>,
     clocks: BTreeMap<u64, ClockPairing>,
-    /// When this instance's copy was last proved, and by the read of which incarnation.
-    proved: Option<(Timestamp, u64)>,
+    proof: Option<CopyProof>,
 }
 
 impl StoreReaders {
     /// Creates an instance that does not read until its copy has not been proved current for a
     /// while.
     pub fn new(own_incarnation: u64) -> Self {
-        Self { own_incarnation, reads: false, clocks: BTreeMap::new(), proved: None }
+        Self { own_incarnation, reads_since: None, clocks: BTreeMap::new(), proof: None }
     }
 
     /// Whether this instance reads the tables.
     pub fn reads(&self) -> bool {
-        self.reads
+        self.reads_since.is_some()
     }
 
     /// Starts reading, because the copy has not been proved current for too long.
-    pub fn begin(&mut self) {
-        self.reads = true;
+    pub fn begin(&mut self, now: Timestamp) {
+        self.reads_since = Some(now);
     }
 
     /// Stops reading if the store has been unreachable since `lost_at` and another instance has
@@ -62,9 +70,9 @@
         proved_at: Option<Timestamp>,
     ) -> bool {
         let others_reach_it = lost_at.is_some_and(|lost_at| proved_at > Some(lost_at));
-        let stops = self.reads && others_reach_it;
+        let stops = self.reads() && others_reach_it;
         if stops {
-            self.reads = false;
+            self.reads_since = None;
         }
         stops
     }
@@ -93,30 +101,30 @@
         is_representable.then(|| pairing.own - before)
     }
 
-    /// Records that a read by `incarnation`, this one or another, proved this instance's copy
-    /// at `at`.
-    pub fn proved_by(&mut self, incarnation: u64, at: Timestamp) {
-        if self.proved.is_none_or(|(before, _)| at > before) {
-            self.proved = Some((at, incarnation));
+    /// Records that a read by the incarnation `reader`, this one or another, proved this instance's
+    /// copy at `at`. The reader may be unknown.
+    pub fn proved_by(&mut self, reader: Option<u64>, at: Timestamp) {
+        if self.proof.is_none_or(|before| at > before.at) {
+            self.proof = Some(CopyProof { at, reader });
         }
     }
 
-    /// The incarnation whose read last proved this instance's copy, if it is another one. An
-    /// earlier reader must not be named beside a later proof: it may have ended, and the current
-    /// reader would stop because of it.
+    /// The reader to be named to others beside the latest proof: the incarnation whose read made
+    /// that proof, and this one only while it reads. Any other could be unable to reach the store,
+    /// and the current reader would stop because of it.
     pub fn reader(&self) -> Option<u64> {
-        self.proved
-            .map(|(_, incarnation)| incarnation)
-            .filter(|incarnation| *incarnation != self.own_incarnation)
+        let reader = self.proof?.reader?;
+        (reader != self.own_incarnation || self.reads()).then_some(reader)
     }
 
-    /// Records that another instance reads and proved this one's copy `age` ago. Returns whether
-    /// this one stops reading.
-    pub fn yield_to_reader(&mut self, incarnation: u64, age: Duration) -> bool {
-        let fresh = age < Duration::from_millis(READ_AGE_MS.start);
-        let stops = self.reads && incarnation < self.own_incarnation && fresh;
+    /// Records that a read by another incarnation proved this instance's copy at `proved_at`.
+    /// Returns whether this instance stops reading: only if that read was made after this instance
+    /// had begun to read, as the other one may have lost the store before.
+    pub fn yield_to_reader(&mut self, incarnation: u64, proved_at: Timestamp) -> bool {
+        let is_later = self.reads_since.is_some_and(|since| proved_at > since);
+        let stops = incarnation < self.own_incarnation && is_later;
         if stops {
-            self.reads = false;
+            self.reads_since = None;
         }
         stops
     }
--- a/crates/ringbend-gateway/tests/copy_freshness.rs
+++ b/crates/ringbend-gateway/tests/copy_freshness.rs
@@ -371,13 +371,15 @@
 #[test]
 fn previous_reader_is_not_named_beside_a_later_proof() {
     let mut readers = StoreReaders::new(5);
-    readers.proved_by(3, Timestamp::from_millis(100));
+    readers.proved_by(Some(3), Timestamp::from_millis(100));
     assert_eq!(readers.reader(), Some(3));
-    readers.proved_by(3, Timestamp::from_millis(50));
-    readers.proved_by(5, Timestamp::from_millis(200));
+    readers.proved_by(Some(3), Timestamp::from_millis(50));
+    readers.proved_by(Some(5), Timestamp::from_millis(200));
     assert_eq!(readers.reader(), None);
-    readers.proved_by(7, Timestamp::from_millis(300));
+    readers.proved_by(Some(7), Timestamp::from_millis(300));
     assert_eq!(readers.reader(), Some(7));
+    readers.proved_by(None, Timestamp::from_millis(400));
+    assert_eq!(readers.reader(), None);
 }
 
 /// Guards against a reader that lost the store and continues as reader. With 85 instances, half of
@@ -387,7 +389,7 @@
 #[test]
 fn reader_that_lost_the_store_stops_at_the_first_proof_of_another_instance() {
     let mut readers = StoreReaders::new(1);
-    readers.begin();
+    readers.begin(at(800));
     assert!(!readers.yield_to_others(None, Some(at(900))), "the store is not lost");
     assert!(!readers.yield_to_others(Some(at(1_000)), Some(at(900))), "the proof is its own");
     assert!(readers.reads());
@@ -395,3 +397,27 @@
     assert!(!readers.reads());
     assert!(!readers.yield_to_others(Some(at(1_000)), Some(at(1_300))), "it stops only once");
 }
+
+/// Guards against a reader that names itself beside a proof of another instance: it may be cut off
+/// from the store, and the instance that made the proof would stop reading.
+#[test]
+fn reader_names_the_instance_that_made_the_proof() {
+    let mut readers = StoreReaders::new(1);
+    readers.begin(at(1_000));
+    readers.proved_by(Some(1), at(1_010));
+    assert_eq!(readers.reader(), Some(1));
+    readers.proved_by(Some(5), at(2_700));
+    assert_eq!(readers.reader(), Some(5));
+}
+
+/// Guards against a new reader that stops for one that has not answered since: it may have lost the
+/// store.
+#[test]
+fn new_reader_stops_only_for_a_later_read() {
+    let mut readers = StoreReaders::new(5);
+    readers.begin(at(2_600));
+    assert!(!readers.yield_to_reader(1, at(2_599)));
+    assert!(!readers.yield_to_reader(7, at(2_700)), "the smallest incarnation continues");
+    assert!(readers.yield_to_reader(1, at(2_700)));
+    assert!(!readers.reads());
+}
--- a/crates/ringbend-relay/src/table_copies.rs
+++ b/crates/ringbend-relay/src/table_copies.rs
@@ -89,7 +89,7 @@
             let due = since + Duration::from_millis(age_ms);
             if node.clock.now() >= due {
                 log::info!(target: "store", age_ms; "copy is old; reading from the store");
-                node.readers.borrow_mut().begin();
+                node.readers.borrow_mut().begin(node.clock.now());
                 node.started_reading.notify_waiters();
                 return ReadFrom::Store(Duration::ZERO);
             }
@@ -129,7 +129,7 @@
     fn prove(&self, node: &Node, proof: Proof, paired: bool) {
         node.replica.borrow_mut().prove(proof, paired);
         if let Some(proved_at) = node.replica.borrow().proved_at() {
-            node.readers.borrow_mut().proved_by(node.incarnation(), proved_at);
+            node.readers.borrow_mut().proved_by(Some(node.incarnation()), proved_at);
         }
         node.startup_progress.notify_waiters();
         if node.readers.borrow().reads() {
--- a/crates/ringbend-relay/src/table_gossip.rs
+++ b/crates/ringbend-relay/src/table_gossip.rs
@@ -24,18 +24,10 @@
         config_version: replica.version()?.0,
         proved_us: replica.proved_at()?.0,
         endpoints_cursor: node.endpoints_cursor.get().0,
-        reader: reader(node),
+        reader: node.readers.borrow().reader(),
     })
 }
 
-/// The instance whose read last proved this instance's copy current.
-fn reader(node: &Node) -> Option<u64> {
-    let readers = node.readers.borrow();
-    // A reader that cannot reach the store must not keep others from reading.
-    let reads = readers.reads() && node.store_lost_at.get().is_none();
-    if reads { Some(node.incarnation()) } else { readers.reader() }
-}
-
 /// Processes the part of a digest about the watched tables.
 pub(crate) fn handle_digest(node: &Node, now: Timestamp, from: SocketAddrV4, digest: &LoadDigest) {
     if let Some(changes) = &digest.endpoint_changes
@@ -116,15 +108,15 @@
         // The members of this data centre learn of it from this instance.
         node.flush.batched.notify_one();
     }
-    let is_same = node.replica.borrow().version() == Some(version);
-    let Some(reader) = currency.reader.filter(|_| is_same) else { return };
-    if reader == node.incarnation() {
+    if node.replica.borrow().version() != Some(version) {
         return;
     }
     let mut readers = node.readers.borrow_mut();
-    readers.proved_by(reader, proved_at);
-    if readers.yield_to_reader(reader, now.since(proved_at)) {
-        log::info!(target: "store", reader; "another instance reads the store");
+    readers.proved_by(currency.reader, proved_at);
+    let Some(reader) = currency.reader else { return };
+    if readers.yield_to_reader(reader, proved_at) {
+        let age_ms = now.since(proved_at).as_millis() as u64;
+        log::info!(target: "store", reader, named_by = incarnation, age_ms; "another instance reads the store");
         node.stopped_reading.notify_waiters();
     }
 }
