fix(gateway): a new reader does not stop for a loss from before it began

Cause: an instance that loses the store stops reading once another one has proved the copies. The time of the loss was kept until the instance's next response, however long ago that was, so the next time that it began to read, any proof since then stopped it before its first call had been answered. What that call brought was then not sent to others. Ruled out: a proof of another reader (there was none since it began).

Change: a loss counts from the beginning of reading only, and ends with a response. Changes that an instance has read are sent to others also if it has stopped reading in the meantime.

--- a/crates/ringbend-gateway/src/store_readers.rs
+++ b/crates/ringbend-gateway/src/store_readers.rs
@@ -41,6 +41,9 @@
     own_incarnation: u64,
     /// Since when this instance reads, if it does.
     reads_since: Option<Timestamp>,
+    /// Since when the calls of this instance fail, if they do. A loss from before it began to read
+    /// does not count: it may reach the store by now.
+    failing_since: Option<Timestamp>,
     clocks: BTreeMap<u64, ClockPairing>,
     proof: Option<CopyProof>,
 }
@@ -49,7 +52,13 @@
     /// Creates an instance that does not read until its copy has not been proved current for a
     /// while.
     pub fn new(own_incarnation: u64) -> Self {
-        Self { own_incarnation, reads_since: None, clocks: BTreeMap::new(), proof: None }
+        Self {
+            own_incarnation,
+            reads_since: None,
+            failing_since: None,
+            clocks: BTreeMap::new(),
+            proof: None,
+        }
     }
 
     /// Whether this instance reads the tables.
@@ -60,16 +69,23 @@
     /// Starts reading, because the copy has not been proved current for too long.
     pub fn begin(&mut self, now: Timestamp) {
         self.reads_since = Some(now);
+        self.failing_since = None;
+    }
+
+    /// Records that a call of this instance to the store has failed.
+    pub fn call_failed(&mut self, now: Timestamp) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Records that the store has responded to this instance.
+    pub fn call_answered(&mut self) {
+        self.failing_since = None;
     }
 
-    /// Stops reading if the store has been unreachable since `lost_at` and another instance has
-    /// proved the copy later, at `proved_at`. Returns whether it stops.
-    pub fn yield_to_others(
-        &mut self,
-        lost_at: Option<Timestamp>,
-        proved_at: Option<Timestamp>,
-    ) -> bool {
-        let others_reach_it = lost_at.is_some_and(|lost_at| proved_at > Some(lost_at));
+    /// Stops reading if the calls of this instance fail and another instance has proved the copy
+    /// since, at `proved_at`. Returns whether it stops.
+    pub fn yield_to_others(&mut self, proved_at: Option<Timestamp>) -> bool {
+        let others_reach_it = self.failing_since.is_some_and(|since| proved_at > Some(since));
         let stops = self.reads() && others_reach_it;
         if stops {
             self.reads_since = None;
--- a/crates/ringbend-gateway/tests/copy_freshness.rs
+++ b/crates/ringbend-gateway/tests/copy_freshness.rs
@@ -390,12 +390,29 @@
 fn reader_that_lost_the_store_stops_at_the_first_proof_of_another_instance() {
     let mut readers = StoreReaders::new(1);
     readers.begin(at(800));
-    assert!(!readers.yield_to_others(None, Some(at(900))), "the store is not lost");
-    assert!(!readers.yield_to_others(Some(at(1_000)), Some(at(900))), "the proof is its own");
+    assert!(!readers.yield_to_others(Some(at(900))), "the store is not lost");
+    readers.call_failed(at(1_000));
+    assert!(!readers.yield_to_others(Some(at(900))), "the proof is its own");
     assert!(readers.reads());
-    assert!(readers.yield_to_others(Some(at(1_000)), Some(at(1_200))));
+    readers.call_failed(at(1_300));
+    assert!(readers.yield_to_others(Some(at(1_200))));
     assert!(!readers.reads());
-    assert!(!readers.yield_to_others(Some(at(1_000)), Some(at(1_300))), "it stops only once");
+    assert!(!readers.yield_to_others(Some(at(1_300))), "it stops only once");
+}
+
+/// Guards against a new reader that stops before its first response because it lost the store in an
+/// earlier outage.
+#[test]
+fn a_loss_before_an_instance_began_to_read_does_not_stop_it() {
+    let mut readers = StoreReaders::new(1);
+    readers.begin(at(800));
+    readers.call_failed(at(1_000));
+    assert!(readers.yield_to_others(Some(at(1_200))));
+    readers.begin(at(9_000));
+    assert!(!readers.yield_to_others(Some(at(9_001))));
+    readers.call_failed(at(9_500));
+    readers.call_answered();
+    assert!(!readers.yield_to_others(Some(at(9_600))), "it reaches the store again");
 }
 
 /// Guards against a reader that names itself beside a proof of another instance: it may be cut off
--- a/crates/ringbend-relay/src/table_copies.rs
+++ b/crates/ringbend-relay/src/table_copies.rs
@@ -141,12 +141,12 @@
     fn on_store_recovered(&self, _: &Node) {}
 }
 
-/// Stops reading if the store is unavailable and another instance has proved the copy current
+/// Stops reading if this instance cannot reach the store and another instance has proved the copy current
 /// since. This instance must receive that reader's updates at once, not only after its own next
 /// call to the store.
 pub(crate) fn leave_reading_to_others(node: &Node) {
     let proved_at = node.replica.borrow().proved_at();
-    if node.readers.borrow_mut().yield_to_others(node.store_lost_at.get(), proved_at) {
+    if node.readers.borrow_mut().yield_to_others(proved_at) {
         log::info!(target: "store", reads = false; "leaving reads to instances that reach the store");
         node.stopped_reading.notify_waiters();
     }
@@ -213,7 +213,8 @@
             }
             return;
         }
-        if node.readers.borrow().reads() && items.len() <= MAX_GOSSIPED_CHANGES {
+        // Also if this instance has stopped reading meanwhile: no other one may have read them.
+        if items.len() <= MAX_GOSSIPED_CHANGES {
             let from_cursor = node.endpoints_cursor.get().0;
             let rows = items.iter().map(encode_endpoint_change).collect();
             let changes = EndpointChanges { from_cursor, to_cursor: cursor.0, rows };
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -213,8 +213,11 @@
 
     fn record_response(&mut self) {
         self.backoff.reset();
-        if C::DETECTS_OUTAGES && self.node.store_lost_at.take().is_some() {
-            self.node.store_recovered.notify_waiters();
+        if C::DETECTS_OUTAGES {
+            self.node.readers.borrow_mut().call_answered();
+            if self.node.store_lost_at.take().is_some() {
+                self.node.store_recovered.notify_waiters();
+            }
         }
         let Some(lost_at) = self.lost_at.take() else { return };
         let away_ms = self.node.clock.now().since(lost_at).as_millis() as u64;
@@ -224,8 +227,9 @@
 
     async fn record_failure(&mut self, e: SourceError) {
         if C::DETECTS_OUTAGES {
-            let lost_at = self.node.store_lost_at.get().unwrap_or(self.node.clock.now());
-            self.node.store_lost_at.set(Some(lost_at));
+            let now = self.node.clock.now();
+            self.node.readers.borrow_mut().call_failed(now);
+            self.node.store_lost_at.set(Some(self.node.store_lost_at.get().unwrap_or(now)));
             self.node.store_lost.notify_waiters();
         }
         if self.lost_at.is_none() {
