fix(gateway): an instance's own cut is no outage of the store

Cause: an endpoint whose row vanishes within 2.2 s of an outage of the store is kept, as rows that expire in an outage return. Each instance concluded from its own calls that there had been an outage: its first response after a loss counted as the end of one, however long ago and although others had read the store all the while.

Change: an outage is a time of 2.3 s in which no instance was answered. Instances tell each other when the store last answered and since when it does, before the changes that they pass on. One that was cut off from the store and from the others learns from them that there was no outage, and drops what it had kept. An instance that did not call the store itself in a real outage keeps such endpoints as well now; it used to remove them. Weighed: counting only own losses that no other proof overlaps; it misses the case in which the other instances are cut off as well.

Also: an import that is no longer used.

--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -96,9 +96,18 @@
 }
 
 impl Directory {
-    /// Records that the store is reachable again after an outage.
-    pub fn store_recovered(&mut self, now: Timestamp) {
-        self.store_recovered_at = Some(now);
+    /// Records that an outage of the store ended at this time.
+    pub fn store_recovered(&mut self, at: Timestamp) {
+        self.store_recovered_at = Some(at);
+    }
+
+    /// Records that the store was not away, so that endpoints whose rows are missing have left.
+    pub fn outage_refuted(&mut self, now: Timestamp) {
+        self.store_recovered_at = None;
+        let missing = self.entries.iter().filter(|(_, entry)| entry.missing_until.is_some());
+        for id in missing.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.remove(now, &id);
+        }
     }
 
     /// Applies one change. Returns the endpoints whose processes it proves to have ended.
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod signals;
 mod snapshot;
 mod store_backoff;
+mod store_outages;
 mod store_readers;
 mod suspect_work;
 mod turns;
@@ -77,6 +78,7 @@
     SnapshotParts, WeightedService,
 };
 pub use store_backoff::{MAX_SECONDARY_BACKOFF, StoreBackoff, fleet_backoff_factor};
+pub use store_outages::{MIN_OUTAGE, OutageUpdate, StoreOutages};
 pub use store_readers::{MEMBER_READ_AGE_MS, READ_AGE_MS, StoreReaders};
 pub use turns::{QueuedPrompt, Turn, decide_turn};
 pub use waiting_prompt::WaitingPrompt;
--- a/crates/ringbend-gateway/src/store_readers.rs
+++ b/crates/ringbend-gateway/src/store_readers.rs
@@ -7,7 +7,6 @@
 //! instances are partitioned or a reader is lost, copies age and more instances read.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use ringbend_types::Timestamp;
 
--- a/crates/ringbend-gateway/tests/directory.rs
+++ b/crates/ringbend-gateway/tests/directory.rs
@@ -60,3 +60,16 @@
     assert_eq!(ready_count(&directory, at(1_001)), 1);
     assert_eq!(directory.len(), 1);
 }
+
+/// Guards against requests to endpoints that have left, from an instance that was cut off from the
+/// store and took that for an outage.
+#[test]
+fn an_endpoint_whose_row_is_missing_is_removed_if_the_store_was_not_away() {
+    let mut directory = directory_of_two();
+    directory.store_recovered(at(1_000));
+    directory.apply(at(1_000), gone(2));
+    directory.outage_refuted(at(1_100));
+    assert_eq!((ready_count(&directory, at(1_100)), directory.len()), (1, 1));
+    directory.apply(at(1_200), gone(1));
+    assert!(directory.is_empty());
+}
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -12,7 +12,8 @@
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
     Backoffs, Directory, HealthTracker, InstanceRank, Limits, LoadTracker, Outbox, PaceQueries,
-    Peers, Permits, Quarantine, Replica, RetryBudget, StoreReaders, WorkId, fleet_backoff_factor,
+    Peers, Permits, Quarantine, Replica, RetryBudget, StoreOutages, StoreReaders, WorkId,
+    fleet_backoff_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -80,6 +81,8 @@
     pub(crate) store_recovered: Notify,
     /// Notified when this instance has read the configuration table.
     pub(crate) store_read: Notify,
+    /// When the store last answered any instance.
+    pub(crate) outages: RefCell<StoreOutages>,
     /// Which instances read the watched tables from the store.
     pub(crate) readers: RefCell<StoreReaders>,
     /// Notified when this instance starts to read the watched tables.
@@ -172,6 +175,7 @@
             store_lost_at: Cell::new(None),
             store_recovered: Notify::new(),
             store_read: Notify::new(),
+            outages: RefCell::default(),
             readers: RefCell::new(StoreReaders::new(incarnation)),
             started_reading: Notify::new(),
             stopped_reading: Notify::new(),
--- a/crates/ringbend-relay/src/table_copies.rs
+++ b/crates/ringbend-relay/src/table_copies.rs
@@ -5,7 +5,8 @@
 use rand::Rng;
 
 use ringbend_gateway::{
-    Endpoint, EndpointChange, MEMBER_READ_AGE_MS, OfferResult, Proof, READ_AGE_MS, Snapshot,
+    Endpoint, EndpointChange, MEMBER_READ_AGE_MS, OfferResult, OutageUpdate, Proof, READ_AGE_MS,
+    Snapshot,
 };
 use ringbend_wire::{EndpointChanges, encode_endpoint_change};
 
@@ -137,8 +138,23 @@
             node.flush.immediate.notify_one();
         }
     }
+}
 
-    fn on_store_recovered(&self, _: &Node) {}
+/// Keeps endpoints whose rows expired in an outage of the store for a while, as their rows return.
+pub(crate) fn apply_outage_update(node: &Node, update: OutageUpdate) {
+    let now = node.clock.now();
+    match update {
+        OutageUpdate::Unchanged => {}
+        OutageUpdate::Ended(at) => {
+            let ago_ms = now.since(at).as_millis() as u64;
+            log::info!(target: "store", ago_ms; "store outage ended");
+            node.directory.borrow_mut().store_recovered(at);
+        }
+        OutageUpdate::Refuted => {
+            log::info!(target: "store", "the store was available to other instances");
+            node.directory.borrow_mut().outage_refuted(now);
+        }
+    }
 }
 
 /// Stops reading if this instance cannot reach the store and another instance has proved the copy current
@@ -277,8 +293,4 @@
     fn record_invalid_row(&self, _: &Node) {}
 
     fn prove(&self, _: &Node, _: Proof, _: bool) {}
-
-    fn on_store_recovered(&self, node: &Node) {
-        node.directory.borrow_mut().store_recovered(node.clock.now());
-    }
 }
--- a/crates/ringbend-relay/src/table_gossip.rs
+++ b/crates/ringbend-relay/src/table_gossip.rs
@@ -11,7 +11,7 @@
 
 use crate::node::Node;
 use crate::ports::Cursor;
-use crate::table_copies::{apply_endpoints, leave_reading_to_others};
+use crate::table_copies::{apply_endpoints, apply_outage_update, leave_reading_to_others};
 
 /// A copy's proof of currency is not sent on its own if it has advanced by less than this. A reader
 /// renews it once per second.
@@ -25,11 +25,16 @@
         proved_us: replica.proved_at()?.0,
         endpoints_cursor: node.endpoints_cursor.get().0,
         reader: node.readers.borrow().reader(),
+        answering_since_us: node.outages.borrow().answering_since().map(|since| since.0),
     })
 }
 
 /// Processes the part of a digest about the watched tables.
 pub(crate) fn handle_digest(node: &Node, now: Timestamp, from: SocketAddrV4, digest: &LoadDigest) {
+    // Before the changes: rows may have expired in an outage.
+    if let Some(currency) = &digest.currency {
+        record_answer(node, now, digest.incarnation, currency);
+    }
     if let Some(changes) = &digest.endpoint_changes
         && apply_changes(node, changes)
         && node.is_scheduler()
@@ -42,6 +47,15 @@
     }
 }
 
+/// Records when the store last answered an instance.
+fn record_answer(node: &Node, now: Timestamp, incarnation: u64, currency: &Currency) {
+    let to_own_clock = |us| node.readers.borrow().to_own_clock(incarnation, Timestamp(us));
+    let Some(at) = to_own_clock(currency.proved_us).filter(|at| *at <= now) else { return };
+    let since = currency.answering_since_us.and_then(to_own_clock);
+    let update = node.outages.borrow_mut().peer_answered(at, since);
+    apply_outage_update(node, update);
+}
+
 /// Forwards changes to the members of this data centre, and to the other schedulers if the sender
 /// is a member.
 fn forward_changes(
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -10,6 +10,7 @@
 
 use crate::node::Node;
 use crate::ports::{Cursor, InvalidRow, Source, SourceError};
+use crate::table_copies::apply_outage_update;
 
 /// How long the store may take beyond the requested wait. It usually replies within milliseconds; a
 /// slow store takes up to a third of a second.
@@ -66,9 +67,6 @@
     /// Records that the copy was current. `paired` means that the call did not wait, so that its
     /// times relate the store's clock to this instance's.
     fn prove(&self, node: &Node, proof: Proof, paired: bool);
-
-    /// Records that the store is available again.
-    fn on_store_recovered(&self, node: &Node);
 }
 
 /// Follows one table for as long as the process lives.
@@ -213,6 +211,8 @@
 
     fn record_response(&mut self) {
         self.backoff.reset();
+        let update = self.node.outages.borrow_mut().answered(self.node.clock.now());
+        apply_outage_update(&self.node, update);
         if C::DETECTS_OUTAGES {
             self.node.readers.borrow_mut().call_answered();
             if self.node.store_lost_at.take().is_some() {
@@ -222,7 +222,6 @@
         let Some(lost_at) = self.lost_at.take() else { return };
         let away_ms = self.node.clock.now().since(lost_at).as_millis() as u64;
         log::info!(target: "store", table = C::NAME, away_ms; "store available again");
-        self.copy.on_store_recovered(&self.node);
     }
 
     async fn record_failure(&mut self, e: SourceError) {
