fix(relay): endpoints have a proof of currency of their own

Callers saw nothing; a draining endpoint got a request 2024 ms after the store had acknowledged its row (2000 ms are allowed).

Cause: how old a copy may become before an instance reads it from the store was counted from the last proof of the configuration alone, for both tables. A response about the configuration put off the next read of both by a second, whether or not any instance still asked for endpoints.

Change: each instance keeps a proof for each table, with the reader that made it. The store numbers the changes of all tables together, so a response about the configuration proves the endpoints exactly if its version is the one as of which the same instance last read them; no call is added in a steady state. Otherwise the call for endpoints is overtaken, as before, and the next one proves them. A digest carries the proof; it counts for a copy that is as far or farther. An instance reads when the older of the two proofs is old, stops for others only if they have proved both, and names a reader only if one instance proved both. A new reader's first call for endpoints does not wait. The ages are in the line that says that a copy is read, and in two gauges. Ruled out: shorter waits of the call for endpoints (a call a second more, and a second proof by accident).

--- a/crates/ringbend-gateway/src/replica.rs
+++ b/crates/ringbend-gateway/src/replica.rs
@@ -57,18 +57,19 @@
     }
 
     /// Records a response of the store that showed nothing newer than what has been offered.
-    pub fn prove(&mut self, proof: Proof, paired: bool) {
-        if !self.unreadable {
-            self.freshness.prove(proof, paired);
-        }
+    /// Returns the time at which it proves the copy current, if it does.
+    pub fn prove(&mut self, proof: Proof, paired: bool) -> Option<Timestamp> {
+        (!self.unreadable).then(|| self.freshness.prove(proof, paired))
     }
 
     /// Records that another instance proved `version` the newest at `at`, on this one's clock. This
-    /// says nothing about any other version.
-    pub fn prove_at(&mut self, version: ConfigVersion, at: Timestamp) {
-        if self.version() == Some(version) && !self.unreadable {
+    /// says nothing about any other version. Returns whether it proves this copy.
+    pub fn prove_at(&mut self, version: ConfigVersion, at: Timestamp) -> bool {
+        let proves = self.version() == Some(version) && !self.unreadable;
+        if proves {
             self.freshness.prove_at(at);
         }
+        proves
     }
 
     /// When it was last proved to be the newest.
--- a/crates/ringbend-gateway/src/store_readers.rs
+++ b/crates/ringbend-gateway/src/store_readers.rs
@@ -1,9 +1,9 @@
 //! Selects the instances that read the watched tables from the store; the others receive the tables
 //! from them.
 //!
-//! One reader suffices for a fleet, and there is no election: an instance reads when its copy has
-//! not been proved current for a while, and its reads prove the copies of all others, which then
-//! have no reason to read. Of several readers the one with the smallest incarnation continues. If
+//! One reader suffices for a fleet, and there is no election: an instance reads when one of its
+//! copies has not been proved current for a while, and its reads prove the copies of all others,
+//! which then have no reason to read. Of several readers the one with the smallest incarnation continues. If
 //! instances are partitioned or a reader is lost, copies age and more instances read.
 
 use std::collections::BTreeMap;
@@ -26,7 +26,16 @@
     peer: Timestamp,
 }
 
-/// The latest proof that this instance's copy was current.
+/// A table that the instances keep copies of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WatchedTable {
+    /// The configuration.
+    Config,
+    /// The list of endpoints.
+    Endpoints,
+}
+
+/// The latest proof that this instance's copy of a table was current.
 #[derive(Debug, Clone, Copy)]
 struct CopyProof {
     at: Timestamp,
@@ -44,7 +53,8 @@
     /// does not count: it may reach the store by now.
     failing_since: Option<Timestamp>,
     clocks: BTreeMap<u64, ClockPairing>,
-    proof: Option<CopyProof>,
+    config: Option<CopyProof>,
+    endpoints: Option<CopyProof>,
 }
 
 impl StoreReaders {
@@ -56,7 +66,8 @@
             reads_since: None,
             failing_since: None,
             clocks: BTreeMap::new(),
-            proof: None,
+            config: None,
+            endpoints: None,
         }
     }
 
@@ -81,9 +92,10 @@
         self.failing_since = None;
     }
 
-    /// Stops reading if the calls of this instance fail and another instance has proved the copy
-    /// since, at `proved_at`. Returns whether it stops.
-    pub fn yield_to_others(&mut self, proved_at: Option<Timestamp>) -> bool {
+    /// Stops reading if the calls of this instance fail and other instances have proved the copies
+    /// since. Returns whether it stops.
+    pub fn yield_to_others(&mut self) -> bool {
+        let proved_at = self.all_proved_at();
         let others_reach_it = self.failing_since.is_some_and(|since| proved_at > Some(since));
         let stops = self.reads() && others_reach_it;
         if stops {
@@ -117,24 +129,54 @@
     }
 
     /// Records that a read by the incarnation `reader`, this one or another, proved this instance's
-    /// copy at `at`. The reader may be unknown.
-    pub fn proved_by(&mut self, reader: Option<u64>, at: Timestamp) {
-        if self.proof.is_none_or(|before| at > before.at) {
-            self.proof = Some(CopyProof { at, reader });
+    /// copy of a table at `at`. The reader may be unknown.
+    pub fn proved_by(&mut self, table: WatchedTable, reader: Option<u64>, at: Timestamp) {
+        let proof = self.proof_mut(table);
+        if proof.is_none_or(|before| at > before.at) {
+            *proof = Some(CopyProof { at, reader });
+        }
+    }
+
+    fn proof_mut(&mut self, table: WatchedTable) -> &mut Option<CopyProof> {
+        match table {
+            WatchedTable::Config => &mut self.config,
+            WatchedTable::Endpoints => &mut self.endpoints,
         }
     }
 
-    /// The reader to be named to others beside the latest proof: the incarnation whose read made
-    /// that proof, and this one only while it reads. Any other could be unable to reach the store,
-    /// and the current reader would stop because of it.
+    /// When this instance's copy of a table was last proved current.
+    pub fn proved_at(&self, table: WatchedTable) -> Option<Timestamp> {
+        let proof = match table {
+            WatchedTable::Config => self.config,
+            WatchedTable::Endpoints => self.endpoints,
+        };
+        proof.map(|proof| proof.at)
+    }
+
+    /// The time up to which the copies of all tables are proved current.
+    pub fn all_proved_at(&self) -> Option<Timestamp> {
+        let (config, endpoints) = self.config.zip(self.endpoints)?;
+        Some(config.at.min(endpoints.at))
+    }
+
+    /// Whether this instance has proved its copy of a table by a read of its own since it began to
+    /// read.
+    pub fn has_read(&self, table: WatchedTable) -> bool {
+        self.reads_since.is_some_and(|since| self.proved_at(table) >= Some(since))
+    }
+
+    /// The reader to be named to others beside the latest proofs: the incarnation whose reads made
+    /// them, and this one only while it reads. Any other could be unable to reach the store, and
+    /// the current reader would stop because of it.
     pub fn reader(&self) -> Option<u64> {
-        let reader = self.proof?.reader?;
-        (reader != self.own_incarnation || self.reads()).then_some(reader)
+        let (config, endpoints) = (self.config?.reader?, self.endpoints?.reader?);
+        let is_known = config == endpoints && (config != self.own_incarnation || self.reads());
+        is_known.then_some(config)
     }
 
-    /// Records that a read by another incarnation proved this instance's copy at `proved_at`.
-    /// Returns whether this instance stops reading: only if that read was made after this instance
-    /// had begun to read, as the other one may have lost the store before.
+    /// Records that reads by another incarnation proved this instance's copies at `proved_at`.
+    /// Returns whether this instance stops reading: only if those reads were made after this
+    /// instance had begun to read, as the other one may have lost the store before.
     pub fn yield_to_reader(&mut self, incarnation: u64, proved_at: Timestamp) -> bool {
         let is_later = self.reads_since.is_some_and(|since| proved_at > since);
         let stops = incarnation < self.own_incarnation && is_later;
--- a/crates/ringbend-gateway/tests/copy_freshness.rs
+++ b/crates/ringbend-gateway/tests/copy_freshness.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use ringbend_gateway::{ConfigVersion, OfferResult, Proof, Replica, StoreReaders};
+use ringbend_gateway::{ConfigVersion, OfferResult, Proof, Replica, StoreReaders, WatchedTable};
 use ringbend_types::Timestamp;
 use support::{at, ms, snapshot};
 
@@ -366,19 +366,26 @@
     walk(2, 5, &mut Vec::new());
 }
 
+/// Records a read of both tables.
+fn proved_by(readers: &mut StoreReaders, reader: Option<u64>, at: Timestamp) {
+    for table in [WatchedTable::Config, WatchedTable::Endpoints] {
+        readers.proved_by(table, reader, at);
+    }
+}
+
 /// Guards against naming a previous reader beside a later proof: the current reader would stop
 /// because of it, and no instance would read for two seconds.
 #[test]
 fn previous_reader_is_not_named_beside_a_later_proof() {
     let mut readers = StoreReaders::new(5);
-    readers.proved_by(Some(3), Timestamp::from_millis(100));
+    proved_by(&mut readers, Some(3), Timestamp::from_millis(100));
     assert_eq!(readers.reader(), Some(3));
-    readers.proved_by(Some(3), Timestamp::from_millis(50));
-    readers.proved_by(Some(5), Timestamp::from_millis(200));
+    proved_by(&mut readers, Some(3), Timestamp::from_millis(50));
+    proved_by(&mut readers, Some(5), Timestamp::from_millis(200));
     assert_eq!(readers.reader(), None);
-    readers.proved_by(Some(7), Timestamp::from_millis(300));
+    proved_by(&mut readers, Some(7), Timestamp::from_millis(300));
     assert_eq!(readers.reader(), Some(7));
-    readers.proved_by(None, Timestamp::from_millis(400));
+    proved_by(&mut readers, None, Timestamp::from_millis(400));
     assert_eq!(readers.reader(), None);
 }
 
@@ -390,14 +397,18 @@
 fn reader_that_lost_the_store_stops_at_the_first_proof_of_another_instance() {
     let mut readers = StoreReaders::new(1);
     readers.begin(at(800));
-    assert!(!readers.yield_to_others(Some(at(900))), "the store is not lost");
+    proved_by(&mut readers, Some(1), at(900));
+    assert!(!readers.yield_to_others(), "the store is not lost");
     readers.call_failed(at(1_000));
-    assert!(!readers.yield_to_others(Some(at(900))), "the proof is its own");
+    assert!(!readers.yield_to_others(), "the proof is its own");
     assert!(readers.reads());
     readers.call_failed(at(1_300));
-    assert!(readers.yield_to_others(Some(at(1_200))));
+    readers.proved_by(WatchedTable::Config, Some(2), at(1_200));
+    assert!(!readers.yield_to_others(), "the other one may not read endpoints");
+    readers.proved_by(WatchedTable::Endpoints, Some(2), at(1_200));
+    assert!(readers.yield_to_others());
     assert!(!readers.reads());
-    assert!(!readers.yield_to_others(Some(at(1_300))), "it stops only once");
+    assert!(!readers.yield_to_others(), "it stops only once");
 }
 
 /// Guards against a new reader that stops before its first response because it lost the store in an
@@ -407,12 +418,15 @@
     let mut readers = StoreReaders::new(1);
     readers.begin(at(800));
     readers.call_failed(at(1_000));
-    assert!(readers.yield_to_others(Some(at(1_200))));
+    proved_by(&mut readers, Some(2), at(1_200));
+    assert!(readers.yield_to_others());
     readers.begin(at(9_000));
-    assert!(!readers.yield_to_others(Some(at(9_001))));
+    proved_by(&mut readers, Some(2), at(9_001));
+    assert!(!readers.yield_to_others());
     readers.call_failed(at(9_500));
     readers.call_answered();
-    assert!(!readers.yield_to_others(Some(at(9_600))), "it reaches the store again");
+    proved_by(&mut readers, Some(2), at(9_600));
+    assert!(!readers.yield_to_others(), "it reaches the store again");
 }
 
 /// Guards against a reader that names itself beside a proof of another instance: it may be cut off
@@ -421,9 +435,9 @@
 fn reader_names_the_instance_that_made_the_proof() {
     let mut readers = StoreReaders::new(1);
     readers.begin(at(1_000));
-    readers.proved_by(Some(1), at(1_010));
+    proved_by(&mut readers, Some(1), at(1_010));
     assert_eq!(readers.reader(), Some(1));
-    readers.proved_by(Some(5), at(2_700));
+    proved_by(&mut readers, Some(5), at(2_700));
     assert_eq!(readers.reader(), Some(5));
 }
 
@@ -438,3 +452,28 @@
     assert!(readers.yield_to_reader(1, at(2_700)));
     assert!(!readers.reads());
 }
+
+/// Guards against a reader of one table that counts as the reader of both: endpoint changes would
+/// not be read by any instance.
+#[test]
+fn an_instance_that_reads_only_one_table_is_not_named_as_the_reader() {
+    let mut readers = StoreReaders::new(5);
+    proved_by(&mut readers, Some(3), at(1_000));
+    assert_eq!(readers.reader(), Some(3));
+    readers.proved_by(WatchedTable::Config, Some(2), at(2_000));
+    assert_eq!(readers.reader(), None);
+    assert_eq!(readers.all_proved_at(), Some(at(1_000)));
+    readers.proved_by(WatchedTable::Endpoints, Some(2), at(1_900));
+    assert_eq!((readers.reader(), readers.all_proved_at()), (Some(2), Some(at(1_900))));
+}
+
+#[test]
+fn a_new_reader_has_read_a_table_once_its_own_response_proves_it() {
+    let mut readers = StoreReaders::new(5);
+    proved_by(&mut readers, Some(3), at(1_000));
+    readers.begin(at(2_500));
+    assert!(!readers.has_read(WatchedTable::Endpoints));
+    readers.proved_by(WatchedTable::Endpoints, Some(5), at(2_500));
+    assert!(readers.has_read(WatchedTable::Endpoints));
+    assert!(!readers.has_read(WatchedTable::Config));
+}
--- a/crates/ringbend-relay/src/admin.rs
+++ b/crates/ringbend-relay/src/admin.rs
@@ -4,12 +4,13 @@
 
 use actix_http::{Method, StatusCode};
 use futures_util::future::LocalBoxFuture;
-use ringbend_gateway::{STRIKES_TO_HOLD, Suspicion};
+use ringbend_gateway::{STRIKES_TO_HOLD, Suspicion, WatchedTable};
 use ringbend_runtime::{Handler, HttpRequest, HttpResponse, empty, json, text};
 use ringbend_types::Fingerprint;
 use serde::Serialize;
 
 use crate::node::Node;
+use crate::table_copies::copy_age;
 
 /// The load balancer's readiness check: 200 or 503, whatever the path.
 pub(crate) struct ReadinessCheck {
@@ -53,11 +54,18 @@
             (&Method::POST, Some(rest)) => self.clear(rest),
             (_, Some(_)) => empty(StatusCode::NOT_FOUND),
             (_, None) => {
+                self.set_copy_ages();
                 text(StatusCode::OK, "text/plain; version=0.0.4", self.node.metrics.render())
             }
         }
     }
 
+    fn set_copy_ages(&self) {
+        let age = |table| copy_age(&self.node, table).as_secs_f64();
+        self.node.metrics.settings_age.set(age(WatchedTable::Config));
+        self.node.metrics.endpoints_age.set(age(WatchedTable::Endpoints));
+    }
+
     fn suspects(&self) -> Vec<SuspectEntry> {
         let quarantine = self.node.quarantine.borrow();
         let entry = |suspicion: &Suspicion| SuspectEntry {
--- a/crates/ringbend-relay/src/gossip_sender.rs
+++ b/crates/ringbend-relay/src/gossip_sender.rs
@@ -28,6 +28,7 @@
 struct LastSent {
     at: Cell<Timestamp>,
     proved_at: Cell<Timestamp>,
+    endpoints_proved_at: Cell<Timestamp>,
     config: Cell<u64>,
     endpoints: Cell<u64>,
     is_scheduler: Cell<bool>,
@@ -177,11 +178,14 @@
     /// changed, or a heartbeat is due.
     fn is_update_due(&self, now: Timestamp) -> bool {
         let currency = currency(&self.node).unwrap_or_default();
-        let LastSent { at, proved_at, config, endpoints, is_scheduler: was_scheduler, .. } =
+        let LastSent { at, proved_at, endpoints_proved_at, config, endpoints, .. } =
             &self.last_sent;
+        let was_scheduler = &self.last_sent.is_scheduler;
         let proof = Timestamp(currency.proved_us);
+        let endpoints_proof = Timestamp(currency.endpoints_proved_us.unwrap_or_default());
         let is_heartbeat_due = now.since(at.get()) >= HEARTBEAT_INTERVAL - BATCH_DELAY;
-        let has_newer_proof = proof.since(proved_at.get()) >= MIN_PROOF_ADVANCE;
+        let has_newer_proof = proof.since(proved_at.get()) >= MIN_PROOF_ADVANCE
+            || endpoints_proof.since(endpoints_proved_at.get()) >= MIN_PROOF_ADVANCE;
         let is_scheduler = self.node.is_scheduler();
         let has_changed = config.replace(currency.config_version) != currency.config_version
             || endpoints.replace(currency.endpoints_cursor) != currency.endpoints_cursor;
@@ -190,6 +194,7 @@
         if has_news {
             at.set(now);
             proved_at.set(proof);
+            endpoints_proved_at.set(endpoints_proof);
         }
         has_news
     }
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -11,9 +11,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Backoffs, Directory, HealthTracker, InstanceRank, Limits, LoadTracker, Outbox, PaceQueries,
-    Peers, Permits, Quarantine, Replica, RetryBudget, StoreOutages, StoreReaders, WorkId,
-    fleet_backoff_factor,
+    Backoffs, Directory, Freshness, HealthTracker, InstanceRank, Limits, LoadTracker, Outbox,
+    PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget, StoreOutages, StoreReaders,
+    WorkId, fleet_backoff_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -97,6 +97,10 @@
     pub(crate) newer_config: Notify,
     /// Notified when another instance has read endpoint changes that are unknown here.
     pub(crate) newer_endpoints: Notify,
+    /// The position in the store's history as of which this instance last read the endpoint table.
+    pub(crate) endpoints_read_at: Cell<Cursor>,
+    /// Converts the store's clock in responses about the endpoints.
+    pub(crate) endpoints_freshness: RefCell<Freshness>,
     /// The change history of the endpoint table is known up to this position.
     pub(crate) endpoints_cursor: Cell<Cursor>,
     /// Notified when the end of an endpoint's process becomes known.
@@ -183,6 +187,8 @@
             startup_progress: Notify::new(),
             newer_config: Notify::new(),
             newer_endpoints: Notify::new(),
+            endpoints_read_at: Cell::default(),
+            endpoints_freshness: RefCell::default(),
             endpoints_cursor: Cell::default(),
             endpoint_ended: Notify::new(),
             endpoint_changes: RefCell::default(),
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use ringbend_gateway::{Endpoint, EndpointChange};
+use ringbend_gateway::{Endpoint, EndpointChange, WatchedTable};
 use ringbend_runtime::{Clock, Server, ServerConfig, serve};
 use ringbend_types::Timestamp;
 use tokio::task::JoinHandle;
@@ -26,7 +26,7 @@
     InstanceRegistry,
 };
 use crate::suspect_store::load_suspects;
-use crate::table_copies::{ConfigCopy, EndpointCopy};
+use crate::table_copies::{ConfigCopy, EndpointCopy, copy_age};
 use crate::watch::Watch;
 
 /// Why a relay did not start.
@@ -204,6 +204,12 @@
         self.node.readers.borrow().reads()
     }
 
+    /// The time since the copies of both watched tables were last proved current.
+    pub fn copies_age(&self) -> Duration {
+        let age = |table| copy_age(&self.node, table);
+        age(WatchedTable::Config).max(age(WatchedTable::Endpoints))
+    }
+
     /// Whether this instance is a scheduler, which places requests for other instances of its data
     /// centre.
     pub fn is_scheduler(&self) -> bool {
--- a/crates/ringbend-relay/src/table_copies.rs
+++ b/crates/ringbend-relay/src/table_copies.rs
@@ -6,8 +6,9 @@
 
 use ringbend_gateway::{
     Endpoint, EndpointChange, MEMBER_READ_AGE_MS, OfferResult, OutageUpdate, Proof, READ_AGE_MS,
-    Snapshot,
+    Snapshot, WatchedTable,
 };
+use ringbend_types::Timestamp;
 use ringbend_wire::{EndpointChanges, encode_endpoint_change};
 
 use crate::node::Node;
@@ -19,9 +20,9 @@
 /// copies of all instances current, so this is how old those proofs get.
 const CONFIG_POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// The wait requested from the store by the reader of the endpoints. Nothing depends on when this
-/// table was last proved current. An unavailable store is noticed by the watch of the
-/// configuration, and so is a lost response.
+/// The wait requested from the store by the reader of the endpoints. Responses about the
+/// configuration prove this table current as well, as long as no table has changed. An unavailable
+/// store is noticed by the watch of the configuration, and so is a lost response.
 const ENDPOINTS_POLL_TIMEOUT: Duration = Duration::from_millis(9_000);
 
 /// How long a response about the endpoints may arrive after one about another table: a slow store
@@ -85,11 +86,16 @@
         let ages = if node.is_scheduler() { READ_AGE_MS } else { MEMBER_READ_AGE_MS };
         let age_ms = node.rng.borrow_mut().random_range(ages);
         loop {
-            let proved_at = node.replica.borrow().proved_at();
+            let proved_at = node.readers.borrow().all_proved_at();
             let since = proved_at.unwrap_or(node.clock.started_at());
             let due = since + Duration::from_millis(age_ms);
             if node.clock.now() >= due {
-                log::info!(target: "store", age_ms; "copy is old; reading from the store");
+                let config_age_ms = copy_age_ms(node, WatchedTable::Config);
+                let endpoints_age_ms = copy_age_ms(node, WatchedTable::Endpoints);
+                log::info!(
+                    target: "store", age_ms, config_age_ms, endpoints_age_ms;
+                    "copy is old; reading from the store"
+                );
                 node.readers.borrow_mut().begin(node.clock.now());
                 node.started_reading.notify_waiters();
                 return ReadFrom::Store(Duration::ZERO);
@@ -127,10 +133,14 @@
         node.replica.borrow_mut().mark_unreadable();
     }
 
-    fn prove(&self, node: &Node, proof: Proof, paired: bool) {
-        node.replica.borrow_mut().prove(proof, paired);
-        if let Some(proved_at) = node.replica.borrow().proved_at() {
-            node.readers.borrow_mut().proved_by(Some(node.incarnation()), proved_at);
+    fn prove(&self, node: &Node, proof: Proof, cursor: Cursor, paired: bool) {
+        let proved_at = node.replica.borrow_mut().prove(proof, paired);
+        if let Some(proved_at) = proved_at {
+            record_own_proof(node, WatchedTable::Config, proved_at);
+            // No table has changed since this instance read the endpoints.
+            if cursor == node.endpoints_read_at.get() {
+                record_own_proof(node, WatchedTable::Endpoints, proved_at);
+            }
         }
         node.startup_progress.notify_waiters();
         if node.readers.borrow().reads() {
@@ -140,6 +150,21 @@
     }
 }
 
+/// Records that a read by this instance proved its copy of a table.
+fn record_own_proof(node: &Node, table: WatchedTable, at: Timestamp) {
+    node.readers.borrow_mut().proved_by(table, Some(node.incarnation()), at);
+}
+
+/// The time since the copy of a table was last proved current, or since this instance started.
+pub(crate) fn copy_age(node: &Node, table: WatchedTable) -> Duration {
+    let proved_at = node.readers.borrow().proved_at(table);
+    node.clock.now().since(proved_at.unwrap_or(node.clock.started_at()))
+}
+
+fn copy_age_ms(node: &Node, table: WatchedTable) -> u64 {
+    copy_age(node, table).as_millis() as u64
+}
+
 /// Keeps endpoints whose rows expired in an outage of the store for a while, as their rows return.
 pub(crate) fn apply_outage_update(node: &Node, update: OutageUpdate) {
     let now = node.clock.now();
@@ -161,8 +186,7 @@
 /// since. This instance must receive that reader's updates at once, not only after its own next
 /// call to the store.
 pub(crate) fn leave_reading_to_others(node: &Node) {
-    let proved_at = node.replica.borrow().proved_at();
-    if node.readers.borrow_mut().yield_to_others(proved_at) {
+    if node.readers.borrow_mut().yield_to_others() {
         log::info!(target: "store", reads = false; "leaving reads to instances that reach the store");
         node.stopped_reading.notify_waiters();
     }
@@ -240,11 +264,17 @@
         node.flush.immediate.notify_one();
     }
 
-    /// Reads the store while this instance is the reader of the configuration.
+    /// Reads the store while this instance is the reader of the configuration. The first call does
+    /// not wait, so that its response proves the copy at once.
     async fn next_read(&self, node: &Node) -> ReadFrom {
         loop {
-            if node.readers.borrow().reads() {
-                return ReadFrom::Store(ENDPOINTS_POLL_TIMEOUT);
+            let (reads, has_read) = {
+                let readers = node.readers.borrow();
+                (readers.reads(), readers.has_read(WatchedTable::Endpoints))
+            };
+            if reads {
+                let wait = if has_read { ENDPOINTS_POLL_TIMEOUT } else { Duration::ZERO };
+                return ReadFrom::Store(wait);
             }
             tokio::select! {
                 () = node.started_reading.notified() => {}
@@ -292,5 +322,12 @@
 
     fn record_invalid_row(&self, _: &Node) {}
 
-    fn prove(&self, _: &Node, _: Proof, _: bool) {}
+    fn prove(&self, node: &Node, proof: Proof, cursor: Cursor, paired: bool) {
+        node.endpoints_read_at.set(cursor);
+        let proved_at = node.endpoints_freshness.borrow_mut().prove(proof, paired);
+        record_own_proof(node, WatchedTable::Endpoints, proved_at);
+        if node.readers.borrow().reads() {
+            node.flush.immediate.notify_one();
+        }
+    }
 }
--- a/crates/ringbend-relay/src/table_gossip.rs
+++ b/crates/ringbend-relay/src/table_gossip.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use ringbend_gateway::{ConfigVersion, CopyVersions, EndpointChange, Role};
+use ringbend_gateway::{ConfigVersion, CopyVersions, EndpointChange, Role, WatchedTable};
 use ringbend_types::Timestamp;
 use ringbend_wire::{
     Currency, EndpointChanges, LoadDigest, WireError, decode_endpoint_change, decode_role,
@@ -19,12 +19,13 @@
 
 /// How current this instance's copies are.
 pub(crate) fn currency(node: &Node) -> Option<Currency> {
-    let replica = node.replica.borrow();
+    let (replica, readers) = (node.replica.borrow(), node.readers.borrow());
     Some(Currency {
         config_version: replica.version()?.0,
         proved_us: replica.proved_at()?.0,
         endpoints_cursor: node.endpoints_cursor.get().0,
-        reader: node.readers.borrow().reader(),
+        reader: readers.reader(),
+        endpoints_proved_us: readers.proved_at(WatchedTable::Endpoints).map(|at| at.0),
         answering_since_us: node.outages.borrow().answering_since().map(|since| since.0),
     })
 }
@@ -50,7 +51,8 @@
 /// Records when the store last answered an instance.
 fn record_answer(node: &Node, now: Timestamp, incarnation: u64, currency: &Currency) {
     let to_own_clock = |us| node.readers.borrow().to_own_clock(incarnation, Timestamp(us));
-    let Some(at) = to_own_clock(currency.proved_us).filter(|at| *at <= now) else { return };
+    let proved_us = currency.endpoints_proved_us.unwrap_or_default().max(currency.proved_us);
+    let Some(at) = to_own_clock(proved_us).filter(|at| *at <= now) else { return };
     let since = currency.answering_since_us.and_then(to_own_clock);
     let update = node.outages.borrow_mut().peer_answered(at, since);
     apply_outage_update(node, update);
@@ -109,28 +111,57 @@
 }
 
 fn apply_currency(node: &Node, now: Timestamp, incarnation: u64, currency: &Currency) {
-    let proved_at = node.readers.borrow().to_own_clock(incarnation, Timestamp(currency.proved_us));
-    // Until the clocks are paired, the peer's time cannot be converted and proves nothing.
-    let Some(proved_at) = proved_at.filter(|at| *at <= now) else { return };
-    let version = ConfigVersion(currency.config_version);
-    let before = node.replica.borrow().proved_at().unwrap_or_default();
-    node.replica.borrow_mut().prove_at(version, proved_at);
-    node.startup_progress.notify_waiters();
+    let before = proof_times(node);
+    let proved_at = apply_proofs(node, now, incarnation, currency);
     leave_reading_to_others(node);
-    let after = node.replica.borrow().proved_at().unwrap_or_default();
-    if node.is_scheduler() && after.since(before) >= MIN_PROOF_ADVANCE {
+    let has_advanced = proof_times(node)
+        .iter()
+        .zip(before)
+        .any(|(at, before)| at.since(before) >= MIN_PROOF_ADVANCE);
+    if node.is_scheduler() && has_advanced {
         // The members of this data centre learn of it from this instance.
         node.flush.batched.notify_one();
     }
-    if node.replica.borrow().version() != Some(version) {
-        return;
-    }
-    let mut readers = node.readers.borrow_mut();
-    readers.proved_by(currency.reader, proved_at);
-    let Some(reader) = currency.reader else { return };
-    if readers.yield_to_reader(reader, proved_at) {
+    let Some((reader, proved_at)) = currency.reader.zip(proved_at) else { return };
+    if node.readers.borrow_mut().yield_to_reader(reader, proved_at) {
         let age_ms = now.since(proved_at).as_millis() as u64;
         log::info!(target: "store", reader, named_by = incarnation, age_ms; "another instance reads the store");
         node.stopped_reading.notify_waiters();
     }
 }
+
+/// When the copies of the two tables were last proved current.
+fn proof_times(node: &Node) -> [Timestamp; 2] {
+    let readers = node.readers.borrow();
+    [WatchedTable::Config, WatchedTable::Endpoints]
+        .map(|table| readers.proved_at(table).unwrap_or_default())
+}
+
+/// Applies a peer's proofs to this instance's copies. Returns the time up to which they prove both
+/// tables, if they do.
+fn apply_proofs(
+    node: &Node,
+    now: Timestamp,
+    incarnation: u64,
+    currency: &Currency,
+) -> Option<Timestamp> {
+    // Until the clocks are paired, the peer's times cannot be converted and prove nothing.
+    let to_own_clock = |us| {
+        let at = node.readers.borrow().to_own_clock(incarnation, Timestamp(us));
+        at.filter(|at| *at <= now)
+    };
+    let version = ConfigVersion(currency.config_version);
+    let config_at = to_own_clock(currency.proved_us);
+    let config_at = config_at.filter(|at| node.replica.borrow_mut().prove_at(version, *at));
+    if let Some(at) = config_at {
+        node.readers.borrow_mut().proved_by(WatchedTable::Config, currency.reader, at);
+        node.startup_progress.notify_waiters();
+    }
+    // The table has not changed since the peer's position, and this copy is as far or farther.
+    let is_as_new = Cursor(currency.endpoints_cursor) <= node.endpoints_cursor.get();
+    let endpoints_at = currency.endpoints_proved_us.and_then(to_own_clock).filter(|_| is_as_new);
+    if let Some(at) = endpoints_at {
+        node.readers.borrow_mut().proved_by(WatchedTable::Endpoints, currency.reader, at);
+    }
+    config_at.zip(endpoints_at).map(|(config, endpoints)| config.min(endpoints))
+}
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -64,9 +64,10 @@
     /// Waits until other reads show that a call for changes after `from` should have been answered.
     async fn wait_until_overtaken(&self, node: &Node, from: Cursor);
 
-    /// Records that the copy was current. `paired` means that the call did not wait, so that its
-    /// times relate the store's clock to this instance's.
-    fn prove(&self, node: &Node, proof: Proof, paired: bool);
+    /// Records that the copy was current when the store's history had reached `cursor`. `paired`
+    /// means that the call did not wait, so that its times relate the store's clock to this
+    /// instance's.
+    fn prove(&self, node: &Node, proof: Proof, cursor: Cursor, paired: bool);
 }
 
 /// Follows one table for as long as the process lives.
@@ -197,7 +198,7 @@
             target: "store", table = C::NAME, sent_ms, store_ms, cursor = cursor.0, wait_ms;
             "table proved current"
         );
-        self.copy.prove(&self.node, proof, wait.is_zero());
+        self.copy.prove(&self.node, proof, cursor, wait.is_zero());
     }
 
     fn record_invalid_rows(&self, rows: &[InvalidRow]) {
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -69,6 +69,10 @@
     pub draining_endpoints: Gauge,
     /// Endpoints that have asked this instance to back off.
     pub endpoint_backoffs: Gauge,
+    /// The time since the copy of the settings was last proved current, in seconds.
+    pub settings_age: Gauge<f64, AtomicU64>,
+    /// The time since the list of endpoints was last proved current, in seconds.
+    pub endpoints_age: Gauge<f64, AtomicU64>,
     /// The settings version in force.
     pub settings_version: Gauge,
     /// Admitted requests that have not ended yet.
@@ -106,6 +110,8 @@
             limited_endpoints: Gauge::default(),
             draining_endpoints: Gauge::default(),
             endpoint_backoffs: Gauge::default(),
+            settings_age: Gauge::default(),
+            endpoints_age: Gauge::default(),
             settings_version: Gauge::default(),
             open_requests: Gauge::default(),
             queued_requests: Gauge::default(),
@@ -248,6 +254,18 @@
             inadmissible,
         );
         r.register("unknown_signals", "Unknown headers in endpoint responses", unknown);
+        r.register_with_unit(
+            "settings_age",
+            "Time since the copy of the settings was last proved current",
+            Unit::Seconds,
+            self.settings_age.clone(),
+        );
+        r.register_with_unit(
+            "endpoints_age",
+            "Time since the list of endpoints was last proved current",
+            Unit::Seconds,
+            self.endpoints_age.clone(),
+        );
         r.register(
             "settings_version",
             "Version of the settings in force",
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -473,12 +473,15 @@
     /// How far it has read the endpoints' table.
     #[prost(uint64, tag = "4")]
     pub endpoints_cursor: u64,
-    /// The start of the instance whose reading proved it last.
+    /// The start of the instance whose reading proved both tables last.
     #[prost(fixed64, optional, tag = "5")]
     pub reader: ::core::option::Option<u64>,
     /// Since when the store has answered without an outage, on the sender's clock.
     #[prost(uint64, optional, tag = "6")]
     pub answering_since_us: ::core::option::Option<u64>,
+    /// When the endpoints up to the cursor were last proved current, on the sender's clock.
+    #[prost(uint64, optional, tag = "7")]
+    pub endpoints_proved_us: ::core::option::Option<u64>,
 }
 /// The configuration as its table holds it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
