fix(gateway): copies are read again at 1.4 to 1.7 s, by members at 1.9 s at most

Cause: the age at which an instance reads its copies was drawn from 1.5 to 2.1 s, and by members from 2.2 to 2.6 s, against a bound of 2 s for endpoints that leave and for configurations. Instances draw before they know their role and keep the draw, so that every one that starts drew a member's age, and kept it as a scheduler until the next change of the configuration.

Change: schedulers read at 1.4 to 1.7 s, members at 1.75 to 1.9 s; the age follows the role. A reader proves copies every 1.2 s at most, so one in good order is not replaced. The sum of the terms is a test. Weighed: a second reader half a period later, in another data centre (twice the calls at all times); shorter waits (more calls at all times).

--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -79,7 +79,7 @@
 };
 pub use store_backoff::{MAX_SECONDARY_BACKOFF, StoreBackoff, fleet_backoff_factor};
 pub use store_outages::{MIN_OUTAGE, OutageUpdate, StoreOutages};
-pub use store_readers::{MEMBER_READ_AGE_MS, READ_AGE_MS, StoreReaders, WatchedTable};
+pub use store_readers::{StoreReaders, WatchedTable, read_age};
 pub use turns::{QueuedPrompt, Turn, decide_turn};
 pub use waiting_prompt::WaitingPrompt;
 pub use weights::PlacementWeights;
--- a/crates/ringbend-gateway/src/store_readers.rs
+++ b/crates/ringbend-gateway/src/store_readers.rs
@@ -7,17 +7,26 @@
 //! instances are partitioned or a reader is lost, copies age and more instances read.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
+use std::time::Duration;
 
 use ringbend_types::Timestamp;
 
-/// The age from which a copy is read from the store again, unless another instance has proved it
-/// meanwhile; drawn from this range so that not all instances start at once. A reader proves copies
-/// once per second.
-pub const READ_AGE_MS: std::ops::Range<u64> = 1_500..2_100;
+/// The ages from which a copy is read from the store again, unless another instance proves it
+/// first; drawn from this range so that not all instances start at once. Longer than the interval
+/// between two proofs of a reader, about 1.2 s, and short enough that endpoint changes are known to
+/// all instances within two seconds.
+const READ_AGE_MS: Range<f64> = 1_400.0..1_700.0;
 
 /// The same for an instance that does not schedule. What it reads takes longer to reach all others,
-/// so it leaves reading to schedulers while a copy of that age still admits requests.
-pub const MEMBER_READ_AGE_MS: std::ops::Range<u64> = 2_200..2_600;
+/// so it leaves reading to schedulers as long as there are any.
+const MEMBER_READ_AGE_MS: Range<f64> = 1_750.0..1_900.0;
+
+/// The age from which an instance reads its copies from the store again; `draw` is in `0.0..1.0`.
+pub fn read_age(schedules: bool, draw: f64) -> Duration {
+    let ages = if schedules { READ_AGE_MS } else { MEMBER_READ_AGE_MS };
+    Duration::from_secs_f64((ages.start + draw * (ages.end - ages.start)) / 1_000.0)
+}
 
 /// A moment on this instance's clock that is no later than a moment on a peer's clock.
 #[derive(Debug, Clone, Copy)]
--- a/crates/ringbend-gateway/tests/copy_freshness.rs
+++ b/crates/ringbend-gateway/tests/copy_freshness.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use ringbend_gateway::{ConfigVersion, OfferResult, Proof, Replica, StoreReaders, WatchedTable};
+use ringbend_gateway::{
+    ConfigVersion, MIN_OUTAGE, OfferResult, Proof, Replica, StoreReaders, WatchedTable, read_age,
+};
 use ringbend_types::Timestamp;
 use support::{at, ms, snapshot};
 
@@ -477,3 +479,18 @@
     assert!(readers.has_read(WatchedTable::Endpoints));
     assert!(!readers.has_read(WatchedTable::Config));
 }
+
+/// Guards against copies that grow too old after the loss of a reader: within two seconds no
+/// request may reach an endpoint that has announced its leaving.
+#[test]
+fn copies_are_read_again_before_they_are_too_old() {
+    // The store takes some milliseconds; instances that lack processor time take longer.
+    let (read, digest) = (ms(10), ms(50));
+    let poll = ms(1_000) + ms(200) + read + digest;
+    assert!(read_age(true, 0.0) > poll, "a reader in good order is not replaced");
+    assert!(read_age(true, 1.0) + read + digest < ms(1_800));
+    assert!(read_age(true, 1.0) < read_age(false, 0.0), "schedulers read first");
+    assert!(read_age(false, 1.0) + read + digest < ms(2_000));
+    // The loss of a reader is no outage, even if the store is slow.
+    assert!(read_age(false, 1.0) + ms(350) + digest <= MIN_OUTAGE);
+}
--- a/crates/ringbend-relay/src/gossip_receiver.rs
+++ b/crates/ringbend-relay/src/gossip_receiver.rs
@@ -114,6 +114,7 @@
     /// Requests the open work from the other schedulers, and reports this instance's own to them.
     pub(crate) fn become_scheduler(&self) {
         log::info!(target: "peers", schedules = true; "role changed");
+        self.role_changed.notify_waiters();
         let other_schedulers = self.peers.borrow().likely_other_schedulers(self.clock.now());
         other_schedulers.into_iter().for_each(|scheduler| self.send_hello(scheduler));
         self.greet_other_data_centres();
@@ -125,6 +126,7 @@
     /// instance.
     fn become_member(&self) {
         log::info!(target: "peers", schedules = false; "role changed");
+        self.role_changed.notify_waiters();
         self.load.borrow_mut().keep_instance(self.clock.now(), self.incarnation());
         let queued = self.placement_grants.borrow_mut().clear();
         for (address, grant) in queued {
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -85,6 +85,8 @@
     pub(crate) outages: RefCell<StoreOutages>,
     /// Which instances read the watched tables from the store.
     pub(crate) readers: RefCell<StoreReaders>,
+    /// Notified when this instance becomes a scheduler or ceases to be one.
+    pub(crate) role_changed: Notify,
     /// Notified when this instance starts to read the watched tables.
     pub(crate) started_reading: Notify,
     /// Notified when this instance leaves reading to other instances.
@@ -181,6 +183,7 @@
             store_read: Notify::new(),
             outages: RefCell::default(),
             readers: RefCell::new(StoreReaders::new(incarnation)),
+            role_changed: Notify::new(),
             started_reading: Notify::new(),
             stopped_reading: Notify::new(),
             joined: Cell::new(false),
--- a/crates/ringbend-relay/src/table_copies.rs
+++ b/crates/ringbend-relay/src/table_copies.rs
@@ -5,8 +5,7 @@
 use rand::Rng;
 
 use ringbend_gateway::{
-    Endpoint, EndpointChange, MEMBER_READ_AGE_MS, OfferResult, OutageUpdate, Proof, READ_AGE_MS,
-    Snapshot, WatchedTable,
+    Endpoint, EndpointChange, OfferResult, OutageUpdate, Proof, Snapshot, WatchedTable, read_age,
 };
 use ringbend_types::Timestamp;
 use ringbend_wire::{EndpointChanges, encode_endpoint_change};
@@ -83,17 +82,17 @@
         if node.readers.borrow().reads() {
             return ReadFrom::Store(CONFIG_POLL_TIMEOUT);
         }
-        let ages = if node.is_scheduler() { READ_AGE_MS } else { MEMBER_READ_AGE_MS };
-        let age_ms = node.rng.borrow_mut().random_range(ages);
+        let draw: f64 = node.rng.borrow_mut().random();
         loop {
+            let age = read_age(node.is_scheduler(), draw);
             let proved_at = node.readers.borrow().all_proved_at();
             let since = proved_at.unwrap_or(node.clock.started_at());
-            let due = since + Duration::from_millis(age_ms);
+            let due = since + age;
             if node.clock.now() >= due {
                 let config_age_ms = copy_age_ms(node, WatchedTable::Config);
                 let endpoints_age_ms = copy_age_ms(node, WatchedTable::Endpoints);
                 log::info!(
-                    target: "store", age_ms, config_age_ms, endpoints_age_ms;
+                    target: "store", config_age_ms, endpoints_age_ms;
                     "copy is old; reading from the store"
                 );
                 node.readers.borrow_mut().begin(node.clock.now());
@@ -102,6 +101,7 @@
             }
             tokio::select! {
                 () = node.clock.sleep_until(due) => {}
+                () = node.role_changed.notified() => {}
                 () = self.wait_for_newer(node) => return ReadFrom::Peers,
             }
         }
