--- a/crates/ringbend-relay/src/admin.rs
+++ b/crates/ringbend-relay/src/admin.rs
@@ -54,16 +54,17 @@
             (&Method::POST, Some(rest)) => self.clear(rest),
             (_, Some(_)) => empty(StatusCode::NOT_FOUND),
             (_, None) => {
-                self.set_copy_ages();
+                self.update_copy_metrics();
                 text(StatusCode::OK, "text/plain; version=0.0.4", self.node.metrics.render())
             }
         }
     }
 
-    fn set_copy_ages(&self) {
+    fn update_copy_metrics(&self) {
         let age = |table| copy_age(&self.node, table).as_secs_f64();
         self.node.metrics.settings_age.set(age(WatchedTable::Config));
         self.node.metrics.endpoints_age.set(age(WatchedTable::Endpoints));
+        self.node.metrics.reads_store.set(self.node.readers.borrow().reads().into());
     }
 
     fn suspects(&self) -> Vec<SuspectEntry> {
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -73,6 +73,8 @@
     pub settings_age: Gauge<f64, AtomicU64>,
     /// The time since the list of endpoints was last proved current, in seconds.
     pub endpoints_age: Gauge<f64, AtomicU64>,
+    /// 1 while this instance reads the watched tables from the store, else 0.
+    pub reads_store: Gauge,
     /// The settings version in force.
     pub settings_version: Gauge,
     /// Admitted requests that have not ended yet.
@@ -112,6 +114,7 @@
             endpoint_backoffs: Gauge::default(),
             settings_age: Gauge::default(),
             endpoints_age: Gauge::default(),
+            reads_store: Gauge::default(),
             settings_version: Gauge::default(),
             open_requests: Gauge::default(),
             queued_requests: Gauge::default(),
@@ -266,6 +269,11 @@
             Unit::Seconds,
             self.endpoints_age.clone(),
         );
+        r.register(
+            "reads_store",
+            "Whether this instance reads the watched tables from the store",
+            self.reads_store.clone(),
+        );
         r.register(
             "settings_version",
             "Version of the settings in force",
