fix(relay): an engine that is silent, has no row and answers no report is lost

Cause: a power loss breaks no connection, and a prompt that is too long to be run again for silence alone waited for its lead until the time limit of unused memory. Evidence weighed: silence (a long prompt that waits behind others is silent for seconds); a missing row (some engines serve on without one); unanswered reports (a cut link or a frozen engine looks the same for a moment). None of them alone; all three together count.

Change: once an engine's row is gone and a run on it has been silent for 0.5 s, its report is asked for twice, once for all runs of the instance; without a response all of them end there and go elsewhere where they may, with their memory released. An engine that answers is asked again after 1.5 s at the earliest, while its runs are silent. It is no strike against the request. Nothing is asked of one that asked for a back-off.

--- a/crates/ringbend-relay/src/engine_pace.rs
+++ b/crates/ringbend-relay/src/engine_pace.rs
@@ -19,11 +19,11 @@
 use crate::active_request::ActiveRequest;
 use crate::exchange::{self, ExchangeError};
 use crate::node::Node;
-use crate::ports::EngineReport;
+use crate::ports::{EngineReport, ResponseMetadata};
 
 /// Timeout of an engine's report, which needs no slot. An engine that takes longer does not serve
 /// requests in time either.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Interval between queries of a slow engine, so that it receives requests again soon after it has
 /// recovered.
@@ -40,6 +40,13 @@
 /// the prefill of a long prompt.
 const LONG_PAUSES_BEFORE_QUERY: u32 = 3;
 
+/// The response to a request for a report.
+pub(crate) struct ReportResponse {
+    pub(crate) metadata: ResponseMetadata,
+    /// `None` if the response contains no report.
+    pub(crate) report: Option<EngineReport>,
+}
+
 /// Counts consecutive long pauses of a stream.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct LongPauseCounter {
@@ -212,7 +219,15 @@
         if self.check_admission(&endpoint).is_err() {
             return Ok(None);
         }
-        let request = self.dialect.report_request(engine);
+        Ok(self.request_report(&endpoint).await?.report)
+    }
+
+    /// Requests an engine's report, whether or not requests may be sent to the engine.
+    pub(crate) async fn request_report(
+        &self,
+        endpoint: &Endpoint,
+    ) -> Result<ReportResponse, ExchangeError> {
+        let request = self.dialect.report_request(&endpoint.id);
         let mut head = RequestHead::default();
         head.method = Method::GET;
         head.uri = Uri::from_static(request.path);
@@ -222,12 +237,12 @@
         let mut incoming =
             exchange::send(&self.http_config, endpoint.address, head, Bytes::new()).await?;
         let status = incoming.head.status;
-        let response = self.dialect.parse_response(status, &incoming.head.headers);
-        if !response.is_wrong_endpoint {
-            self.apply_signals(&endpoint, sent_at, &response.signals, LimitSource::Report);
+        let metadata = self.dialect.parse_response(status, &incoming.head.headers);
+        if !metadata.is_wrong_endpoint {
+            self.apply_signals(endpoint, sent_at, &metadata.signals, LimitSource::Report);
         }
         let body = incoming.read_to_end(MAX_REPORT_BYTES).await?;
-        Ok(self.dialect.parse_report(status, &body))
+        Ok(ReportResponse { metadata, report: self.dialect.parse_report(status, &body) })
     }
 }
 
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod headers;
 mod limits;
 mod log_fields;
+mod lost_endpoints;
 mod node;
 mod peer_copies;
 mod peer_socket;
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -23,6 +23,7 @@
 
 use crate::config::RelayConfig;
 use crate::crashes::EndpointProbes;
+use crate::lost_endpoints::LossChecks;
 use crate::peer_socket::{FlushSignals, PeerSocket};
 use crate::placement_grants::PlacementGrants;
 use crate::placement_requests::PlacementRequests;
@@ -105,6 +106,10 @@
     pub(crate) endpoints_freshness: RefCell<Freshness>,
     /// The change history of the endpoint table is known up to this position.
     pub(crate) endpoints_cursor: Cell<Cursor>,
+    /// Notified when rows of endpoints were read.
+    pub(crate) endpoints_changed: Notify,
+    /// Checks of engines whose rows were removed.
+    pub(crate) loss_checks: RefCell<LossChecks>,
     /// Notified when the end of an endpoint's process becomes known.
     pub(crate) endpoint_ended: Notify,
     /// Endpoint changes that have not been sent to other instances yet.
@@ -193,6 +198,8 @@
             endpoints_read_at: Cell::default(),
             endpoints_freshness: RefCell::default(),
             endpoints_cursor: Cell::default(),
+            endpoints_changed: Notify::new(),
+            loss_checks: RefCell::default(),
             endpoint_ended: Notify::new(),
             endpoint_changes: RefCell::default(),
             quarantine: RefCell::default(),
--- a/crates/ringbend-relay/src/table_copies.rs
+++ b/crates/ringbend-relay/src/table_copies.rs
@@ -178,6 +178,7 @@
         OutageUpdate::Refuted => {
             log::info!(target: "store", "the store was available to other instances");
             node.directory.borrow_mut().outage_refuted(now);
+            node.endpoints_changed.notify_waiters();
         }
     }
 }
@@ -204,6 +205,7 @@
         node.handle_ended_endpoints(&ended);
     }
     node.endpoints_cursor.set(node.endpoints_cursor.get().max(cursor));
+    node.endpoints_changed.notify_waiters();
     let directory = node.directory.borrow();
     node.health.borrow_mut().retain(|id| directory.get(id).is_some());
 }
@@ -242,6 +244,7 @@
         let ended = node.directory.borrow_mut().replace(now, items);
         node.handle_ended_endpoints(&ended);
         node.endpoints_cursor.set(cursor);
+        node.endpoints_changed.notify_waiters();
         node.startup_progress.notify_waiters();
     }
 
--- a/crates/ringbend-relay/src/timeouts.rs
+++ b/crates/ringbend-relay/src/timeouts.rs
@@ -101,19 +101,28 @@
         self.attempts.begin_hedge(now, &self.config.service.name, budget)
     }
 
-    /// Waits until `until`, or until the process of an endpoint that the work depends on has ended.
-    /// The first endpoint is the one that the request was sent to.
+    /// Waits until `until`, until the process of an endpoint that the work depends on has ended, or
+    /// until the engine that the request was sent to counts as lost. That is the first endpoint.
     pub(crate) async fn run_until<T>(
         &self,
         dependencies: &[Endpoint],
         until: Timestamp,
         work: impl Future<Output = Result<T, ExchangeError>>,
     ) -> Result<T, RunError> {
+        let silent_since = self.node.clock.now();
+        let lead = dependencies.first().filter(|_| self.config.service.engine.is_some());
+        let lost = async {
+            match lead {
+                Some(lead) => self.node.wait_until_lost(lead, silent_since).await,
+                None => std::future::pending().await,
+            }
+        };
         let done = tokio::select! {
             biased;
             done = work => done.map_err(RunError::Exchange),
             () = self.node.clock.sleep_until(until) => Err(RunError::Late),
             () = self.node.wait_until_ended(dependencies) => Err(RunError::Ended),
+            () = lost => Err(RunError::Lost),
             () = self.node.wait_until_held(self.original.fingerprint), if self.is_cancelled_when_held() => {
                 Err(RunError::Held)
             }
@@ -136,6 +145,8 @@
     Late,
     /// The process of the endpoint, or of one that it depends on, has ended.
     Ended,
+    /// The engine is silent, has no row and does not respond to requests for its report.
+    Lost,
     /// The request is now held, as it crashes endpoints.
     Held,
 }
@@ -153,6 +164,7 @@
             Self::Replaced => write!(f, "no response for too long; replaced by another run"),
             Self::Late => write!(f, "time limit reached"),
             Self::Ended => write!(f, "the endpoint's process has ended"),
+            Self::Lost => write!(f, "the engine is lost"),
             Self::Held => write!(f, "the request is held because it crashes endpoints"),
         }
     }
