fix(relay): an engine that answers no report for 2.5 s is lost, whether or not its row remains

Change: the engine of a run that holds memory on others is asked for its report from one second of silence on, every 0.7 s; it is lost once its row is gone and it does not respond, or without any response for 2.5 s. An engine that resets or closes the connection runs. Other runs are replaced because of silence, as before, or once the row is gone.

--- a/crates/ringbend-relay/src/lost_endpoints.rs
+++ b/crates/ringbend-relay/src/lost_endpoints.rs
@@ -1,8 +1,13 @@
 //! Detection of engines that fail without closing their connections, for example in a power loss.
 //!
-//! Silence alone may be a long prompt that is being prefilled. A missing row alone proves nothing
-//! either: some engines continue to serve without one. An engine counts as lost if it is silent, its
-//! row was removed and it does not respond to requests for its report, which need no slot.
+//! Silence alone may be a long prompt that is being prefilled, and a missing row alone proves
+//! nothing either: some engines continue to serve without one. An engine counts as lost if it does
+//! not respond to requests for its report, which need no slot, and its row was removed or it has not
+//! responded for a while.
+//!
+//! A run that holds memory on other engines has its engine checked while it is silent: rows of lost
+//! engines are removed only when that memory must be released. Other runs have it checked once its
+//! row is gone; until then they are replaced because of silence.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -14,26 +19,37 @@
 use ringbend_types::{EndpointId, Timestamp};
 
 use crate::engine_pace::REPORT_TIMEOUT;
+use crate::exchange::ExchangeError;
 use crate::node::Node;
 
-/// How long a run is silent before its engine is checked.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a run is silent before its engine is checked if the engine's row is gone.
+const UNREGISTERED_SILENCE: Duration = Duration::from_millis(500);
+
+/// How long a run that holds memory is silent before its engine is checked. Most such prompts begin
+/// to be answered sooner.
+const MEMORY_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Number of reports in one check. Packets of one may be lost.
+const REPORTS_PER_CHECK: usize = 2;
 
-/// Number of reports without a response after which an engine counts as lost. Packets of one may be
-/// lost.
-const UNANSWERED_REPORTS: usize = 2;
+/// The time between two checks of an engine.
+const CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
-/// How long the result of a check holds, for all runs on the engine.
-const CHECK_TTL: Duration = Duration::from_millis(1_500);
+/// How long the result of a check holds for other runs on the engine.
+const CHECK_TTL: Duration = Duration::from_millis(600);
 
-/// Checks of engines whose rows were removed.
+/// How long an engine with a row may be without a response. Memory must be released four seconds
+/// after the loss of the engine that uses it.
+const MAX_UNRESPONSIVE: Duration = Duration::from_millis(2_500);
+
+/// The latest checks of engines.
 #[derive(Default)]
 pub(crate) struct LossChecks(HashMap<EndpointId, LossCheck>);
 
 struct LossCheck {
     started_at: Timestamp,
-    /// Whether the engine is lost.
-    result: Shared<LocalBoxFuture<'static, bool>>,
+    /// Whether the engine did not respond.
+    is_unresponsive: Shared<LocalBoxFuture<'static, bool>>,
 }
 
 impl Node {
@@ -42,14 +58,40 @@
         self: &Rc<Self>,
         engine: &Endpoint,
         silent_since: Timestamp,
+        holds_memory: bool,
     ) {
         loop {
-            self.wait_until_unregistered(engine).await;
-            self.clock.sleep_until(silent_since + SILENCE_TIMEOUT).await;
-            if self.loss_check(engine).await {
+            if holds_memory {
+                self.clock.sleep_until(silent_since + MEMORY_SILENCE).await;
+            } else {
+                self.wait_until_unregistered(engine).await;
+                self.clock.sleep_until(silent_since + UNREGISTERED_SILENCE).await;
+            }
+            let checked_at = self.clock.now();
+            if self.check(engine).await && self.stays_unresponsive(engine, checked_at).await {
+                log::warn!(target: "endpoints", endpoint:% = engine.id; "engine lost");
                 return;
             }
-            tokio::time::sleep(CHECK_TTL).await;
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Waits until the row of an engine that has not responded since `since` is gone, or it has been
+    /// unresponsive for too long. Returns false if it responds before that.
+    async fn stays_unresponsive(self: &Rc<Self>, engine: &Endpoint, since: Timestamp) -> bool {
+        let responds = async {
+            loop {
+                tokio::time::sleep(CHECK_INTERVAL).await;
+                if !self.check(engine).await {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            () = self.wait_until_unregistered(engine) => true,
+            () = self.clock.sleep_until(since + MAX_UNRESPONSIVE) => true,
+            () = responds => false,
         }
     }
 
@@ -67,32 +109,33 @@
         }
     }
 
-    /// The latest check of an engine, shared by all runs on it.
-    fn loss_check(self: &Rc<Self>, engine: &Endpoint) -> Shared<LocalBoxFuture<'static, bool>> {
+    /// Checks whether an engine does not respond; runs on the same engine share a check.
+    fn check(self: &Rc<Self>, engine: &Endpoint) -> Shared<LocalBoxFuture<'static, bool>> {
         let now = self.clock.now();
         let checks = &mut self.loss_checks.borrow_mut().0;
         checks.retain(|_, check| now.since(check.started_at) < CHECK_TTL);
         let check = checks.entry(engine.id.clone()).or_insert_with(|| {
-            let result = self.clone().is_lost(engine.clone()).boxed_local().shared();
-            LossCheck { started_at: now, result }
+            let check = self.clone().is_unresponsive(engine.clone());
+            LossCheck { started_at: now, is_unresponsive: check.boxed_local().shared() }
         });
-        check.result.clone()
+        check.is_unresponsive.clone()
     }
 
-    /// Whether an engine without a row does not respond either.
-    async fn is_lost(self: Rc<Self>, engine: Endpoint) -> bool {
+    async fn is_unresponsive(self: Rc<Self>, engine: Endpoint) -> bool {
         let state = self.backoffs.borrow().state(self.clock.now(), &engine);
         if matches!(state, BackoffState::Closed(_)) {
             return false;
         }
-        for _ in 0..UNANSWERED_REPORTS {
+        for _ in 0..REPORTS_PER_CHECK {
             let report = tokio::time::timeout(REPORT_TIMEOUT, self.request_report(&engine));
-            let Ok(Ok(response)) = report.await else { continue };
-            let lost = response.metadata.is_wrong_endpoint;
-            log::info!(target: "endpoints", endpoint:% = engine.id, lost; "response from the address of an unregistered engine");
-            return lost;
+            match report.await {
+                Ok(Ok(response)) => return response.metadata.is_wrong_endpoint,
+                Err(_) | Ok(Err(ExchangeError::ConnectFailed)) => {}
+                // A process that resets or closes the connection is running.
+                Ok(Err(_)) => return false,
+            }
         }
-        log::warn!(target: "endpoints", endpoint:% = engine.id; "engine lost: no row and no response");
+        log::info!(target: "endpoints", endpoint:% = engine.id; "engine does not respond");
         true
     }
 }
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -108,7 +108,7 @@
     pub(crate) endpoints_cursor: Cell<Cursor>,
     /// Notified when rows of endpoints were read.
     pub(crate) endpoints_changed: Notify,
-    /// Checks of engines whose rows were removed.
+    /// The latest checks whether engines are lost.
     pub(crate) loss_checks: RefCell<LossChecks>,
     /// Notified when the end of an endpoint's process becomes known.
     pub(crate) endpoint_ended: Notify,
--- a/crates/ringbend-relay/src/timeouts.rs
+++ b/crates/ringbend-relay/src/timeouts.rs
@@ -113,7 +113,11 @@
         let lead = dependencies.first().filter(|_| self.config.service.engine.is_some());
         let lost = async {
             match lead {
-                Some(lead) => self.node.wait_until_lost(lead, silent_since).await,
+                Some(lead) => {
+                    // The other engines hold memory for this run.
+                    let holds_memory = dependencies.len() > 1;
+                    self.node.wait_until_lost(lead, silent_since, holds_memory).await
+                }
                 None => std::future::pending().await,
             }
         };
@@ -145,7 +149,7 @@
     Late,
     /// The process of the endpoint, or of one that it depends on, has ended.
     Ended,
-    /// The engine is silent, has no row and does not respond to requests for its report.
+    /// The engine does not respond to anything.
     Lost,
     /// The request is now held, as it crashes endpoints.
     Held,
