fix(relay): a hello is repeated until it is answered

Callers saw nothing; endpoints with a limit of 1 got 17 to 28 requests in 4 s from 300 instances that had just started on a busy machine.

An instance that hears a new peer sends one hello, whose answer pairs the clocks and names the schedulers. Where that one datagram was lost, nothing was sent again, since the peer was no longer new: the instance stayed a scheduler, and no proof of that peer could be converted, so that it read the store by itself. Ruled out: an instance that stands still and takes all others for gone (no role changed in the seconds before); members that are promoted.

Change: a hello is sent again with the next digest of a peer whose clock is not paired, once per second at most.

Before: a_hello_is_repeated_until_it_is_answered failed (0 hellos in three seconds). After: passed in three of three.

--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -69,6 +69,8 @@
     /// When it was added.
     since: Timestamp,
     greeted_at: Option<Timestamp>,
+    /// When a hello was last sent to it because it was heard.
+    hello_sent_at: Option<Timestamp>,
     copies: CopyVersions,
     data_centre: Option<DataCentre>,
     capacity: u32,
@@ -82,6 +84,7 @@
             heard: None,
             since: now,
             greeted_at: None,
+            hello_sent_at: None,
             copies: CopyVersions::default(),
             data_centre: None,
             capacity: 0,
@@ -243,6 +246,17 @@
         true
     }
 
+    /// Whether to send a hello to the instance at `address`, which has not answered an earlier one.
+    /// Records that it is sent if so.
+    pub fn begin_hello(&mut self, now: Timestamp, address: SocketAddrV4) -> bool {
+        let Some(peer) = self.peers.get_mut(&address) else { return false };
+        let is_due = peer.hello_sent_at.is_none_or(|at| now.since(at) >= HEARTBEAT_INTERVAL);
+        if is_due {
+            peer.hello_sent_at = Some(now);
+        }
+        is_due
+    }
+
     /// Whether the instance at `address` is alive.
     pub fn is_alive(&self, now: Timestamp, address: SocketAddrV4) -> bool {
         self.peers.get(&address).is_some_and(|peer| peer.is_alive(now))
--- a/crates/ringbend-gateway/src/store_readers.rs
+++ b/crates/ringbend-gateway/src/store_readers.rs
@@ -119,6 +119,11 @@
         self.clocks.insert(incarnation, ClockPairing { own, peer });
     }
 
+    /// Whether the clock of an incarnation is paired with this instance's.
+    pub fn is_paired(&self, incarnation: u64) -> bool {
+        self.clocks.contains_key(&incarnation)
+    }
+
     /// Drops the clock of an incarnation that has ended.
     pub fn forget(&mut self, incarnation: u64) {
         self.clocks.remove(&incarnation);
--- a/crates/ringbend-relay/src/gossip_receiver.rs
+++ b/crates/ringbend-relay/src/gossip_receiver.rs
@@ -97,7 +97,11 @@
             if let Some(replaced) = replaced {
                 self.forget_incarnation(replaced);
             }
-            // The reply lets this instance convert the times that the peer reports.
+        }
+        // The reply lets this instance convert the times that the peer reports, and names others. It
+        // may be lost.
+        let is_answered = digest.hello_clock_us.is_some() || self.readers.borrow().is_paired(start);
+        if !is_answered && self.peers.borrow_mut().begin_hello(now, from) {
             self.send_hello(from);
         }
     }
