--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -42,6 +42,13 @@
 /// How long to wait for the answer to a greeting before sending the next one.
 const GREETING_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// How long a peer may take to answer a hello before another one is sent. It doubles each time:
+/// answers are lost where many instances start at once and lack processor time.
+const FIRST_HELLO_RETRY: Duration = Duration::from_secs(2);
+
+/// The upper bound of the time between two hellos to a peer.
+const MAX_HELLO_RETRY: Duration = Duration::from_secs(16);
+
 /// How current a peer's copies of the watched tables are, by its last digest.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CopyVersions {
@@ -69,8 +76,10 @@
     /// When it was added.
     since: Timestamp,
     greeted_at: Option<Timestamp>,
-    /// When a hello was last sent to it because it was heard.
-    hello_sent_at: Option<Timestamp>,
+    /// When the next hello may be sent to it, if it does not answer the one before.
+    next_hello_at: Option<Timestamp>,
+    /// Number of hellos sent to it because it was heard.
+    hellos: u32,
     copies: CopyVersions,
     data_centre: Option<DataCentre>,
     capacity: u32,
@@ -84,7 +93,8 @@
             heard: None,
             since: now,
             greeted_at: None,
-            hello_sent_at: None,
+            next_hello_at: None,
+            hellos: 0,
             copies: CopyVersions::default(),
             data_centre: None,
             capacity: 0,
@@ -250,9 +260,11 @@
     /// Records that it is sent if so.
     pub fn begin_hello(&mut self, now: Timestamp, address: SocketAddrV4) -> bool {
         let Some(peer) = self.peers.get_mut(&address) else { return false };
-        let is_due = peer.hello_sent_at.is_none_or(|at| now.since(at) >= HEARTBEAT_INTERVAL);
+        let is_due = peer.next_hello_at.is_none_or(|at| now >= at);
         if is_due {
-            peer.hello_sent_at = Some(now);
+            let delay = FIRST_HELLO_RETRY * 2u32.saturating_pow(peer.hellos);
+            peer.next_hello_at = Some(now + delay.min(MAX_HELLO_RETRY));
+            peer.hellos += 1;
         }
         is_due
     }
