--- a/crates/ringbend-gateway/src/store_readers.rs
+++ b/crates/ringbend-gateway/src/store_readers.rs
@@ -3,8 +3,8 @@
 //!
 //! One reader suffices for a fleet, and there is no election: an instance reads when one of its
 //! copies has not been proved current for a while, and its reads prove the copies of all others,
-//! which then have no reason to read. Of several readers the one with the smallest incarnation continues. If
-//! instances are partitioned or a reader is lost, copies age and more instances read.
+//! which then have no reason to read. Of several readers the one with the smallest incarnation
+//! continues. If instances are partitioned or a reader is lost, copies age and more instances read.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
--- a/crates/ringbend-relay/src/lost_endpoints.rs
+++ b/crates/ringbend-relay/src/lost_endpoints.rs
@@ -121,6 +121,7 @@
         check.is_unresponsive.clone()
     }
 
+    /// Whether the process of an engine does not respond. One that asked for a back-off is not asked.
     async fn is_unresponsive(self: Rc<Self>, engine: Endpoint) -> bool {
         let state = self.backoffs.borrow().state(self.clock.now(), &engine);
         if matches!(state, BackoffState::Closed(_)) {
@@ -129,6 +130,7 @@
         for _ in 0..REPORTS_PER_CHECK {
             let report = tokio::time::timeout(REPORT_TIMEOUT, self.request_report(&engine));
             match report.await {
+                // Another process at the address says nothing about this one but that it has ended.
                 Ok(Ok(response)) => return response.metadata.is_wrong_endpoint,
                 Err(_) | Ok(Err(ExchangeError::ConnectFailed)) => {}
                 // A process that resets or closes the connection is running.
