fix(gateway): endpoints that were never proved do not make a starting instance read the store

Cause: since endpoints count for the age of the copies, an instance that has just started and has no copy of them read the store 1.4 to 1.9 s later.

Change: the age counts from the configuration alone until the endpoints were proved for the first time.

--- a/crates/ringbend-gateway/src/store_readers.rs
+++ b/crates/ringbend-gateway/src/store_readers.rs
@@ -173,6 +173,13 @@
         Some(config.at.min(endpoints.at))
     }
 
+    /// The time from which the age of the copies counts. Endpoints that were never proved here do
+    /// not count: a starting instance gets its first copy of them from others, which takes a while
+    /// where all start at once.
+    pub fn oldest_proof(&self) -> Option<Timestamp> {
+        self.all_proved_at().or(self.proved_at(WatchedTable::Config))
+    }
+
     /// Whether this instance has proved its copy of a table by a read of its own since it began to
     /// read.
     pub fn has_read(&self, table: WatchedTable) -> bool {
--- a/crates/ringbend-gateway/tests/copy_freshness.rs
+++ b/crates/ringbend-gateway/tests/copy_freshness.rs
@@ -494,3 +494,15 @@
     // The loss of a reader is no outage, even if the store is slow.
     assert!(read_age(false, 1.0) + ms(350) + digest <= MIN_OUTAGE);
 }
+
+/// Guards against instances that all read the store when all have just started: copies of thousands
+/// of endpoints take seconds to reach them.
+#[test]
+fn endpoints_count_for_the_age_of_copies_once_they_were_proved() {
+    let mut readers = StoreReaders::new(5);
+    assert_eq!(readers.oldest_proof(), None);
+    readers.proved_by(WatchedTable::Config, Some(3), at(2_000));
+    assert_eq!(readers.oldest_proof(), Some(at(2_000)));
+    readers.proved_by(WatchedTable::Endpoints, Some(3), at(1_000));
+    assert_eq!(readers.oldest_proof(), Some(at(1_000)));
+}
--- a/crates/ringbend-relay/src/table_copies.rs
+++ b/crates/ringbend-relay/src/table_copies.rs
@@ -85,7 +85,7 @@
         let draw: f64 = node.rng.borrow_mut().random();
         loop {
             let age = read_age(node.is_scheduler(), draw);
-            let proved_at = node.readers.borrow().all_proved_at();
+            let proved_at = node.readers.borrow().oldest_proof();
             let since = proved_at.unwrap_or(node.clock.started_at());
             let due = since + age;
             if node.clock.now() >= due {
