fix(gateway): an instance reads when none has read the endpoints, not while it fetches them

Where more than twelve endpoints change, all fetch the list from others, and most read the store meanwhile.

Change: the age of the endpoints counts from the latest proof of any instance's own list; what is missing is fetched from it, and read from the store after 0.8 s without success, as before. What an instance tells of its own list, and the gauge, count that list only.

--- a/crates/ringbend-gateway/src/store_readers.rs
+++ b/crates/ringbend-gateway/src/store_readers.rs
@@ -64,6 +64,8 @@
     clocks: BTreeMap<u64, ClockPairing>,
     config: Option<CopyProof>,
     endpoints: Option<CopyProof>,
+    /// When another instance last proved its own list of endpoints, which may be ahead of this one.
+    endpoints_proved_elsewhere: Option<Timestamp>,
 }
 
 impl StoreReaders {
@@ -77,6 +79,7 @@
             clocks: BTreeMap::new(),
             config: None,
             endpoints: None,
+            endpoints_proved_elsewhere: None,
         }
     }
 
@@ -173,11 +176,20 @@
         Some(config.at.min(endpoints.at))
     }
 
-    /// The time from which the age of the copies counts. Endpoints that were never proved here do
-    /// not count: a starting instance gets its first copy of them from others, which takes a while
-    /// where all start at once.
-    pub fn oldest_proof(&self) -> Option<Timestamp> {
-        self.all_proved_at().or(self.proved_at(WatchedTable::Config))
+    /// Records that another instance proved its own list of endpoints at `at`. What is missing here
+    /// is fetched from that instance.
+    pub fn endpoints_proved_elsewhere(&mut self, at: Timestamp) {
+        self.endpoints_proved_elsewhere = self.endpoints_proved_elsewhere.max(Some(at));
+    }
+
+    /// The time since which no instance may have read one of the tables. Before the first proof of
+    /// the endpoints it is that of the configuration: a starting instance gets its first list from
+    /// others, which takes a while where all start at once.
+    pub fn unread_since(&self) -> Option<Timestamp> {
+        let config = self.proved_at(WatchedTable::Config);
+        let own = self.proved_at(WatchedTable::Endpoints);
+        let endpoints = own.max(self.endpoints_proved_elsewhere);
+        config.zip(endpoints).map(|(config, endpoints)| config.min(endpoints)).or(config)
     }
 
     /// Whether this instance has proved its copy of a table by a read of its own since it began to
--- a/crates/ringbend-gateway/tests/copy_freshness.rs
+++ b/crates/ringbend-gateway/tests/copy_freshness.rs
@@ -495,14 +495,17 @@
     assert!(read_age(false, 1.0) + ms(350) + digest <= MIN_OUTAGE);
 }
 
-/// Guards against instances that all read the store when all have just started: copies of thousands
-/// of endpoints take seconds to reach them.
+/// Guards against instances that all read the store while thousands of endpoints change: copies
+/// take seconds to reach all where all have just started, and others read the table meanwhile.
 #[test]
-fn endpoints_count_for_the_age_of_copies_once_they_were_proved() {
+fn endpoints_that_another_instance_has_read_need_no_read() {
     let mut readers = StoreReaders::new(5);
-    assert_eq!(readers.oldest_proof(), None);
-    readers.proved_by(WatchedTable::Config, Some(3), at(2_000));
-    assert_eq!(readers.oldest_proof(), Some(at(2_000)));
+    assert_eq!(readers.unread_since(), None);
+    readers.proved_by(WatchedTable::Config, Some(3), at(3_000));
+    assert_eq!(readers.unread_since(), Some(at(3_000)), "the first copy is on its way");
     readers.proved_by(WatchedTable::Endpoints, Some(3), at(1_000));
-    assert_eq!(readers.oldest_proof(), Some(at(1_000)));
+    assert_eq!(readers.unread_since(), Some(at(1_000)));
+    readers.endpoints_proved_elsewhere(at(2_000));
+    assert_eq!(readers.unread_since(), Some(at(2_000)));
+    assert_eq!(readers.proved_at(WatchedTable::Endpoints), Some(at(1_000)), "of this copy");
 }
--- a/crates/ringbend-relay/src/table_copies.rs
+++ b/crates/ringbend-relay/src/table_copies.rs
@@ -85,8 +85,8 @@
         let draw: f64 = node.rng.borrow_mut().random();
         loop {
             let age = read_age(node.is_scheduler(), draw);
-            let proved_at = node.readers.borrow().oldest_proof();
-            let since = proved_at.unwrap_or(node.clock.started_at());
+            let unread_since = node.readers.borrow().unread_since();
+            let since = unread_since.unwrap_or(node.clock.started_at());
             let due = since + age;
             if node.clock.now() >= due {
                 let config_age_ms = copy_age_ms(node, WatchedTable::Config);
--- a/crates/ringbend-relay/src/table_gossip.rs
+++ b/crates/ringbend-relay/src/table_gossip.rs
@@ -159,7 +159,11 @@
     }
     // The table has not changed since the peer's position, and this copy is as far or farther.
     let is_as_new = Cursor(currency.endpoints_cursor) <= node.endpoints_cursor.get();
-    let endpoints_at = currency.endpoints_proved_us.and_then(to_own_clock).filter(|_| is_as_new);
+    let endpoints_at = currency.endpoints_proved_us.and_then(to_own_clock);
+    if let Some(at) = endpoints_at {
+        node.readers.borrow_mut().endpoints_proved_elsewhere(at);
+    }
+    let endpoints_at = endpoints_at.filter(|_| is_as_new);
     if let Some(at) = endpoints_at {
         node.readers.borrow_mut().proved_by(WatchedTable::Endpoints, currency.reader, at);
     }
