--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -76,9 +76,9 @@
     /// When it was added.
     since: Timestamp,
     greeted_at: Option<Timestamp>,
-    /// When the next hello may be sent to it, if it does not answer the one before.
+    /// When the next hello may be sent if the previous one remains unanswered.
     next_hello_at: Option<Timestamp>,
-    /// Number of hellos sent to it because it was heard.
+    /// Number of hellos sent in reply to its digests.
     hellos: u32,
     copies: CopyVersions,
     data_centre: Option<DataCentre>,
--- a/crates/ringbend-gateway/src/store_outages.rs
+++ b/crates/ringbend-gateway/src/store_outages.rs
@@ -1,7 +1,8 @@
-//! Tells an outage of the store from the loss of this instance's own link to it.
+//! Distinguishes store outages from a local loss of connectivity.
 //!
-//! The store was away if it answered no instance for a while. Instances tell each other since when
-//! it has answered, so that one that heard nothing in the meantime learns whether others did.
+//! An outage is a period in which the store responded to no instance. Digests carry the time since
+//! which the store has responded without an outage, so an instance that was partitioned can
+//! determine whether the store was available to others.
 
 use std::time::Duration;
 
