feat(gateway): endpoints of evacuated data centres get no requests

Cause: the operator's table holds evacuations beside the configuration, and rows with another key than the configuration's were skipped.

Change: the rows become a replicated set with the position in the table's history that it reflects. The reader of the table hands it on with each digest and each copy of the configuration, so the proof that a configuration is current covers it. A name that is no data centre is skipped; a value that cannot be read still names its data centre by the key.

Weighed: part of the endpoints' table (its copies are taken whole, and its changes come from another watch); a third watch (one more call for each reader); with the configuration's version (it does not change). Ruled out by the tests: that a digest's proof arrives before the evacuation.

--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::drains::{Drain, Drains};
+use crate::evacuations::Evacuations;
 
 /// A registered endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -92,6 +93,7 @@
     at_address: HashMap<SocketAddrV4, SmallVec<[EndpointId; 1]>>,
     former: BTreeMap<EndpointId, FormerEndpoint>,
     drains: Drains,
+    evacuations: Evacuations,
     store_recovered_at: Option<Timestamp>,
 }
 
@@ -176,6 +178,21 @@
         drains.sweep(now, |id| entries.contains_key(id));
     }
 
+    /// Adopts a later set of evacuated data centres. Returns whether the set has changed.
+    pub fn merge_evacuations(&mut self, evacuations: Evacuations) -> bool {
+        self.evacuations.merge(evacuations)
+    }
+
+    /// The evacuated data centres.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Whether an endpoint must get no requests because its data centre is evacuated.
+    pub fn is_evacuated(&self, endpoint: &Endpoint) -> bool {
+        self.evacuations.contains(&endpoint.data_centre)
+    }
+
     fn present(&mut self, now: Timestamp, endpoint: Endpoint) -> EndedEndpoints {
         let mut ended = EndedEndpoints::new();
         let known = self.entries.get(&endpoint.id);
@@ -311,7 +328,7 @@
             .filter(move |e| e.missing_until.is_none_or(|until| now < until))
             .filter(|e| e.replaced_by.is_none() && !e.is_leaving())
             .map(|e| &e.endpoint)
-            .filter(move |e| e.service == *service)
+            .filter(move |e| e.service == *service && !self.is_evacuated(e))
     }
 
     /// The endpoints whose rows are present, including leaving ones.
--- a/crates/ringbend-relay/src/admission.rs
+++ b/crates/ringbend-relay/src/admission.rs
@@ -24,6 +24,8 @@
     Ended,
     /// The endpoint is draining, according to its row or its own announcement.
     Draining,
+    /// The operator evacuates the endpoint's data centre.
+    Evacuated,
     /// The endpoint asked this instance to back off.
     BackingOff,
 }
@@ -33,6 +35,7 @@
         f.write_str(match self {
             Self::Ended => "ended",
             Self::Draining => "draining",
+            Self::Evacuated => "evacuated",
             Self::BackingOff => "backing off",
         })
     }
@@ -118,6 +121,9 @@
         return Some(Inadmissible::Ended);
     }
     let known = directory.get(&endpoint.id).unwrap_or(endpoint);
+    if directory.is_evacuated(known) {
+        return Some(Inadmissible::Evacuated);
+    }
     directory.is_leaving(known).then_some(Inadmissible::Draining)
 }
 
--- a/crates/ringbend-relay/src/gossip_sender.rs
+++ b/crates/ringbend-relay/src/gossip_sender.rs
@@ -3,7 +3,7 @@
 //! Schedulers report all work that they place to each other, and the state of the watched tables to
 //! the members of their data centre. A member reports its requests to one scheduler.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -31,6 +31,7 @@
     endpoints_proved_at: Cell<Timestamp>,
     config: Cell<u64>,
     endpoints: Cell<u64>,
+    evacuated: RefCell<Vec<String>>,
     is_scheduler: Cell<bool>,
     /// The scheduler that this instance reports its requests to if it is a member.
     scheduler: Cell<Option<SocketAddrV4>>,
@@ -189,6 +190,9 @@
         let is_scheduler = self.node.is_scheduler();
         let has_changed = config.replace(currency.config_version) != currency.config_version
             || endpoints.replace(currency.endpoints_cursor) != currency.endpoints_cursor;
+        let evacuated = currency.evacuations.unwrap_or_default().data_centres;
+        let has_changed =
+            self.last_sent.evacuated.replace(evacuated.clone()) != evacuated || has_changed;
         let has_new_role = was_scheduler.replace(is_scheduler) != is_scheduler;
         let has_news = is_heartbeat_due || has_newer_proof || has_changed || has_new_role;
         if has_news {
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod discovery;
 mod ended_endpoints;
 mod engine_pace;
+mod evacuations;
 mod exchange;
 mod fingerprint;
 mod gossip_receiver;
@@ -51,7 +52,7 @@
 pub use ports::{
     Batch, ConfigDecoder, ConfigItem, ConfigSource, Cursor, Dialect, DurableRow, DurableStore,
     EndpointSource, EngineReport, ForwardContext, InstanceRecord, InstanceRegistry,
-    InvalidRequestHead, InvalidRow, PrefillHelper, ReportRequest, RequestMetadata,
+    InvalidRequestHead, InvalidRow, OperatorChange, PrefillHelper, ReportRequest, RequestMetadata,
     ReservationCommand, ReservationRequest, ResponseMetadata, Source, SourceError,
 };
 pub use relay::{Ports, Relay, RelayError};
--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -20,12 +20,12 @@
 use futures_util::future::LocalBoxFuture;
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use ringbend_gateway::{ConfigVersion, CopyVersions, Endpoint, EndpointChange};
+use ringbend_gateway::{ConfigVersion, CopyVersions, Endpoint, EndpointChange, Evacuations};
 use ringbend_runtime::{Handler, HttpRequest, HttpResponse, empty};
 use ringbend_types::Timestamp;
 use ringbend_wire::{
-    self as wire, EndpointChanges, Message, WireError, decode_endpoint_change,
-    encode_endpoint_change,
+    self as wire, EndpointChanges, Message, WireError, decode_endpoint_change, decode_evacuations,
+    encode_endpoint_change, encode_evacuations,
 };
 
 use crate::exchange::{self, ExchangeError};
@@ -143,7 +143,8 @@
     }
     let row = node.encoded_config.borrow().as_ref()?.to_vec();
     let cursor = node.config_cursor.get().0;
-    Some(wire::ConfigCopy { row, cursor }.encode_to_vec().into())
+    let evacuations = Some(encode_evacuations(node.directory.borrow().evacuations()));
+    Some(wire::ConfigCopy { row, cursor, evacuations }.encode_to_vec().into())
 }
 
 fn endpoints_copy(node: &Node) -> Bytes {
@@ -319,7 +320,14 @@
     let copy = wire::ConfigCopy::decode(raw).map_err(|e| CopyError::Decode(e.into()))?;
     let item = node.config_decoder.decode(copy.row.into()).map_err(CopyError::Config)?;
     log::info!(target: "peers", peer:%, version = item.parts.version.0; "configuration fetched from peer");
-    ConfigCopy.apply(node, vec![item], Cursor(copy.cursor));
+    // Instances of an earlier version serve no evacuations, so the table is read from its start.
+    let (evacuations, cursor) = match &copy.evacuations {
+        Some(evacuations) => {
+            (decode_evacuations(evacuations).map_err(CopyError::Decode)?, Cursor(copy.cursor))
+        }
+        None => (Evacuations::default(), Cursor::default()),
+    };
+    ConfigCopy::apply_copy(node, item, evacuations, cursor);
     // The copy does not prove that it is current. The peer's digest that says so arrived before the
     // copy and would be repeated only with the next heartbeat, so a hello requests it now.
     node.send_hello(peer);
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -10,8 +10,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use ringbend_gateway::{
-    Demand, Endpoint, EndpointChange, EndpointSignals, EventId, Pace, Reservation, ReservationId,
-    ReservationReply, SnapshotParts,
+    Demand, Endpoint, EndpointChange, EndpointSignals, EvacuationChange, EventId, Pace,
+    Reservation, ReservationId, ReservationReply, SnapshotParts,
 };
 use ringbend_types::{ClientAccountId, DataCentre, EndpointId, EndpointStart};
 use smallvec::SmallVec;
@@ -240,6 +240,15 @@
     pub parts: SnapshotParts,
 }
 
+/// A row of the operator's table, or a change of one.
+#[derive(Debug, Clone)]
+pub enum OperatorChange {
+    /// A configuration.
+    Config(ConfigItem),
+    /// The start or the end of an evacuation.
+    Evacuation(EvacuationChange),
+}
+
 /// Decodes a configuration that was fetched from another instance.
 pub trait ConfigDecoder {
     /// Decodes a row of the configuration table.
@@ -250,8 +259,8 @@
     fn decode(&self, raw: Bytes) -> Result<ConfigItem, InvalidRow>;
 }
 
-/// The configuration table.
-pub type ConfigSource = dyn Source<ConfigItem, ConfigItem>;
+/// The operator's table, with the configuration and the evacuations.
+pub type ConfigSource = dyn Source<OperatorChange, OperatorChange>;
 
 /// The table of registered endpoints.
 pub type EndpointSource = dyn Source<Endpoint, EndpointChange>;
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -22,8 +22,8 @@
 use crate::peer_copies::CopyServer;
 use crate::peer_socket::PeerSocket;
 use crate::ports::{
-    ConfigDecoder, ConfigItem, ConfigSource, Dialect, DurableStore, EndpointSource,
-    InstanceRegistry,
+    ConfigDecoder, ConfigSource, Dialect, DurableStore, EndpointSource, InstanceRegistry,
+    OperatorChange,
 };
 use crate::suspect_store::load_suspects;
 use crate::table_copies::{ConfigCopy, EndpointCopy, copy_age};
@@ -129,7 +129,7 @@
             servers.push(start_server(address.into(), admin).await?);
         }
         let config =
-            Watch::<ConfigItem, ConfigItem, _>::new(node.clone(), ports.config, ConfigCopy);
+            Watch::<OperatorChange, OperatorChange, _>::new(node.clone(), ports.config, ConfigCopy);
         let endpoints =
             Watch::<Endpoint, EndpointChange, _>::new(node.clone(), ports.endpoints, EndpointCopy);
         let mut tasks =
@@ -199,6 +199,11 @@
         self.node.directory.borrow().leaving()
     }
 
+    /// The number of data centres that the operator evacuates.
+    pub fn evacuated_data_centres(&self) -> usize {
+        self.node.directory.borrow().evacuations().data_centres().len()
+    }
+
     /// Whether this instance reads the watched tables from the store itself.
     pub fn reads_store(&self) -> bool {
         self.node.readers.borrow().reads()
--- a/crates/ringbend-relay/src/table_copies.rs
+++ b/crates/ringbend-relay/src/table_copies.rs
@@ -5,14 +5,15 @@
 use rand::Rng;
 
 use ringbend_gateway::{
-    Endpoint, EndpointChange, OfferResult, OutageUpdate, Proof, Snapshot, WatchedTable, read_age,
+    Endpoint, EndpointChange, EvacuationChange, Evacuations, OfferResult, OutageUpdate, Proof,
+    Snapshot, WatchedTable, read_age,
 };
 use ringbend_types::Timestamp;
 use ringbend_wire::{EndpointChanges, encode_endpoint_change};
 
 use crate::node::Node;
 use crate::peer_copies;
-use crate::ports::{ConfigItem, Cursor};
+use crate::ports::{ConfigItem, Cursor, OperatorChange};
 use crate::watch::{ReadFrom, TableCopy};
 
 /// The wait requested from the store by the reader of the configuration. Its responses prove the
@@ -36,8 +37,27 @@
 pub(crate) struct ConfigCopy;
 
 impl ConfigCopy {
+    /// Applies a copy of the operator's table that another instance had read up to `cursor`.
+    pub(crate) fn apply_copy(
+        node: &Node,
+        item: ConfigItem,
+        evacuations: Evacuations,
+        cursor: Cursor,
+    ) {
+        node.adopt_evacuations(evacuations);
+        Self::record_read(node, cursor);
+        Self::activate(node, item);
+    }
+
+    /// Records that the table's changes are known up to `cursor`. Evacuations are known at least as
+    /// far, because changes are read from this position on.
+    fn record_read(node: &Node, cursor: Cursor) {
+        node.config_cursor.set(node.config_cursor.get().max(cursor));
+        node.store_read.notify_waiters();
+    }
+
     /// Activates a configuration if it is newer.
-    pub(crate) fn activate(node: &Node, item: ConfigItem) {
+    fn activate(node: &Node, item: ConfigItem) {
         let snapshot = Snapshot::new(item.parts);
         let (version, routes) = (snapshot.version, snapshot.route_count());
         match node.replica.borrow_mut().offer(snapshot) {
@@ -57,7 +77,19 @@
     }
 }
 
-impl TableCopy<ConfigItem, ConfigItem> for ConfigCopy {
+/// Splits rows of the operator's table by kind.
+fn split_changes(items: Vec<OperatorChange>) -> (Vec<ConfigItem>, Vec<EvacuationChange>) {
+    let (mut configs, mut evacuations) = (Vec::new(), Vec::new());
+    for item in items {
+        match item {
+            OperatorChange::Config(config) => configs.push(config),
+            OperatorChange::Evacuation(change) => evacuations.push(change),
+        }
+    }
+    (configs, evacuations)
+}
+
+impl TableCopy<OperatorChange, OperatorChange> for ConfigCopy {
     const NAME: &'static str = "config";
 
     /// A tenth of the time within which a configuration must be active.
@@ -65,14 +97,20 @@
 
     const DETECTS_OUTAGES: bool = true;
 
-    fn replace(&self, node: &Node, items: Vec<ConfigItem>, cursor: Cursor) {
-        self.apply(node, items, cursor);
+    fn replace(&self, node: &Node, items: Vec<OperatorChange>, cursor: Cursor) {
+        let (configs, evacuations) = split_changes(items);
+        let evacuated = Evacuations::new(cursor.0, []).with_changes(cursor.0, evacuations);
+        node.adopt_evacuations(evacuated);
+        Self::record_read(node, cursor);
+        configs.into_iter().for_each(|config| Self::activate(node, config));
     }
 
-    fn apply(&self, node: &Node, items: Vec<ConfigItem>, cursor: Cursor) {
-        node.config_cursor.set(node.config_cursor.get().max(cursor));
-        node.store_read.notify_waiters();
-        items.into_iter().for_each(|item| Self::activate(node, item));
+    fn apply(&self, node: &Node, items: Vec<OperatorChange>, cursor: Cursor) {
+        let (configs, changes) = split_changes(items);
+        let evacuated = node.directory.borrow().evacuations().with_changes(cursor.0, changes);
+        node.adopt_evacuations(evacuated);
+        Self::record_read(node, cursor);
+        configs.into_iter().for_each(|config| Self::activate(node, config));
     }
 
     /// Reads the store as long as no other instance does; otherwise only when the copy has become
--- a/crates/ringbend-relay/src/table_gossip.rs
+++ b/crates/ringbend-relay/src/table_gossip.rs
@@ -6,7 +6,8 @@
 use ringbend_gateway::{ConfigVersion, CopyVersions, EndpointChange, Role, WatchedTable};
 use ringbend_types::Timestamp;
 use ringbend_wire::{
-    Currency, EndpointChanges, LoadDigest, WireError, decode_endpoint_change, decode_role,
+    Currency, EndpointChanges, LoadDigest, WireError, decode_endpoint_change, decode_evacuations,
+    decode_role, encode_evacuations,
 };
 
 use crate::node::Node;
@@ -27,6 +28,7 @@
         reader: readers.reader(),
         endpoints_proved_us: readers.proved_at(WatchedTable::Endpoints).map(|at| at.0),
         answering_since_us: node.outages.borrow().answering_since().map(|since| since.0),
+        evacuations: Some(encode_evacuations(node.directory.borrow().evacuations())),
     })
 }
 
@@ -43,11 +45,21 @@
         forward_changes(node, now, from, decode_role(digest) == Role::Scheduler, changes);
     }
     if let Some(currency) = &digest.currency {
+        // Before the proof, which is about all of the operator's table.
+        merge_evacuations(node, currency);
         record_peer_versions(node, from, currency);
         apply_currency(node, now, digest.incarnation, currency);
     }
 }
 
+fn merge_evacuations(node: &Node, currency: &Currency) {
+    match currency.evacuations.as_ref().map(decode_evacuations) {
+        Some(Ok(evacuations)) => node.adopt_evacuations(evacuations),
+        Some(Err(e)) => log::warn!(target: "peers", error:% = e; "invalid evacuations in digest"),
+        None => {}
+    }
+}
+
 /// Records when the store last answered an instance.
 fn record_answer(node: &Node, now: Timestamp, incarnation: u64, currency: &Currency) {
     let to_own_clock = |us| node.readers.borrow().to_own_clock(incarnation, Timestamp(us));
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -69,6 +69,8 @@
     pub draining_endpoints: Gauge,
     /// Endpoints that have asked this instance to back off.
     pub endpoint_backoffs: Gauge,
+    /// Data centres that the operator evacuates.
+    pub evacuated_data_centres: Gauge,
     /// The time since the copy of the settings was last proved current, in seconds.
     pub settings_age: Gauge<f64, AtomicU64>,
     /// The time since the list of endpoints was last proved current, in seconds.
@@ -112,6 +114,7 @@
             limited_endpoints: Gauge::default(),
             draining_endpoints: Gauge::default(),
             endpoint_backoffs: Gauge::default(),
+            evacuated_data_centres: Gauge::default(),
             settings_age: Gauge::default(),
             endpoints_age: Gauge::default(),
             reads_store: Gauge::default(),
@@ -247,6 +250,12 @@
         r.register("limited_endpoints", "Endpoints that announce a rate limit", limited);
         let draining = self.draining_endpoints.clone();
         r.register("draining_endpoints", "Endpoints that have announced a drain", draining);
+        let evacuated = self.evacuated_data_centres.clone();
+        r.register(
+            "evacuated_data_centres",
+            "Data centres whose endpoints the operator evacuates",
+            evacuated,
+        );
         let backoffs = self.endpoint_backoffs.clone();
         r.register("endpoint_backoffs", "Endpoints that asked this instance to back off", backoffs);
         let unknown = self.unknown_signals.clone();
--- a/crates/ringbend-wire/src/endpoints.rs
+++ b/crates/ringbend-wire/src/endpoints.rs
@@ -25,6 +25,7 @@
             data_centre: endpoint.data_centre.to_string(),
             slots: endpoint.slots,
             leaving: endpoint.leaving,
+            cold_left_ms: 0,
         },
     }
 }
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -412,6 +412,9 @@
     /// Endpoints that its instance must not send to now, as they asked it to back off.
     #[prost(string, repeated, tag = "16")]
     pub closed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The data centres in which it may run; any if there are none.
+    #[prost(string, repeated, tag = "17")]
+    pub data_centres: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// What became of an ask.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -462,7 +465,7 @@
     pub percent: u32,
 }
 /// How current an instance's copies of the watched tables are.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Currency {
     /// The configuration in force.
     #[prost(uint64, tag = "1")]
@@ -482,6 +485,17 @@
     /// When the endpoints up to the cursor were last proved current, on the sender's clock.
     #[prost(uint64, optional, tag = "7")]
     pub endpoints_proved_us: ::core::option::Option<u64>,
+    /// The data centres that the operator evacuates.
+    #[prost(message, optional, tag = "8")]
+    pub evacuations: ::core::option::Option<Evacuations>,
+}
+/// The data centres that the operator evacuates, as of a place in the history of its table.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evacuations {
+    #[prost(uint64, tag = "1")]
+    pub position: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub data_centres: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// The configuration as its table holds it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -491,6 +505,9 @@
     /// How far the table's changes are known with it.
     #[prost(uint64, tag = "2")]
     pub cursor: u64,
+    /// From the same table; at least as recent as the cursor.
+    #[prost(message, optional, tag = "3")]
+    pub evacuations: ::core::option::Option<Evacuations>,
 }
 /// Changes of the endpoints' table between two places in its history.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -525,6 +542,9 @@
     /// The entry is there and cannot be read; the fields but for `id` are empty.
     #[prost(bool, tag = "9")]
     pub unreadable: bool,
+    /// How much longer it is cold after its start, in milliseconds.
+    #[prost(uint32, tag = "10")]
+    pub cold_left_ms: u32,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -5,6 +5,7 @@
 mod convert;
 mod drains;
 mod endpoints;
+mod evacuations;
 mod limits;
 mod load;
 
@@ -21,6 +22,7 @@
     decode_endpoint_change, decode_endpoint_restart, encode_endpoint_change,
     encode_endpoint_restart,
 };
+pub use evacuations::{decode_evacuations, encode_evacuations};
 pub use generated::{
     Ask, ConfigCopy, Currency, Demand, EndedProcess, EndpointChanges, EndpointDrain, EndpointLimit,
     EndpointRestart, EndpointResult, EndpointRow, EnginePace, EntriesReply, EntriesRequest,
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -123,6 +123,7 @@
         suspect: encode_suspect(job.suspect),
         rank: job.priority.into(),
         closed: job.backing_off.iter().map(EndpointId::to_string).collect(),
+        data_centres: Vec::new(),
     }
 }
 
