feat(gateway): cold endpoints are paced, and requests stay in their allowed regions

Cold endpoints. Cause: what rows say of the time that an endpoint is still cold was parsed and dropped, so nothing bounded what all instances together send it in a second. Change: the directory knows until when an endpoint is cold (its row, a start that it reports itself, the end of an evacuation of its data centre); each scheduler places an even share of what it takes, counted over all schedulers including silent ones, with one request saved up. A cold endpoint without room is no candidate; if no other is left the request is rejected at once. Members place nothing on cold endpoints by themselves. Weighed: permits of the limit coordinator (exact, but each request to a cold endpoint asks one instance of all data centres, and nobody is served for 2.2 s after its loss); an even share of all instances (at 1,000 of them 0.02 requests a second each: nothing).

Change: a route and a client account may be confined to regions; both bind. Instances never forward bodies to each other. A request that may run nowhere is rejected at once.

New property and virtual-time tests in gateway cold.rs, regions.rs.

--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -27,6 +27,8 @@
     pub slots: u32,
     /// Whether its row announces that it is leaving and takes no new work.
     pub leaving: bool,
+    /// How much longer it is cold, as of the time when its row was read.
+    pub cold_left: Duration,
 }
 
 impl Endpoint {
@@ -69,6 +71,8 @@
     replaced_by: Option<EndpointId>,
     /// Whether its process has announced that it is draining.
     draining: bool,
+    /// Until when it is cold.
+    cold_until: Timestamp,
 }
 
 impl Entry {
@@ -94,6 +98,8 @@
     former: BTreeMap<EndpointId, FormerEndpoint>,
     drains: Drains,
     evacuations: Evacuations,
+    /// The latest time at which an endpoint is cold.
+    cold_until: Timestamp,
     store_recovered_at: Option<Timestamp>,
 }
 
@@ -188,6 +194,29 @@
         &self.evacuations
     }
 
+    /// Records that an endpoint is cold until this time at least.
+    pub fn note_cold(&mut self, id: &EndpointId, until: Timestamp) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.cold_until = entry.cold_until.max(until);
+            self.cold_until = self.cold_until.max(until);
+        }
+    }
+
+    /// How much longer an endpoint is cold; zero if it is not.
+    pub fn cold_left(&self, now: Timestamp, id: &EndpointId) -> Duration {
+        self.entries.get(id).map_or(Duration::ZERO, |entry| entry.cold_until.since(now))
+    }
+
+    /// Whether any endpoint may be cold.
+    pub fn has_cold(&self, now: Timestamp) -> bool {
+        self.cold_until > now
+    }
+
+    /// The number of endpoints that are cold.
+    pub fn cold(&self, now: Timestamp) -> usize {
+        self.entries.values().filter(|entry| entry.cold_until > now).count()
+    }
+
     /// Whether an endpoint must get no requests because its data centre is evacuated.
     pub fn is_evacuated(&self, endpoint: &Endpoint) -> bool {
         self.evacuations.contains(&endpoint.data_centre)
@@ -222,11 +251,16 @@
             self.drains.note(now, Drain { endpoint: id, start });
         }
         let since = known.map_or(now, |entry| entry.since);
+        // Rows may be read late, so a row that says less does not shorten the time.
+        let known_until = known.filter(|_| ended.is_empty()).map(|entry| entry.cold_until);
+        let cold_until = known_until.unwrap_or_default().max(now + endpoint.cold_left);
+        self.cold_until = self.cold_until.max(cold_until);
         if is_new {
             ended.extend(self.replace_at_address(now, &endpoint));
         }
         let draining = self.drains.contains(&endpoint);
-        let entry = Entry { endpoint, since, missing_until: None, replaced_by, draining };
+        let entry =
+            Entry { endpoint, since, missing_until: None, replaced_by, draining, cold_until };
         self.former.remove(&entry.endpoint.id);
         self.insert(entry);
         ended
--- a/crates/ringbend-gateway/src/job.rs
+++ b/crates/ringbend-gateway/src/job.rs
@@ -8,6 +8,7 @@
 
 use crate::load::Work;
 use crate::placement::{Demand, Placement, PlacementGoal, stake};
+use crate::regions::AllowedDataCentres;
 use crate::weights::PlacementWeights;
 
 /// A request to be placed.
@@ -33,6 +34,8 @@
     pub tried: SmallVec<[EndpointId; 4]>,
     /// Endpoints that its instance must not use now, because they asked it to back off.
     pub backing_off: Vec<EndpointId>,
+    /// The data centres in which it may run.
+    pub data_centres: AllowedDataCentres,
     /// Whether to place it at once, however long its prompt is, because its stream has begun.
     pub at_once: bool,
     /// Its priority among requests that wait for a permit, zero first: that of its client account,
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempts;
 mod backoffs;
 mod candidate;
+mod cold;
 mod deferral;
 mod directory;
 mod drains;
@@ -29,6 +30,7 @@
 mod placement;
 mod quarantine;
 mod quiet;
+mod regions;
 mod replica;
 mod reservation;
 mod retry_budget;
@@ -46,6 +48,7 @@
 pub use admission::{AdmissionBounds, AdmissionRequest, Admitted, Denied, admit};
 pub use attempts::{Attempts, NextStep, SendOutcome};
 pub use backoffs::{BackoffState, Backoffs};
+pub use cold::{ColdPacing, ColdProfile, ColdTolerance};
 pub use directory::{Directory, EndedEndpoints, Endpoint, EndpointChange, OUTAGE_GRACE};
 pub use drains::{Drain, Drains};
 pub use engine::EngineProfile;
@@ -68,6 +71,7 @@
     Demand, Placement, PlacementGoal, is_long, place_on_engines, place_on_service, stake,
 };
 pub use quarantine::{EndedProcess, Quarantine, STRIKES_TO_HOLD, SuspectState, Suspicion};
+pub use regions::{AllowedDataCentres, AllowedRegions, RegionMap};
 pub use replica::{OfferResult, Replica};
 pub use reservation::{
     RESERVATION_RENEWAL, RESERVATION_TTL, Reservation, ReservationId, ReservationReply,
--- a/crates/ringbend-gateway/src/peers/roles.rs
+++ b/crates/ringbend-gateway/src/peers/roles.rs
@@ -197,6 +197,12 @@
         self.best_for(now, service, usable, self.schedules())
     }
 
+    /// The number of schedulers of all data centres, including this instance and those that are
+    /// silent: they may be partitioned and send to the same endpoints.
+    pub fn known_schedulers(&self, now: Timestamp) -> usize {
+        self.other_schedulers(now).len() + self.silent_schedulers(now).count() + 1
+    }
+
     /// The share of the known instances that is reachable, including this one, from zero to one.
     /// Silent instances may be partitioned and send to the same endpoints.
     pub fn reachable_share(&self, now: Timestamp) -> f64 {
--- a/crates/ringbend-gateway/src/snapshot.rs
+++ b/crates/ringbend-gateway/src/snapshot.rs
@@ -7,7 +7,9 @@
 use ringbend_types::{ClientAccountId, ServiceName};
 use smallvec::SmallVec;
 
+use crate::cold::ColdProfile;
 use crate::engine::EngineProfile;
+use crate::regions::AllowedRegions;
 
 /// The version number of a configuration. Later versions have larger numbers, not necessarily
 /// consecutive.
@@ -70,6 +72,8 @@
     pub max_runs: u8,
     /// Whether requests need no key.
     pub public: bool,
+    /// The regions in which its requests may run.
+    pub regions: AllowedRegions,
 }
 
 /// A service that routes refer to.
@@ -79,6 +83,8 @@
     pub name: ServiceName,
     /// The performance profile of its engines; `None` for a plain service.
     pub engine: Option<EngineProfile>,
+    /// How its endpoints behave while they are cold, if that differs.
+    pub cold: Option<ColdProfile>,
 }
 
 /// Limits on the size and duration of callers' requests.
@@ -110,6 +116,8 @@
     pub id: ClientAccountId,
     /// Its priority, which overrides that of the route.
     pub priority: Option<u8>,
+    /// The regions in which its requests may run, in addition to the restrictions of the route.
+    pub regions: AllowedRegions,
 }
 
 /// One route as listed by an operator.
--- a/crates/ringbend-gateway/tests/permits.rs
+++ b/crates/ringbend-gateway/tests/permits.rs
@@ -22,6 +22,7 @@
         deadline: at(since + 10_000),
         backing_off: Vec::new(),
         tried: smallvec![],
+        data_centres: Default::default(),
         at_once: false,
         priority,
         suspect: None,
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -49,6 +49,7 @@
         data_centre: "z1".parse().unwrap(),
         slots: 16,
         leaving: false,
+        cold_left: Duration::ZERO,
     }
 }
 
@@ -138,8 +139,13 @@
         priority: 1,
         max_runs: 2,
         public: false,
+        regions: Default::default(),
+    };
+    let account = ringbend_gateway::Account {
+        id: "account".parse().unwrap(),
+        priority: None,
+        regions: Default::default(),
     };
-    let account = ringbend_gateway::Account { id: "account".parse().unwrap(), priority: None };
     Snapshot::new(SnapshotParts {
         version: ConfigVersion(version),
         routes: vec![RouteEntry { host: "h".into(), prefix: "/a/".into(), route }],
--- a/crates/ringbend-relay/src/admission.rs
+++ b/crates/ringbend-relay/src/admission.rs
@@ -26,6 +26,8 @@
     Draining,
     /// The operator evacuates the endpoint's data centre.
     Evacuated,
+    /// The request must not run in the endpoint's data centre.
+    OutsideRegions,
     /// The endpoint asked this instance to back off.
     BackingOff,
 }
@@ -36,6 +38,7 @@
             Self::Ended => "ended",
             Self::Draining => "draining",
             Self::Evacuated => "evacuated",
+            Self::OutsideRegions => "outside the allowed regions",
             Self::BackingOff => "backing off",
         })
     }
@@ -108,7 +111,11 @@
             if job.backing_off.contains(id) {
                 return Some(Inadmissible::BackingOff);
             }
-            directory.get(id).and_then(|endpoint| closed_reason(&directory, endpoint))
+            let endpoint = directory.get(id)?;
+            if !job.data_centres.contains(&endpoint.data_centre) {
+                return Some(Inadmissible::OutsideRegions);
+            }
+            closed_reason(&directory, endpoint)
         };
         let mut ids = std::iter::once(&placement.lead).chain(&placement.helpers);
         ids.find_map(|id| Some((id.clone(), why(id)?)))
@@ -134,9 +141,12 @@
     ///
     /// It may not. Nothing was sent, so the request is placed again.
     pub(crate) fn admit(&mut self, dependencies: &[Endpoint]) -> Result<(), SendFailure> {
-        let rejected = dependencies
-            .iter()
-            .find_map(|e| Some((e.id.clone(), self.node.check_admission(e).err()?)));
+        let allowed = self.allowed_data_centres();
+        let check = |endpoint: &Endpoint| match allowed.contains(&endpoint.data_centre) {
+            true => self.node.check_admission(endpoint),
+            false => Err(Inadmissible::OutsideRegions),
+        };
+        let rejected = dependencies.iter().find_map(|e| Some((e.id.clone(), check(e).err()?)));
         let Some((endpoint, why)) = rejected else { return Ok(()) };
         if dependencies.first().is_some_and(|lead| lead.id == endpoint) {
             // The scheduler may not have received the signal yet; a tried endpoint is not chosen
--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use ringbend_gateway::{AdmissionBounds, PlacementWeights, RetryBudgetBounds};
+use ringbend_gateway::{
+    AdmissionBounds, ColdTolerance, PlacementWeights, RegionMap, RetryBudgetBounds,
+};
 use ringbend_settings::closest_match;
 use ringbend_telemetry::LogConfig;
 use ringbend_types::{DataCentre, InstanceId};
@@ -58,6 +60,9 @@
     /// Bounds on staleness, shutdown and retries.
     #[serde(default)]
     pub bounds: BoundsConfig,
+    /// The region of each data centre; requests may be confined to regions.
+    #[serde(default)]
+    pub regions: RegionMap,
     /// Weights for the placement of requests on engines.
     #[serde(default)]
     pub placement: PlacementWeights,
@@ -120,6 +125,10 @@
     pub repeat_window_s: f64,
     /// Additional retries allowed, over all instances.
     pub repeat_allowance: f64,
+    /// Multiple of its rate that a cold endpoint tolerates within a second.
+    pub cold_over: f64,
+    /// Requests that a cold endpoint tolerates beyond that within a second.
+    pub cold_slack: f64,
 }
 
 impl Default for BoundsConfig {
@@ -132,12 +141,14 @@
             repeat_ratio: 0.2,
             repeat_window_s: 10.0,
             repeat_allowance: 50.0,
+            cold_over: 1.0,
+            cold_slack: 0.0,
         }
     }
 }
 
 /// Setting names that are suggested for unknown ones.
-const KNOWN_NAMES: [&str; 32] = [
+const KNOWN_NAMES: [&str; 35] = [
     "instance",
     "data_centre",
     "cpu_share",
@@ -156,6 +167,9 @@
     "repeat_ratio",
     "repeat_window_s",
     "repeat_allowance",
+    "cold_over",
+    "cold_slack",
+    "regions",
     "placement",
     "long_ms",
     "part_ms",
@@ -258,6 +272,8 @@
             ("bounds.repeat_ratio", "between 0 and 1", (0.0..=1.0).contains(&self.repeat_ratio)),
             ("bounds.repeat_window_s", "above zero", self.repeat_window_s > 0.0),
             ("bounds.repeat_allowance", "zero or more", self.repeat_allowance >= 0.0),
+            ("bounds.cold_over", "one or more", self.cold_over >= 1.0),
+            ("bounds.cold_slack", "zero or more", self.cold_slack >= 0.0),
         ];
         check_all(&checks)
     }
@@ -271,6 +287,11 @@
         }
     }
 
+    /// How far the rate of cold endpoints may be exceeded.
+    pub(crate) fn cold_tolerance(&self) -> ColdTolerance {
+        ColdTolerance { factor: self.cold_over, slack: self.cold_slack }
+    }
+
     /// The bounds on the age of the configuration.
     pub(crate) fn admission_bounds(&self) -> AdmissionBounds {
         let revoked = millis(self.key_revoked_ms);
--- a/crates/ringbend-relay/src/ended_endpoints.rs
+++ b/crates/ringbend-relay/src/ended_endpoints.rs
@@ -30,6 +30,7 @@
             return;
         }
         self.handle_ended_endpoints(&ended);
+        self.note_cold_start(endpoint);
         self.outbox.borrow_mut().restarts.push((endpoint.clone(), start));
         self.flush.immediate.notify_one();
     }
--- a/crates/ringbend-relay/src/gossip_sender.rs
+++ b/crates/ringbend-relay/src/gossip_sender.rs
@@ -220,6 +220,7 @@
         self.sweep_suspects(now);
         self.sweep_limits(now);
         self.sweep_signals(now);
+        self.sweep_cold_endpoints(now);
         self.review_role();
         let instances = self.peers.borrow().instances(now);
         if self.metrics.live_instances.get() != instances as i64 {
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod admin;
 mod admission;
 mod callers;
+mod cold_endpoints;
 mod config;
 mod crashes;
 mod discovery;
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -11,9 +11,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Backoffs, Directory, Freshness, HealthTracker, InstanceRank, Limits, LoadTracker, Outbox,
-    PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget, StoreOutages, StoreReaders,
-    WorkId, fleet_backoff_factor,
+    Backoffs, ColdPacing, Directory, Freshness, HealthTracker, InstanceRank, Limits, LoadTracker,
+    Outbox, PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget, StoreOutages,
+    StoreReaders, WorkId, fleet_backoff_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -52,6 +52,8 @@
     pub(crate) limits: RefCell<Limits>,
     /// Endpoints that asked this instance to send nothing for a while.
     pub(crate) backoffs: RefCell<Backoffs>,
+    /// The requests that this instance may place on cold endpoints.
+    pub(crate) cold_pacing: RefCell<ColdPacing>,
     /// Which endpoint signals were logged already.
     pub(crate) logged_signals: RefCell<LoggedSignals>,
     /// Permits for rate-limited endpoints, where this instance is the limit coordinator.
@@ -169,6 +171,7 @@
             health: RefCell::default(),
             limits: RefCell::default(),
             backoffs: RefCell::default(),
+            cold_pacing: RefCell::default(),
             logged_signals: RefCell::default(),
             permits: RefCell::default(),
             budget: RefCell::new(budget),
--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -149,8 +149,12 @@
 
 fn endpoints_copy(node: &Node) -> Bytes {
     let directory = node.directory.borrow();
-    let rows =
-        directory.registered().map(|e| encode_endpoint_change(&EndpointChange::Present(e.clone())));
+    let now = node.clock.now();
+    let as_of_now =
+        |e: &Endpoint| Endpoint { cold_left: directory.cold_left(now, &e.id), ..e.clone() };
+    let rows = directory
+        .registered()
+        .map(|e| encode_endpoint_change(&EndpointChange::Present(as_of_now(e))));
     let to_cursor = node.endpoints_cursor.get().0;
     EndpointChanges { from_cursor: 0, to_cursor, rows: rows.collect() }.encode_to_vec().into()
 }
--- a/crates/ringbend-relay/src/permits.rs
+++ b/crates/ringbend-relay/src/permits.rs
@@ -226,7 +226,11 @@
     ) -> Result<Duration, PlacementError> {
         let now = self.clock.now();
         let limited = self.rate_limited_endpoints(&job.service);
-        let usable = limited.iter().filter(|id| !job.backing_off.contains(id));
+        let directory = self.directory.borrow();
+        let is_allowed = |id: &&EndpointId| {
+            directory.get(id).is_some_and(|e| job.data_centres.contains(&e.data_centre))
+        };
+        let usable = limited.iter().filter(|id| !job.backing_off.contains(id)).filter(is_allowed);
         let wait = self.permits.borrow().time_until(now, usable, needed);
         match wait {
             Some(wait) if now + wait <= due => Ok(wait),
--- a/crates/ringbend-relay/src/placement.rs
+++ b/crates/ringbend-relay/src/placement.rs
@@ -175,6 +175,7 @@
     ) -> Placement {
         let is_long = self.is_long(job, engine);
         let work = job.work(&self.cfg.borrow().placement, &placement, is_long);
+        self.record_cold_placement(&work.lead);
         self.load.borrow_mut().place(self.clock.now(), id, work);
         self.outbox.borrow_mut().placed.push(id);
         self.flush.immediate.notify_one();
@@ -199,7 +200,13 @@
         self.load.borrow_mut().advance(now);
         let directory = self.directory.borrow();
         let all = directory.of_service(now, &job.service);
-        let is_closed = |e: &Endpoint| closed.contains(&e.id) || job.backing_off.contains(&e.id);
+        let cold_share = self.cold_share(now, &directory, &job.service);
+        let is_closed = |e: &Endpoint| {
+            closed.contains(&e.id)
+                || job.backing_off.contains(&e.id)
+                || !job.data_centres.contains(&e.data_centre)
+                || cold_share.is_some_and(|share| self.is_paced_out(now, &directory, &e.id, share))
+        };
         let is_open = |e: &&Endpoint| !is_closed(e) && self.may_run_on(job, e);
         let candidates: Vec<&Endpoint> = all.filter(is_open).collect();
         let limits = self.limits.borrow();
--- a/crates/ringbend-relay/src/scheduling.rs
+++ b/crates/ringbend-relay/src/scheduling.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use ringbend_gateway::{
-    Endpoint, HealthEvent, Job, Placement, Reservation, ReservationId, SuspectState, WorkId,
+    AllowedDataCentres, AllowedRegions, Endpoint, HealthEvent, Job, Placement, Reservation,
+    ReservationId, SuspectState, WorkId,
 };
 use ringbend_types::{Fingerprint, Timestamp};
+use smallvec::SmallVec;
 
 use crate::active_request::{ActiveRequest, SendFailure};
 use crate::node::TrackedSend;
@@ -60,6 +62,10 @@
         }
         let tracked = TrackedSend::new(self.node.clone());
         let job = self.build_job(at_once);
+        if job.data_centres.is_empty() {
+            log::info!(target: "request", id = self.request_id(); "no data centre is in all allowed regions");
+            return Err(SendFailure::NoEndpoint);
+        }
         let placement = tokio::select! {
             biased;
             () = self.wait_until_last_send() => return Err(SendFailure::Stopping),
@@ -99,12 +105,23 @@
             deadline,
             tried: self.attempts.tried().iter().cloned().collect(),
             backing_off: self.node.closed_endpoints(&self.config.service.name),
+            data_centres: self.allowed_data_centres(),
             at_once,
             priority: self.priority(),
             suspect: self.suspect_fingerprint(),
         }
     }
 
+    /// The data centres in which the request may run. Its route and its client account may each be
+    /// confined to regions.
+    pub(crate) fn allowed_data_centres(&self) -> AllowedDataCentres {
+        let route = &self.config.route.regions;
+        let account = self.config.account.as_ref().map(|account| &account.regions);
+        let restrictions: SmallVec<[&AllowedRegions; 2]> =
+            std::iter::once(route).chain(account).collect();
+        self.node.cfg.borrow().regions.data_centres_in(&restrictions)
+    }
+
     /// Whether the request must not be sent to any endpoint.
     pub(crate) fn is_held(&self) -> bool {
         !self.is_trial && self.node.suspect_state(self.original.fingerprint) == SuspectState::Held
--- a/crates/ringbend-relay/src/table_copies.rs
+++ b/crates/ringbend-relay/src/table_copies.rs
@@ -253,7 +253,8 @@
         match change {
             EndpointChange::Present(e) => {
                 let (id, service, leaving) = (&e.id, &e.service, e.leaving);
-                log::info!(target: "endpoints", endpoint:% = id, service:%, leaving; "endpoint registered");
+                let cold_ms = e.cold_left.as_millis() as u64;
+                log::info!(target: "endpoints", endpoint:% = id, service:%, leaving, cold_ms; "endpoint registered");
             }
             EndpointChange::Gone(id) => {
                 log::info!(target: "endpoints", endpoint:% = id; "endpoint removed");
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -69,6 +69,8 @@
     pub draining_endpoints: Gauge,
     /// Endpoints that have asked this instance to back off.
     pub endpoint_backoffs: Gauge,
+    /// Endpoints that are cold.
+    pub cold_endpoints: Gauge,
     /// Data centres that the operator evacuates.
     pub evacuated_data_centres: Gauge,
     /// The time since the copy of the settings was last proved current, in seconds.
@@ -114,6 +116,7 @@
             limited_endpoints: Gauge::default(),
             draining_endpoints: Gauge::default(),
             endpoint_backoffs: Gauge::default(),
+            cold_endpoints: Gauge::default(),
             evacuated_data_centres: Gauge::default(),
             settings_age: Gauge::default(),
             endpoints_age: Gauge::default(),
@@ -250,6 +253,7 @@
         r.register("limited_endpoints", "Endpoints that announce a rate limit", limited);
         let draining = self.draining_endpoints.clone();
         r.register("draining_endpoints", "Endpoints that have announced a drain", draining);
+        r.register("cold_endpoints", "Endpoints that are cold", self.cold_endpoints.clone());
         let evacuated = self.evacuated_data_centres.clone();
         r.register(
             "evacuated_data_centres",
--- a/crates/ringbend-types/src/id.rs
+++ b/crates/ringbend-types/src/id.rs
@@ -114,6 +114,8 @@
     ModelName,
     /// One data centre, also known as an availability zone.
     DataCentre,
+    /// A group of data centres, to which requests may be confined.
+    Region,
     /// The idempotency key that a caller gives to a request which must run at most once.
     RequestKey,
     /// The id that an operator gives to a settings change, which makes the change idempotent.
--- a/crates/ringbend-types/src/lib.rs
+++ b/crates/ringbend-types/src/lib.rs
@@ -16,7 +16,7 @@
 pub use fingerprint::{Fingerprint, ParseFingerprintError};
 pub use id::{
     AttemptId, ChangeId, ClassName, ClientAccountId, DataCentre, EndpointId, InstanceId, LeaseName,
-    ModelName, ParseIdError, RequestId, RequestKey, ServiceName,
+    ModelName, ParseIdError, Region, RequestId, RequestKey, ServiceName,
 };
 pub use quantity::{
     ByteCount, EndpointStart, FencingToken, Incarnation, ParseQuantityError, PromptBucket,
--- a/crates/ringbend-wire/src/endpoints.rs
+++ b/crates/ringbend-wire/src/endpoints.rs
@@ -1,5 +1,7 @@
 //! Encoding of changes and restarts of endpoints.
 
+use std::time::Duration;
+
 use ringbend_gateway::{Endpoint, EndpointChange};
 use ringbend_types::{EndpointId, EndpointStart};
 
@@ -25,7 +27,7 @@
             data_centre: endpoint.data_centre.to_string(),
             slots: endpoint.slots,
             leaving: endpoint.leaving,
-            cold_left_ms: 0,
+            cold_left_ms: u32::try_from(endpoint.cold_left.as_millis()).unwrap_or(u32::MAX),
         },
     }
 }
@@ -51,6 +53,7 @@
         data_centre: row.data_centre.parse()?,
         slots: row.slots,
         leaving: row.leaving,
+        cold_left: Duration::from_millis(row.cold_left_ms.into()),
     }))
 }
 
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use ringbend_gateway::{
-    Demand, HealthEvent, HelperMemory, Job, Pace, Role, WaitingPrompt, Work, WorkId,
+    AllowedDataCentres, Demand, HealthEvent, HelperMemory, Job, Pace, Role, WaitingPrompt, Work,
+    WorkId,
+};
+use ringbend_types::{
+    DataCentre, EndpointId, Fingerprint, ParseFingerprintError, ParseIdError, Timestamp,
 };
-use ringbend_types::{EndpointId, Fingerprint, ParseFingerprintError, ParseIdError, Timestamp};
 
 use crate::convert::WireError;
 use crate::generated::{
@@ -123,7 +126,7 @@
         suspect: encode_suspect(job.suspect),
         rank: job.priority.into(),
         closed: job.backing_off.iter().map(EndpointId::to_string).collect(),
-        data_centres: Vec::new(),
+        data_centres: encode_data_centres(&job.data_centres),
     }
 }
 
@@ -147,12 +150,29 @@
         deadline: now + Duration::from_millis(ask.left_ms),
         tried: tried.collect::<Result<_, ParseIdError>>()?,
         backing_off: closed.collect::<Result<_, ParseIdError>>()?,
+        data_centres: decode_data_centres(&ask.data_centres)?,
         at_once: ask.at_once,
         priority: u8::try_from(ask.rank).unwrap_or(u8::MAX),
         suspect: decode_suspect(&ask.suspect)?,
     })
 }
 
+/// A request that may run nowhere is not placed, so an empty list means any.
+fn encode_data_centres(allowed: &AllowedDataCentres) -> Vec<String> {
+    match allowed {
+        AllowedDataCentres::Any => Vec::new(),
+        AllowedDataCentres::Only(allowed) => allowed.iter().map(DataCentre::to_string).collect(),
+    }
+}
+
+fn decode_data_centres(names: &[String]) -> Result<AllowedDataCentres, ParseIdError> {
+    if names.is_empty() {
+        return Ok(AllowedDataCentres::Any);
+    }
+    let allowed = names.iter().map(|name| name.parse());
+    Ok(AllowedDataCentres::Only(allowed.collect::<Result<_, ParseIdError>>()?))
+}
+
 /// Encodes the result of a request at an endpoint for a scheduler.
 pub fn encode_endpoint_result(endpoint: &EndpointId, event: HealthEvent) -> EndpointResult {
     let kind = match event {
