feat(relay): bodies held for callers and endpoints are bounded; unread streams end at their deadline

Cause: an instance held the bodies of all open requests, each twice while it was sent, and all responses until their callers had read them; nothing bounded their sum. A stream whose caller does not read kept its engine and its memory until the caller closed.

Change: bodies may take half of the memory that the settings name, those of requests three quarters of that, so that responses of requests that have run find room. Without room a request is rejected at once as not run (no-buffer-room), and a response is dropped as one that may have run, without blame of its endpoint and without a repeat. Bodies over 16 KB are sent without a copy. A stream that is not read by its deadline is cut (cut-unread).

Weighed: to wait for room (all wait for the slowest caller); a bound by connection (hundreds at once still exceed the memory). Not bounded: a caller that never reads a complete response keeps its part of the budget until it closes.

--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -15,6 +15,7 @@
 use ringbend_runtime::HttpResponse;
 use ringbend_types::{EndpointId, Fingerprint, PromptBucket, RunState, Timestamp, TokenCount};
 
+use crate::buffers::{BodyKind, CountedBody, HeldBytes};
 use crate::engine_pace::LongPauseCounter;
 use crate::exchange::IncomingResponse;
 use crate::headers::copy_headers;
@@ -31,6 +32,8 @@
     pub(crate) body: Bytes,
     /// Equal for repeats of the same request under another request id.
     pub(crate) fingerprint: Fingerprint,
+    /// The memory of the body.
+    pub(crate) _held: HeldBytes,
 }
 
 /// The part of the configuration that applies to the request.
@@ -165,7 +168,7 @@
                 Some(self.refusal_unless_run(Refusal::BackingOff))
             }
             SendFailure::Stopping => Some(self.refusal_unless_run(Refusal::Stopping)),
-            SendFailure::Aborted => {
+            SendFailure::Aborted | SendFailure::NoBufferRoom => {
                 self.attempts.record_aborted();
                 Some(Refusal::of_state(self.attempts.run_state()))
             }
@@ -316,13 +319,15 @@
         head: ResponseHead,
         mut incoming: IncomingResponse,
     ) -> Result<SendSuccess, SendFailure> {
+        let mut held = self.node.buffers.body(BodyKind::Response);
         let (dependencies, deadline) =
             (std::slice::from_ref(&run.endpoint), self.attempts.deadline());
-        let result =
-            self.run_until(dependencies, deadline, incoming.read_to_end(MAX_RESPONSE_BYTES)).await;
+        let result = self
+            .run_until(dependencies, deadline, incoming.read_counted(MAX_RESPONSE_BYTES, &mut held))
+            .await;
         let body = result.map_err(|why| self.record_run_error(&run.endpoint, &why))?;
         let status = head.status;
-        let mut res = Response::with_body(status, body.boxed());
+        let mut res = Response::with_body(status, CountedBody::new(body, held).boxed());
         copy_headers(&head, res.headers_mut());
         let may_succeed_elsewhere =
             status.is_server_error() && self.config.route.repeat.may_repeat();
@@ -366,6 +371,8 @@
     Stopping,
     /// The instance has stopped and the send was aborted.
     Aborted,
+    /// The response could not be held, because other bodies take all the memory for them.
+    NoBufferRoom,
     /// The send ended with this outcome.
     Send(SendOutcome),
 }
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -1,5 +1,6 @@
 //! Handling of a caller's request up to the start of its response.
 
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use ringbend_types::Timestamp;
 
 use crate::active_request::{ActiveRequest, OriginalRequest, RequestConfig};
+use crate::buffers::BodyKind;
 use crate::fingerprint::FingerprintBuilder;
 use crate::log_fields::Millis;
 use crate::node::Node;
@@ -89,8 +91,12 @@
         let timeout = deadline.since(self.node.clock.now());
         let mut builder =
             FingerprintBuilder::new(admitted.account.as_ref(), host(req.head()), req.head());
-        let hash_body = |chunk: &[u8]| builder.add_body(chunk);
-        let body = read_body_with(req.take_payload(), limits.body_bytes, timeout, hash_body).await;
+        let mut held = self.node.buffers.body(BodyKind::Request);
+        let on_chunk = |chunk: &[u8]| {
+            builder.add_body(chunk);
+            held.add(chunk.len()).map_or(ControlFlow::Break(()), ControlFlow::Continue)
+        };
+        let body = read_body_with(req.take_payload(), limits.body_bytes, timeout, on_chunk).await;
         let body = body.map_err(|e| Refusal::from(&e))?;
         let fingerprint = builder.finish();
         let sample = self.node.rng.borrow_mut().random::<f64>();
@@ -99,7 +105,7 @@
         self.node.budget.borrow_mut().record_request(self.node.clock.now(), &service.name);
         let Admitted { route, account, snapshot } = admitted;
         let attempts = Attempts::new(route.repeat, route.max_runs, deadline);
-        let original = OriginalRequest { head: req.head().clone(), body, fingerprint };
+        let original = OriginalRequest { head: req.head().clone(), body, fingerprint, _held: held };
         let mut request = ActiveRequest::new(
             self.node.clone(),
             metadata.clone(),
--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -53,6 +53,10 @@
     /// values in a data centre schedule requests for all of it.
     #[serde(default = "whole_core")]
     pub cpu_share: f64,
+    /// The memory that the process may use, in megabytes. Bodies of requests and responses are
+    /// rejected before they take more than a share of it.
+    #[serde(default = "default_memory")]
+    pub memory_mb: f64,
     /// The addresses that the relay listens on.
     pub listen: ListenConfig,
     /// The store of configuration and endpoints.
@@ -79,6 +83,11 @@
     1.0
 }
 
+/// The default of `memory_mb`.
+fn default_memory() -> f64 {
+    256.0
+}
+
 /// Thousandths per core.
 const MILLIS_PER_CORE: f64 = 1_000.0;
 
@@ -148,10 +157,11 @@
 }
 
 /// Setting names that are suggested for unknown ones.
-const KNOWN_NAMES: [&str; 35] = [
+const KNOWN_NAMES: [&str; 36] = [
     "instance",
     "data_centre",
     "cpu_share",
+    "memory_mb",
     "listen",
     "callers",
     "ready",
@@ -216,7 +226,11 @@
         cfg.bounds.check()?;
         check_placement(&cfg.placement)?;
         let is_share = cfg.cpu_share > 0.0 && cfg.cpu_share <= MAX_CORES;
-        check_all(&[("cpu_share", "above 0, at most 1,024", is_share)])?;
+        let is_memory = cfg.memory_mb > 0.0 && cfg.memory_mb.is_finite();
+        check_all(&[
+            ("cpu_share", "above 0, at most 1,024", is_share),
+            ("memory_mb", "above zero", is_memory),
+        ])?;
         Ok(Self { unknown, ..cfg })
     }
 
--- a/crates/ringbend-relay/src/exchange.rs
+++ b/crates/ringbend-relay/src/exchange.rs
@@ -20,6 +20,8 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use crate::buffers::{HeldBytes, NoRoom};
+
 /// Connect timeout. Within a region connecting takes a few milliseconds. A lost SYN packet is
 /// retransmitted only after a second, so a longer timeout gains nothing.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -27,6 +29,9 @@
 /// Number of bytes per read.
 const READ_BYTES: usize = 8 << 10;
 
+/// Maximum size of a body that is copied to be written with the head, in bytes.
+const SMALL_BODY_BYTES: usize = 16 << 10;
+
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -45,6 +50,8 @@
     Body(PayloadError),
     /// The connection was closed before the response was complete.
     Truncated,
+    /// Other bodies take all the memory for them.
+    NoRoom,
 }
 
 impl fmt::Display for ExchangeError {
@@ -56,6 +63,7 @@
             Self::Head(e) => write!(f, "invalid response head: {e}"),
             Self::Body(e) => write!(f, "invalid response body: {e}"),
             Self::Truncated => write!(f, "connection closed before the end of the response"),
+            Self::NoRoom => write!(f, "no room to hold the response"),
         }
     }
 }
@@ -97,12 +105,12 @@
 ) -> Result<IncomingResponse, ExchangeError> {
     let method = head.method.clone();
     let mut codec = ClientCodec::new(cfg.clone());
-    let request = encode(&mut codec, head, &body).map_err(ExchangeError::EncodeFailed)?;
+    let (request, rest) = encode(&mut codec, head, body).map_err(ExchangeError::EncodeFailed)?;
     let (mut read, mut write) = connect(address).await?.into_split();
     let mut buf = BytesMut::with_capacity(READ_BYTES);
     // An endpoint may respond before it has read the body, so writing and reading run concurrently.
     let written = async {
-        if write.write_all(&request).await.is_err() {
+        if write.write_all(&request).await.is_err() || write.write_all(&rest).await.is_err() {
             // A response, if one arrives, is more informative than the failed write.
             log::debug!(target: "exchange", address:%; "request not written completely");
         }
@@ -125,13 +133,22 @@
     Ok(connection)
 }
 
-fn encode(codec: &mut ClientCodec, head: RequestHead, body: &Bytes) -> std::io::Result<BytesMut> {
-    let mut request = BytesMut::with_capacity(body.len() + 1_024);
+/// Encodes a request. Small bodies are part of the first buffer, so that they are written with the
+/// head; others are returned unchanged, so that they are not held twice.
+fn encode(
+    codec: &mut ClientCodec,
+    head: RequestHead,
+    body: Bytes,
+) -> std::io::Result<(BytesMut, Bytes)> {
+    let mut request = BytesMut::with_capacity(body.len().min(SMALL_BODY_BYTES) + 1_024);
     let has_no_body = body.is_empty() && matches!(head.method, Method::GET | Method::HEAD);
     let size = if has_no_body { BodySize::None } else { BodySize::Sized(body.len() as u64) };
     codec.encode(Message::Item((RequestHeadType::from(head), size)), &mut request)?;
-    request.extend_from_slice(body);
-    Ok(request)
+    if body.len() > SMALL_BODY_BYTES {
+        return Ok((request, body));
+    }
+    request.extend_from_slice(&body);
+    Ok((request, Bytes::new()))
 }
 
 async fn read_head(
@@ -208,11 +225,29 @@
 
     /// Reads the complete body, of at most `limit` bytes.
     pub(crate) async fn read_to_end(&mut self, limit: usize) -> Result<Bytes, ExchangeError> {
+        self.collect(limit, |_| Ok(())).await
+    }
+
+    /// Like [`Self::read_to_end`], with the bytes counted as held.
+    pub(crate) async fn read_counted(
+        &mut self,
+        limit: usize,
+        held: &mut HeldBytes,
+    ) -> Result<Bytes, ExchangeError> {
+        self.collect(limit, |bytes| held.add(bytes)).await
+    }
+
+    async fn collect(
+        &mut self,
+        limit: usize,
+        mut reserve: impl FnMut(usize) -> Result<(), NoRoom>,
+    ) -> Result<Bytes, ExchangeError> {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.next_chunk().await? {
             if body.len() + chunk.len() > limit {
                 return Err(ExchangeError::Body(PayloadError::Overflow));
             }
+            reserve(chunk.len()).map_err(|NoRoom| ExchangeError::NoRoom)?;
             body.extend_from_slice(&chunk);
         }
         Ok(body.freeze())
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod active_request;
 mod admin;
 mod admission;
+mod buffers;
 mod callers;
 mod cold_endpoints;
 mod config;
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -21,6 +21,7 @@
 use ringbend_wire::EndpointChanges;
 use tokio::sync::Notify;
 
+use crate::buffers::BufferBudget;
 use crate::config::RelayConfig;
 use crate::crashes::EndpointProbes;
 use crate::lost_endpoints::LossChecks;
@@ -127,6 +128,8 @@
     pub(crate) probes: RefCell<EndpointProbes>,
     /// Requests that are currently open on endpoints.
     pub(crate) open_sends: RefCell<HashMap<WorkId, Fingerprint>>,
+    /// The memory that bodies of requests and responses take.
+    pub(crate) buffers: Rc<BufferBudget>,
     pub(crate) metrics: Metrics,
     pub(crate) http_config: ServiceConfig,
     /// When the stop of this instance was requested.
@@ -153,6 +156,7 @@
         durable_store: Rc<dyn DurableStore>,
     ) -> Rc<Self> {
         let incarnation = rand::random();
+        let buffers = BufferBudget::new(cfg.memory_mb);
         let budget = RetryBudget::new(cfg.bounds.budget());
         let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
         let own = InstanceRank::new(cfg.capacity(), cfg.listen.peers.unwrap_or(unknown));
@@ -211,6 +215,7 @@
             durable_store,
             probes: RefCell::default(),
             open_sends: RefCell::default(),
+            buffers,
             metrics: Metrics::default(),
             http_config: ServiceConfig::default(),
             stopping_since: Cell::new(None),
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -22,6 +22,8 @@
     BodyTooLarge,
     /// The body did not arrive in time, or the connection broke.
     BodyBroken,
+    /// Other bodies take all the memory for them.
+    NoBufferRoom,
     /// The route leads to no service.
     NoService,
     /// No endpoint of the service accepts work.
@@ -85,6 +87,7 @@
             Self::BadHead => "bad-head",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyBroken => "body-broken",
+            Self::NoBufferRoom => "no-buffer-room",
             Self::NoService => "no-service",
             Self::NoEndpoint => "no-endpoint",
             Self::NotTaken => "not-taken",
@@ -116,7 +119,8 @@
         match self {
             Self::Denied(Denied::NoConfig | Denied::StaleConfig) => Some(STALE_CONFIG_RETRY_AFTER),
             Self::Stopping => Some(Duration::ZERO),
-            Self::NoService
+            Self::NoBufferRoom
+            | Self::NoService
             | Self::NoEndpoint
             | Self::NotTaken
             | Self::Held
@@ -148,6 +152,7 @@
         match e {
             BodyError::TooLarge(_) => Self::BodyTooLarge,
             BodyError::TooSlow | BodyError::Broken(_) => Self::BodyBroken,
+            BodyError::NoRoom => Self::NoBufferRoom,
         }
     }
 }
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -199,6 +199,11 @@
         self.node.directory.borrow().leaving()
     }
 
+    /// The bytes of request and response bodies that are held.
+    pub fn buffered_bytes(&self) -> usize {
+        self.node.buffers.held()
+    }
+
     /// The number of data centres that the operator evacuates.
     pub fn evacuated_data_centres(&self) -> usize {
         self.node.directory.borrow().evacuations().data_centres().len()
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::active_request::{ActiveRequest, SendFailure};
+use crate::exchange::ExchangeError;
 use crate::headers::end_to_end;
 use crate::ports::{ForwardContext, PrefillHelper, ResponseMetadata};
 use crate::reservations::MemoryReservations;
@@ -82,6 +83,11 @@
             self.attempts.record_aborted();
             return SendFailure::Held;
         }
+        if matches!(why, RunError::Exchange(ExchangeError::NoRoom)) {
+            // Says nothing about the endpoint.
+            log::warn!(target: "request", id = self.request_id(), endpoint:% = endpoint.id, why:%; "response dropped");
+            return SendFailure::NoBufferRoom;
+        }
         if !matches!(why, RunError::Ended) {
             self.record_health(&endpoint.id, HealthEvent::Bad);
         }
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -101,6 +101,8 @@
 /// Why a stream was cut off.
 enum StreamAbort {
     Deadline,
+    /// The caller did not read in time.
+    Unread,
     Broken,
 }
 
@@ -108,6 +110,7 @@
     fn outcome(&self) -> &'static str {
         match self {
             Self::Deadline => "cut-late",
+            Self::Unread => "cut-unread",
             Self::Broken => "cut-broken",
         }
     }
@@ -122,7 +125,7 @@
         response_stream;
     let Some(first) = first else { return Ok(()) };
     let mut last = first.id.or(request.metadata.last_event_id);
-    send_event(tx, first).await;
+    send_event(request, tx, first).await?;
     request.record_forwarded(&endpoint.id);
     request.streaming_since = Some(request.node.clock.now());
     loop {
@@ -130,7 +133,7 @@
         match request.wait_or_replace(&dependencies, silence_deadline, events.next()).await {
             Ok(Some(event)) => {
                 last = event.id.or(last);
-                send_event(tx, event).await;
+                send_event(request, tx, event).await?;
                 request.record_forwarded(&endpoint.id);
             }
             Ok(None) => return Ok(()),
@@ -141,7 +144,7 @@
                 ResponseStream { endpoint, tracked, dependencies, events, .. } = resumed;
                 let Some(next) = resumed.first else { return Ok(()) };
                 last = next.id.or(last);
-                send_event(tx, next).await;
+                send_event(request, tx, next).await?;
                 request.record_forwarded(&endpoint.id);
                 request.streaming_since = Some(request.node.clock.now());
             }
@@ -149,10 +152,25 @@
     }
 }
 
-async fn send_event(tx: &StreamSender, event: Event) {
-    if tx.send(Ok(Bytes::from(event.bytes))).await.is_err() {
-        // The task ends as soon as it notices that the caller has disconnected.
-        std::future::pending::<()>().await;
+/// Forwards an event.
+///
+/// # Errors
+///
+/// The caller has not read the events before it by the request's deadline.
+async fn send_event(
+    request: &ActiveRequest,
+    tx: &StreamSender,
+    event: Event,
+) -> Result<(), StreamAbort> {
+    let deadline = request.attempts.deadline();
+    tokio::select! {
+        biased;
+        sent = tx.send(Ok(Bytes::from(event.bytes))) => match sent {
+            Ok(()) => Ok(()),
+            // The task ends as soon as it notices that the caller has disconnected.
+            Err(_) => std::future::pending().await,
+        },
+        () = request.node.clock.sleep_until(deadline) => Err(StreamAbort::Unread),
     }
 }
 
@@ -186,6 +204,7 @@
             | SendFailure::Limited(_)
             | SendFailure::BackingOff(_)
             | SendFailure::Stopping
+            | SendFailure::NoBufferRoom
             | SendFailure::Aborted => false,
         };
         if !can_resume || last.is_none() {
--- a/crates/ringbend-runtime/src/body.rs
+++ b/crates/ringbend-runtime/src/body.rs
@@ -1,6 +1,7 @@
 //! Reading request bodies within a size and a time limit.
 
 use std::fmt;
+use std::ops::ControlFlow;
 use std::time::Duration;
 
 use actix_http::Payload;
@@ -17,6 +18,8 @@
     TooSlow,
     /// The connection failed or the body is malformed.
     Broken(PayloadError),
+    /// The reader has no room for the body.
+    NoRoom,
 }
 
 impl fmt::Display for BodyError {
@@ -25,6 +28,7 @@
             Self::TooLarge(limit) => write!(f, "the body is longer than {limit} bytes"),
             Self::TooSlow => write!(f, "the body did not arrive in time"),
             Self::Broken(e) => write!(f, "the body could not be read: {e}"),
+            Self::NoRoom => write!(f, "there is no room for the body"),
         }
     }
 }
@@ -37,19 +41,20 @@
 ///
 /// Fails if the body is too large, too slow or malformed.
 pub async fn read_body(payload: Payload, limit: usize, time: Duration) -> Result<Bytes, BodyError> {
-    read_body_with(payload, limit, time, |_| {}).await
+    read_body_with(payload, limit, time, |_| ControlFlow::Continue(())).await
 }
 
-/// Like [`read_body`], and calls `on_chunk` with each chunk of the body as it arrives.
+/// Like [`read_body`], and calls `on_chunk` with each chunk of the body as it arrives. Reading ends with
+/// [`BodyError::NoRoom`] if it breaks.
 ///
 /// # Errors
 ///
-/// Fails if the body is too large, too slow or malformed.
+/// Fails if the body is too large, too slow or malformed, or there is no room for it.
 pub async fn read_body_with(
     payload: Payload,
     limit: usize,
     time: Duration,
-    on_chunk: impl FnMut(&[u8]),
+    on_chunk: impl FnMut(&[u8]) -> ControlFlow<()>,
 ) -> Result<Bytes, BodyError> {
     match tokio::time::timeout(time, collect(payload, limit, on_chunk)).await {
         Ok(body) => body,
@@ -60,7 +65,7 @@
 async fn collect(
     mut payload: Payload,
     limit: usize,
-    mut on_chunk: impl FnMut(&[u8]),
+    mut on_chunk: impl FnMut(&[u8]) -> ControlFlow<()>,
 ) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
     let mut first_chunk = None;
@@ -69,7 +74,9 @@
         if body.len() + first_chunk.as_ref().map_or(0, Bytes::len) + chunk.len() > limit {
             return Err(BodyError::TooLarge(limit));
         }
-        on_chunk(&chunk);
+        if on_chunk(&chunk).is_break() {
+            return Err(BodyError::NoRoom);
+        }
         if body.is_empty() && first_chunk.is_none() {
             // Most bodies are a single chunk, which is kept without copying.
             first_chunk = Some(chunk);
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -69,6 +69,8 @@
     pub draining_endpoints: Gauge,
     /// Endpoints that have asked this instance to back off.
     pub endpoint_backoffs: Gauge,
+    /// Bytes of request and response bodies that are held.
+    pub buffered_bytes: Gauge,
     /// Endpoints that are cold.
     pub cold_endpoints: Gauge,
     /// Data centres that the operator evacuates.
@@ -116,6 +118,7 @@
             limited_endpoints: Gauge::default(),
             draining_endpoints: Gauge::default(),
             endpoint_backoffs: Gauge::default(),
+            buffered_bytes: Gauge::default(),
             cold_endpoints: Gauge::default(),
             evacuated_data_centres: Gauge::default(),
             settings_age: Gauge::default(),
@@ -253,6 +256,7 @@
         r.register("limited_endpoints", "Endpoints that announce a rate limit", limited);
         let draining = self.draining_endpoints.clone();
         r.register("draining_endpoints", "Endpoints that have announced a drain", draining);
+        r.register("buffered_bytes", "Bytes of bodies that are held", self.buffered_bytes.clone());
         r.register("cold_endpoints", "Endpoints that are cold", self.cold_endpoints.clone());
         let evacuated = self.evacuated_data_centres.clone();
         r.register(
