--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -7,6 +7,7 @@
 use ringbend_types::{DataCentre, EndpointId, EndpointStart, ServiceName, Timestamp};
 use smallvec::SmallVec;
 
+use crate::cold_endpoints::ColdEndpoints;
 use crate::drains::{Drain, Drains};
 use crate::evacuations::Evacuations;
 
@@ -71,8 +72,6 @@
     replaced_by: Option<EndpointId>,
     /// Whether its process has announced that it is draining.
     draining: bool,
-    /// Until when it is cold.
-    cold_until: Timestamp,
 }
 
 impl Entry {
@@ -98,8 +97,7 @@
     former: BTreeMap<EndpointId, FormerEndpoint>,
     drains: Drains,
     evacuations: Evacuations,
-    /// The latest time at which an endpoint is cold.
-    cold_until: Timestamp,
+    cold: ColdEndpoints,
     store_recovered_at: Option<Timestamp>,
 }
 
@@ -195,26 +193,25 @@
     }
 
     /// Records that an endpoint is cold until this time at least.
-    pub fn note_cold(&mut self, id: &EndpointId, until: Timestamp) {
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.cold_until = entry.cold_until.max(until);
-            self.cold_until = self.cold_until.max(until);
+    pub fn note_cold(&mut self, now: Timestamp, id: &EndpointId, until: Timestamp) {
+        if self.entries.contains_key(id) {
+            self.cold.note(now, id, until);
         }
     }
 
     /// How much longer an endpoint is cold; zero if it is not.
     pub fn cold_left(&self, now: Timestamp, id: &EndpointId) -> Duration {
-        self.entries.get(id).map_or(Duration::ZERO, |entry| entry.cold_until.since(now))
+        self.cold.left(now, id)
     }
 
     /// Whether any endpoint may be cold.
     pub fn has_cold(&self, now: Timestamp) -> bool {
-        self.cold_until > now
+        self.cold.count(now) > 0
     }
 
     /// The number of endpoints that are cold.
     pub fn cold(&self, now: Timestamp) -> usize {
-        self.entries.values().filter(|entry| entry.cold_until > now).count()
+        self.cold.count(now)
     }
 
     /// Whether an endpoint must get no requests because its data centre is evacuated.
@@ -251,16 +248,15 @@
             self.drains.note(now, Drain { endpoint: id, start });
         }
         let since = known.map_or(now, |entry| entry.since);
-        // Rows may be read late, so a row that says less does not shorten the time.
-        let known_until = known.filter(|_| ended.is_empty()).map(|entry| entry.cold_until);
-        let cold_until = known_until.unwrap_or_default().max(now + endpoint.cold_left);
-        self.cold_until = self.cold_until.max(cold_until);
+        if !ended.is_empty() {
+            self.cold.forget(&endpoint.id);
+        }
+        self.cold.note(now, &endpoint.id, now + endpoint.cold_left);
         if is_new {
             ended.extend(self.replace_at_address(now, &endpoint));
         }
         let draining = self.drains.contains(&endpoint);
-        let entry =
-            Entry { endpoint, since, missing_until: None, replaced_by, draining, cold_until };
+        let entry = Entry { endpoint, since, missing_until: None, replaced_by, draining };
         self.former.remove(&entry.endpoint.id);
         self.insert(entry);
         ended
@@ -324,6 +320,7 @@
     fn remove(&mut self, now: Timestamp, id: &EndpointId) {
         let Some(entry) = self.entries.remove(id) else { return };
         self.remove_from_address(&entry.endpoint);
+        self.cold.forget(id);
         self.former.retain(|_, former| now < former.until);
         let former = FormerEndpoint { start: entry.endpoint.start, until: now + FORMER_RETENTION };
         self.former.insert(id.clone(), former);
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod backoffs;
 mod candidate;
 mod cold;
+mod cold_endpoints;
 mod deferral;
 mod directory;
 mod drains;
--- a/crates/ringbend-relay/src/cold_endpoints.rs
+++ b/crates/ringbend-relay/src/cold_endpoints.rs
@@ -72,7 +72,8 @@
             return;
         }
         log::info!(target: "endpoints", endpoint:%, cold_ms = time.as_millis() as u64; "endpoint is cold");
-        self.directory.borrow_mut().note_cold(endpoint, self.clock.now() + time);
+        let now = self.clock.now();
+        self.directory.borrow_mut().note_cold(now, endpoint, now + time);
     }
 
     /// Drops the pacing state of endpoints that are no longer cold.
--- a/crates/ringbend-relay/src/evacuations.rs
+++ b/crates/ringbend-relay/src/evacuations.rs
@@ -10,6 +10,9 @@
     /// instances if it differs.
     pub(crate) fn adopt_evacuations(&self, evacuations: Evacuations) {
         let position = evacuations.position();
+        if position <= self.directory.borrow().evacuations().position() {
+            return;
+        }
         let before = self.directory.borrow().evacuations().data_centres().to_vec();
         if !self.directory.borrow_mut().merge_evacuations(evacuations) {
             return;
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -86,9 +86,11 @@
         };
         if let Err(cut) = end {
             request.log_end(cut.outcome());
+            // A caller that does not read keeps only its connection open.
+            drop(request);
             // The caller must be able to detect that the response is incomplete.
             if tx.send(Err(StreamError)).await.is_err() {
-                log::debug!(target: "request", id = request.request_id(); "caller disconnected before the stream was cut off");
+                log::debug!(target: "request", outcome = cut.outcome(); "caller disconnected before the stream was cut off");
             }
             return;
         }
