--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -204,13 +204,8 @@
         self.cold.left(now, id)
     }
 
-    /// Whether any endpoint may be cold.
-    pub fn has_cold(&self, now: Timestamp) -> bool {
-        self.cold.count(now) > 0
-    }
-
     /// The number of endpoints that are cold.
-    pub fn cold(&self, now: Timestamp) -> usize {
+    pub fn cold_count(&self, now: Timestamp) -> usize {
         self.cold.count(now)
     }
 
--- a/crates/ringbend-gateway/src/snapshot.rs
+++ b/crates/ringbend-gateway/src/snapshot.rs
@@ -7,7 +7,7 @@
 use ringbend_types::{ClientAccountId, ServiceName};
 use smallvec::SmallVec;
 
-use crate::cold::ColdProfile;
+use crate::cold_pacing::ColdProfile;
 use crate::engine::EngineProfile;
 use crate::regions::AllowedRegions;
 
--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -15,9 +15,10 @@
 use ringbend_runtime::HttpResponse;
 use ringbend_types::{EndpointId, Fingerprint, PromptBucket, RunState, Timestamp, TokenCount};
 
-use crate::buffers::{BodyKind, CountedBody, HeldBytes};
+use crate::buffers::{BodyKind, HeldBytes};
 use crate::engine_pace::LongPauseCounter;
 use crate::exchange::IncomingResponse;
+use crate::guarded_body::GuardedBody;
 use crate::headers::copy_headers;
 use crate::log_fields::Millis;
 use crate::node::{Node, OpenRequest};
@@ -327,7 +328,7 @@
             .await;
         let body = result.map_err(|why| self.record_run_error(&run.endpoint, &why))?;
         let status = head.status;
-        let mut res = Response::with_body(status, CountedBody::new(body, held).boxed());
+        let mut res = Response::with_body(status, GuardedBody::new(body, held).boxed());
         copy_headers(&head, res.headers_mut());
         let may_succeed_elsewhere =
             status.is_server_error() && self.config.route.repeat.may_repeat();
--- a/crates/ringbend-relay/src/buffers.rs
+++ b/crates/ringbend-relay/src/buffers.rs
@@ -4,13 +4,7 @@
 //! bound, many of them at once exhaust the memory of the process, which ends all requests.
 
 use std::cell::Cell;
-use std::convert::Infallible;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
-
-use actix_http::body::{BodySize, MessageBody};
-use bytes::Bytes;
 
 /// The share of the memory of the process that bodies may take.
 const BODY_SHARE: f64 = 0.5;
@@ -22,9 +16,6 @@
 /// Bytes per megabyte.
 const MEGABYTE: f64 = 1_048_576.0;
 
-/// Maximum chunk size when a body is written, in bytes.
-const CHUNK_BYTES: usize = 16 << 10;
-
 /// Counts the bytes of all bodies that are held.
 #[derive(Debug)]
 pub(crate) struct BufferBudget {
@@ -98,32 +89,3 @@
         self.budget.held.set(self.budget.held() - self.bytes);
     }
 }
-
-/// The body of a response, counted until it has been written.
-pub(crate) struct CountedBody {
-    remaining: Bytes,
-    _held: HeldBytes,
-}
-
-impl CountedBody {
-    pub(crate) fn new(remaining: Bytes, held: HeldBytes) -> Self {
-        Self { remaining, _held: held }
-    }
-}
-
-impl MessageBody for CountedBody {
-    type Error = Infallible;
-
-    fn size(&self) -> BodySize {
-        BodySize::Sized(self.remaining.len() as u64)
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Infallible>>> {
-        let size = self.remaining.len().min(CHUNK_BYTES);
-        let chunk = self.remaining.split_to(size);
-        Poll::Ready((size > 0).then_some(Ok(chunk)))
-    }
-}
--- a/crates/ringbend-relay/src/cold_endpoints.rs
+++ b/crates/ringbend-relay/src/cold_endpoints.rs
@@ -21,7 +21,7 @@
         directory: &Directory,
         service: &ServiceName,
     ) -> Option<f64> {
-        if !directory.has_cold(now) {
+        if directory.cold_count(now) == 0 {
             return None;
         }
         let profile = self.cold_profile(service)?;
@@ -81,6 +81,6 @@
         let directory = self.directory.borrow();
         let is_cold = |id: &EndpointId| !directory.cold_left(now, id).is_zero();
         self.cold_pacing.borrow_mut().retain(is_cold);
-        self.metrics.cold_endpoints.set(directory.cold(now) as i64);
+        self.metrics.cold_endpoints.set(directory.cold_count(now) as i64);
     }
 }
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod fingerprint;
 mod gossip_receiver;
 mod gossip_sender;
+mod guarded_body;
 mod headers;
 mod limits;
 mod log_fields;
--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -5,15 +5,12 @@
 //! from the address and port on which an instance also receives datagrams, using TCP. A fetched
 //! copy is applied only if it is newer, and does not prove that it is current; only datagrams do.
 
-use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddrV4;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_http::body::{BodySize, MessageBody};
+use actix_http::body::MessageBody;
 use actix_http::header::{HOST, HeaderValue, InvalidHeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, Response, StatusCode, Uri};
 use bytes::Bytes;
@@ -29,6 +26,7 @@
 };
 
 use crate::exchange::{self, ExchangeError};
+use crate::guarded_body::GuardedBody;
 use crate::node::Node;
 use crate::ports::{Cursor, InvalidRow};
 use crate::table_copies::{ConfigCopy, EndpointCopy};
@@ -74,42 +72,19 @@
     pub(crate) node: Rc<Node>,
 }
 
-/// Maximum chunk size when a copy is written, in bytes.
-const CHUNK_BYTES: usize = 16 << 10;
+/// Counts a response with a copy as active until it has been written.
+struct ActiveCopyResponse(Rc<Node>);
 
-/// The body of a response with a copy; counted as active until it has been written.
-struct CopyBody {
-    node: Rc<Node>,
-    remaining: Bytes,
-}
-
-impl CopyBody {
-    fn new(node: Rc<Node>, remaining: Bytes) -> Self {
+impl ActiveCopyResponse {
+    fn new(node: Rc<Node>) -> Self {
         node.active_copy_responses.set(node.active_copy_responses.get() + 1);
-        Self { node, remaining }
+        Self(node)
     }
 }
 
-impl Drop for CopyBody {
+impl Drop for ActiveCopyResponse {
     fn drop(&mut self) {
-        self.node.active_copy_responses.set(self.node.active_copy_responses.get() - 1);
-    }
-}
-
-impl MessageBody for CopyBody {
-    type Error = Infallible;
-
-    fn size(&self) -> BodySize {
-        BodySize::Sized(self.remaining.len() as u64)
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Infallible>>> {
-        let size = self.remaining.len().min(CHUNK_BYTES);
-        let chunk = self.remaining.split_to(size);
-        Poll::Ready((size > 0).then_some(Ok(chunk)))
+        self.0.active_copy_responses.set(self.0.active_copy_responses.get() - 1);
     }
 }
 
@@ -130,7 +105,7 @@
             _ => return empty(StatusCode::NOT_FOUND),
         };
         let Some(copy) = copy else { return empty(StatusCode::SERVICE_UNAVAILABLE) };
-        let body = CopyBody::new(self.node.clone(), copy);
+        let body = GuardedBody::new(copy, ActiveCopyResponse::new(self.node.clone()));
         Response::with_body(StatusCode::OK, body.boxed())
     }
 }
