fix(gateway): reading a table does not scan all cold endpoints for each row

Cause: each row of a table that was read scanned all cold endpoints to drop the ones that ceased to be, rows times cold ones. Ruled out: the digests (the same bytes). Change: they are dropped once with each heartbeat.

--- a/crates/ringbend-gateway/src/cold_endpoints.rs
+++ b/crates/ringbend-gateway/src/cold_endpoints.rs
@@ -15,13 +15,22 @@
     /// Records that an endpoint is cold until this time at least: rows may be read late, so one that
     /// says less does not shorten the time.
     pub(crate) fn note(&mut self, now: Timestamp, endpoint: &EndpointId, until: Timestamp) {
-        self.until.retain(|_, until| *until > now);
         if until > now {
             let known = self.until.entry(endpoint.clone()).or_insert(until);
             *known = until.max(*known);
         }
     }
 
+    /// Drops endpoints that are no longer cold.
+    pub(crate) fn sweep(&mut self, now: Timestamp) {
+        self.until.retain(|_, until| *until > now);
+    }
+
+    /// Whether there is none; endpoints that ceased to be cold count until they are swept.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.until.is_empty()
+    }
+
     /// Drops what is known of an endpoint.
     pub(crate) fn forget(&mut self, endpoint: &EndpointId) {
         self.until.remove(endpoint);
--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -204,6 +204,16 @@
         self.cold.left(now, id)
     }
 
+    /// Drops endpoints from the cold ones that are no longer cold.
+    pub fn sweep_cold(&mut self, now: Timestamp) {
+        self.cold.sweep(now);
+    }
+
+    /// Whether endpoints may be cold.
+    pub fn has_cold(&self) -> bool {
+        !self.cold.is_empty()
+    }
+
     /// The number of endpoints that are cold.
     pub fn cold_count(&self, now: Timestamp) -> usize {
         self.cold.count(now)
--- a/crates/ringbend-gateway/tests/cold_pacing.rs
+++ b/crates/ringbend-gateway/tests/cold_pacing.rs
@@ -112,3 +112,26 @@
     directory.apply(at(500), EndpointChange::Present(restarted));
     assert_eq!(cold_left_ms(&directory, at(500)), 1_000);
 }
+
+/// Reads a table of these endpoints ten times. Returns how long it took.
+fn time_to_read(endpoints: &[Endpoint]) -> std::time::Duration {
+    let mut directory = Directory::default();
+    let started = std::time::Instant::now();
+    for read in 0..10 {
+        directory.replace(at(read), endpoints.to_vec());
+    }
+    started.elapsed()
+}
+
+/// Guards against a scan of all cold endpoints for each row, when a data centre of a large fleet comes back.
+#[test]
+fn reading_a_large_table_takes_no_longer_if_a_third_is_cold() {
+    let warm: Vec<Endpoint> = (0..3_000).map(endpoint).collect();
+    let cold = |(number, e): (usize, &Endpoint)| {
+        let cold_left = if number % 3 == 0 { ms(3_000) } else { ms(0) };
+        Endpoint { cold_left, ..e.clone() }
+    };
+    let partly_cold: Vec<Endpoint> = warm.iter().enumerate().map(cold).collect();
+    let (without, with) = (time_to_read(&warm), time_to_read(&partly_cold));
+    assert!(with < without * 3, "{with:?} with cold endpoints, {without:?} without");
+}
--- a/crates/ringbend-relay/src/cold_endpoints.rs
+++ b/crates/ringbend-relay/src/cold_endpoints.rs
@@ -21,7 +21,7 @@
         directory: &Directory,
         service: &ServiceName,
     ) -> Option<f64> {
-        if directory.cold_count(now) == 0 {
+        if !directory.has_cold() {
             return None;
         }
         let profile = self.cold_profile(service)?;
@@ -78,6 +78,7 @@
 
     /// Drops the pacing state of endpoints that are no longer cold.
     pub(crate) fn sweep_cold_endpoints(&self, now: Timestamp) {
+        self.directory.borrow_mut().sweep_cold(now);
         let directory = self.directory.borrow();
         let is_cold = |id: &EndpointId| !directory.cold_left(now, id).is_zero();
         self.cold_pacing.borrow_mut().retain(is_cold);
