feat(relay): client account and priority travel with requests; settings of overload control

Placement requests and waiting prompts carry the client account and the priority, as decisions under scarcity need both at the scheduler. The lines of placements and ends name them. Overload control has settings and is off unless the deployment's own settings ask for it, directly or by a term that they list. No decision reads these yet.

--- a/crates/ringbend-gateway/benches/decisions.rs
+++ b/crates/ringbend-gateway/benches/decisions.rs
@@ -45,6 +45,8 @@
             since: at(0),
             first_by: at(4_000 + number),
             until: at(16_000),
+            priority: 1,
+            account: None,
         };
         scene.load.add_waiting(work_id(2_000_000 + number), waiting);
     }
--- a/crates/ringbend-gateway/src/job.rs
+++ b/crates/ringbend-gateway/src/job.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ringbend_types::{EndpointId, Fingerprint, ServiceName, Timestamp};
+use ringbend_types::{ClientAccountId, EndpointId, Fingerprint, ServiceName, Timestamp};
 use smallvec::SmallVec;
 
 use crate::load::Work;
@@ -41,6 +41,8 @@
     /// Its priority among requests that wait for a permit, zero first: that of its client account,
     /// or of its route.
     pub priority: u8,
+    /// The client account of its caller; `None` on a public route.
+    pub account: Option<ClientAccountId>,
     /// Set if endpoints ended while they ran the request. Such a request runs on one endpoint at a
     /// time, apart from other suspects.
     pub suspect: Option<Fingerprint>,
--- a/crates/ringbend-gateway/src/waiting_prompt.rs
+++ b/crates/ringbend-gateway/src/waiting_prompt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ringbend_types::{ServiceName, Timestamp};
+use ringbend_types::{ClientAccountId, ServiceName, Timestamp};
 
 /// A long prompt that waits for its turn.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,4 +17,8 @@
     pub first_by: Timestamp,
     /// When its caller disconnects if no event has arrived.
     pub until: Timestamp,
+    /// Its priority; zero is the highest.
+    pub priority: u8,
+    /// The client account of its caller; `None` on a public route.
+    pub account: Option<ClientAccountId>,
 }
--- a/crates/ringbend-gateway/tests/deferral.rs
+++ b/crates/ringbend-gateway/tests/deferral.rs
@@ -52,6 +52,8 @@
         since: at(0),
         first_by: at(FIRST_BY_MS),
         until: at(UNTIL_MS),
+        priority: 1,
+        account: None,
     };
     scene.now = now;
     scene.load.advance(now);
--- a/crates/ringbend-gateway/tests/permits.rs
+++ b/crates/ringbend-gateway/tests/permits.rs
@@ -25,6 +25,7 @@
         data_centres: Default::default(),
         at_once: false,
         priority,
+        account: None,
         suspect: None,
     }
 }
--- a/crates/ringbend-gateway/tests/turns.rs
+++ b/crates/ringbend-gateway/tests/turns.rs
@@ -35,6 +35,8 @@
             since: at(since_ms),
             first_by: at(due_ms),
             until: at(since_ms + 15_000),
+            priority: 1,
+            account: None,
         };
         self.0.load.add_waiting(work_id(id), waiting);
         self
@@ -147,6 +149,8 @@
         since: at(0),
         first_by: at(3_500),
         until: at(15_000),
+        priority: 1,
+        account: None,
     };
     queue.0.load.add_waiting(work_id(100), other);
     assert_eq!(queue.turn(101), Turn::Now);
--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -20,7 +20,7 @@
 use crate::exchange::IncomingResponse;
 use crate::guarded_body::GuardedBody;
 use crate::headers::copy_headers;
-use crate::log_fields::Millis;
+use crate::log_fields::{AccountName, Millis};
 use crate::node::{Node, OpenRequest};
 use crate::ports::RequestMetadata;
 use crate::refusal::Refusal;
@@ -286,10 +286,12 @@
         let gap_ms = self.delivery.longest_gap.as_millis() as u64;
         let aim_ms = self.config.route.target_latency.as_millis() as u64;
         let gap_aim_ms = self.gap_target().as_millis() as u64;
+        let account = AccountName(self.config.account.as_ref().map(|account| &account.id));
         log::info!(
             target: "request", id, fingerprint:% = self.original.fingerprint, route:%,
             config:% = self.config.version, outcome, ms, sends,
-            first_ms:%, gap_ms, aim_ms, gap_aim_ms;
+            first_ms:%, gap_ms, aim_ms, gap_aim_ms,
+            priority = self.priority(), account:%;
             "ended"
         );
     }
--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddrV4;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
@@ -70,6 +71,9 @@
     /// Weights for the placement of requests on engines.
     #[serde(default)]
     pub placement: PlacementWeights,
+    /// Overload control.
+    #[serde(default)]
+    pub overload: OverloadSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogConfig,
@@ -140,6 +144,27 @@
     pub cold_slack: f64,
 }
 
+/// Whether overload control is on. The deployment's own settings decide, either directly or through
+/// the terms of service that they list.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct OverloadSettings {
+    /// Turns overload control on, whatever the terms of service.
+    pub enabled: bool,
+    /// The terms of service of this deployment.
+    pub terms: Vec<Arc<str>>,
+    /// The term that turns overload control on if the deployment lists it.
+    pub enabling_term: Option<Arc<str>>,
+}
+
+impl OverloadSettings {
+    /// Whether overload control is on.
+    pub fn is_enabled(&self) -> bool {
+        let is_listed = |term: &Arc<str>| self.terms.contains(term);
+        self.enabled || self.enabling_term.as_ref().is_some_and(is_listed)
+    }
+}
+
 impl Default for BoundsConfig {
     fn default() -> Self {
         // A retry ratio of one fifth is usual for retry budgets.
@@ -157,7 +182,7 @@
 }
 
 /// Setting names that are suggested for unknown ones.
-const KNOWN_NAMES: [&str; 36] = [
+const KNOWN_NAMES: [&str; 40] = [
     "instance",
     "data_centre",
     "cpu_share",
@@ -190,6 +215,10 @@
     "full_share",
     "quiet_growth",
     "quiet_spare",
+    "overload",
+    "enabled",
+    "terms",
+    "enabling_term",
     "log",
     "format",
     "level",
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -51,7 +51,9 @@
 mod timeouts;
 mod watch;
 
-pub use config::{BoundsConfig, ListenConfig, RelayConfig, RelayConfigError, StoreConfig};
+pub use config::{
+    BoundsConfig, ListenConfig, OverloadSettings, RelayConfig, RelayConfigError, StoreConfig,
+};
 pub use ports::{
     Batch, ConfigDecoder, ConfigItem, ConfigSource, Cursor, Dialect, DurableRow, DurableStore,
     EndpointSource, EngineReport, ForwardContext, InstanceRecord, InstanceRegistry,
--- a/crates/ringbend-relay/src/log_fields.rs
+++ b/crates/ringbend-relay/src/log_fields.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use ringbend_types::ClientAccountId;
+
 /// Milliseconds, or a dash if there is no value.
 pub(crate) struct Millis(pub(crate) Option<Duration>);
 
@@ -15,6 +17,18 @@
     }
 }
 
+/// A client account, or a dash on public routes.
+pub(crate) struct AccountName<'a>(pub(crate) Option<&'a ClientAccountId>);
+
+impl fmt::Display for AccountName<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(account) => write!(f, "{account}"),
+            None => write!(f, "-"),
+        }
+    }
+}
+
 /// The debug format of an optional outcome.
 pub(crate) struct OrNoAnswer<T>(pub(crate) Option<T>);
 
--- a/crates/ringbend-relay/src/placement.rs
+++ b/crates/ringbend-relay/src/placement.rs
@@ -11,7 +11,7 @@
 };
 use ringbend_types::{EndpointId, Timestamp};
 
-use crate::log_fields::Millis;
+use crate::log_fields::{AccountName, Millis};
 use crate::node::Node;
 use crate::permits::ClosedEndpoints;
 
@@ -275,7 +275,8 @@
             config:%, config_age_ms:%, instances,
             part_ms:% = Millis(Some(placement.part)), first_ms = placement.first_ms as u64,
             cost_percent, backlog_ms:% = Millis(Some(lead.backlog())),
-            writers = lead.decodes().len(), places, memory = lead.memory_tokens();
+            writers = lead.decodes().len(), places, memory = lead.memory_tokens(),
+            priority = job.priority, account:% = AccountName(job.account.as_ref());
             "placed"
         );
     }
--- a/crates/ringbend-relay/src/prompt_queue.rs
+++ b/crates/ringbend-relay/src/prompt_queue.rs
@@ -87,6 +87,8 @@
             since: job.since,
             first_by: job.first_by,
             until: job.caller_timeout_at,
+            priority: job.priority,
+            account: job.account.clone(),
         };
         self.load.borrow_mut().add_waiting(id, waiting);
         self.outbox.borrow_mut().waiting.push(id);
--- a/crates/ringbend-relay/src/scheduling.rs
+++ b/crates/ringbend-relay/src/scheduling.rs
@@ -108,6 +108,7 @@
             data_centres: self.allowed_data_centres(),
             at_once,
             priority: self.priority(),
+            account: self.config.account.as_ref().map(|account| account.id.clone()),
             suspect: self.suspect_fingerprint(),
         }
     }
@@ -207,7 +208,7 @@
     }
 
     /// The priority of the account, or of the route if the account has none.
-    fn priority(&self) -> u8 {
+    pub(crate) fn priority(&self) -> u8 {
         let account = self.config.account.as_ref().and_then(|account| account.priority);
         account.unwrap_or(self.config.route.priority)
     }
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -192,6 +192,12 @@
     /// The service whose engines it waits for.
     #[prost(string, tag = "7")]
     pub service: ::prost::alloc::string::String,
+    /// Its priority, zero first.
+    #[prost(uint32, tag = "8")]
+    pub priority: u32,
+    /// The client account of its caller; empty on a public route.
+    #[prost(string, tag = "9")]
+    pub account: ::prost::alloc::string::String,
 }
 /// Memory on a helper that holds a part of a prompt.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -415,6 +421,9 @@
     /// The data centres in which it may run; any if there are none.
     #[prost(string, repeated, tag = "17")]
     pub data_centres: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The client account of its caller; empty on a public route.
+    #[prost(string, tag = "18")]
+    pub account: ::prost::alloc::string::String,
 }
 /// What became of an ask.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -7,7 +7,8 @@
     WorkId,
 };
 use ringbend_types::{
-    DataCentre, EndpointId, Fingerprint, ParseFingerprintError, ParseIdError, Timestamp,
+    ClientAccountId, DataCentre, EndpointId, Fingerprint, ParseFingerprintError, ParseIdError,
+    Timestamp,
 };
 
 use crate::convert::WireError;
@@ -86,6 +87,8 @@
         first_in_ms: millis(waiting.first_by.since(now)),
         left_ms: millis(waiting.until.since(now)),
         service: waiting.service.to_string(),
+        priority: waiting.priority.into(),
+        account: encode_account(waiting.account.as_ref()),
     }
 }
 
@@ -93,7 +96,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the service's name is malformed.
+/// Fails if the service's name or the account is malformed.
 pub fn decode_waiting_work(
     now: Timestamp,
     waiting: &WaitingWork,
@@ -104,6 +107,8 @@
         since: now - Duration::from_millis(waiting.age_ms),
         first_by: now + Duration::from_millis(waiting.first_in_ms),
         until: now + Duration::from_millis(waiting.left_ms),
+        priority: u8::try_from(waiting.priority).unwrap_or(u8::MAX),
+        account: decode_account(&waiting.account)?,
     })
 }
 
@@ -127,6 +132,7 @@
         rank: job.priority.into(),
         closed: job.backing_off.iter().map(EndpointId::to_string).collect(),
         data_centres: encode_data_centres(&job.data_centres),
+        account: encode_account(job.account.as_ref()),
     }
 }
 
@@ -134,7 +140,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the service's name, an endpoint's id or the fingerprint is malformed.
+/// Fails if the service's name, the account, an endpoint's id or the fingerprint is malformed.
 pub fn decode_ask(now: Timestamp, ask: &Ask) -> Result<Job, WireError> {
     let answer_tokens = ask.answer_tokens;
     let tried = ask.tried.iter().map(|id| id.parse());
@@ -153,10 +159,19 @@
         data_centres: decode_data_centres(&ask.data_centres)?,
         at_once: ask.at_once,
         priority: u8::try_from(ask.rank).unwrap_or(u8::MAX),
+        account: decode_account(&ask.account)?,
         suspect: decode_suspect(&ask.suspect)?,
     })
 }
 
+fn encode_account(account: Option<&ClientAccountId>) -> String {
+    account.map(ClientAccountId::to_string).unwrap_or_default()
+}
+
+fn decode_account(account: &str) -> Result<Option<ClientAccountId>, WireError> {
+    if account.is_empty() { Ok(None) } else { Ok(Some(account.parse()?)) }
+}
+
 /// A request that may run nowhere is not placed, so an empty list means any.
 fn encode_data_centres(allowed: &AllowedDataCentres) -> Vec<String> {
     match allowed {
