fix(relay): data centres that start without the store find each other

Cause: a scheduler that knew an instance of its own data centre wrote its registry row without reading the others, and greeted other data centres only if it had read the registry as the only known instance. Instances that started while the store was unavailable therefore remained one partition per data centre.

Change: a scheduler whose first registration failed reads the registry when the store answers it or another known instance, and greets the best-ranked rows of each data centre before and after it writes its own row.

--- a/crates/ringbend-relay/src/discovery.rs
+++ b/crates/ringbend-relay/src/discovery.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use rand::Rng;
-use ringbend_gateway::{InstanceRank, Role, SCHEDULERS_PER_DATA_CENTRE};
-use ringbend_types::DataCentre;
+use ringbend_gateway::{InstanceRank, Role, SCHEDULERS_PER_DATA_CENTRE, WatchedTable};
+use ringbend_types::{DataCentre, Timestamp};
 
 use crate::SourceError;
 use crate::node::Node;
@@ -30,6 +30,9 @@
 /// response never arrives.
 const REGISTRY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Interval between checks whether another instance has reached the store.
+const PROOF_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Number of instances of the own data centre in the first greeting. One scheduler is enough, as it
 /// names the others, but entries of instances that no longer run may precede it. Each further
 /// greeting goes to twice as many.
@@ -63,19 +66,25 @@
         // If the seeds reply in this time, the registry need not be read.
         tokio::time::sleep(SEED_TIMEOUT).await;
     }
+    let mut has_failed = false;
     loop {
+        let sent = node.clock.now();
         // A call that hangs since the store became unavailable is abandoned once the store is back.
         let joined = tokio::select! {
-            done = register(&node, &*registry) => done,
-            () = node.store_recovered.notified() => continue,
+            done = register(&node, &*registry, has_failed) => done,
+            () = node.store_recovered.notified() => {
+                has_failed = true;
+                continue;
+            }
         };
         match joined {
             Ok(()) => break,
             Err(e) => {
+                has_failed = true;
                 log::info!(target: "peers", error:% = e; "registration failed; retrying");
                 tokio::select! {
                     () = tokio::time::sleep(REGISTRY_RETRY_INTERVAL.mul_f64(node.store_retry_factor())) => {}
-                    () = node.store_recovered.notified() => {}
+                    () = store_answered_after(&node, sent) => {}
                 }
             }
         }
@@ -85,6 +94,20 @@
     log::info!(target: "peers", instances, schedules; "discovery complete");
 }
 
+/// Waits until the store has answered this instance or another one that is known after `at`.
+async fn store_answered_after(node: &Node, at: Timestamp) {
+    let recovered = node.store_recovered.notified();
+    let proved_elsewhere = async {
+        while node.readers.borrow().proved_at(WatchedTable::Config) <= Some(at) {
+            tokio::time::sleep(PROOF_POLL_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        () = recovered => {}
+        () = proved_elsewhere => {}
+    }
+}
+
 /// Whether other instances schedule for this one, so that it needs no registry entry.
 fn is_member(node: &Node) -> bool {
     node.peers.borrow().role() == Role::Member
@@ -101,16 +124,27 @@
 /// schedulers do: an instance that starts contacts the best-ranked registered ones, and learns of
 /// the others from them. An instance that was killed finds its own and the others' entries
 /// unchanged, so one call is enough after the loss of all instances.
-async fn register(node: &Rc<Node>, registry: &dyn InstanceRegistry) -> Result<(), SourceError> {
+///
+/// Instances that could not read the registry when they started (`has_failed`) may know each other
+/// in groups only, so their schedulers read it as well.
+async fn register(
+    node: &Rc<Node>,
+    registry: &dyn InstanceRegistry,
+    has_failed: bool,
+) -> Result<(), SourceError> {
     let Some(address) = node.peers_address() else { return Ok(()) };
-    if !knows_local_instances(node) {
+    if (has_failed && !is_member(node)) || !knows_local_instances(node) {
         read_registry(node, registry).await?;
-        if node.registry_records.borrow().is_empty() {
+        if node.registry_records.borrow().is_empty() && !node.is_scheduler() {
             let wait = node.rng.borrow_mut().random_range(EMPTY_REGISTRY_WAIT_MS);
             tokio::time::sleep(Duration::from_millis(wait)).await;
             read_registry(node, registry).await?;
         }
         schedule_if_needed(node);
+        // A starting instance greets other data centres once it schedules.
+        if node.is_scheduler() {
+            greet_best_ranked(node);
+        }
         greet_own_data_centre(node).await;
     }
     let has_row = node.registry_records.borrow().iter().any(|row| row.address == address);
@@ -126,11 +160,11 @@
         }
     };
     with_timeout(registry.register(&own)).await?;
-    if !knows_local_instances(node) {
-        // Of two instances that start together, the one that reads later finds the other.
+    if has_failed || !knows_local_instances(node) {
+        // Of two instances that register together, the one that reads later finds the other.
         read_registry(node, registry).await?;
+        greet_best_ranked(node);
         greet_own_data_centre(node).await;
-        node.greet_other_data_centres();
     }
     Ok(())
 }
@@ -186,6 +220,17 @@
     }
 }
 
+/// Greets the highest-ranked registered instances of each data centre.
+fn greet_best_ranked(node: &Node) {
+    let home = node.cfg.borrow().data_centre.clone();
+    let mut local_addresses = ranked_addresses(
+        node.registry_records.borrow().iter().filter(|row| is_in_data_centre(row, &home)),
+    );
+    local_addresses.truncate(INITIAL_GREETED);
+    node.greet(&local_addresses);
+    node.greet_other_data_centres();
+}
+
 fn knows_no_scheduler(node: &Node) -> bool {
     node.peers.borrow().local_schedulers(node.clock.now()).is_empty()
 }
