fix(relay): readers of the store stop for one that read the endpoints no further than themselves

Cause: an instance that reads the store keeps the position of the last change of the endpoints that it has read. It ignored the proofs of another reader whose position was later, because that one had read the whole table, even if it had itself read the table that far without a change.

Ruled out: readers that do not know each other (all 103 did), and a reader that names itself beside proofs of others (the first form of this suspicion; the position alone removes it).

Change: a proof up to what this instance has read counts, not only up to the last change.

--- a/crates/ringbend-relay/src/table_gossip.rs
+++ b/crates/ringbend-relay/src/table_gossip.rs
@@ -169,8 +169,10 @@
         node.readers.borrow_mut().proved_by(WatchedTable::Config, currency.reader, at);
         node.startup_progress.notify_waiters();
     }
-    // The table has not changed since the peer's position, and this copy is as far or farther.
-    let is_as_new = Cursor(currency.endpoints_cursor) <= node.endpoints_cursor.get();
+    // The table has not changed since the peer's position, and this copy is as far or farther. A
+    // reader keeps the position of the last change, but its copy includes all that it has read.
+    let position = node.endpoints_cursor.get().max(node.endpoints_read_at.get());
+    let is_as_new = Cursor(currency.endpoints_cursor) <= position;
     let endpoints_at = currency.endpoints_proved_us.and_then(to_own_clock);
     if let Some(at) = endpoints_at {
         node.readers.borrow_mut().endpoints_proved_elsewhere(at);
