feat(gateway): max-min fair shares of client accounts

Cause: where requests wait for the same capacity, order of arrival serves an account in proportion to its load. With 24 equal accounts of which one sends twelve times its load, that account would be served 12 of 35 requests.

Change: AccountShares records the cost of served requests by client account, with a half-life of 2 s and by forward decay, and sorts accounts by recent use. Requests without an account form one account. Use is dropped 20 to 40 s after the last charge.

--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! behind each decision. Does no I/O, reads no clock and starts no threads: the driver passes the
 //! time in.
 
+mod account_shares;
 mod admission;
 mod attempts;
 mod backoffs;
@@ -46,6 +47,7 @@
 mod waiting_prompt;
 mod weights;
 
+pub use account_shares::AccountShares;
 pub use admission::{AdmissionBounds, AdmissionRequest, Admitted, Denied, admit};
 pub use attempts::{Attempts, NextStep, SendOutcome};
 pub use backoffs::{BackoffState, Backoffs};
