feat(gateway): priorities in placement, order, deferral and retries

Cause: only permits and the queues of engines read the priority of a request. Where engines cannot serve all, a long prompt of low priority made urgent short ones late.

Of long prompts that cannot all be on time the least urgent yields; late ones are sent by rank, then by use of their accounts if overload control is on. Waiting raises the rank.

Result: with one priority in use, without the configuration, or at the highest rank, decisions on 1,500 random states have the digest of the code before.

--- a/crates/ringbend-gateway/src/attempts.rs
+++ b/crates/ringbend-gateway/src/attempts.rs
@@ -5,6 +5,7 @@
 use ringbend_types::{EndpointId, RunState, ServiceName, Timestamp};
 use smallvec::SmallVec;
 
+use crate::priorities::Rank;
 use crate::retry_budget::RetryBudget;
 use crate::snapshot::RepeatPolicy;
 
@@ -43,6 +44,8 @@
     repeat: RepeatPolicy,
     max_runs: u8,
     deadline: Timestamp,
+    rank: Rank,
+    since: Timestamp,
     runs: u8,
     unrun_sends: u8,
     tried: SmallVec<[EndpointId; 4]>,
@@ -52,8 +55,14 @@
     /// Creates the state of a request that may run on `max_runs` endpoints and must end by
     /// `deadline`.
     pub fn new(repeat: RepeatPolicy, max_runs: u8, deadline: Timestamp) -> Self {
-        let tried = SmallVec::new();
-        Self { repeat, max_runs: max_runs.max(1), deadline, runs: 0, unrun_sends: 0, tried }
+        let (rank, since, tried) = (Rank::MOST_URGENT, Timestamp::default(), SmallVec::new());
+        let max_runs = max_runs.max(1);
+        Self { repeat, max_runs, deadline, rank, since, runs: 0, unrun_sends: 0, tried }
+    }
+
+    /// Sets the rank of the request, which arrived at `since`. It rises with time.
+    pub fn with_rank(self, rank: Rank, since: Timestamp) -> Self {
+        Self { rank, since, ..self }
     }
 
     /// The deadline of the request.
@@ -95,7 +104,9 @@
             SendOutcome::Unknown | SendOutcome::FailedAnswer => self.runs += 1,
         }
         let may_send = self.may_send_again() && now < self.deadline;
-        if may_send && (outcome == SendOutcome::NotSent || budget.take(now, service)) {
+        if may_send
+            && (outcome == SendOutcome::NotSent || budget.take(now, service, self.rank_at(now)))
+        {
             return NextStep::Retry;
         }
         match outcome {
@@ -117,7 +128,8 @@
         service: &ServiceName,
         budget: &mut RetryBudget,
     ) -> bool {
-        self.begin_another_run(now, || budget.take(now, service))
+        let rank = self.rank_at(now);
+        self.begin_another_run(now, || budget.take(now, service, rank))
     }
 
     /// Whether to start a hedged run beside one that is overdue. It counts as a run, as if it
@@ -128,7 +140,8 @@
         service: &ServiceName,
         budget: &mut RetryBudget,
     ) -> bool {
-        self.begin_another_run(now, || budget.take_for_hedge(now, service))
+        let rank = self.rank_at(now);
+        self.begin_another_run(now, || budget.take_for_hedge(now, service, rank))
     }
 
     /// Whether another run may start before the outcome of the first one is known. Records the run
@@ -140,6 +153,10 @@
         runs
     }
 
+    fn rank_at(&self, now: Timestamp) -> Rank {
+        self.rank.aged(now.since(self.since), self.deadline.since(self.since))
+    }
+
     /// Whether a run with an unknown outcome may be followed by another one.
     pub fn may_run_again(&self) -> bool {
         self.runs + 1 < self.max_runs
--- a/crates/ringbend-gateway/src/fleet_view.rs
+++ b/crates/ringbend-gateway/src/fleet_view.rs
@@ -4,11 +4,13 @@
 
 use ringbend_types::{DataCentre, EndpointId, Timestamp};
 
+use crate::account_shares::AccountShares;
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
 use crate::health::HealthTracker;
 use crate::limits::Limits;
 use crate::load::{EndpointLoad, LoadTracker};
+use crate::priorities::{Priorities, Rank};
 use crate::weights::PlacementWeights;
 
 /// The share of an engine's memory that placement uses.
@@ -42,6 +44,13 @@
     pub is_suspect: bool,
     /// The rate limits that endpoints named.
     pub limits: &'a Limits,
+    /// The priorities in use at the service; none if the configuration is unknown.
+    pub priorities: Priorities,
+    /// The rank of this request, raised by the time that it has waited.
+    pub rank: Rank,
+    /// Recent use by the client accounts of the service's long prompts; `None` if they have no
+    /// shares.
+    pub shares: Option<&'a AccountShares>,
 }
 
 /// Cost of placing a suspect beside another, in stakes: more than being late, and less than using
--- a/crates/ringbend-gateway/src/job.rs
+++ b/crates/ringbend-gateway/src/job.rs
@@ -8,6 +8,7 @@
 
 use crate::load::Work;
 use crate::placement::{Demand, Placement, PlacementGoal, stake};
+use crate::priorities::{Priorities, Rank};
 use crate::regions::AllowedDataCentres;
 use crate::weights::PlacementWeights;
 
@@ -38,8 +39,7 @@
     pub data_centres: AllowedDataCentres,
     /// Whether to place it at once, however long its prompt is, because its stream has begun.
     pub at_once: bool,
-    /// Its priority among requests that wait for a permit, zero first: that of its client account,
-    /// or of its route.
+    /// Its priority, zero first: that of its client account, or of its route.
     pub priority: u8,
     /// The client account of its caller; `None` on a public route.
     pub account: Option<ClientAccountId>,
@@ -54,8 +54,22 @@
         PlacementGoal { demand, first_in: self.first_by.since(now), gap: self.gap }
     }
 
-    /// The load that the request puts on endpoints with this placement.
-    pub fn work(&self, w: &PlacementWeights, placement: &Placement, long: bool) -> Work {
+    /// The rank of the request among those of its service. It rises until the first event is due, so
+    /// that a less urgent request is placed while it can still be on time.
+    pub fn rank(&self, now: Timestamp, priorities: &Priorities) -> Rank {
+        let due_in = self.first_by.since(self.since);
+        priorities.rank(self.priority).aged(now.since(self.since), due_in)
+    }
+
+    /// The load that the request puts on endpoints with this placement. Its stake, which other
+    /// schedulers receive, includes its rank.
+    pub fn work(
+        &self,
+        w: &PlacementWeights,
+        placement: &Placement,
+        long: bool,
+        rank: Rank,
+    ) -> Work {
         let demand = self.demand.unwrap_or(Demand { prompt_tokens: 0, answer_tokens: 0 });
         let memory = demand.prompt_tokens + demand.answer_tokens;
         Work {
@@ -67,7 +81,7 @@
             long,
             gap: self.gap,
             first_by: self.first_by,
-            stake: stake(w, demand.prompt_tokens),
+            stake: stake(w, demand.prompt_tokens) * rank.stake_factor(),
             until: self.deadline,
             suspect: self.suspect,
         }
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod peers;
 mod permits;
 mod placement;
+mod priorities;
 mod quarantine;
 mod quiet;
 mod regions;
@@ -37,6 +38,7 @@
 mod reservation;
 mod retry_budget;
 mod schedulers;
+mod send_order;
 mod signals;
 mod snapshot;
 mod store_backoff;
@@ -73,6 +75,7 @@
 pub use placement::{
     Demand, Placement, PlacementGoal, is_long, place_on_engines, place_on_service, stake,
 };
+pub use priorities::{Priorities, Rank};
 pub use quarantine::{EndedProcess, Quarantine, STRIKES_TO_HOLD, SuspectState, Suspicion};
 pub use regions::{AllowedDataCentres, AllowedRegions, RegionMap};
 pub use replica::{OfferResult, Replica};
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -42,7 +42,7 @@
     pub gap: Duration,
     /// When its first event is due.
     pub first_by: Timestamp,
-    /// The loss if it is late, relative to a request of the usual small size.
+    /// The loss if it is late, relative to a request of the usual small size and the highest rank.
     pub stake: f64,
     /// Its deadline. The work is dropped then if no message reports its end.
     pub until: Timestamp,
--- a/crates/ringbend-gateway/src/placement.rs
+++ b/crates/ringbend-gateway/src/placement.rs
@@ -4,7 +4,9 @@
 //! reads waiting prompts between them. Prefill makes the pass longer, so a long prompt delays the
 //! next event of every stream on the engine and the first event of every prompt that waits there.
 //! The chosen placement has the lowest expected total cost for the request itself and for all other
-//! requests, each weighted by its stake: the loss if it is late.
+//! requests, each weighted by its stake: the loss if it is late. Where requests have different
+//! priorities, the cost to others is in units of the placed request's own stake: it counts the more,
+//! the more urgent they are than this request, and as without priorities if they are as urgent.
 
 use std::time::Duration;
 
@@ -52,7 +54,7 @@
     pub held: SmallVec<[HelperMemory; 2]>,
     /// The expected total cost, in stakes.
     pub cost: f64,
-    /// The part of the cost that other requests bear.
+    /// The part of the cost that other requests bear, relative to the rank of this one.
     pub cost_to_others: f64,
     /// Expected time to the first event, in milliseconds.
     pub first_ms: f64,
@@ -161,6 +163,8 @@
     let w = view.weights;
     let stake = stake(w, goal.demand.prompt_tokens);
     let target_ms = millis(goal.first_in);
+    // The stakes of the requests on an engine include their ranks.
+    let others_factor = view.rank.stake_factor().recip();
     let price = |e: &Engine<'_>| {
         let part_ms = part_ms * e.pace;
         let own = |leads| {
@@ -169,7 +173,8 @@
                 * (lateness(w, first, target_ms) + w.first * first / target_ms.max(LATE_TARGET_MS))
         };
         Price {
-            cost_to_others: e.cost_to_others(w, view.now, part_ms, parts > 1) + e.fixed_cost,
+            cost_to_others: e.cost_to_others(w, view.now, part_ms, parts > 1) * others_factor
+                + e.fixed_cost,
             own_if_helper: own(false),
             own_if_lead: own(true),
             lead_extra: e.lead_cost(view, profile, goal, stake) + e.limit_cost,
--- a/crates/ringbend-gateway/src/retry_budget.rs
+++ b/crates/ringbend-gateway/src/retry_budget.rs
@@ -10,6 +10,8 @@
 
 use ringbend_types::{ServiceName, Timestamp};
 
+use crate::priorities::Rank;
+
 /// The bounds of the budget over all instances.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudgetBounds {
@@ -94,27 +96,36 @@
         drop_expired(&mut counts.requests, now, window);
     }
 
-    /// Takes one retry for `service`, if the budget permits it.
-    pub fn take(&mut self, now: Timestamp, service: &ServiceName) -> bool {
+    /// Takes one retry for a request of `service`, if the budget permits it. When little is left,
+    /// it is kept for requests of higher ranks.
+    pub fn take(&mut self, now: Timestamp, service: &ServiceName, rank: Rank) -> bool {
         let allowance = self.allowance_share(now);
-        self.take_within(now, service, allowance)
+        self.take_within(now, service, rank, allowance)
     }
 
     /// Takes one retry for a hedged run, from the ratio only. The allowance is reserved for
     /// requests that have failed. The ratio is proportional to the instance's own requests, so
     /// hedging stays within the budget even if all instances have just restarted.
-    pub fn take_for_hedge(&mut self, now: Timestamp, service: &ServiceName) -> bool {
-        self.take_within(now, service, 0.0)
+    pub fn take_for_hedge(&mut self, now: Timestamp, service: &ServiceName, rank: Rank) -> bool {
+        self.take_within(now, service, rank, 0.0)
     }
 
-    /// Takes one retry if the ratio plus this share of the allowance has room.
-    fn take_within(&mut self, now: Timestamp, service: &ServiceName, allowance: f64) -> bool {
+    /// Takes one retry if the ratio plus this share of the allowance has room for the rank. One
+    /// retry per window is available to each rank: a budget that small is not divided.
+    fn take_within(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        rank: Rank,
+        allowance: f64,
+    ) -> bool {
         let RetryBudgetBounds { ratio, window, .. } = self.bounds;
         let counts = self.counts(service);
         drop_expired(&mut counts.requests, now, window);
         drop_expired(&mut counts.retries, now, window);
         let max_retries = counts.requests.len() as f64 * ratio * RATIO_SHARE + allowance;
-        if counts.retries.len() as f64 + 1.0 > max_retries {
+        let max_of_rank = (max_retries * rank.budget_share()).max(max_retries.min(1.0));
+        if counts.retries.len() as f64 + 1.0 > max_of_rank {
             return false;
         }
         counts.retries.push_back(now);
--- a/crates/ringbend-gateway/src/snapshot.rs
+++ b/crates/ringbend-gateway/src/snapshot.rs
@@ -1,6 +1,6 @@
 //! One version of the configuration, decoded from the operator's format.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +9,7 @@
 
 use crate::cold_pacing::ColdProfile;
 use crate::engine::EngineProfile;
+use crate::priorities::Priorities;
 use crate::regions::AllowedRegions;
 
 /// The version number of a configuration. Later versions have larger numbers, not necessarily
@@ -156,6 +157,7 @@
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
     services: HashMap<ServiceName, Service>,
     keys: Option<HashMap<Arc<str>, Account>>,
+    priorities: HashMap<ServiceName, Priorities>,
 }
 
 impl Snapshot {
@@ -166,8 +168,11 @@
             let routes = hosts.entry(entry.host.to_ascii_lowercase().into()).or_default();
             routes.insert(entry.prefix, Arc::new(entry.route));
         }
+        let routes = hosts.values().flat_map(HashMap::values).map(Arc::as_ref);
+        let priorities = priorities_by_service(routes, parts.keys.as_deref());
         Self {
             version: parts.version,
+            priorities,
             limits: parts.limits,
             hosts,
             services: parts.services.into_iter().map(|s| (s.name.clone(), s)).collect(),
@@ -189,6 +194,11 @@
         self.services.get(name)
     }
 
+    /// The priorities that requests of a service have; none if no route refers to it.
+    pub fn priorities(&self, service: &ServiceName) -> Priorities {
+        self.priorities.get(service).copied().unwrap_or_default()
+    }
+
     /// Whether requests on routes that are not public need a key.
     pub fn needs_keys(&self) -> bool {
         self.keys.is_some()
@@ -219,3 +229,26 @@
         self.split.iter().rfind(|s| s.weight > 0).map(|s| &s.service)
     }
 }
+
+/// The priorities of requests by service. Those of client accounts override those of routes where
+/// requests need a key.
+fn priorities_by_service<'a>(
+    routes: impl Iterator<Item = &'a Route>,
+    keys: Option<&[(Arc<str>, Account)]>,
+) -> HashMap<ServiceName, Priorities> {
+    let of_accounts: Option<BTreeSet<Option<u8>>> =
+        keys.map(|keys| keys.iter().map(|(_, account)| account.priority).collect());
+    let mut priorities: HashMap<ServiceName, Priorities> = HashMap::new();
+    for route in routes {
+        let of_route: Priorities = match &of_accounts {
+            Some(accounts) if !route.public => {
+                accounts.iter().map(|priority| priority.unwrap_or(route.priority)).collect()
+            }
+            _ => [route.priority].into_iter().collect(),
+        };
+        for split in route.split.iter().filter(|split| split.weight > 0) {
+            priorities.entry(split.service.clone()).or_default().extend(of_route.iter());
+        }
+    }
+    priorities
+}
--- a/crates/ringbend-gateway/src/turns.rs
+++ b/crates/ringbend-gateway/src/turns.rs
@@ -7,8 +7,6 @@
 
 use std::time::Duration;
 
-use ringbend_types::{ServiceName, Timestamp};
-
 use crate::deferral::{Deferral, should_defer};
 use crate::directory::Endpoint;
 use crate::engine::{EngineProfile, MAX_PREFILL_ENGINES};
@@ -16,7 +14,7 @@
 use crate::load::WorkId;
 use crate::placement::PlacementGoal;
 use crate::quiet::reading_engines;
-use crate::waiting_prompt::WaitingPrompt;
+use crate::send_order::send_order;
 use crate::weights::PlacementWeights;
 
 /// Whether a long prompt may be sent.
@@ -41,84 +39,9 @@
 /// a busy instance.
 const MAX_UNUSED: Duration = Duration::from_millis(30);
 
-/// The share of a request's waiting time after which it precedes all others, however late it is.
-const AGED_SHARE: f64 = 0.6;
-
 /// The interval at which a prompt is checked again while it waits for other instances to be heard.
 const STARTING_RECHECK: Duration = Duration::from_millis(20);
 
-/// The overhead of each prompt beside its prefill: one pass that it waits for and one that it
-/// shares.
-const PASS_OVERHEAD: Duration = Duration::from_millis(60);
-
-/// A waiting prompt in the order in which prompts are sent.
-struct Queued<'a> {
-    id: WorkId,
-    waiting: &'a WaitingPrompt,
-    /// The time in which all engines together read it.
-    shared_time: Duration,
-    /// The time in which it is read by itself.
-    solo_time: Duration,
-}
-
-impl Queued<'_> {
-    /// Whether it precedes all others, however late it is.
-    fn is_aged(&self, now: Timestamp) -> bool {
-        let WaitingPrompt { since, until, .. } = *self.waiting;
-        now.since(since) > until.since(since).mul_f64(AGED_SHARE)
-    }
-}
-
-/// The order in which the waiting prompts of a service are sent: first those that have waited for
-/// long; then those that can all be on time together, by due time; then the rest.
-fn send_order<'a>(
-    view: FleetView<'a>,
-    service: &ServiceName,
-    engines: usize,
-    backlog: Duration,
-) -> Vec<Queued<'a>> {
-    let now = view.now;
-    let queued = |(id, waiting): (WorkId, &'a WaitingPrompt)| {
-        let part = |n: usize| waiting.read_time / u32::try_from(n.max(1)).unwrap_or(u32::MAX);
-        let (shared_time, solo_time) =
-            (part(engines), part(engines.min(MAX_PREFILL_ENGINES)) + PASS_OVERHEAD);
-        Queued { id, waiting, shared_time, solo_time }
-    };
-    let all = view.load.waiting().filter(|(_, waiting)| waiting.service == *service).map(queued);
-    let (mut aged, mut due): (Vec<_>, Vec<_>) = all.partition(|q| q.is_aged(now));
-    aged.sort_by_key(|q| (q.waiting.since, q.id));
-    due.sort_by_key(|q| (q.waiting.first_by, q.id));
-    let begins = now + backlog + aged.iter().map(|q| q.shared_time).sum::<Duration>();
-    let (on_time, mut late) = split_late(begins, due);
-    late.sort_by_key(|q| (q.waiting.since, q.id));
-    aged.into_iter().chain(on_time).chain(late).collect()
-}
-
-/// Splits prompts, sorted by due time, into those that can all be on time if prefill begins at
-/// `begins`, and the rest. If not all can, the longest is moved to the rest, so that most are on
-/// time.
-fn split_late<'a>(begins: Timestamp, due: Vec<Queued<'a>>) -> (Vec<Queued<'a>>, Vec<Queued<'a>>) {
-    let mut done = begins;
-    let (mut on_time, mut late): (Vec<Queued<'_>>, Vec<_>) = (Vec::new(), Vec::new());
-    for q in due {
-        let (id, first_by, solo_time) = (q.id, q.waiting.first_by, q.solo_time);
-        done = done + q.shared_time;
-        on_time.push(q);
-        while done + solo_time > first_by {
-            let longest = on_time.iter().enumerate().max_by_key(|(_, q)| (q.shared_time, q.id));
-            let Some(longest) = longest.map(|(at, _)| at) else { break };
-            let longest_prompt = on_time.remove(longest);
-            let is_current = longest_prompt.id == id;
-            done = done - longest_prompt.shared_time;
-            late.push(longest_prompt);
-            if is_current {
-                break;
-            }
-        }
-    }
-    (on_time, late)
-}
-
 /// The number of engines that should read a prompt.
 fn wanted_engines(w: &PlacementWeights, read_time: Duration, engines: usize) -> usize {
     let parts = (read_time.as_secs_f64() * 1e3 / w.part_ms).ceil() as usize;
--- a/crates/ringbend-gateway/src/waiting_prompt.rs
+++ b/crates/ringbend-gateway/src/waiting_prompt.rs
@@ -4,6 +4,8 @@
 
 use ringbend_types::{ClientAccountId, ServiceName, Timestamp};
 
+use crate::priorities::{Priorities, Rank};
+
 /// A long prompt that waits for its turn.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WaitingPrompt {
@@ -22,3 +24,12 @@
     /// The client account of its caller; `None` on a public route.
     pub account: Option<ClientAccountId>,
 }
+
+impl WaitingPrompt {
+    /// The rank of the prompt in the order of waiting ones. It rises until its caller disconnects,
+    /// so that ranks also order prompts that are late.
+    pub fn rank(&self, now: Timestamp, priorities: &Priorities) -> Rank {
+        let patience = self.until.since(self.since);
+        priorities.rank(self.priority).aged(now.since(self.since), patience)
+    }
+}
--- a/crates/ringbend-gateway/tests/retries.rs
+++ b/crates/ringbend-gateway/tests/retries.rs
@@ -6,7 +6,7 @@
 
 use quickcheck::quickcheck;
 use ringbend_gateway::{
-    Attempts, NextStep, RepeatPolicy, RetryBudget, RetryBudgetBounds, SendOutcome,
+    Attempts, NextStep, Rank, RepeatPolicy, RetryBudget, RetryBudgetBounds, SendOutcome,
 };
 use ringbend_types::{RunState, Timestamp};
 use support::{at, endpoint, service};
@@ -118,7 +118,7 @@
                 *budget = new();
                 restarts += 1;
             }
-            while budget.take(now, &name) {
+            while budget.take(now, &name, Rank::MOST_URGENT) {
                 retries.push(now);
             }
         }
@@ -150,7 +150,7 @@
                 budget.record_request(now, &name);
                 requests.push(now);
             }
-            while budget.take(now, &name) {
+            while budget.take(now, &name, Rank::MOST_URGENT) {
                 retries.push(now);
             }
         }
@@ -187,7 +187,7 @@
                 requests.push(now);
             }
             // The failure begins a second before the kill.
-            while ms >= 9_000 && budget.take(now, &name) {
+            while ms >= 9_000 && budget.take(now, &name, Rank::MOST_URGENT) {
                 retries.push(now);
             }
         }
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -2,12 +2,14 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod burst;
+
 use std::time::Duration;
 
 use ringbend_gateway::{
-    ConfigVersion, Endpoint, EngineProfile, FleetView, HealthTracker, Limits, LoadTracker,
-    PlacementWeights, RepeatPolicy, Route, RouteEntry, Snapshot, SnapshotParts, WeightedService,
-    Work, WorkId,
+    AccountShares, AllowedDataCentres, ConfigVersion, Demand, Endpoint, EngineProfile, FleetView,
+    HealthTracker, Job, Limits, LoadTracker, PlacementWeights, Priorities, Rank, RepeatPolicy,
+    Route, RouteEntry, Snapshot, SnapshotParts, WeightedService, Work, WorkId,
 };
 use ringbend_types::{DataCentre, ServiceName, Timestamp};
 use smallvec::{SmallVec, smallvec};
@@ -89,6 +91,9 @@
     pub now: Timestamp,
     pub spread_seed: Option<u64>,
     pub starting: bool,
+    pub priorities: Priorities,
+    pub rank: Rank,
+    pub shares: Option<AccountShares>,
 }
 
 impl Scene {
@@ -103,6 +108,9 @@
             now: at(0),
             spread_seed: None,
             starting: false,
+            priorities: Priorities::default(),
+            rank: Rank::MOST_URGENT,
+            shares: None,
         }
     }
 
@@ -122,6 +130,9 @@
             tried: &[],
             is_suspect: false,
             limits: &self.limits,
+            priorities: self.priorities,
+            rank: self.rank,
+            shares: self.shares.as_ref(),
         }
     }
 }
@@ -153,3 +164,24 @@
         ..SnapshotParts::default()
     })
 }
+
+/// A request that arrives at time zero, and whose first event is due after 300 ms.
+pub fn job(prompt_tokens: u64) -> Job {
+    Job {
+        request: "r".into(),
+        service: service("engines"),
+        demand: Some(Demand { prompt_tokens, answer_tokens: 500 }),
+        since: at(0),
+        first_by: at(300),
+        gap: ms(200),
+        caller_timeout_at: at(2_000),
+        deadline: at(10_000),
+        tried: SmallVec::new(),
+        backing_off: Vec::new(),
+        data_centres: AllowedDataCentres::Any,
+        at_once: false,
+        priority: 0,
+        account: None,
+        suspect: None,
+    }
+}
--- a/crates/ringbend-gateway/tests/unranked_decisions.rs
+++ b/crates/ringbend-gateway/tests/unranked_decisions.rs
@@ -11,9 +11,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ringbend_gateway::{
-    Attempts, Demand, HealthEvent, NextStep, Placement, PlacementGoal, QueuedPrompt, RepeatPolicy,
-    RetryBudget, RetryBudgetBounds, SendOutcome, Turn, WaitingPrompt, Work, decide_turn,
-    place_on_engines, stake,
+    Attempts, Demand, HealthEvent, NextStep, Placement, PlacementGoal, Priorities, QueuedPrompt,
+    RepeatPolicy, RetryBudget, RetryBudgetBounds, SendOutcome, Turn, WaitingPrompt, Work,
+    decide_turn, place_on_engines, stake,
 };
 use support::{Scene, at, endpoint, ms, profile, service, work, work_id};
 
@@ -24,6 +24,22 @@
 
 const STATES: u64 = 1_500;
 
+/// What a scheduler knows of priorities, and those of the requests.
+#[derive(Clone, Copy)]
+struct Ranks {
+    /// The priorities in use at the service.
+    known: Priorities,
+    /// Requests have this priority and, in turn, up to `variety - 1` further ones.
+    priority: u8,
+    variety: u8,
+}
+
+impl Ranks {
+    fn priority(&self, nth: u64) -> u8 {
+        self.priority + (nth % u64::from(self.variety)) as u8
+    }
+}
+
 /// 64-bit FNV-1a; independent of the version of the standard library.
 struct Digest(u64);
 
@@ -117,9 +133,16 @@
     PlacementGoal { demand, first_in, gap: ms(rng.random_range(100..1_000)) }
 }
 
-fn add_decisions(rng: &mut ChaCha8Rng, digest: &mut Digest) {
-    let scene = scene(rng);
-    for _ in 0..4 {
+fn add_decisions(rng: &mut ChaCha8Rng, ranks: Ranks, digest: &mut Digest) {
+    let mut scene = scene(rng);
+    scene.priorities = ranks.known;
+    let waiting: Vec<_> = scene.load.waiting().map(|(id, w)| (id, w.clone())).collect();
+    for (id, waiting) in waiting {
+        let priority = ranks.priority(id.sequence);
+        scene.load.add_waiting(id, WaitingPrompt { priority, ..waiting });
+    }
+    for nth in 0..4 {
+        scene.rank = ranks.known.rank(ranks.priority(nth));
         let goal = goal(rng);
         let placed = place_on_engines(scene.view(), &profile(), &scene.candidates(), &goal);
         digest.add_placement(placed.as_ref());
@@ -128,11 +151,12 @@
     for id in waiting {
         let passed_over_for = ms(rng.random_range(0..40));
         let prompt = QueuedPrompt { id, passed_over_for, goal: goal(rng) };
+        scene.rank = ranks.known.rank(ranks.priority(id.sequence));
         digest.add_turn(decide_turn(scene.view(), &profile(), &scene.candidates(), &prompt));
     }
 }
 
-fn add_retries(rng: &mut ChaCha8Rng, digest: &mut Digest) {
+fn add_retries(rng: &mut ChaCha8Rng, ranks: Ranks, digest: &mut Digest) {
     let bounds = RetryBudgetBounds {
         ratio: rng.random_range(0.0..0.3),
         window: ms(rng.random_range(1_000..10_000)),
@@ -143,7 +167,9 @@
     for now in (0..20_000).step_by(40) {
         let now = at(now);
         budget.record_request(now, &name);
-        let mut attempts = Attempts::new(RepeatPolicy::Idempotent, 2, now + ms(3_000));
+        let rank = ranks.known.rank(ranks.priority(now.0));
+        let attempts = Attempts::new(RepeatPolicy::Idempotent, 2, now + ms(3_000));
+        let mut attempts = attempts.with_rank(rank, now);
         let next = match rng.random_range(0..10) {
             0 => attempts.replace_silent(now, &name, &mut budget),
             1 => attempts.begin_hedge(now, &name, &mut budget),
@@ -157,13 +183,44 @@
     }
 }
 
-#[test]
-fn decisions_without_ranks_are_those_before_priorities() {
+/// The digest of all decisions.
+fn digest(ranks: Ranks) -> u64 {
     let mut digest = Digest(0xcbf2_9ce4_8422_2325);
     for state in 0..STATES {
         let mut rng = ChaCha8Rng::seed_from_u64(state);
-        add_decisions(&mut rng, &mut digest);
-        add_retries(&mut rng, &mut digest);
+        add_decisions(&mut rng, ranks, &mut digest);
+        add_retries(&mut rng, ranks, &mut digest);
+    }
+    digest.0
+}
+
+#[test]
+fn decisions_for_one_priority_are_those_before_priorities() {
+    for priority in [0, 7, 255] {
+        let known = [priority].into_iter().collect();
+        let digest = digest(Ranks { known, priority, variety: 1 });
+        assert_eq!(digest, DIGEST_BEFORE_PRIORITIES, "{digest:#x}");
     }
-    assert_eq!(digest.0, DIGEST_BEFORE_PRIORITIES, "{:#x}", digest.0);
+}
+
+/// A scheduler may receive requests for a service that is not in its configuration.
+#[test]
+fn decisions_without_the_configuration_are_those_before_priorities() {
+    let digest = digest(Ranks { known: Priorities::default(), priority: 0, variety: 4 });
+    assert_eq!(digest, DIGEST_BEFORE_PRIORITIES, "{digest:#x}");
+}
+
+/// The most urgent requests are placed as if there were no others.
+#[test]
+fn decisions_of_the_highest_rank_are_those_before_priorities() {
+    let known = (3..7).collect();
+    let digest = digest(Ranks { known, priority: 3, variety: 1 });
+    assert_eq!(digest, DIGEST_BEFORE_PRIORITIES, "{digest:#x}");
+}
+
+/// Shows that the digest covers decisions that ranks change.
+#[test]
+fn ranks_change_decisions() {
+    let digest = digest(Ranks { known: (0..4).collect(), priority: 0, variety: 4 });
+    assert_ne!(digest, DIGEST_BEFORE_PRIORITIES);
 }
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -104,7 +104,10 @@
         let service = admitted.snapshot.service(&service).ok_or(Refusal::NoService)?.clone();
         self.node.budget.borrow_mut().record_request(self.node.clock.now(), &service.name);
         let Admitted { route, account, snapshot } = admitted;
-        let attempts = Attempts::new(route.repeat, route.max_runs, deadline);
+        let priority = account.as_ref().and_then(|account| account.priority);
+        let rank = snapshot.priorities(&service.name).rank(priority.unwrap_or(route.priority));
+        let attempts =
+            Attempts::new(route.repeat, route.max_runs, deadline).with_rank(rank, arrived_at);
         let original = OriginalRequest { head: req.head().clone(), body, fingerprint, _held: held };
         let mut request = ActiveRequest::new(
             self.node.clone(),
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod placement_requests;
 mod ports;
 mod prompt_queue;
+mod ranks;
 mod refusal;
 mod relay;
 mod reservations;
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -1,7 +1,7 @@
 //! State shared by all parts of one relay.
 
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,13 +11,13 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    Backoffs, ColdPacing, Directory, Freshness, HealthTracker, InstanceRank, Limits, LoadTracker,
-    Outbox, PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget, StoreOutages,
-    StoreReaders, WorkId, fleet_backoff_factor,
+    AccountShares, Backoffs, ColdPacing, Directory, Freshness, HealthTracker, InstanceRank, Limits,
+    LoadTracker, Outbox, PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget,
+    StoreOutages, StoreReaders, WorkId, fleet_backoff_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
-use ringbend_types::{Fingerprint, Timestamp};
+use ringbend_types::{Fingerprint, ServiceName, Timestamp};
 use ringbend_wire::EndpointChanges;
 use tokio::sync::Notify;
 
@@ -60,6 +60,8 @@
     /// Permits for rate-limited endpoints, where this instance is the limit coordinator.
     pub(crate) permits: RefCell<Permits>,
     pub(crate) budget: RefCell<RetryBudget>,
+    /// Recent use of engines by the client accounts of long prompts that this instance placed.
+    pub(crate) prompt_shares: RefCell<BTreeMap<ServiceName, AccountShares>>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) peers: RefCell<Peers>,
     /// The registry's entries when it was last read.
@@ -179,6 +181,7 @@
             logged_signals: RefCell::default(),
             permits: RefCell::default(),
             budget: RefCell::new(budget),
+            prompt_shares: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
             peers: RefCell::new(peers),
             registry_records: RefCell::default(),
--- a/crates/ringbend-relay/src/placement.rs
+++ b/crates/ringbend-relay/src/placement.rs
@@ -173,8 +173,11 @@
         engine: Option<EngineProfile>,
         placement: Placement,
     ) -> Placement {
-        let is_long = self.is_long(job, engine);
-        let work = job.work(&self.cfg.borrow().placement, &placement, is_long);
+        let (is_long, rank) = (self.is_long(job, engine), self.rank(job));
+        if let (true, Some(engine), Some(demand)) = (is_long, &engine, job.demand) {
+            self.charge_long_prompt(job, engine, demand);
+        }
+        let work = job.work(&self.cfg.borrow().placement, &placement, is_long, rank);
         self.record_cold_placement(&work.lead);
         self.load.borrow_mut().place(self.clock.now(), id, work);
         self.outbox.borrow_mut().placed.push(id);
@@ -211,6 +214,7 @@
         let candidates: Vec<&Endpoint> = all.filter(is_open).collect();
         let limits = self.limits.borrow();
         let (cfg, load, health) = (self.cfg.borrow(), self.load.borrow(), self.health.borrow());
+        let (priorities, shares) = (self.priorities(&job.service), self.prompt_shares.borrow());
         let (is_scheduler, instances) = (self.is_scheduler(), self.peers.borrow().instances(now));
         // If other instances schedule, this instance's load tracker lacks their placements.
         let alone = !is_scheduler || instances <= 1;
@@ -226,6 +230,9 @@
             tried: &job.tried,
             is_suspect: job.suspect.is_some(),
             limits: &limits,
+            priorities,
+            rank: job.rank(now, &priorities),
+            shares: shares.get(&job.service).filter(|_| cfg.overload.is_enabled()),
         };
         evaluate(view, &candidates)
     }
