--- a/crates/ringbend-gateway/src/priorities.rs
+++ b/crates/ringbend-gateway/src/priorities.rs
@@ -4,6 +4,7 @@
 //! priority, all have the same rank and decisions do not depend on it. An instance that does not
 //! know the configuration takes every request for one of the highest rank.
 
+use std::fmt;
 use std::time::Duration;
 
 /// The share of a request's waiting time after which it has the highest rank, and after which a
@@ -56,6 +57,12 @@
     }
 }
 
+impl fmt::Display for Rank {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
 /// The set of priorities that requests of one service have.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Priorities {
--- a/crates/ringbend-relay/src/placement.rs
+++ b/crates/ringbend-relay/src/placement.rs
@@ -283,7 +283,7 @@
             part_ms:% = Millis(Some(placement.part)), first_ms = placement.first_ms as u64,
             cost_percent, backlog_ms:% = Millis(Some(lead.backlog())),
             writers = lead.decodes().len(), places, memory = lead.memory_tokens(),
-            priority = job.priority, account:% = AccountName(job.account.as_ref());
+            priority = job.priority, rank:% = self.rank(job), account:% = AccountName(job.account.as_ref());
             "placed"
         );
     }
