--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! behind each decision. Does no I/O, reads no clock and starts no threads: the driver passes the
 //! time in.
 
+mod account_shares;
 mod admission;
 mod attempts;
 mod backoffs;
@@ -29,6 +30,7 @@
 mod peers;
 mod permits;
 mod placement;
+mod priorities;
 mod quarantine;
 mod quiet;
 mod regions;
@@ -36,6 +38,7 @@
 mod reservation;
 mod retry_budget;
 mod schedulers;
+mod send_order;
 mod signals;
 mod snapshot;
 mod store_backoff;
@@ -46,6 +49,7 @@
 mod waiting_prompt;
 mod weights;
 
+pub use account_shares::AccountShares;
 pub use admission::{AdmissionBounds, AdmissionRequest, Admitted, Denied, admit};
 pub use attempts::{Attempts, NextStep, SendOutcome};
 pub use backoffs::{BackoffState, Backoffs};
@@ -71,6 +75,7 @@
 pub use placement::{
     Demand, Placement, PlacementGoal, is_long, place_on_engines, place_on_service, stake,
 };
+pub use priorities::{Priorities, Rank};
 pub use quarantine::{EndedProcess, Quarantine, STRIKES_TO_HOLD, SuspectState, Suspicion};
 pub use regions::{AllowedDataCentres, AllowedRegions, RegionMap};
 pub use replica::{OfferResult, Replica};
