feat(relay): schedulers ask engines what they run after a start of all instances

Cause: after all instances have ended, engines still run requests whose callers are gone. The load trackers of the new instances are empty, so placement uses engines without a free slot as if they were idle.

Change: with overload control on, a scheduler that has just started and knows of no scheduler that is more than two seconds older asks engines for their reports, each engine once and by the scheduler that also queries its pace. Requests and memory beyond the known work are residual load, which decreases linearly over the usual duration of a response and counts for slots and memory. Reports travel to other schedulers in digests and in answers to hellos. No request waits. An engine that does not answer in 0.4 s remains unknown and its health unaffected.

--- a/crates/ringbend-gateway/src/candidate.rs
+++ b/crates/ringbend-gateway/src/candidate.rs
@@ -80,7 +80,7 @@
         Self {
             endpoint,
             load,
-            decode_pass_ms: pace * profile.pass_ms(load.decodes().len() as u32),
+            decode_pass_ms: pace * profile.pass_ms(load.sequences() as u32),
             slots: f64::from(profile.slots.max(1)),
             backlog_ms: pace * millis(load.backlog()),
             pace,
@@ -142,11 +142,11 @@
     /// several, the first event waits for the last of `parts` engines, whose passes are not
     /// aligned.
     pub(crate) fn first_ms(&self, part_ms: f64, parts: usize, leads: bool) -> f64 {
-        let waiting = (self.load.decodes().len() as f64 + 1.0 - self.slots).max(0.0);
+        let waiting = (self.load.sequences() + 1.0 - self.slots).max(0.0);
         let slot_wait_ms = if leads { waiting * SLOT_WAIT_MS } else { 0.0 };
         let last_of = parts as f64 / (parts as f64 + 1.0);
         let current_pass_ms =
-            if self.load.decodes().is_empty() { 0.0 } else { self.decode_pass_ms * last_of };
+            if self.load.sequences() == 0.0 { 0.0 } else { self.decode_pass_ms * last_of };
         // A part is read before everything that is queued, but not before what is being read.
         let before = if parts > 1 { self.longest_prefill_ms } else { self.backlog_ms };
         current_pass_ms + self.decode_pass_ms + before + part_ms + slot_wait_ms
@@ -162,7 +162,7 @@
     ) -> f64 {
         let w = view.weights;
         let slots = f64::from(profile.slots.max(1));
-        let taken = self.load.decodes().len() as f64;
+        let taken = self.load.sequences();
         let memory = goal.demand.prompt_tokens + goal.demand.answer_tokens;
         let missing = memory.saturating_sub(free_memory(profile, self.load));
         let mut cost = missing as f64 / memory.max(1) as f64 * w.hold;
@@ -174,7 +174,7 @@
             self.decode_pass_ms + self.pace * millis(self.load.usual_part(view.now));
         cost += stake * lateness(w, usual_pass_ms, millis(goal.gap)) * 0.5;
         if !is_long(w, profile, goal.demand) {
-            let share = self.short_prompts as f64 / slots;
+            let share = (self.short_prompts as f64 + self.load.residual_requests()) / slots;
             cost += if self.reserved_for == 0.0 { w.open } else { 0.0 };
             cost += (share - w.full_share).max(0.0) / OVERFILL_STEP * w.open;
         }
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -34,10 +34,12 @@
 mod regions;
 mod replica;
 mod reservation;
+mod residual_load;
 mod retry_budget;
 mod schedulers;
 mod signals;
 mod snapshot;
+mod start_survey;
 mod store_backoff;
 mod store_outages;
 mod store_readers;
@@ -77,6 +79,7 @@
 pub use reservation::{
     RESERVATION_RENEWAL, RESERVATION_TTL, Reservation, ReservationId, ReservationReply,
 };
+pub use residual_load::{EngineUsage, ResidualLoad, UsageReport, fade_time};
 pub use retry_budget::{RetryBudget, RetryBudgetBounds};
 pub use schedulers::{InstanceRank, Role, SCHEDULERS_PER_DATA_CENTRE};
 pub use signals::{Draining, EndpointSignals, MalformedSignal, Signal};
@@ -84,6 +87,7 @@
     Account, CallerLimits, ConfigVersion, RepeatPolicy, Route, RouteEntry, Service, Snapshot,
     SnapshotParts, WeightedService,
 };
+pub use start_survey::{StartSurvey, SurveyCounts};
 pub use store_backoff::{MAX_SECONDARY_BACKOFF, StoreBackoff, fleet_backoff_factor};
 pub use store_outages::{MIN_OUTAGE, OutageUpdate, StoreOutages};
 pub use store_readers::{StoreReaders, WatchedTable, read_age};
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 
 use crate::pace::Pace;
+use crate::residual_load::{EngineUsage, ResidualLoad, UsageReport};
 use crate::suspect_work::SuspectWork;
 use crate::waiting_prompt::WaitingPrompt;
 
@@ -124,6 +125,37 @@
         (load.pace, load.pace_until) = (pace, now + PACE_TTL);
     }
 
+    /// Records what an engine reported beyond the known work placed on it, which is load that fades.
+    /// Returns the number of requests found.
+    pub fn set_residual(
+        &mut self,
+        now: Timestamp,
+        engine: &EndpointId,
+        report: UsageReport,
+        fade: Duration,
+    ) -> usize {
+        let residual = ResidualLoad::new(report, self.reported_work(engine, &report), fade);
+        let Some(residual) = residual.filter(|residual| !residual.is_over(now)) else { return 0 };
+        let load = self.endpoints.entry(engine.clone()).or_default();
+        load.advance(now);
+        load.residual = Some(residual);
+        residual.requests(report.received_at).ceil() as usize
+    }
+
+    /// The known work on an engine that its report covers.
+    fn reported_work(&self, engine: &EndpointId, report: &UsageReport) -> EngineUsage {
+        let mut known = EngineUsage::default();
+        for open in self.open.values().filter(|open| report.covers(open.since)) {
+            if open.work.lead == *engine {
+                known.requests += 1;
+                known.memory_tokens += open.work.memory_tokens;
+            }
+            let held = open.work.held.iter().filter(|held| held.endpoint == *engine);
+            known.memory_tokens += held.map(|held| held.tokens).sum::<u64>();
+        }
+        known
+    }
+
     /// Records placed work.
     pub fn place(&mut self, now: Timestamp, id: WorkId, work: Work) {
         self.sweep(now);
--- a/crates/ringbend-gateway/src/load/endpoint_load.rs
+++ b/crates/ringbend-gateway/src/load/endpoint_load.rs
@@ -7,6 +7,7 @@
 
 use super::WorkId;
 use crate::pace::Pace;
+use crate::residual_load::ResidualLoad;
 
 /// A request that decodes on an endpoint, or will do so once its prompt is read.
 #[derive(Debug, Clone, Copy)]
@@ -64,6 +65,8 @@
     pub(super) pace: Pace,
     /// Until when its pace is valid, if it is slow.
     pub(super) pace_until: Timestamp,
+    /// Load that no known instance placed.
+    pub(super) residual: Option<ResidualLoad>,
 }
 
 /// The share of its stake that a late request still has to lose: its caller may disconnect.
@@ -122,12 +125,25 @@
     /// Whether its load equals that of an unused engine.
     pub(super) fn is_idle(&self, now: Timestamp) -> bool {
         let is_slow = self.pace.is_slow() && now < self.pace_until;
-        self.decode_tasks.is_empty() && self.backlog().is_zero() && !is_slow
+        let has_residual = self.residual.is_some_and(|residual| !residual.is_over(now));
+        self.decode_tasks.is_empty() && self.backlog().is_zero() && !is_slow && !has_residual
+    }
+
+    /// The number of requests that no known instance placed and that are expected to decode still.
+    pub fn residual_requests(&self) -> f64 {
+        self.residual.map_or(0.0, |residual| residual.requests(self.advanced_to))
+    }
+
+    /// The number of requests that decode on it or will do so, whether or not a known instance
+    /// placed them.
+    pub fn sequences(&self) -> f64 {
+        self.decode_tasks.len() as f64 + self.residual_requests()
     }
 
     /// Memory used, in tokens.
     pub fn memory_tokens(&self) -> u64 {
-        self.memory_tokens
+        let residual = self.residual.map_or(0, |load| load.memory_tokens(self.advanced_to));
+        self.memory_tokens + residual
     }
 
     /// The longest part it was recently given, decaying over time: an estimate of the parts to
@@ -145,12 +161,13 @@
 
     /// Subtracts what has been read until `now`.
     pub(super) fn advance(&mut self, now: Timestamp) {
-        let share = if self.decode_tasks.is_empty() { 1.0 } else { PREFILL_SHARE };
+        let share = if self.sequences() == 0.0 { 1.0 } else { PREFILL_SHARE };
         let mut time = now.since(self.advanced_to).mul_f64(share / self.pace.factor());
         if self.pace_until <= now {
             self.pace = Pace::USUAL;
         }
         self.advanced_to = now;
+        self.residual = self.residual.filter(|residual| !residual.is_over(now));
         for prefill in self.parts.iter_mut().rev().chain(&mut self.whole_prompts) {
             let read = prefill.left.min(time);
             prefill.left -= read;
--- a/crates/ringbend-gateway/src/outbox.rs
+++ b/crates/ringbend-gateway/src/outbox.rs
@@ -5,6 +5,7 @@
 use crate::health::HealthEvent;
 use crate::load::WorkId;
 use crate::pace::Pace;
+use crate::residual_load::UsageReport;
 
 /// Updates to be sent to other instances. The listed work is this instance's own, or that of
 /// instances for which it schedules.
@@ -26,6 +27,8 @@
     pub slow_engines: Vec<EndpointId>,
     /// How much slower than configured engines are.
     pub paces: Vec<(EndpointId, Pace)>,
+    /// What engines reported to run when this instance had just started, for other schedulers.
+    pub usages: Vec<(EndpointId, UsageReport)>,
     /// Incarnations of instances that have ended, and whose work has ended with them.
     pub ended_instances: Vec<u64>,
     /// Results of this instance's requests at endpoints, for the scheduler that places them.
--- a/crates/ringbend-relay/src/engine_pace.rs
+++ b/crates/ringbend-relay/src/engine_pace.rs
@@ -159,6 +159,12 @@
                 return None;
             }
         };
+        self.apply_engine_state(engine, &report);
+        Some(report)
+    }
+
+    /// Applies an engine's start and pace, and informs other schedulers.
+    pub(crate) fn apply_engine_state(&self, engine: &EndpointId, report: &EngineReport) {
         if let Some(start) = report.start {
             self.record_endpoint_start(engine, start);
         }
@@ -166,7 +172,6 @@
             self.outbox.borrow_mut().paces.push((engine.clone(), report.pace));
             self.flush.batched.notify_one();
         }
-        Some(report)
     }
 
     /// Records an engine's pace. Returns whether other instances should be informed.
@@ -211,7 +216,7 @@
         self.limits.borrow().known(engine).is_some_and(|known| known.rate.is_some())
     }
 
-    async fn fetch_report(
+    pub(crate) async fn fetch_report(
         &self,
         engine: &EndpointId,
     ) -> Result<Option<EngineReport>, ExchangeError> {
--- a/crates/ringbend-relay/src/gossip_receiver.rs
+++ b/crates/ringbend-relay/src/gossip_receiver.rs
@@ -66,6 +66,7 @@
         self.apply_unfit(now, &digest.unfit);
         self.apply_restarts(digest);
         self.merge_paces(digest);
+        self.merge_survey(now, digest);
         digest.results.iter().for_each(|result| self.apply_result(now, result));
         digest.asks.iter().for_each(|ask| self.handle_placement_request(from, start, ask));
         let own = self.incarnation();
@@ -176,7 +177,8 @@
             .limit_snapshot()
             .into_iter()
             .chain(self.drain_snapshot())
-            .chain(self.suspect_snapshot());
+            .chain(self.suspect_snapshot())
+            .chain(if schedules { self.survey_snapshot() } else { Vec::new() });
         for digest in self.pack_work(reply, work).into_iter().chain(snapshots) {
             self.send_digest(&digest, from);
         }
--- a/crates/ringbend-relay/src/gossip_sender.rs
+++ b/crates/ringbend-relay/src/gossip_sender.rs
@@ -18,6 +18,7 @@
 use crate::engine_pace::pace_updates;
 use crate::node::Node;
 use crate::peer_socket::BATCH_DELAY;
+use crate::start_survey::usage_updates;
 use crate::table_gossip::{MIN_PROOF_ADVANCE, currency};
 
 /// Maximum number of work items per datagram, so that it fits into a packet.
@@ -97,13 +98,16 @@
             gone: outbox.ended_instances.clone(),
             restarts: restart_updates(outbox),
             paces: pace_updates(&outbox.paces),
+            usages: usage_updates(now, &outbox.usages),
             endpoint_changes: changes.clone(),
             ..self.node.digest()
         };
         let has_news = has_news || !first.restarts.is_empty();
         let work = self.node.work_updates(outbox);
-        let has_no_other_updates =
-            first.unfit.is_empty() && first.gone.is_empty() && first.paces.is_empty();
+        let has_no_other_updates = first.unfit.is_empty()
+            && first.gone.is_empty()
+            && first.paces.is_empty()
+            && first.usages.is_empty();
         if !has_news && work.is_empty() && has_no_other_updates {
             return;
         }
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -43,6 +43,7 @@
 mod sending;
 mod shutdown;
 mod signals;
+mod start_survey;
 mod streams;
 mod suspect_store;
 mod suspects;
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -12,8 +12,8 @@
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
     Backoffs, ColdPacing, Directory, Freshness, HealthTracker, InstanceRank, Limits, LoadTracker,
-    Outbox, PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget, StoreOutages,
-    StoreReaders, WorkId, fleet_backoff_factor,
+    Outbox, PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget, StartSurvey,
+    StoreOutages, StoreReaders, WorkId, fleet_backoff_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -71,6 +71,8 @@
     pub(crate) peer_socket: OnceCell<PeerSocket>,
     /// When engines were last asked for their pace.
     pub(crate) pace_queries: RefCell<PaceQueries>,
+    /// The engines that were asked for their load after the start, and their answers.
+    pub(crate) survey: RefCell<StartSurvey>,
     /// Placement requests to schedulers that have no reply yet.
     pub(crate) placement_requests: RefCell<PlacementRequests>,
     /// Placement requests that this instance received as a scheduler.
@@ -160,6 +162,7 @@
         let budget = RetryBudget::new(cfg.bounds.budget());
         let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
         let own = InstanceRank::new(cfg.capacity(), cfg.listen.peers.unwrap_or(unknown));
+        let survey = RefCell::new(StartSurvey::new(clock.started_at()));
         let peers = Peers::new(clock.now(), cfg.data_centre.clone(), own);
         Rc::new(Self {
             cfg: RefCell::new(cfg),
@@ -186,6 +189,7 @@
             flush: FlushSignals::default(),
             peer_socket: OnceCell::new(),
             pace_queries: RefCell::default(),
+            survey,
             placement_requests: RefCell::default(),
             placement_grants: RefCell::default(),
             load_changed: Notify::new(),
--- a/crates/ringbend-relay/src/peer_socket.rs
+++ b/crates/ringbend-relay/src/peer_socket.rs
@@ -68,7 +68,8 @@
     pub(crate) fn introduction(&self) -> LoadDigest {
         let cfg = self.cfg.borrow();
         let (data_centre, capacity) = (cfg.data_centre.to_string(), cfg.capacity());
-        LoadDigest { data_centre, capacity, ..self.digest() }
+        let uptime_ms = self.announced_uptime_ms();
+        LoadDigest { data_centre, capacity, uptime_ms, ..self.digest() }
     }
 
     /// Greets the instances at these addresses, unless they are known already.
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -10,8 +10,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use ringbend_gateway::{
-    Demand, Endpoint, EndpointChange, EndpointSignals, EvacuationChange, EventId, Pace,
-    Reservation, ReservationId, ReservationReply, SnapshotParts,
+    Demand, Endpoint, EndpointChange, EndpointSignals, EngineUsage, EvacuationChange, EventId,
+    Pace, Reservation, ReservationId, ReservationReply, SnapshotParts,
 };
 use ringbend_types::{ClientAccountId, DataCentre, EndpointId, EndpointStart};
 use smallvec::SmallVec;
@@ -125,6 +125,8 @@
     pub pace: Pace,
     /// The start of the engine's process, if reported.
     pub start: Option<EndpointStart>,
+    /// What the engine runs, if reported.
+    pub usage: Option<EngineUsage>,
 }
 
 /// Maps the relay's requests and responses to the headers, paths and bodies that callers and
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -25,6 +25,7 @@
     ConfigDecoder, ConfigSource, Dialect, DurableStore, EndpointSource, InstanceRegistry,
     OperatorChange,
 };
+use crate::start_survey::survey_engines;
 use crate::suspect_store::load_suspects;
 use crate::table_copies::{ConfigCopy, EndpointCopy, copy_age};
 use crate::watch::Watch;
@@ -148,6 +149,7 @@
             drop(node.peer_socket.set(socket));
             tasks.push(tokio::task::spawn_local(greet_seeds(node.clone(), seeds)));
             tasks.push(tokio::task::spawn_local(receive_digests(node.clone())));
+            tasks.push(tokio::task::spawn_local(survey_engines(node.clone())));
             tasks.push(tokio::task::spawn_local(GossipSender::new(node.clone()).run()));
             let join = join(node.clone(), ports.registry.clone(), has_seeds);
             tasks.push(tokio::task::spawn_local(join));
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -89,6 +89,9 @@
     pub queued_requests: Gauge,
     /// Instances considered alive, including this one.
     pub live_instances: Gauge,
+    start_engines_asked: Gauge,
+    start_engines_answered: Gauge,
+    start_requests_found: Gauge,
 }
 
 impl fmt::Debug for Metrics {
@@ -128,6 +131,9 @@
             open_requests: Gauge::default(),
             queued_requests: Gauge::default(),
             live_instances: Gauge::default(),
+            start_engines_asked: Gauge::default(),
+            start_engines_answered: Gauge::default(),
+            start_requests_found: Gauge::default(),
         }
     }
 }
@@ -202,6 +208,14 @@
         self.inadmissible.inc();
     }
 
+    /// Sets the result of the survey of engines after the start of this instance.
+    pub fn set_start_survey(&self, asked: usize, answered: usize, requests: usize) {
+        let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+        self.start_engines_asked.set(count(asked));
+        self.start_engines_answered.set(count(answered));
+        self.start_requests_found.set(count(requests));
+    }
+
     /// Sets the rate limit that an endpoint announced, in requests per second, or removes it.
     pub fn set_endpoint_limit(&self, endpoint: &str, rate: Option<f64>) {
         let labels = EndpointLabels { endpoint: endpoint.to_owned() };
@@ -307,5 +321,15 @@
             self.queued_requests.clone(),
         );
         r.register("live_instances", "Instances considered alive", self.live_instances.clone());
+        self.register_start_survey(r);
+    }
+
+    fn register_start_survey(&self, r: &mut Registry) {
+        let asked = self.start_engines_asked.clone();
+        r.register("start_engines_asked", "Engines asked for their load after the start", asked);
+        let answered = self.start_engines_answered.clone();
+        r.register("start_engines_answered", "Engines that answered after the start", answered);
+        let found = self.start_requests_found.clone();
+        r.register("start_requests_found", "Unknown requests on engines after the start", found);
     }
 }
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -296,6 +296,27 @@
     /// Endpoints that have announced that they are draining.
     #[prost(message, repeated, tag = "32")]
     pub drains: ::prost::alloc::vec::Vec<EndpointDrain>,
+    /// What engines run, by the reports that the sender or another scheduler requested at its start.
+    #[prost(message, repeated, tag = "50")]
+    pub usages: ::prost::alloc::vec::Vec<EngineUsage>,
+    /// How long the sender has been running, in milliseconds; told by a scheduler with `data_centre`.
+    #[prost(uint64, optional, tag = "51")]
+    pub uptime_ms: ::core::option::Option<u64>,
+}
+/// What an engine runs, by its own word.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EngineUsage {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Requests, running or waiting for a slot.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    /// Memory in use, in tokens.
+    #[prost(uint64, tag = "3")]
+    pub memory_tokens: u64,
+    /// How long ago its report arrived, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
 }
 /// An endpoint that has announced that it is draining.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/ringbend-wire/src/lib.rs
+++ b/crates/ringbend-wire/src/lib.rs
@@ -8,8 +8,8 @@
 mod evacuations;
 mod limits;
 mod load;
-
 mod suspicions;
+mod usage;
 
 /// Generated messages; the fields are documented in `proto/peer.proto`.
 #[allow(missing_docs, clippy::all, unreachable_pub)]
@@ -25,10 +25,10 @@
 pub use evacuations::{decode_evacuations, encode_evacuations};
 pub use generated::{
     Ask, ConfigCopy, Currency, Demand, EndedProcess, EndpointChanges, EndpointDrain, EndpointLimit,
-    EndpointRestart, EndpointResult, EndpointRow, EnginePace, EntriesReply, EntriesRequest,
-    Envelope, Gossip, GossipKind, Grant, GrantReply, GrantRequest, HeldMemory, Hello, LoadDigest,
-    Member, MemberState, OpenWork, OwnersWork, PlacedWork, ResultKind, Share, Suspicion, Update,
-    Verdict, WaitingWork, envelope, update,
+    EndpointRestart, EndpointResult, EndpointRow, EnginePace, EngineUsage, EntriesReply,
+    EntriesRequest, Envelope, Gossip, GossipKind, Grant, GrantReply, GrantRequest, HeldMemory,
+    Hello, LoadDigest, Member, MemberState, OpenWork, OwnersWork, PlacedWork, ResultKind, Share,
+    Suspicion, Update, Verdict, WaitingWork, envelope, update,
 };
 pub use limits::{decode_limit, encode_limit};
 pub use load::{
@@ -38,6 +38,7 @@
 };
 pub use prost::Message;
 pub use suspicions::{decode_suspicion, encode_suspicion};
+pub use usage::{decode_engine_usage, encode_engine_usage};
 
 /// Version of the peer protocol. Only instances with the same version can talk to each other.
 pub const PROTOCOL_VERSION: u32 = 1;
--- a/crates/ringbend-wire/tests/messages.rs
+++ b/crates/ringbend-wire/tests/messages.rs
@@ -1,10 +1,13 @@
 //! Encoding and decoding of messages, including those of newer releases.
 
 use quickcheck::{Gen, QuickCheck};
+use ringbend_gateway::{EngineUsage, UsageReport};
 use ringbend_membership as gossip;
 use ringbend_settings::{Change, Edit, LogEntry, Replica};
-use ringbend_types::{Incarnation, SettingsVersion};
-use ringbend_wire::{EntriesReply, Envelope, Gossip, Message, envelope};
+use ringbend_types::{Incarnation, SettingsVersion, Timestamp};
+use ringbend_wire::{
+    EntriesReply, Envelope, Gossip, Message, decode_engine_usage, encode_engine_usage, envelope,
+};
 
 fn message(updates: Vec<gossip::Update>) -> gossip::Message {
     gossip::Message {
@@ -49,6 +52,23 @@
     assert_eq!(gossip::Message::try_from(back).unwrap(), message(Vec::new()));
 }
 
+/// A report that travels in a digest keeps its age, with which its load fades.
+#[test]
+fn engine_usage_round_trips_with_its_age() {
+    let usage = EngineUsage { requests: 12, memory_tokens: 300_000 };
+    let report = UsageReport { usage, received_at: Timestamp::from_millis(60_400) };
+    let engine = "e-1".parse().unwrap();
+    let encoded = encode_engine_usage(Timestamp::from_millis(60_450), &engine, &report);
+    let (id, back) = decode_engine_usage(Timestamp::from_millis(10_050), &encoded).unwrap();
+    assert_eq!((id, back.usage), (engine, usage));
+    assert_eq!(back.received_at, Timestamp::from_millis(10_000));
+    let ancient = ringbend_wire::EngineUsage { age_ms: u64::MAX, ..encoded.clone() };
+    let (_, back) = decode_engine_usage(Timestamp::from_millis(10_050), &ancient).unwrap();
+    assert_eq!(back.received_at, Timestamp(0));
+    let malformed = ringbend_wire::EngineUsage { endpoint: "no spaces please".into(), ..encoded };
+    assert!(decode_engine_usage(Timestamp(0), &malformed).is_err());
+}
+
 #[test]
 fn malformed_text_is_an_error() {
     let mut wire = Gossip::from(&message(Vec::new()));
