feat(relay): even spread of requests until instances know each other

Cause: instances that know of no other order engines at random for each request. Instances that know only those of their own data centre reserve the same engines for short prompts as the instances of other data centres, so the slots of these engines are filled once by each data centre.

Change, with overload control on: the n-th request of an instance prefers the engines near a place on a ring, from a low-discrepancy sequence over n and the number at the end of the instance's name. Within 10 s of a start of all instances, a scheduler that knows no scheduler in one of the data centres of the settings orders engines like that, too. Reports about engines that are not known yet are kept, and an instance alone waits 0.4 s for others before it asks.

--- a/crates/ringbend-gateway/src/candidate.rs
+++ b/crates/ringbend-gateway/src/candidate.rs
@@ -6,7 +6,7 @@
 
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
-use crate::fleet_view::{FleetView, beside_suspect, free_memory, limit_cost, spread_rank};
+use crate::fleet_view::{FleetView, beside_suspect, free_memory, limit_cost};
 use crate::load::{DecodeTask, EndpointLoad};
 use crate::placement::{HEALTH_PENALTY_COST, PlacementGoal, REMOTE_COST, TRIED_COST, is_long};
 use crate::weights::PlacementWeights;
@@ -61,7 +61,7 @@
     /// Additional cost of choosing it as the lead if it names a rate limit. An engine with a rate
     /// limit is never a helper.
     pub(crate) limit_cost: f64,
-    /// Pseudo-random position in this request's order of engines, from zero to one.
+    /// Position in this request's order of engines, from zero to one.
     pub(crate) spread_rank: f64,
 }
 
@@ -71,6 +71,7 @@
         profile: &EngineProfile,
         endpoint: &'a Endpoint,
         reserved_for: f64,
+        spread_rank: f64,
     ) -> Self {
         let load = view.load.of(&endpoint.id);
         let pace = load.pace().factor();
@@ -90,7 +91,7 @@
             short_prompts: load.short_prompts(),
             fixed_cost: remote + tried + health_penalty + beside_suspect(view, &endpoint.id),
             limit_cost: limit_cost(view, endpoint),
-            spread_rank: view.spread_seed.map_or(0.0, |draw| spread_rank(draw, &endpoint.id)),
+            spread_rank,
         }
     }
 
--- a/crates/ringbend-gateway/src/fleet_view.rs
+++ b/crates/ringbend-gateway/src/fleet_view.rs
@@ -1,7 +1,5 @@
 //! The input of placement and turn decisions: the estimated state of the fleet at one moment.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use ringbend_types::{DataCentre, EndpointId, Timestamp};
 
 use crate::directory::Endpoint;
@@ -9,6 +7,7 @@
 use crate::health::HealthTracker;
 use crate::limits::Limits;
 use crate::load::{EndpointLoad, LoadTracker};
+use crate::spread::SpreadOrder;
 use crate::weights::PlacementWeights;
 
 /// The share of an engine's memory that placement uses.
@@ -23,11 +22,11 @@
     pub home: &'a DataCentre,
     /// The load of all endpoints.
     pub load: &'a LoadTracker,
-    /// Set if no other instance is known: a random number drawn for this request. The load of
-    /// others is unknown then, so requests are not concentrated on few engines, and the number
+    /// Set if other instances may place requests that are not known here: the order in which this
+    /// request prefers engines. The load of others is unknown then, so requests are not concentrated on few engines, and the order
     /// breaks ties between engines of the same cost. Without it, a burst of callers that return to
     /// instances which have just started would reach the same engines.
-    pub spread_seed: Option<u64>,
+    pub spread: Option<SpreadOrder>,
     /// Whether the instance is alone and has just started, so that others may be heard soon. Long
     /// prompts wait for that: after a loss of all instances, each instance sent the returning long
     /// prompts to the same engines at once.
@@ -69,10 +68,3 @@
     let planned = (profile.memory_tokens as f64 * MEMORY_SHARE) as u64;
     planned.saturating_sub(load.memory_tokens())
 }
-
-/// A number between zero and one that depends only on the seed and the endpoint.
-pub(crate) fn spread_rank(seed: u64, endpoint: &EndpointId) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    (seed, endpoint.as_str()).hash(&mut hasher);
-    (hasher.finish() % 1_000) as f64 / 1_000.0
-}
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod schedulers;
 mod signals;
 mod snapshot;
+mod spread;
 mod start_survey;
 mod store_backoff;
 mod store_outages;
@@ -87,6 +88,7 @@
     Account, CallerLimits, ConfigVersion, RepeatPolicy, Route, RouteEntry, Service, Snapshot,
     SnapshotParts, WeightedService,
 };
+pub use spread::{SpreadOrder, SpreadSequence};
 pub use start_survey::{StartSurvey, SurveyCounts};
 pub use store_backoff::{MAX_SECONDARY_BACKOFF, StoreBackoff, fleet_backoff_factor};
 pub use store_outages::{MIN_OUTAGE, OutageUpdate, StoreOutages};
--- a/crates/ringbend-gateway/src/peers/roles.rs
+++ b/crates/ringbend-gateway/src/peers/roles.rs
@@ -116,6 +116,11 @@
         best.chain(unknown_centre.map(|(address, _)| address)).collect()
     }
 
+    /// Whether this instance runs in the data centre or knows of a live scheduler there.
+    pub fn knows_scheduler_in(&self, now: Timestamp, data_centre: &DataCentre) -> bool {
+        *data_centre == self.home || self.ranks(now, data_centre, Peer::schedules).next().is_some()
+    }
+
     /// Schedulers that have fallen silent. They may be partitioned and need to hear of the others
     /// once the partition ends, so they receive heartbeats and nothing else.
     pub fn silent_schedulers(&self, now: Timestamp) -> impl Iterator<Item = SocketAddrV4> + '_ {
--- a/crates/ringbend-gateway/src/placement.rs
+++ b/crates/ringbend-gateway/src/placement.rs
@@ -17,6 +17,7 @@
 use crate::fleet_view::{FleetView, beside_suspect, free_memory, limit_cost};
 use crate::load::HelperMemory;
 use crate::quiet::quiet_engines;
+use crate::spread::spread_ranks;
 use crate::weights::PlacementWeights;
 
 /// The size of a request in tokens.
@@ -114,8 +115,11 @@
     let engines: Vec<Engine<'_>> = candidates
         .iter()
         .zip(quiet_engines(view, profile, candidates))
-        .filter(|(_, quiet)| !(long && *quiet))
-        .map(|(e, quiet)| Engine::new(view, profile, e, if quiet { reserved_for } else { 0.0 }))
+        .zip(spread_ranks(view.spread, candidates))
+        .filter(|((_, quiet), _)| !(long && *quiet))
+        .map(|((e, quiet), rank)| {
+            Engine::new(view, profile, e, if quiet { reserved_for } else { 0.0 }, rank)
+        })
         .collect();
     let read_ms = profile.prefill_ms(goal.demand.prompt_tokens);
     let most = if read_ms <= w.whole_ms { 1 } else { engines.len().min(MAX_PREFILL_ENGINES) };
--- a/crates/ringbend-gateway/src/quiet.rs
+++ b/crates/ringbend-gateway/src/quiet.rs
@@ -15,7 +15,7 @@
     candidates: &[&Endpoint],
 ) -> Vec<bool> {
     let mut quiet = vec![false; candidates.len()];
-    if view.spread_seed.is_some() {
+    if view.spread.is_some() {
         return quiet;
     }
     let w = view.weights;
--- a/crates/ringbend-gateway/src/start_survey.rs
+++ b/crates/ringbend-gateway/src/start_survey.rs
@@ -12,6 +12,14 @@
 /// all instances of a fleet takes about a second.
 const START_WINDOW: Duration = Duration::from_secs(2);
 
+/// How long after their start instances that do not know each other yet are expected to find each
+/// other. They do so within a second of a path between them, which an outage of the store delays.
+const DISCOVERY_LIMIT: Duration = Duration::from_secs(10);
+
+/// The maximum number of reports that wait for their engines to become known; more than any fleet
+/// has engines.
+const MAX_PENDING: usize = 2_000;
+
 /// The result of a survey.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct SurveyCounts {
@@ -31,6 +39,8 @@
     knows_older: bool,
     asked: BTreeSet<EndpointId>,
     reports: BTreeMap<EndpointId, (UsageReport, Duration)>,
+    /// Reports from other schedulers about engines that are not known here yet.
+    pending: BTreeMap<EndpointId, UsageReport>,
     counts: SurveyCounts,
 }
 
@@ -42,6 +52,7 @@
             knows_older: false,
             asked: BTreeSet::new(),
             reports: BTreeMap::new(),
+            pending: BTreeMap::new(),
             counts: SurveyCounts::default(),
         }
     }
@@ -57,6 +68,11 @@
         !self.knows_older && now.since(self.started_at) < fade
     }
 
+    /// Whether all instances have recently started, as far as this one knows.
+    pub fn is_start_of_all(&self, now: Timestamp) -> bool {
+        self.is_active(now, DISCOVERY_LIMIT)
+    }
+
     /// Whether to ask the engine now. Records that it is asked if so; each engine is asked once.
     pub fn begin(&mut self, now: Timestamp, engine: &EndpointId, fade: Duration) -> bool {
         if !self.is_active(now, fade) || self.reports.contains_key(engine) {
@@ -97,6 +113,18 @@
         !self.knows_older && self.insert(now, engine, report, fade)
     }
 
+    /// Keeps a report about an engine that is not known here yet.
+    pub fn defer(&mut self, engine: EndpointId, report: UsageReport) {
+        if !self.knows_older && self.pending.len() < MAX_PENDING {
+            self.pending.insert(engine, report);
+        }
+    }
+
+    /// Removes and returns the reports that were kept.
+    pub fn take_deferred(&mut self) -> BTreeMap<EndpointId, UsageReport> {
+        std::mem::take(&mut self.pending)
+    }
+
     fn insert(
         &mut self,
         now: Timestamp,
--- a/crates/ringbend-gateway/tests/cold_start.rs
+++ b/crates/ringbend-gateway/tests/cold_start.rs
@@ -12,7 +12,9 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use ringbend_gateway::{Demand, Placement, PlacementGoal, Work, WorkId, place_on_engines, stake};
+use ringbend_gateway::{
+    Demand, Placement, PlacementGoal, SpreadOrder, Work, WorkId, place_on_engines, stake,
+};
 use ringbend_types::{EndpointId, Timestamp};
 use support::{Scene, at, ms, profile};
 
@@ -73,7 +75,7 @@
         let from = self.rng.random_range(0..self.instances.len());
         let seed_if_alone = (now < self.heard_from).then(|| self.rng.random());
         let scene = &mut self.instances[from];
-        (scene.now, scene.spread_seed) = (now, seed_if_alone);
+        (scene.now, scene.spread) = (now, seed_if_alone.map(SpreadOrder::Random));
         scene.load.advance(now);
         let goal = PlacementGoal { demand, first_in: target_latency, gap: ms(250) };
         let placement =
--- a/crates/ringbend-gateway/tests/placement.rs
+++ b/crates/ringbend-gateway/tests/placement.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use ringbend_gateway::{
-    Demand, HealthEvent, LoadTracker, Placement, PlacementGoal, Work, place_on_engines, stake,
+    Demand, HealthEvent, LoadTracker, Placement, PlacementGoal, SpreadOrder, Work,
+    place_on_engines, stake,
 };
 use support::{Scene, at, endpoint, ms, profile, work, work_id};
 
@@ -148,7 +149,8 @@
 fn instances_that_know_of_no_other_start_with_different_engines() {
     let distinct_leads = |draw: fn(u64) -> Option<u64>| {
         let leads = (0..9).map(|instance| {
-            let mut scene = Scene { spread_seed: draw(instance), ..Scene::new(18) };
+            let mut scene =
+                Scene { spread: draw(instance).map(SpreadOrder::Random), ..Scene::new(18) };
             place(&mut scene, 3_000, 300, 200).lead
         });
         leads.collect::<std::collections::BTreeSet<_>>().len()
--- a/crates/ringbend-gateway/tests/schedulers.rs
+++ b/crates/ringbend-gateway/tests/schedulers.rs
@@ -317,3 +317,20 @@
     }
     assert!(queries.len() >= 7 && queries.values().all(|asked| *asked <= 20), "{queries:?}");
 }
+
+/// Guards against treating a data centre as known because one of its members is: members do not
+/// report what the schedulers there place.
+#[test]
+fn a_data_centre_is_known_by_its_live_schedulers() {
+    let mut peers = Peers::new(at(0), data_centre(0), InstanceRank::new(LARGE, address(0, 1)));
+    assert!(peers.knows_scheduler_in(at(0), &data_centre(0)));
+    assert!(!peers.knows_scheduler_in(at(0), &data_centre(1)));
+    peers.record_digest(at(0), address(1, 1), 7);
+    peers.describe(address(1, 1), data_centre(1), LARGE);
+    let status = |role| PeerStatus { role, instances: 1, fleet: 2 };
+    peers.set_status(address(1, 1), status(Role::Member));
+    assert!(!peers.knows_scheduler_in(at(0), &data_centre(1)));
+    peers.set_status(address(1, 1), status(Role::Scheduler));
+    assert!(peers.knows_scheduler_in(at(0), &data_centre(1)));
+    assert!(!peers.knows_scheduler_in(at(0) + PEER_TIMEOUT, &data_centre(1)));
+}
--- a/crates/ringbend-gateway/tests/start_survey.rs
+++ b/crates/ringbend-gateway/tests/start_survey.rs
@@ -60,3 +60,25 @@
     assert_eq!(survey.reports(at(61_950)).count(), 1);
     assert_eq!(survey.reports(at(62_000)).count(), 0);
 }
+
+/// Guards against a report that is lost because it arrives before the list of endpoints.
+#[test]
+fn a_report_about_an_unknown_engine_is_kept() {
+    let (mut survey, engine) = (survey(), endpoint(1).id);
+    survey.defer(engine.clone(), report(60_300));
+    assert_eq!(survey.reports(at(60_300)).count(), 0);
+    let deferred = survey.take_deferred();
+    assert_eq!(deferred.into_iter().collect::<Vec<_>>(), [(engine, report(60_300))]);
+    assert!(survey.take_deferred().is_empty());
+}
+
+/// Only a start of all instances changes how requests spread; an instance that is restarted in a
+/// running fleet leaves the order of engines as it is.
+#[test]
+fn all_instances_have_just_started_unless_one_has_been_running_for_longer() {
+    let mut survey = survey();
+    assert!(survey.is_start_of_all(at(60_300)) && survey.is_start_of_all(at(69_900)));
+    assert!(!survey.is_start_of_all(at(70_000)));
+    survey.record_scheduler(at(60_300), ms(30_000));
+    assert!(!survey.is_start_of_all(at(60_300)));
+}
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -6,8 +6,8 @@
 
 use ringbend_gateway::{
     ConfigVersion, Endpoint, EngineProfile, FleetView, HealthTracker, Limits, LoadTracker,
-    PlacementWeights, RepeatPolicy, Route, RouteEntry, Snapshot, SnapshotParts, WeightedService,
-    Work, WorkId,
+    PlacementWeights, RepeatPolicy, Route, RouteEntry, Snapshot, SnapshotParts, SpreadOrder,
+    WeightedService, Work, WorkId,
 };
 use ringbend_types::{DataCentre, ServiceName, Timestamp};
 use smallvec::{SmallVec, smallvec};
@@ -87,7 +87,7 @@
     pub weights: PlacementWeights,
     pub home: DataCentre,
     pub now: Timestamp,
-    pub spread_seed: Option<u64>,
+    pub spread: Option<SpreadOrder>,
     pub starting: bool,
 }
 
@@ -101,7 +101,7 @@
             weights: PlacementWeights::default(),
             home: "z1".parse().unwrap(),
             now: at(0),
-            spread_seed: None,
+            spread: None,
             starting: false,
         }
     }
@@ -115,7 +115,7 @@
             now: self.now,
             home: &self.home,
             load: &self.load,
-            spread_seed: self.spread_seed,
+            spread: self.spread,
             starting: self.starting,
             weights: &self.weights,
             health: &self.health,
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -12,8 +12,8 @@
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
     Backoffs, ColdPacing, Directory, Freshness, HealthTracker, InstanceRank, Limits, LoadTracker,
-    Outbox, PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget, StartSurvey,
-    StoreOutages, StoreReaders, WorkId, fleet_backoff_factor,
+    Outbox, PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget, SpreadSequence,
+    StartSurvey, StoreOutages, StoreReaders, WorkId, fleet_backoff_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -73,6 +73,8 @@
     pub(crate) pace_queries: RefCell<PaceQueries>,
     /// The engines that were asked for their load after the start, and their answers.
     pub(crate) survey: RefCell<StartSurvey>,
+    /// The order of engines for requests while no other instance is known.
+    pub(crate) spread: RefCell<SpreadSequence>,
     /// Placement requests to schedulers that have no reply yet.
     pub(crate) placement_requests: RefCell<PlacementRequests>,
     /// Placement requests that this instance received as a scheduler.
@@ -162,6 +164,7 @@
         let budget = RetryBudget::new(cfg.bounds.budget());
         let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
         let own = InstanceRank::new(cfg.capacity(), cfg.listen.peers.unwrap_or(unknown));
+        let spread = RefCell::new(SpreadSequence::new(cfg.instance.as_str()));
         let survey = RefCell::new(StartSurvey::new(clock.started_at()));
         let peers = Peers::new(clock.now(), cfg.data_centre.clone(), own);
         Rc::new(Self {
@@ -190,6 +193,7 @@
             peer_socket: OnceCell::new(),
             pace_queries: RefCell::default(),
             survey,
+            spread,
             placement_requests: RefCell::default(),
             placement_grants: RefCell::default(),
             load_changed: Notify::new(),
--- a/crates/ringbend-relay/src/placement.rs
+++ b/crates/ringbend-relay/src/placement.rs
@@ -6,8 +6,8 @@
 
 use rand::Rng;
 use ringbend_gateway::{
-    Endpoint, EndpointLoad, EngineProfile, FleetView, Job, Peers, Placement, WorkId, is_long,
-    place_on_engines, place_on_service,
+    Endpoint, EndpointLoad, EngineProfile, FleetView, Job, Peers, Placement, SpreadOrder, WorkId,
+    is_long, place_on_engines, place_on_service,
 };
 use ringbend_types::{EndpointId, Timestamp};
 
@@ -18,7 +18,7 @@
 /// How long an instance that has just started waits for other instances before it assumes that it
 /// is the only one. It finds them by reading the store, which takes up to a third of a second if
 /// the store is slow.
-const DISCOVERY_TIME: Duration = Duration::from_millis(400);
+pub(crate) const DISCOVERY_TIME: Duration = Duration::from_millis(400);
 
 /// Why a request was not placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -188,6 +188,15 @@
         engine.is_some_and(|(e, demand)| is_long(&self.cfg.borrow().placement, e, demand))
     }
 
+    /// The order in which the next request prefers engines if no other instance is known.
+    fn next_spread_order(&self) -> SpreadOrder {
+        if self.cfg.borrow().overload.is_enabled() {
+            self.spread.borrow_mut().next_order()
+        } else {
+            SpreadOrder::Random(self.rng.borrow_mut().random())
+        }
+    }
+
     /// Calls `evaluate` with the current state of the service's endpoints, without those that are
     /// closed to the request.
     pub(crate) fn with_view<T>(
@@ -219,7 +228,7 @@
             now,
             home: &cfg.data_centre,
             load: &load,
-            spread_seed: alone.then(|| self.rng.borrow_mut().random()),
+            spread: (alone || self.is_split_after_start(now)).then(|| self.next_spread_order()),
             starting: instances <= 1 && is_new,
             weights: &cfg.placement,
             health: &health,
--- a/crates/ringbend-relay/src/start_survey.rs
+++ b/crates/ringbend-relay/src/start_survey.rs
@@ -13,9 +13,10 @@
 
 use crate::engine_pace::REPORT_TIMEOUT;
 use crate::node::Node;
+use crate::placement::DISCOVERY_TIME;
 
-/// Time between the start of scheduling and the first requests for reports: the other schedulers
-/// answer a greeting within 40 ms, and engines are divided among those that are known.
+/// Time before the first requests for reports: the other schedulers answer a greeting within 40 ms,
+/// and engines are divided among those that are known.
 const GREETING_TIME: Duration = Duration::from_millis(60);
 
 /// Interval at which engines that have become known since are asked.
@@ -38,7 +39,7 @@
         return;
     }
     let end = node.clock.started_at() + SURVEY_TIME;
-    while !node.is_scheduler() {
+    while !node.is_ready_to_survey() {
         if node.clock.now() >= end {
             return;
         }
@@ -46,6 +47,7 @@
     }
     tokio::time::sleep(GREETING_TIME).await;
     while node.clock.now() < end && node.is_scheduler() {
+        node.apply_deferred_usages();
         let due = node.engines_to_survey();
         let has_asked = !due.is_empty();
         let requests = due.into_iter().map(|(engine, fade)| node.survey_engine(engine, fade));
@@ -64,6 +66,21 @@
 }
 
 impl Node {
+    /// Whether this instance schedules and knows another instance, or has looked for others.
+    fn is_ready_to_survey(&self) -> bool {
+        let now = self.clock.now();
+        let has_searched = now.since(self.clock.started_at()) >= DISCOVERY_TIME;
+        self.is_scheduler() && (has_searched || self.peers.borrow().instances(now) > 1)
+    }
+
+    /// Applies reports that arrived before this instance knew their engines.
+    fn apply_deferred_usages(&self) {
+        let deferred = self.survey.borrow_mut().take_deferred();
+        for (engine, report) in deferred {
+            self.merge_usage(self.clock.now(), &engine, report);
+        }
+    }
+
     /// Whether engines may still be asked, or none is known yet.
     fn may_survey(&self) -> bool {
         let now = self.clock.now();
@@ -155,7 +172,9 @@
     /// Applies a report that another scheduler requested. The work known here is subtracted, which
     /// may be more than the other scheduler knew.
     fn merge_usage(&self, now: Timestamp, engine: &EndpointId, report: UsageReport) {
-        let Some(fade) = self.fade_of(engine) else { return };
+        let Some(fade) = self.fade_of(engine) else {
+            return self.survey.borrow_mut().defer(engine.clone(), report);
+        };
         if self.survey.borrow_mut().merge(now, engine, report, fade) {
             self.load.borrow_mut().set_residual(now, engine, report, fade);
         }
@@ -177,6 +196,17 @@
         usages.chunks(MAX_USAGES_PER_DATAGRAM).map(digest).collect()
     }
 
+    /// Whether other instances have started as well and place requests that are not reported here:
+    /// after a start of all instances, those of a data centre may know each other and no others.
+    pub(crate) fn is_split_after_start(&self, now: Timestamp) -> bool {
+        let cfg = self.cfg.borrow();
+        if !cfg.overload.is_enabled() || !self.survey.borrow().is_start_of_all(now) {
+            return false;
+        }
+        let peers = self.peers.borrow();
+        cfg.regions.data_centres().any(|centre| !peers.knows_scheduler_in(now, centre))
+    }
+
     /// How long this instance has been running, for the introduction to others; `None` if overload
     /// control is off.
     pub(crate) fn announced_uptime_ms(&self) -> Option<u64> {
