fix(gateway): short prompts avoid engines without memory for them

In a burst of 90 short prompts, two engines with memory for two prompts each got eleven each, while slower engines had free slots.

Change, with overload control on: an engine that lacks the memory for a prompt that it would read alone is chosen only if all others lack it or queue far more.

--- a/crates/ringbend-gateway/src/fleet_view.rs
+++ b/crates/ringbend-gateway/src/fleet_view.rs
@@ -31,6 +31,9 @@
     /// prompts wait for that: after a loss of all instances, each instance sent the returning long
     /// prompts to the same engines at once.
     pub starting: bool,
+    /// Whether a prompt that is read by one engine avoids engines without enough memory for it as
+    /// long as others have some.
+    pub avoids_full_memory: bool,
     /// The weights of the cost function.
     pub weights: &'a PlacementWeights,
     /// The health of endpoints.
--- a/crates/ringbend-gateway/src/placement.rs
+++ b/crates/ringbend-gateway/src/placement.rs
@@ -139,13 +139,16 @@
     own_if_lead: f64,
     /// Additional cost if the engine decodes the response.
     lead_extra: f64,
+    /// Cost of leading without enough memory and without a helper that holds the rest. It only
+    /// affects the choice of the lead; the cost of the placement contains it already.
+    no_memory: f64,
     /// Breaks ties between engines of the same cost; not part of the cost.
     spread_rank: f64,
 }
 
 impl Price {
     fn as_lead(&self) -> f64 {
-        self.cost_to_others + self.own_if_lead + self.lead_extra + self.spread_rank
+        self.cost_to_others + self.own_if_lead + self.lead_extra + self.no_memory + self.spread_rank
     }
 
     fn as_helper(&self) -> f64 {
@@ -165,6 +168,10 @@
     let w = view.weights;
     let stake = stake(w, goal.demand.prompt_tokens);
     let target_ms = millis(goal.first_in);
+    let memory = goal.demand.prompt_tokens + goal.demand.answer_tokens;
+    // Without helpers, no other engine can hold the memory that the lead lacks.
+    let needs_own_memory = view.avoids_full_memory && parts == 1;
+    let lacks_memory = |e: &Engine<'_>| needs_own_memory && memory > free_memory(profile, e.load);
     let price = |e: &Engine<'_>| {
         let part_ms = part_ms * e.pace;
         let own = |leads| {
@@ -177,6 +184,7 @@
             own_if_helper: own(false),
             own_if_lead: own(true),
             lead_extra: e.lead_cost(view, profile, goal, stake) + e.limit_cost,
+            no_memory: if lacks_memory(e) { NO_MEMORY_COST } else { 0.0 },
             spread_rank: SPREAD_COST * stake * e.spread_rank,
         }
     };
@@ -198,7 +206,6 @@
         e.first_ms(part_ms * e.pace, parts, leads)
     };
     let first_as_lead = first_of(lead, true);
-    let memory = goal.demand.prompt_tokens + goal.demand.answer_tokens;
     let missing = memory.saturating_sub(free_memory(profile, engines[lead].load));
     let free =
         helping().map(|at| (&engines[at].endpoint.id, free_memory(profile, engines[at].load)));
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -89,6 +89,7 @@
     pub now: Timestamp,
     pub spread: Option<SpreadOrder>,
     pub starting: bool,
+    pub avoids_full_memory: bool,
 }
 
 impl Scene {
@@ -103,6 +104,7 @@
             now: at(0),
             spread: None,
             starting: false,
+            avoids_full_memory: false,
         }
     }
 
@@ -117,6 +119,7 @@
             load: &self.load,
             spread: self.spread,
             starting: self.starting,
+            avoids_full_memory: self.avoids_full_memory,
             weights: &self.weights,
             health: &self.health,
             tried: &[],
--- a/crates/ringbend-relay/src/placement.rs
+++ b/crates/ringbend-relay/src/placement.rs
@@ -230,6 +230,7 @@
             load: &load,
             spread: (alone || self.is_split_after_start(now)).then(|| self.next_spread_order()),
             starting: instances <= 1 && is_new,
+            avoids_full_memory: cfg.overload.is_enabled(),
             weights: &cfg.placement,
             health: &health,
             tried: &job.tried,
