--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -142,18 +142,18 @@
         residual.requests(report.received_at).ceil() as usize
     }
 
-    /// The known work on an engine that its report covers.
+    /// The known work on an engine that its report covers. Memory that the engine holds for prompts
+    /// which others lead is taken to be covered.
     fn reported_work(&self, engine: &EndpointId, report: &UsageReport) -> EngineUsage {
-        let mut known = EngineUsage::default();
-        for open in self.open.values().filter(|open| report.covers(open.since)) {
-            if open.work.lead == *engine {
-                known.requests += 1;
-                known.memory_tokens += open.work.memory_tokens;
-            }
-            let held = open.work.held.iter().filter(|held| held.endpoint == *engine);
-            known.memory_tokens += held.map(|held| held.tokens).sum::<u64>();
+        let load = self.of(engine);
+        let led = load.decode_tasks.iter().filter_map(|task| self.open.get(&task.id));
+        let is_covered = |open: &&OpenWork| report.covers(open.since);
+        let (covered, since): (Vec<&OpenWork>, Vec<&OpenWork>) = led.partition(is_covered);
+        let memory_since: u64 = since.iter().map(|open| open.work.memory_tokens).sum();
+        EngineUsage {
+            requests: u32::try_from(covered.len()).unwrap_or(u32::MAX),
+            memory_tokens: load.memory_tokens.saturating_sub(memory_since),
         }
-        known
     }
 
     /// Records placed work.
--- a/crates/ringbend-gateway/tests/residual_load.rs
+++ b/crates/ringbend-gateway/tests/residual_load.rs
@@ -5,10 +5,11 @@
 mod support;
 
 use ringbend_gateway::{
-    Demand, EngineProfile, EngineUsage, PlacementGoal, ResidualLoad, UsageReport, Work, fade_time,
-    place_on_engines,
+    Demand, EngineProfile, EngineUsage, HelperMemory, PlacementGoal, ResidualLoad, UsageReport,
+    Work, fade_time, place_on_engines,
 };
 use ringbend_types::Timestamp;
+use smallvec::smallvec;
 use support::{Scene, at, endpoint, ms, profile, work, work_id};
 
 const FULL: EngineUsage = EngineUsage { requests: 16, memory_tokens: 400_000 };
@@ -74,6 +75,19 @@
     assert_eq!(load.memory_tokens(), 18_000 + 25_200);
 }
 
+#[test]
+fn memory_held_for_prompts_that_others_lead_is_not_counted_twice() {
+    let mut scene = Scene::new(2);
+    let held = HelperMemory { endpoint: endpoint(1).id, tokens: 30_000 };
+    let split =
+        Work { helpers: smallvec![endpoint(1).id], held: smallvec![held], ..work(2, ms(1)) };
+    scene.load.place(at(500), work_id(1), split);
+    let usage = EngineUsage { requests: 0, memory_tokens: 50_000 };
+    let id = endpoint(1).id;
+    scene.load.set_residual(at(1_000), &id, report(usage, 1_000), ms(2_000));
+    assert_eq!(scene.load.of(&id).memory_tokens(), 30_000 + 18_000);
+}
+
 #[test]
 fn an_engine_that_runs_only_known_work_has_no_residual_load() {
     let mut scene = Scene::new(1);
--- a/crates/ringbend-relay/src/start_survey.rs
+++ b/crates/ringbend-relay/src/start_survey.rs
@@ -26,7 +26,7 @@
 /// tenth of a core must not delay its callers by opening a hundred of them together.
 const MAX_CONCURRENT_REPORTS: usize = 16;
 
-/// The number of reports in one datagram, which is at most 16 KiB long; a report takes about 40 bytes.
+/// The number of reports in one datagram, which is at most 16 KiB long; a report takes about 30 bytes.
 const MAX_USAGES_PER_DATAGRAM: usize = 100;
 
 /// How long the survey waits for the first engines, after which it is given up. Longer than any
