--- a/crates/ringbend-gateway/src/candidate.rs
+++ b/crates/ringbend-gateway/src/candidate.rs
@@ -6,7 +6,7 @@
 
 use crate::directory::Endpoint;
 use crate::engine::EngineProfile;
-use crate::fleet_view::{FleetView, beside_suspect, free_memory, limit_cost, spread_rank};
+use crate::fleet_view::{FleetView, beside_suspect, free_memory, limit_cost};
 use crate::load::{DecodeTask, EndpointLoad};
 use crate::placement::{HEALTH_PENALTY_COST, PlacementGoal, REMOTE_COST, TRIED_COST, is_long};
 use crate::weights::PlacementWeights;
@@ -61,7 +61,7 @@
     /// Additional cost of choosing it as the lead if it names a rate limit. An engine with a rate
     /// limit is never a helper.
     pub(crate) limit_cost: f64,
-    /// Pseudo-random position in this request's order of engines, from zero to one.
+    /// Position in this request's order of engines, from zero to one.
     pub(crate) spread_rank: f64,
 }
 
@@ -71,6 +71,7 @@
         profile: &EngineProfile,
         endpoint: &'a Endpoint,
         reserved_for: f64,
+        spread_rank: f64,
     ) -> Self {
         let load = view.load.of(&endpoint.id);
         let pace = load.pace().factor();
@@ -80,7 +81,7 @@
         Self {
             endpoint,
             load,
-            decode_pass_ms: pace * profile.pass_ms(load.decodes().len() as u32),
+            decode_pass_ms: pace * profile.pass_ms(load.sequences() as u32),
             slots: f64::from(profile.slots.max(1)),
             backlog_ms: pace * millis(load.backlog()),
             pace,
@@ -90,7 +91,7 @@
             short_prompts: load.short_prompts(),
             fixed_cost: remote + tried + health_penalty + beside_suspect(view, &endpoint.id),
             limit_cost: limit_cost(view, endpoint),
-            spread_rank: view.spread_seed.map_or(0.0, |draw| spread_rank(draw, &endpoint.id)),
+            spread_rank,
         }
     }
 
@@ -142,11 +143,11 @@
     /// several, the first event waits for the last of `parts` engines, whose passes are not
     /// aligned.
     pub(crate) fn first_ms(&self, part_ms: f64, parts: usize, leads: bool) -> f64 {
-        let waiting = (self.load.decodes().len() as f64 + 1.0 - self.slots).max(0.0);
+        let waiting = (self.load.sequences() + 1.0 - self.slots).max(0.0);
         let slot_wait_ms = if leads { waiting * SLOT_WAIT_MS } else { 0.0 };
         let last_of = parts as f64 / (parts as f64 + 1.0);
         let current_pass_ms =
-            if self.load.decodes().is_empty() { 0.0 } else { self.decode_pass_ms * last_of };
+            if self.load.sequences() == 0.0 { 0.0 } else { self.decode_pass_ms * last_of };
         // A part is read before everything that is queued, but not before what is being read.
         let before = if parts > 1 { self.longest_prefill_ms } else { self.backlog_ms };
         current_pass_ms + self.decode_pass_ms + before + part_ms + slot_wait_ms
@@ -162,7 +163,7 @@
     ) -> f64 {
         let w = view.weights;
         let slots = f64::from(profile.slots.max(1));
-        let taken = self.load.decodes().len() as f64;
+        let taken = self.load.sequences();
         let memory = goal.demand.prompt_tokens + goal.demand.answer_tokens;
         let missing = memory.saturating_sub(free_memory(profile, self.load));
         let mut cost = missing as f64 / memory.max(1) as f64 * w.hold;
@@ -174,7 +175,7 @@
             self.decode_pass_ms + self.pace * millis(self.load.usual_part(view.now));
         cost += stake * lateness(w, usual_pass_ms, millis(goal.gap)) * 0.5;
         if !is_long(w, profile, goal.demand) {
-            let share = self.short_prompts as f64 / slots;
+            let share = (self.short_prompts as f64 + self.load.residual_requests()) / slots;
             cost += if self.reserved_for == 0.0 { w.open } else { 0.0 };
             cost += (share - w.full_share).max(0.0) / OVERFILL_STEP * w.open;
         }
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 
 use crate::pace::Pace;
+use crate::residual_load::{EngineUsage, ResidualLoad, UsageReport};
 use crate::suspect_work::SuspectWork;
 use crate::waiting_prompt::WaitingPrompt;
 
@@ -124,6 +125,37 @@
         (load.pace, load.pace_until) = (pace, now + PACE_TTL);
     }
 
+    /// Records what an engine reported beyond the known work placed on it, which is load that fades.
+    /// Returns the number of requests found.
+    pub fn set_residual(
+        &mut self,
+        now: Timestamp,
+        engine: &EndpointId,
+        report: UsageReport,
+        fade: Duration,
+    ) -> usize {
+        let residual = ResidualLoad::new(report, self.reported_work(engine, &report), fade);
+        let Some(residual) = residual.filter(|residual| !residual.is_over(now)) else { return 0 };
+        let load = self.endpoints.entry(engine.clone()).or_default();
+        load.advance(now);
+        load.residual = Some(residual);
+        residual.requests(report.received_at).ceil() as usize
+    }
+
+    /// The known work on an engine that its report covers. Memory that the engine holds for prompts
+    /// which others lead is taken to be covered.
+    fn reported_work(&self, engine: &EndpointId, report: &UsageReport) -> EngineUsage {
+        let load = self.of(engine);
+        let led = load.decode_tasks.iter().filter_map(|task| self.open.get(&task.id));
+        let is_covered = |open: &&OpenWork| report.covers(open.since);
+        let (covered, since): (Vec<&OpenWork>, Vec<&OpenWork>) = led.partition(is_covered);
+        let memory_since: u64 = since.iter().map(|open| open.work.memory_tokens).sum();
+        EngineUsage {
+            requests: u32::try_from(covered.len()).unwrap_or(u32::MAX),
+            memory_tokens: load.memory_tokens.saturating_sub(memory_since),
+        }
+    }
+
     /// Records placed work.
     pub fn place(&mut self, now: Timestamp, id: WorkId, work: Work) {
         self.sweep(now);
--- a/crates/ringbend-gateway/src/placement.rs
+++ b/crates/ringbend-gateway/src/placement.rs
@@ -19,6 +19,7 @@
 use crate::fleet_view::{FleetView, beside_suspect, free_memory, limit_cost};
 use crate::load::HelperMemory;
 use crate::quiet::quiet_engines;
+use crate::spread::spread_ranks;
 use crate::weights::PlacementWeights;
 
 /// The size of a request in tokens.
@@ -116,8 +117,11 @@
     let engines: Vec<Engine<'_>> = candidates
         .iter()
         .zip(quiet_engines(view, profile, candidates))
-        .filter(|(_, quiet)| !(long && *quiet))
-        .map(|(e, quiet)| Engine::new(view, profile, e, if quiet { reserved_for } else { 0.0 }))
+        .zip(spread_ranks(view.spread, candidates))
+        .filter(|((_, quiet), _)| !(long && *quiet))
+        .map(|((e, quiet), rank)| {
+            Engine::new(view, profile, e, if quiet { reserved_for } else { 0.0 }, rank)
+        })
         .collect();
     let read_ms = profile.prefill_ms(goal.demand.prompt_tokens);
     let most = if read_ms <= w.whole_ms { 1 } else { engines.len().min(MAX_PREFILL_ENGINES) };
@@ -137,13 +141,16 @@
     own_if_lead: f64,
     /// Additional cost if the engine decodes the response.
     lead_extra: f64,
+    /// Cost of leading without enough memory and without a helper that holds the rest. It only
+    /// affects the choice of the lead; the cost of the placement contains it already.
+    no_memory: f64,
     /// Breaks ties between engines of the same cost; not part of the cost.
     spread_rank: f64,
 }
 
 impl Price {
     fn as_lead(&self) -> f64 {
-        self.cost_to_others + self.own_if_lead + self.lead_extra + self.spread_rank
+        self.cost_to_others + self.own_if_lead + self.lead_extra + self.no_memory + self.spread_rank
     }
 
     fn as_helper(&self) -> f64 {
@@ -165,6 +172,10 @@
     let target_ms = millis(goal.first_in);
     // The stakes of the requests on an engine include their ranks.
     let others_factor = view.rank.stake_factor().recip();
+    let memory = goal.demand.prompt_tokens + goal.demand.answer_tokens;
+    // Without helpers, no other engine can hold the memory that the lead lacks.
+    let needs_own_memory = view.avoids_full_memory && parts == 1;
+    let lacks_memory = |e: &Engine<'_>| needs_own_memory && memory > free_memory(profile, e.load);
     let price = |e: &Engine<'_>| {
         let part_ms = part_ms * e.pace;
         let own = |leads| {
@@ -178,6 +189,7 @@
             own_if_helper: own(false),
             own_if_lead: own(true),
             lead_extra: e.lead_cost(view, profile, goal, stake) + e.limit_cost,
+            no_memory: if lacks_memory(e) { NO_MEMORY_COST } else { 0.0 },
             spread_rank: SPREAD_COST * stake * e.spread_rank,
         }
     };
@@ -199,7 +211,6 @@
         e.first_ms(part_ms * e.pace, parts, leads)
     };
     let first_as_lead = first_of(lead, true);
-    let memory = goal.demand.prompt_tokens + goal.demand.answer_tokens;
     let missing = memory.saturating_sub(free_memory(profile, engines[lead].load));
     let free =
         helping().map(|at| (&engines[at].endpoint.id, free_memory(profile, engines[at].load)));
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use ringbend_gateway::{
     AccountShares, AllowedDataCentres, ConfigVersion, Demand, Endpoint, EngineProfile, FleetView,
     HealthTracker, Job, Limits, LoadTracker, PlacementWeights, Priorities, Rank, RepeatPolicy,
-    Route, RouteEntry, Snapshot, SnapshotParts, WeightedService, Work, WorkId,
+    Route, RouteEntry, Snapshot, SnapshotParts, SpreadOrder, WeightedService, Work, WorkId,
 };
 use ringbend_types::{DataCentre, ServiceName, Timestamp};
 use smallvec::{SmallVec, smallvec};
@@ -89,11 +89,12 @@
     pub weights: PlacementWeights,
     pub home: DataCentre,
     pub now: Timestamp,
-    pub spread_seed: Option<u64>,
+    pub spread: Option<SpreadOrder>,
     pub starting: bool,
     pub priorities: Priorities,
     pub rank: Rank,
     pub shares: Option<AccountShares>,
+    pub avoids_full_memory: bool,
 }
 
 impl Scene {
@@ -106,11 +107,12 @@
             weights: PlacementWeights::default(),
             home: "z1".parse().unwrap(),
             now: at(0),
-            spread_seed: None,
+            spread: None,
             starting: false,
             priorities: Priorities::default(),
             rank: Rank::MOST_URGENT,
             shares: None,
+            avoids_full_memory: false,
         }
     }
 
@@ -123,8 +125,9 @@
             now: self.now,
             home: &self.home,
             load: &self.load,
-            spread_seed: self.spread_seed,
+            spread: self.spread,
             starting: self.starting,
+            avoids_full_memory: self.avoids_full_memory,
             weights: &self.weights,
             health: &self.health,
             tried: &[],
--- a/crates/ringbend-gateway/tests/unranked_decisions.rs
+++ b/crates/ringbend-gateway/tests/unranked_decisions.rs
@@ -12,8 +12,8 @@
 use rand_chacha::ChaCha8Rng;
 use ringbend_gateway::{
     Attempts, Demand, HealthEvent, NextStep, Placement, PlacementGoal, Priorities, QueuedPrompt,
-    RepeatPolicy, RetryBudget, RetryBudgetBounds, SendOutcome, Turn, WaitingPrompt, Work,
-    decide_turn, place_on_engines, stake,
+    RepeatPolicy, RetryBudget, RetryBudgetBounds, SendOutcome, SpreadOrder, Turn, WaitingPrompt,
+    Work, decide_turn, place_on_engines, stake,
 };
 use support::{Scene, at, endpoint, ms, profile, service, work, work_id};
 
@@ -81,7 +81,7 @@
 fn scene(rng: &mut ChaCha8Rng) -> Scene {
     let engines = rng.random_range(1..14);
     let mut scene = Scene::new(engines);
-    scene.spread_seed = rng.random_bool(0.1).then(|| rng.random());
+    scene.spread = rng.random_bool(0.1).then(|| SpreadOrder::Random(rng.random()));
     for id in 0..rng.random_range(0..8 * engines as u64) {
         let tokens = prompt_tokens(rng);
         let lead = rng.random_range(1..=engines);
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -105,7 +105,8 @@
         self.node.budget.borrow_mut().record_request(self.node.clock.now(), &service.name);
         let Admitted { route, account, snapshot } = admitted;
         let priority = account.as_ref().and_then(|account| account.priority);
-        let rank = snapshot.priorities(&service.name).rank(priority.unwrap_or(route.priority));
+        let priorities = self.node.priorities(&service.name);
+        let rank = priorities.rank(priority.unwrap_or(route.priority));
         let attempts =
             Attempts::new(route.repeat, route.max_runs, deadline).with_rank(rank, arrived_at);
         let original = OriginalRequest { head: req.head().clone(), body, fingerprint, _held: held };
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod sending;
 mod shutdown;
 mod signals;
+mod start_survey;
 mod streams;
 mod suspect_store;
 mod suspects;
--- a/crates/ringbend-relay/src/ranks.rs
+++ b/crates/ringbend-relay/src/ranks.rs
@@ -6,8 +6,12 @@
 use crate::node::Node;
 
 impl Node {
-    /// The priorities that requests of a service have; none without a configuration.
+    /// The priorities that requests of a service have; none without a configuration, or if the
+    /// deployment does not ask for overload control.
     pub(crate) fn priorities(&self, service: &ServiceName) -> Priorities {
+        if !self.cfg.borrow().overload.is_enabled() {
+            return Priorities::default();
+        }
         let replica = self.replica.borrow();
         replica.snapshot().map(|snapshot| snapshot.priorities(service)).unwrap_or_default()
     }
