feat(gateway): queue that orders and rejects short prompts under overload

Cause: when more short prompts arrive than the engines' slots can start within the target, all wait in the engines' queues, first in first out, and all are late.

Change: OverloadQueue (no I/O, no clock) decides which request starts when an engine has capacity: best class first, with ageing and a minimum share of the starts for each class, then the account with the least recent use, then the least slack; late requests after all that can be on time. A request that would not begin before its caller disconnects is rejected with a return time; slots are kept for a tenth of the starts. A repetition of a rejected request without a slot counts as late, because its caller's target has passed.

--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod limits;
 mod load;
 mod outbox;
+mod overload;
 mod pace;
 mod peers;
 mod permits;
@@ -65,6 +66,10 @@
 pub use limits::{KnownLimit, LimitSignal, LimitSource, LimitUpdate, Limits, MalformedLimit};
 pub use load::{DecodeTask, EndpointLoad, HelperMemory, LoadTracker, PrefillTask, Work, WorkId};
 pub use outbox::Outbox;
+pub use overload::{
+    Admission, Capacity, Decision, OverloadConfig, OverloadQueue, PlaceReason, WaitingRequest,
+    begin_time, startable,
+};
 pub use pace::{LIMITED_QUERY_INTERVAL, Pace, PaceQueries, overdue_after};
 pub use peers::{
     Arbiter, CopyVersions, HEARTBEAT_INTERVAL, PEER_TIMEOUT, PeerObservation, PeerStatus, Peers,
