feat(relay): overload control for short prompts

Cause: nothing decided the order among short prompts when the engines' slots did not suffice; all were sent to the engines' queues at once.

Change: where overload control is enabled, a scheduler places a short prompt itself while it expects the first event on time. Otherwise the planner of the service puts it into its overload queue, places it when an engine has capacity, or rejects it with 503, the code "overloaded" and Retry-After. Replies tell whether the service is overloaded, so that the asking scheduler then passes all short prompts. Without the setting nothing changes. Metrics: overload_queue, overload_rejections (by priority), overload_wait, overloaded_services.

--- a/crates/ringbend-gateway/src/engine.rs
+++ b/crates/ringbend-gateway/src/engine.rs
@@ -60,6 +60,14 @@
             + Duration::from_secs_f64(decode_ms / 1_000.0)
     }
 
+    /// Upper bound on the time for which a request occupies a slot of an engine that is full: its
+    /// prompt is read by one engine, and its response has the maximum length.
+    pub fn slot_time(&self, demand: Demand) -> Duration {
+        let step_ms = self.step_ms + f64::from(self.slots) * self.per_sequence_ms;
+        let ms = self.prefill_ms(demand.prompt_tokens) + demand.answer_tokens as f64 * step_ms;
+        Duration::from_secs_f64(ms / 1_000.0)
+    }
+
     /// Time to read the prompt if `engines` read equal parts of it.
     pub fn prefill_time(&self, prompt_tokens: u64, engines: usize) -> Duration {
         Duration::from_secs_f64(self.prefill_ms(prompt_tokens) / engines.max(1) as f64 / 1_000.0)
--- a/crates/ringbend-gateway/src/job.rs
+++ b/crates/ringbend-gateway/src/job.rs
@@ -43,6 +43,8 @@
     pub priority: u8,
     /// The client account of its caller; `None` on a public route.
     pub account: Option<ClientAccountId>,
+    /// Equal for repetitions of the same request; `None` if no decision needs it.
+    pub fingerprint: Option<Fingerprint>,
     /// Set if endpoints ended while they ran the request. Such a request runs on one endpoint at a
     /// time, apart from other suspects.
     pub suspect: Option<Fingerprint>,
--- a/crates/ringbend-gateway/tests/permits.rs
+++ b/crates/ringbend-gateway/tests/permits.rs
@@ -26,6 +26,7 @@
         at_once: false,
         priority,
         account: None,
+        fingerprint: None,
         suspect: None,
     }
 }
--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -164,6 +164,10 @@
                 self.retry_after = Some(after);
                 Some(self.refusal_unless_run(Refusal::Limited))
             }
+            SendFailure::Overloaded(after) => {
+                self.retry_after = Some(after);
+                Some(self.refusal_unless_run(Refusal::Overloaded))
+            }
             SendFailure::BackingOff(after) => {
                 self.retry_after = Some(self.with_jitter(after));
                 Some(self.refusal_unless_run(Refusal::BackingOff))
@@ -366,6 +370,8 @@
     NoArbiter,
     /// All remaining endpoints are rate-limited and have no permit for at least this time.
     Limited(Duration),
+    /// Engines are overloaded; capacity is expected after this time.
+    Overloaded(Duration),
     /// All endpoints asked this instance to back off for at least this time.
     BackingOff(Duration),
     /// Another send replaces this one.
--- a/crates/ringbend-relay/src/admin.rs
+++ b/crates/ringbend-relay/src/admin.rs
@@ -63,6 +63,10 @@
     fn update_copy_metrics(&self) {
         let age = |table| copy_age(&self.node, table).as_secs_f64();
         self.node.metrics.settings_age.set(age(WatchedTable::Config));
+        let now = self.node.clock.now();
+        let mut queues = self.node.overload.borrow_mut();
+        self.node.metrics.overloaded_services.set(queues.overloaded(now) as i64);
+        self.node.metrics.set_overload_queue(queues.len_by_priority());
         self.node.metrics.buffered_bytes.set(self.node.buffers.held() as i64);
         self.node.metrics.endpoints_age.set(age(WatchedTable::Endpoints));
         self.node.metrics.reads_store.set(self.node.readers.borrow().reads().into());
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -25,6 +25,7 @@
 use crate::config::RelayConfig;
 use crate::crashes::EndpointProbes;
 use crate::lost_endpoints::LossChecks;
+use crate::overload_queues::OverloadQueues;
 use crate::peer_socket::{FlushSignals, PeerSocket};
 use crate::placement_grants::PlacementGrants;
 use crate::placement_requests::PlacementRequests;
@@ -66,6 +67,8 @@
     pub(crate) registry_records: RefCell<Vec<InstanceRecord>>,
     /// Updates that have not been sent to other instances yet.
     pub(crate) outbox: RefCell<Outbox>,
+    /// Short prompts that wait for engines, where this instance plans for their service.
+    pub(crate) overload: RefCell<OverloadQueues>,
     pub(crate) flush: FlushSignals,
     /// The socket for datagrams to other instances; unset if no peer address is configured.
     pub(crate) peer_socket: OnceCell<PeerSocket>,
@@ -183,6 +186,7 @@
             peers: RefCell::new(peers),
             registry_records: RefCell::default(),
             outbox: RefCell::default(),
+            overload: RefCell::default(),
             flush: FlushSignals::default(),
             peer_socket: OnceCell::new(),
             pace_queries: RefCell::default(),
--- a/crates/ringbend-relay/src/placement.rs
+++ b/crates/ringbend-relay/src/placement.rs
@@ -6,8 +6,8 @@
 
 use rand::Rng;
 use ringbend_gateway::{
-    Endpoint, EndpointLoad, EngineProfile, FleetView, Job, Peers, Placement, WorkId, is_long,
-    place_on_engines, place_on_service,
+    Endpoint, EngineProfile, FleetView, Job, Peers, Placement, WorkId, is_long, place_on_engines,
+    place_on_service,
 };
 use ringbend_types::{EndpointId, Timestamp};
 
@@ -33,6 +33,8 @@
     NoArbiter,
     /// All remaining endpoints are rate-limited and have no permit for at least this time.
     Limited(Duration),
+    /// Engines are overloaded; capacity is expected after this time.
+    Overloaded(Duration),
     /// This instance was asked as the limit coordinator, but does not have that role.
     NotCoordinator,
 }
@@ -47,6 +49,13 @@
     MustWait,
 }
 
+/// A placement that is not recorded yet.
+pub(crate) struct ProposedPlacement {
+    pub(crate) placement: Placement,
+    /// The number of endpoints that were considered.
+    candidates: usize,
+}
+
 /// Which instance may issue a permit for a rate-limited endpoint and place the request there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PermitIssuer {
@@ -80,7 +89,7 @@
 
     /// Asks a scheduler. `None` if it does not reply, or if it chose an endpoint that this instance
     /// knows to accept no requests.
-    async fn request_admissible_placement(
+    pub(crate) async fn request_admissible_placement(
         self: &Rc<Self>,
         id: WorkId,
         job: &Job,
@@ -107,6 +116,9 @@
         job: &Job,
         engine: Option<EngineProfile>,
     ) -> Result<Placement, PlacementError> {
+        if let Some(prompt) = self.controlled_prompt(job, engine) {
+            return self.place_short(id, job, prompt).await;
+        }
         if !job.at_once && self.is_long(job, engine) {
             let planner = |peers: &Peers, now, asked: &[SocketAddrV4]| {
                 peers.planner(now, &job.service, asked)
@@ -141,16 +153,33 @@
         job: &Job,
         engine: Option<EngineProfile>,
     ) -> Result<Placement, NotPlaced> {
+        let proposal = self.propose_placement(id, job, engine)?;
+        self.commit_placement(id, job, engine, proposal)
+    }
+
+    /// The cheapest placement, which is not recorded.
+    pub(crate) fn propose_placement(
+        &self,
+        id: WorkId,
+        job: &Job,
+        engine: Option<EngineProfile>,
+    ) -> Result<ProposedPlacement, NotPlaced> {
         let closed = self.endpoints_without_permit(id, job);
-        let Some(placement) = self.choose_endpoints(job, engine, &closed) else {
-            return Err(if closed.is_empty() {
-                NotPlaced::NoEndpoint
-            } else {
-                NotPlaced::MustWait
-            });
-        };
-        self.take_permit(job, &placement)?;
-        Ok(self.record_placement(id, job, engine, placement))
+        let proposal = self.cheapest_placement(job, engine, &closed);
+        proposal.ok_or(if closed.is_empty() { NotPlaced::NoEndpoint } else { NotPlaced::MustWait })
+    }
+
+    /// Records a proposed placement and reports it to other schedulers.
+    pub(crate) fn commit_placement(
+        &self,
+        id: WorkId,
+        job: &Job,
+        engine: Option<EngineProfile>,
+        proposal: ProposedPlacement,
+    ) -> Result<Placement, NotPlaced> {
+        self.log_placement(job, engine, &proposal);
+        self.take_permit(job, &proposal.placement)?;
+        Ok(self.record_placement(id, job, engine, proposal.placement))
     }
 
     /// Like [`Self::try_place`], on endpoints without a rate limit; `None` if there is none.
@@ -160,9 +189,10 @@
         job: &Job,
         engine: Option<EngineProfile>,
     ) -> Option<Placement> {
-        let placement =
-            self.choose_endpoints(job, engine, &self.rate_limited_endpoints(&job.service))?;
-        Some(self.record_placement(id, job, engine, placement))
+        let closed = self.rate_limited_endpoints(&job.service);
+        let proposal = self.cheapest_placement(job, engine, &closed)?;
+        self.log_placement(job, engine, &proposal);
+        Some(self.record_placement(id, job, engine, proposal.placement))
     }
 
     /// Adds the work to the load tracker and reports it to other schedulers.
@@ -230,38 +260,35 @@
         evaluate(view, &candidates)
     }
 
-    /// Chooses endpoints and logs the decision.
-    fn choose_endpoints(
+    /// The cheapest placement on endpoints that are not closed to the request.
+    fn cheapest_placement(
         &self,
         job: &Job,
         engine: Option<EngineProfile>,
         closed: &ClosedEndpoints,
-    ) -> Option<Placement> {
-        let (placement, candidates) = self.with_view(job, closed, |view, candidates| {
+    ) -> Option<ProposedPlacement> {
+        self.with_view(job, closed, |view, candidates| {
             let placement = match (engine, job.demand) {
                 (Some(engine), Some(demand)) => {
                     place_on_engines(view, &engine, candidates, &job.goal(view.now, demand))
                 }
                 _ => place_on_service(view, candidates),
             };
-            placement.map(|placement| (placement, candidates.len()))
-        })?;
-        let load = self.load.borrow();
-        let lead = load.of(&placement.lead);
-        self.log_placement(self.clock.now(), job, engine, &placement, lead, candidates);
-        Some(placement)
+            let candidates = candidates.len();
+            placement.map(|placement| ProposedPlacement { placement, candidates })
+        })
     }
 
     /// Logs a placement with the state it was decided on and the expected result.
     fn log_placement(
         &self,
-        now: Timestamp,
         job: &Job,
         engine: Option<EngineProfile>,
-        placement: &Placement,
-        lead: &EndpointLoad,
-        candidates: usize,
+        proposal: &ProposedPlacement,
     ) {
+        let ProposedPlacement { placement, candidates } = proposal;
+        let (now, load) = (self.clock.now(), self.load.borrow());
+        let lead = load.of(&placement.lead);
         let config_age_ms = Millis(self.replica.borrow().age(now));
         let config = self.replica.borrow().version().unwrap_or_default();
         let instances = self.metrics.live_instances.get();
--- a/crates/ringbend-relay/src/placement_grants.rs
+++ b/crates/ringbend-relay/src/placement_grants.rs
@@ -5,13 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ringbend_gateway::{EngineProfile, Job, Placement, WorkId};
-use ringbend_types::Timestamp;
+use ringbend_gateway::{Demand, EngineProfile, Job, Placement, WorkId};
+use ringbend_types::{ServiceName, Timestamp};
 use ringbend_wire::{Ask, Grant, LoadDigest, Verdict, decode_ask, encode_placed_work};
 use tokio::task::JoinHandle;
 
 use crate::node::Node;
 use crate::placement::{NotPlaced, PermitIssuer, PlacementError};
+use crate::short_prompts::ShortPlacement;
 
 /// The state of one placement request.
 struct GrantState {
@@ -122,9 +123,20 @@
             None if self.is_scheduler() => self.begin_placement(from, id, ask),
             None => grant_with_verdict(id, Verdict::NotHere),
         };
+        let grant = match ask.service.parse() {
+            Ok(service) => self.with_overload_state(grant, &service),
+            Err(_) => grant,
+        };
         self.send_digest(&LoadDigest { grants: vec![grant], ..self.digest() }, from);
     }
 
+    /// Adds whether the service is overloaded here, so that the requesting scheduler passes all of
+    /// its short prompts.
+    fn with_overload_state(&self, grant: Grant, service: &ServiceName) -> Grant {
+        let overloaded = self.overload.borrow_mut().is_overloaded(self.clock.now(), service);
+        Grant { overloaded, ..grant }
+    }
+
     fn begin_placement(self: &Rc<Self>, from: SocketAddrV4, id: WorkId, ask: &Ask) -> Grant {
         let now = self.clock.now();
         let job = match decode_ask(now, ask) {
@@ -145,6 +157,9 @@
         if !is_delegated && job.suspect.is_none() {
             self.placement_grants.borrow_mut().record_served(id.instance);
         }
+        if let Some(prompt) = self.controlled_prompt(&job, engine) {
+            return self.begin_controlled(from, id, job, prompt, is_delegated);
+        }
         let waits = job.suspect.is_some() || (!job.at_once && self.is_long(&job, engine));
         let deadline = job.deadline;
         let placed =
@@ -157,9 +172,53 @@
             return grant;
         }
         let granted = self.clone().grant_when_due(from, id, job, engine, is_delegated);
-        let wait_task = tokio::task::spawn_local(granted);
-        let state =
-            GrantState { requester: from, grant: None, wait_task: Some(wait_task), deadline };
+        self.spawn_wait(from, id, deadline, granted)
+    }
+
+    /// Places a short prompt under overload control, or begins to wait.
+    fn begin_controlled(
+        self: &Rc<Self>,
+        from: SocketAddrV4,
+        id: WorkId,
+        job: Job,
+        prompt: (EngineProfile, Demand),
+        is_delegated: bool,
+    ) -> Grant {
+        let (deadline, engine) = (job.deadline, Some(prompt.0));
+        match self.begin_short(id, &job, prompt, is_delegated) {
+            ShortPlacement::Decided(placed) => {
+                let grant = self.build_grant(id, &job, placed);
+                let (stored_grant, wait_task) = (Some(grant.clone()), None);
+                let state =
+                    GrantState { requester: from, grant: stored_grant, wait_task, deadline };
+                self.placement_grants.borrow_mut().open.insert(id, state);
+                grant
+            }
+            ShortPlacement::Queued(queued) => {
+                let node = self.clone();
+                self.spawn_wait(from, id, deadline, async move {
+                    let issuer = PermitIssuer::Local;
+                    let placed = node.await_queued(id, &job, engine, queued, issuer).await;
+                    node.complete_grant(from, id, &job, placed);
+                })
+            }
+            ShortPlacement::Delegated | ShortPlacement::NeedsPermit => {
+                let granted = self.clone().grant_when_due(from, id, job, engine, is_delegated);
+                self.spawn_wait(from, id, deadline, granted)
+            }
+        }
+    }
+
+    /// Starts the wait of a placement request, which replies at its end.
+    fn spawn_wait(
+        &self,
+        requester: SocketAddrV4,
+        id: WorkId,
+        deadline: Timestamp,
+        wait: impl Future<Output = ()> + 'static,
+    ) -> Grant {
+        let wait_task = Some(tokio::task::spawn_local(wait));
+        let state = GrantState { requester, grant: None, wait_task, deadline };
         self.placement_grants.borrow_mut().open.insert(id, state);
         grant_with_verdict(id, Verdict::Queued)
     }
@@ -183,8 +242,20 @@
             (None, true) => self.place_when_due(id, &job, engine, PermitIssuer::Local).await,
             (None, false) => self.place_or_delegate(id, &job, engine).await,
         };
-        let grant = self.build_grant(id, &job, placed);
-        self.send_digest(&LoadDigest { grants: vec![grant.clone()], ..self.digest() }, from);
+        self.complete_grant(from, id, &job, placed);
+    }
+
+    /// Replies to a placement request that had to wait.
+    fn complete_grant(
+        &self,
+        from: SocketAddrV4,
+        id: WorkId,
+        job: &Job,
+        placed: Result<Placement, PlacementError>,
+    ) {
+        let grant = self.build_grant(id, job, placed);
+        let reply = self.with_overload_state(grant.clone(), &job.service);
+        self.send_digest(&LoadDigest { grants: vec![reply], ..self.digest() }, from);
         if let Some(state) = self.placement_grants.borrow_mut().open.get_mut(&id) {
             state.grant = Some(grant);
             state.wait_task = None;
@@ -210,8 +281,11 @@
             }
             Err(PlacementError::Limited(after)) => {
                 self.end_work(id);
-                let come_back_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
-                return Grant { come_back_ms, ..grant_with_verdict(id, Verdict::Limited) };
+                return grant_with_return_time(id, Verdict::Limited, after);
+            }
+            Err(PlacementError::Overloaded(after)) => {
+                self.end_work(id);
+                return grant_with_return_time(id, Verdict::TooLate, after);
             }
         };
         log::debug!(target: "peers", request = job.request.as_ref(); "placement granted");
@@ -240,6 +314,11 @@
     }
 }
 
+fn grant_with_return_time(id: WorkId, verdict: Verdict, after: Duration) -> Grant {
+    let come_back_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+    Grant { come_back_ms, ..grant_with_verdict(id, verdict) }
+}
+
 fn grant_with_verdict(id: WorkId, verdict: Verdict) -> Grant {
     let owner = Some(id.instance);
     Grant { sequence: id.sequence, verdict: verdict.into(), owner, ..Grant::default() }
--- a/crates/ringbend-relay/src/placement_requests.rs
+++ b/crates/ringbend-relay/src/placement_requests.rs
@@ -78,11 +78,17 @@
         loop {
             let timeout = if is_queued { QUEUED_RESEND_INTERVAL } else { GRANT_TIMEOUT };
             match tokio::time::timeout(timeout, self.rx.recv()).await {
-                Ok(Some(grant)) => match grant.verdict() {
-                    Verdict::Queued => is_queued = true,
-                    Verdict::NotHere => return None,
-                    _ => return Some(grant),
-                },
+                Ok(Some(grant)) => {
+                    if grant.overloaded {
+                        let now = self.node.clock.now();
+                        self.node.overload.borrow_mut().record_overloaded(now, &job.service);
+                    }
+                    match grant.verdict() {
+                        Verdict::Queued => is_queued = true,
+                        Verdict::NotHere => return None,
+                        _ => return Some(grant),
+                    }
+                }
                 Ok(None) => return None,
                 Err(_) if is_queued => {
                     is_queued = false;
@@ -135,6 +141,9 @@
             return match grant.verdict() {
                 // The scheduler may not have received an endpoint yet that this instance knows.
                 Verdict::NoEndpoint if self.is_ahead_of(scheduler) => continue,
+                Verdict::TooLate if grant.come_back_ms > 0 => {
+                    Some(Err(PlacementError::Overloaded(Duration::from_millis(grant.come_back_ms))))
+                }
                 Verdict::TooLate => Some(Err(PlacementError::TurnExpired)),
                 Verdict::NoEndpoint => Some(Err(PlacementError::NoEndpoint)),
                 Verdict::Held => Some(Err(PlacementError::Held)),
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -37,6 +37,9 @@
     /// The remaining endpoints are rate-limited and have no permit in time. The request was not
     /// sent.
     Limited,
+    /// Engines are overloaded, and the request would not begin before its caller disconnects. It
+    /// was not sent.
+    Overloaded,
     /// All endpoints asked this instance to back off. The request was not sent.
     BackingOff,
     /// The request may crash endpoints, and no arbiter is available to place it. It was not sent.
@@ -94,6 +97,7 @@
             Self::MayHaveRun => "may-have-run",
             Self::Held => "held",
             Self::Limited => "limited",
+            Self::Overloaded => "overloaded",
             Self::BackingOff => "backing-off",
             Self::Suspected => "suspected",
             Self::LateNotRun => "late-not-run",
@@ -125,6 +129,7 @@
             | Self::NotTaken
             | Self::Held
             | Self::Limited
+            | Self::Overloaded
             | Self::BackingOff
             | Self::Suspected
             | Self::LateNotRun => Some(hint.unwrap_or(DEFAULT_RETRY_AFTER)),
--- a/crates/ringbend-relay/src/scheduling.rs
+++ b/crates/ringbend-relay/src/scheduling.rs
@@ -77,6 +77,7 @@
             PlacementError::Held => SendFailure::Held,
             PlacementError::NoArbiter => SendFailure::NoArbiter,
             PlacementError::Limited(after) => SendFailure::Limited(after),
+            PlacementError::Overloaded(after) => SendFailure::Overloaded(after),
             PlacementError::NotCoordinator => SendFailure::NoEndpoint,
         })?;
         let endpoint = self.node.directory.borrow().get(&placement.lead).cloned();
@@ -109,6 +110,13 @@
             at_once,
             priority: self.priority(),
             account: self.config.account.as_ref().map(|account| account.id.clone()),
+            fingerprint: self
+                .node
+                .cfg
+                .borrow()
+                .overload
+                .is_enabled()
+                .then_some(self.original.fingerprint),
             suspect: self.suspect_fingerprint(),
         }
     }
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -204,6 +204,7 @@
             | SendFailure::Held
             | SendFailure::NoArbiter
             | SendFailure::Limited(_)
+            | SendFailure::Overloaded(_)
             | SendFailure::BackingOff(_)
             | SendFailure::Stopping
             | SendFailure::NoBufferRoom
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -40,6 +40,11 @@
     endpoint: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PriorityLabels {
+    priority: u32,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CodeLabels {
     code: &'static str,
@@ -61,6 +66,11 @@
     unknown_signals: Counter,
     inadmissible: Counter,
     endpoint_limits: Family<EndpointLabels, Gauge<f64, AtomicU64>>,
+    overload_queue: Family<PriorityLabels, Gauge>,
+    overload_rejections: Family<PriorityLabels, Counter>,
+    overload_wait: Histogram,
+    /// Services for which this instance plans and that are overloaded.
+    pub overloaded_services: Gauge,
     /// Requests that are held because they end endpoints.
     pub held_requests: Gauge,
     /// Endpoints that announce a rate limit.
@@ -114,6 +124,10 @@
             unknown_signals: Counter::default(),
             inadmissible: Counter::default(),
             endpoint_limits: Family::default(),
+            overload_queue: Family::default(),
+            overload_rejections: Family::default(),
+            overload_wait: histogram(),
+            overloaded_services: Gauge::default(),
             held_requests: Gauge::default(),
             limited_endpoints: Gauge::default(),
             draining_endpoints: Gauge::default(),
@@ -211,6 +225,25 @@
         }
     }
 
+    /// Sets the number of short prompts that wait for engines here, by priority.
+    pub fn set_overload_queue(&self, waiting: impl IntoIterator<Item = (u8, usize)>) {
+        self.overload_queue.clear();
+        for (priority, count) in waiting {
+            let labels = PriorityLabels { priority: priority.into() };
+            self.overload_queue.get_or_create(&labels).set(count as i64);
+        }
+    }
+
+    /// Records how long a short prompt waited for an engine.
+    pub fn overload_wait(&self, time: Duration) {
+        self.overload_wait.observe(time.as_secs_f64());
+    }
+
+    /// Counts a short prompt that was rejected because engines are overloaded.
+    pub fn overload_rejected(&self, priority: u8) {
+        self.overload_rejections.get_or_create(&PriorityLabels { priority: priority.into() }).inc();
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut registry = Registry::with_prefix("ringbend");
@@ -252,6 +285,21 @@
         );
         let rates = self.endpoint_limits.clone();
         r.register("endpoint_limit", "Rate limit of an endpoint, in requests per second", rates);
+        let waiting = self.overload_queue.clone();
+        r.register("overload_queue", "Short prompts waiting for engines, by priority", waiting);
+        r.register(
+            "overload_rejections",
+            "Short prompts rejected because engines are overloaded, by priority",
+            self.overload_rejections.clone(),
+        );
+        r.register_with_unit(
+            "overload_wait",
+            "Time that short prompts waited for engines",
+            Unit::Seconds,
+            self.overload_wait.clone(),
+        );
+        let overloaded = self.overloaded_services.clone();
+        r.register("overloaded_services", "Services planned here that are overloaded", overloaded);
         let limited = self.limited_endpoints.clone();
         r.register("limited_endpoints", "Endpoints that announce a rate limit", limited);
         let draining = self.draining_endpoints.clone();
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -424,6 +424,9 @@
     /// The client account of its caller; empty on a public route.
     #[prost(string, tag = "18")]
     pub account: ::prost::alloc::string::String,
+    /// Equal for repetitions of the same request; empty if overload control is off.
+    #[prost(bytes = "vec", tag = "19")]
+    pub fingerprint: ::prost::alloc::vec::Vec<u8>,
 }
 /// What became of an ask.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -443,9 +446,13 @@
     /// As in the ask.
     #[prost(fixed64, optional, tag = "6")]
     pub owner: ::core::option::Option<u64>,
-    /// When a place is expected for it, in milliseconds from now, if it is limited.
+    /// When a place is expected for it, in milliseconds from now, if it is limited, or if it is too late because the
+    /// service is overloaded.
     #[prost(uint64, tag = "7")]
     pub come_back_ms: u64,
+    /// The service is overloaded: the receiver passes all of its short prompts to the sender for a while.
+    #[prost(bool, tag = "8")]
+    pub overloaded: bool,
 }
 /// How one request went at an endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -36,15 +36,15 @@
         writing,
         held: work.held.iter().map(encode_held_memory).collect(),
         long: work.long,
-        suspect: encode_suspect(work.suspect),
+        suspect: encode_fingerprint(work.suspect),
     }
 }
 
-fn encode_suspect(suspect: Option<Fingerprint>) -> Vec<u8> {
-    suspect.map_or_else(Vec::new, |suspect| suspect.as_bytes().to_vec())
+fn encode_fingerprint(fingerprint: Option<Fingerprint>) -> Vec<u8> {
+    fingerprint.map_or_else(Vec::new, |fingerprint| fingerprint.as_bytes().to_vec())
 }
 
-fn decode_suspect(bytes: &[u8]) -> Result<Option<Fingerprint>, ParseFingerprintError> {
+fn decode_fingerprint(bytes: &[u8]) -> Result<Option<Fingerprint>, ParseFingerprintError> {
     if bytes.is_empty() { Ok(None) } else { bytes.try_into().map(Some) }
 }
 
@@ -74,7 +74,7 @@
         stake: placed.stake,
         until: now + Duration::from_millis(placed.left_ms),
         long: placed.long,
-        suspect: decode_suspect(&placed.suspect)?,
+        suspect: decode_fingerprint(&placed.suspect)?,
     })
 }
 
@@ -128,11 +128,12 @@
         tried: job.tried.iter().map(EndpointId::to_string).collect(),
         at_once: job.at_once,
         owner: None,
-        suspect: encode_suspect(job.suspect),
+        suspect: encode_fingerprint(job.suspect),
         rank: job.priority.into(),
         closed: job.backing_off.iter().map(EndpointId::to_string).collect(),
         data_centres: encode_data_centres(&job.data_centres),
         account: encode_account(job.account.as_ref()),
+        fingerprint: encode_fingerprint(job.fingerprint),
     }
 }
 
@@ -160,7 +161,8 @@
         at_once: ask.at_once,
         priority: u8::try_from(ask.rank).unwrap_or(u8::MAX),
         account: decode_account(&ask.account)?,
-        suspect: decode_suspect(&ask.suspect)?,
+        fingerprint: decode_fingerprint(&ask.fingerprint)?,
+        suspect: decode_fingerprint(&ask.suspect)?,
     })
 }
 
