--- a/crates/ringbend-gateway/benches/decisions.rs
+++ b/crates/ringbend-gateway/benches/decisions.rs
@@ -11,7 +11,8 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use ringbend_gateway::{
-    Demand, PlacementGoal, QueuedPrompt, WaitingPrompt, Work, decide_turn, place_on_engines,
+    Capacity, Demand, OverloadConfig, OverloadQueue, PlacementGoal, QueuedPrompt, WaitingPrompt,
+    WaitingRequest, Work, decide_turn, place_on_engines, startable,
 };
 use support::{Scene, at, endpoint, ms, profile, service, work, work_id};
 
@@ -75,6 +76,10 @@
         place("a prompt of 300,000 tokens", 300_000);
         let queued =
             QueuedPrompt { id: work_id(2_000_000), passed_over_for: ms(0), goal: goal(300_000) };
+        let demand = Demand { prompt_tokens: 5_000, answer_tokens: 500 };
+        group.bench_function(BenchmarkId::new("the capacity for short prompts", engines), |b| {
+            b.iter(|| startable(scene.view(), &profile, &candidates, demand));
+        });
         group.bench_function(BenchmarkId::new("the turn of a waiting prompt", engines), |b| {
             b.iter(|| decide_turn(scene.view(), &profile, &candidates, &queued));
         });
@@ -82,5 +87,46 @@
     group.finish();
 }
 
-criterion_group!(benches, decisions);
+/// Numbers of short prompts that wait under overload: a third of a second's starts of 45 and 850
+/// engines, and two seconds' starts of 850.
+const SHORT_PROMPTS: [u64; 3] = [100, 2_000, 12_000];
+
+/// The number of client accounts.
+const ACCOUNTS: u64 = 24;
+
+fn overload(c: &mut Criterion) {
+    let mut group = c.benchmark_group("overload");
+    for waiting in SHORT_PROMPTS {
+        let request = |number: u64| WaitingRequest {
+            id: work_id(number),
+            fingerprint: None,
+            account: Some(format!("account-{}", number % ACCOUNTS).parse().unwrap()),
+            priority: (number % 3) as u8,
+            since: at(0),
+            first_by: at(300) + std::time::Duration::from_micros(number),
+            until: at(2_000),
+            deadline: at(10_000),
+            work: ms(1_700),
+            begin: ms(100),
+        };
+        let (full, free) =
+            (Capacity { free: 0, slots: 10_200 }, Capacity { free: 1, slots: 10_200 });
+        let mut queue = OverloadQueue::new(OverloadConfig::default(), 1);
+        for number in 0..waiting {
+            queue.push(at(0), request(number), full);
+        }
+        let mut next = waiting;
+        let name = BenchmarkId::new("a short prompt enters and one starts", waiting);
+        group.bench_function(name, |b| {
+            b.iter(|| {
+                next += 1;
+                queue.push(at(1), request(next), full);
+                queue.next(at(1), free)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions, overload);
 criterion_main!(benches);
--- a/crates/ringbend-wire/tests/messages.rs
+++ b/crates/ringbend-wire/tests/messages.rs
@@ -1,10 +1,15 @@
 //! Encoding and decoding of messages, including those of newer releases.
 
+use std::time::Duration;
+
 use quickcheck::{Gen, QuickCheck};
+use ringbend_gateway::{Demand, Job, WorkId};
 use ringbend_membership as gossip;
 use ringbend_settings::{Change, Edit, LogEntry, Replica};
-use ringbend_types::{Incarnation, SettingsVersion};
-use ringbend_wire::{EntriesReply, Envelope, Gossip, Message, envelope};
+use ringbend_types::{Fingerprint, Incarnation, SettingsVersion, Timestamp};
+use ringbend_wire::{
+    Ask, EntriesReply, Envelope, Gossip, Grant, Message, Verdict, decode_ask, encode_ask, envelope,
+};
 
 fn message(updates: Vec<gossip::Update>) -> gossip::Message {
     gossip::Message {
@@ -18,6 +23,45 @@
     }
 }
 
+/// Guards against a planner that cannot order the requests of other schedulers, or recognize their
+/// repetitions. Prints the sizes that `docs/design/overload.md` states.
+#[test]
+fn a_placement_request_keeps_what_overload_control_needs() {
+    let now = Timestamp::from_millis(100_000);
+    let millis = Duration::from_millis;
+    let job = Job {
+        request: "0123456789abcdef".into(),
+        service: "talk".parse().unwrap(),
+        demand: Some(Demand { prompt_tokens: 5_000, answer_tokens: 400 }),
+        since: now - millis(20),
+        first_by: now + millis(280),
+        gap: millis(200),
+        caller_timeout_at: now + millis(1_980),
+        deadline: now + millis(9_980),
+        tried: Default::default(),
+        backing_off: Vec::new(),
+        data_centres: Default::default(),
+        at_once: false,
+        priority: 2,
+        account: Some("account-7".parse().unwrap()),
+        fingerprint: Some(Fingerprint::from_digest(&[7; 32])),
+        suspect: None,
+    };
+    let id = WorkId { instance: 1, sequence: 70_000 };
+    let ask = Ask { owner: Some(1), ..encode_ask(now, id, &job) };
+    assert_eq!(decode_ask(now, &ask).unwrap(), job);
+    let (owner, verdict) = (Some(1), Verdict::TooLate.into());
+    let grant =
+        Grant { sequence: id.sequence, owner, verdict, come_back_ms: 900, ..Grant::default() };
+    let grant = Grant { overloaded: true, ..grant };
+    println!(
+        "placement request {} bytes, rejection {} bytes",
+        ask.encoded_len(),
+        grant.encoded_len()
+    );
+    assert!(ask.encoded_len() <= 120 && grant.encoded_len() <= 30);
+}
+
 #[test]
 fn gossip_round_trips() {
     let sent = message(vec![
