--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -185,6 +185,7 @@
         at_once: false,
         priority: 0,
         account: None,
+        fingerprint: None,
         suspect: None,
     }
 }
