feat(relay): schedulers greet instances that they do not hear; one instance follows the registry

Cause: peers that were silent for 30 s were dropped and never greeted again, so a longer partition between data centres lasted for good; rows were read only at a start, and lost rows were not written again. Rules that depend on the number of instances counted only those that are heard.

Change: a decision module (gateway, membership.rs) keeps the registry's rows and the schedulers heard before, and names up to three unheard instances of each data centre every 250 ms. The reader of the watched tables also follows the registry by long poll, from 3 s after its start or after an outage, and asks schedulers without a row to write one. Expected data centres (settings, [regions]) from which nobody is heard count like the own one in the retry budget, in cold pacing and in the limit coordinator's share. Metrics and a log line show a split.

--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod job;
 mod limits;
 mod load;
+mod membership;
 mod outbox;
 mod pace;
 mod peers;
@@ -62,6 +63,9 @@
 pub use job::Job;
 pub use limits::{KnownLimit, LimitSignal, LimitSource, LimitUpdate, Limits, MalformedLimit};
 pub use load::{DecodeTask, EndpointLoad, HelperMemory, LoadTracker, PrefillTask, Work, WorkId};
+pub use membership::{
+    Membership, MembershipStatus, RECOVERY_INTERVAL, RegisteredInstance, SplitChange,
+};
 pub use outbox::Outbox;
 pub use pace::{LIMITED_QUERY_INTERVAL, Pace, PaceQueries, overdue_after};
 pub use peers::{
--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -3,11 +3,12 @@
 //! Schedulers tell each other what runs where, so that they do not choose the same idle engine.
 //! These reports are hints: no guarantee depends on them.
 
+mod expected;
 mod roles;
 
 pub use roles::Arbiter;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -67,6 +68,8 @@
     pub instances: usize,
     /// The number of instances it knows in all data centres.
     pub fleet: usize,
+    /// The number of instances that may run, including those of data centres that it does not hear.
+    pub possible: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -149,6 +152,8 @@
     discovery_until: Timestamp,
     /// When a scheduler of its data centre was last alive.
     scheduler_seen_at: Timestamp,
+    /// The data centres that the settings name.
+    expected: BTreeSet<DataCentre>,
     peers: BTreeMap<SocketAddrV4, Peer>,
 }
 
@@ -161,6 +166,7 @@
             role: Role::Starting,
             discovery_until: now + DISCOVERY_TIME,
             scheduler_seen_at: now,
+            expected: BTreeSet::new(),
             peers: BTreeMap::new(),
         }
     }
--- a/crates/ringbend-gateway/src/peers/roles.rs
+++ b/crates/ringbend-gateway/src/peers/roles.rs
@@ -198,16 +198,20 @@
     }
 
     /// The number of schedulers of all data centres, including this instance and those that are
-    /// silent: they may be partitioned and send to the same endpoints.
+    /// silent or may run in expected data centres: they may be partitioned and send to the same
+    /// endpoints.
     pub fn known_schedulers(&self, now: Timestamp) -> usize {
-        self.other_schedulers(now).len() + self.silent_schedulers(now).count() + 1
+        let others = self.other_schedulers(now).len() + self.silent_schedulers(now).count();
+        others + self.missing_schedulers(now) + 1
     }
 
     /// The share of the known instances that is reachable, including this one, from zero to one.
-    /// Silent instances may be partitioned and send to the same endpoints.
+    /// Silent instances and those of expected data centres may be partitioned and send to the same
+    /// endpoints.
     pub fn reachable_share(&self, now: Timestamp) -> f64 {
         let heard = self.count_by_centre(|peer| peer.was_heard_within(now, COORDINATOR_TIMEOUT));
         let known = self.count_by_centre(|peer| peer.heard.is_some());
+        let known = known + self.missing_instances(now);
         heard as f64 / known.max(1) as f64
     }
 
--- a/crates/ringbend-gateway/src/regions.rs
+++ b/crates/ringbend-gateway/src/regions.rs
@@ -52,6 +52,11 @@
 }
 
 impl RegionMap {
+    /// All data centres that have a region.
+    pub fn data_centres(&self) -> impl Iterator<Item = &DataCentre> {
+        self.0.keys()
+    }
+
     /// The data centres that satisfy all of these restrictions. A data centre whose region is
     /// unknown satisfies none.
     pub fn data_centres_in(&self, restrictions: &[&AllowedRegions]) -> AllowedDataCentres {
--- a/crates/ringbend-gateway/tests/limit_coordinator.rs
+++ b/crates/ringbend-gateway/tests/limit_coordinator.rs
@@ -24,7 +24,7 @@
 fn receive_digest(peers: &mut Peers, number: u8, now: Timestamp) {
     peers.record_digest(now, address(number), u64::from(number));
     peers.describe(address(number), "z1".parse().unwrap(), 100 + u32::from(number));
-    let status = PeerStatus { role: Role::Scheduler, instances: 1, fleet: 1 };
+    let status = PeerStatus { role: Role::Scheduler, instances: 1, fleet: 1, possible: 1 };
     peers.set_status(address(number), status);
 }
 
--- a/crates/ringbend-gateway/tests/schedulers.rs
+++ b/crates/ringbend-gateway/tests/schedulers.rs
@@ -91,7 +91,8 @@
         let (centre, capacity, peers) = &self.instances[&from];
         let (centre, capacity) = (data_centre(*centre), *capacity);
         let instances = peers.local_instances(self.now);
-        let status = PeerStatus { role: peers.role(), instances, fleet: peers.instances(self.now) };
+        let (fleet, possible) = (peers.instances(self.now), peers.possible_instances(self.now));
+        let status = PeerStatus { role: peers.role(), instances, fleet, possible };
         let incarnation = u64::from(u32::from(*from.ip()));
         let (_, _, recipient) = self.instances.get_mut(&to).unwrap();
         recipient.record_digest(self.now, from, incarnation);
--- a/crates/ringbend-relay/src/discovery.rs
+++ b/crates/ringbend-relay/src/discovery.rs
@@ -143,7 +143,7 @@
         schedule_if_needed(node);
         // A starting instance greets other data centres once it schedules.
         if node.is_scheduler() {
-            greet_best_ranked(node);
+            node.greet_unheard();
         }
         greet_own_data_centre(node).await;
     }
@@ -151,28 +151,19 @@
     if is_member(node) || has_row {
         return Ok(());
     }
-    let own = {
-        let cfg = node.cfg.borrow();
-        InstanceRecord {
-            address,
-            data_centre: Some(cfg.data_centre.clone()),
-            capacity: cfg.capacity(),
-        }
-    };
+    let Some(own) = node.own_record() else { return Ok(()) };
     with_timeout(registry.register(&own)).await?;
     if has_failed || !knows_local_instances(node) {
         // Of two instances that register together, the one that reads later finds the other.
         read_registry(node, registry).await?;
-        greet_best_ranked(node);
+        node.greet_unheard();
         greet_own_data_centre(node).await;
     }
     Ok(())
 }
 
 async fn read_registry(node: &Node, registry: &dyn InstanceRegistry) -> Result<(), SourceError> {
-    let rows = with_timeout(registry.list()).await?;
-    log::info!(target: "peers", rows = rows.len(); "registry read");
-    *node.registry_records.borrow_mut() = rows;
+    node.replace_registry(with_timeout(registry.list()).await?);
     Ok(())
 }
 
@@ -220,17 +211,6 @@
     }
 }
 
-/// Greets the highest-ranked registered instances of each data centre.
-fn greet_best_ranked(node: &Node) {
-    let home = node.cfg.borrow().data_centre.clone();
-    let mut local_addresses = ranked_addresses(
-        node.registry_records.borrow().iter().filter(|row| is_in_data_centre(row, &home)),
-    );
-    local_addresses.truncate(INITIAL_GREETED);
-    node.greet(&local_addresses);
-    node.greet_other_data_centres();
-}
-
 fn knows_no_scheduler(node: &Node) -> bool {
     node.peers.borrow().local_schedulers(node.clock.now()).is_empty()
 }
@@ -251,23 +231,35 @@
 }
 
 impl Node {
+    /// This instance's row in the registry; `None` without a configured peer address.
+    pub(crate) fn own_record(&self) -> Option<InstanceRecord> {
+        let cfg = self.cfg.borrow();
+        let data_centre = Some(cfg.data_centre.clone());
+        Some(InstanceRecord {
+            address: self.peers_address()?,
+            data_centre,
+            capacity: cfg.capacity(),
+        })
+    }
+
     /// Greets the instances that are likely schedulers in each other data centre.
     pub(crate) fn greet_other_data_centres(&self) {
         let addresses = {
             let (rows, home) = (self.registry_records.borrow(), &self.cfg.borrow().data_centre);
+            let rows: Vec<&InstanceRecord> = rows.iter().collect();
             addresses_elsewhere(&rows, home)
         };
         self.greet(&addresses);
     }
 }
 
-fn addresses_elsewhere(rows: &[InstanceRecord], home: &DataCentre) -> Vec<SocketAddrV4> {
+fn addresses_elsewhere(rows: &[&InstanceRecord], home: &DataCentre) -> Vec<SocketAddrV4> {
     let mut centres: Vec<&DataCentre> =
         rows.iter().filter_map(|row| row.data_centre.as_ref()).collect();
     centres.sort();
     centres.dedup();
     let addresses_in = |centre: &DataCentre| {
-        let there = rows.iter().filter(|row| row.data_centre.as_ref() == Some(centre));
+        let there = rows.iter().copied().filter(|row| row.data_centre.as_ref() == Some(centre));
         ranked_addresses(there).into_iter().take(SCHEDULERS_PER_DATA_CENTRE).collect::<Vec<_>>()
     };
     centres.into_iter().filter(|centre| *centre != home).flat_map(addresses_in).collect()
--- a/crates/ringbend-relay/src/gossip_receiver.rs
+++ b/crates/ringbend-relay/src/gossip_receiver.rs
@@ -27,6 +27,9 @@
             }
         };
         let SocketAddr::V4(from) = from else { continue };
+        if node.peer_socket.get().is_some_and(|peer| peer.dropped.borrow().contains(&from)) {
+            continue;
+        }
         match LoadDigest::decode(&buf[..len]) {
             Ok(digest) => node.handle_digest(from, &digest),
             Err(e) => log::warn!(target: "peers", peer:% = from, error:% = e; "invalid digest"),
@@ -43,6 +46,7 @@
         }
         if digest.bye {
             self.peers.borrow_mut().remove(from);
+            self.membership.borrow_mut().remove(from);
             self.forget_incarnation(start);
             log::info!(target: "peers", peer:% = from, start; "peer stopped");
             return;
@@ -60,6 +64,9 @@
         self.merge_limits(digest, decode_role(digest) == Role::Scheduler);
         self.merge_drains(digest, decode_role(digest) == Role::Scheduler);
         self.apply_work(now, from, digest);
+        if digest.unregistered {
+            self.registration_due.notify_one();
+        }
         for incarnation in &digest.gone {
             self.load.borrow_mut().forget_instance(now, *incarnation);
         }
@@ -84,6 +91,7 @@
             role: decode_role(digest),
             instances: digest.instances as usize,
             fleet: digest.fleet as usize,
+            possible: digest.possible as usize,
         };
         self.peers.borrow_mut().set_status(from, status);
         if digest.call_up && !self.is_scheduler() {
--- a/crates/ringbend-relay/src/gossip_sender.rs
+++ b/crates/ringbend-relay/src/gossip_sender.rs
@@ -226,8 +226,9 @@
         if self.metrics.live_instances.get() != instances as i64 {
             log::info!(target: "peers", instances; "number of live instances changed");
             self.metrics.live_instances.set(instances as i64);
-            self.budget.borrow_mut().set_instances(now, instances);
         }
+        let possible = self.peers.borrow().possible_instances(now);
+        self.budget.borrow_mut().set_instances(now, possible);
     }
 
     /// This instance's own requests that are placed.
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod limits;
 mod log_fields;
 mod lost_endpoints;
+mod membership;
 mod node;
 mod peer_copies;
 mod peer_socket;
@@ -36,6 +37,8 @@
 mod ports;
 mod prompt_queue;
 mod refusal;
+mod registry_copy;
+mod registry_watch;
 mod relay;
 mod reservations;
 mod runs;
@@ -57,8 +60,9 @@
 pub use ports::{
     Batch, ConfigDecoder, ConfigItem, ConfigSource, Cursor, Dialect, DurableRow, DurableStore,
     EndpointSource, EngineReport, ForwardContext, InstanceRecord, InstanceRegistry,
-    InvalidRequestHead, InvalidRow, OperatorChange, PrefillHelper, ReportRequest, RequestMetadata,
-    ReservationCommand, ReservationRequest, ResponseMetadata, Source, SourceError,
+    InvalidRequestHead, InvalidRow, OperatorChange, PrefillHelper, RegistryBatch, RegistryChange,
+    ReportRequest, RequestMetadata, ReservationCommand, ReservationRequest, ResponseMetadata,
+    Source, SourceError,
 };
 pub use relay::{Ports, Relay, RelayError};
 pub use shutdown::StopSummary;
--- /dev/null
+++ b/crates/ringbend-relay/src/membership.rs
@@ -0,0 +1,57 @@
+//! Finds instances that run and are not known, and reports a split fleet.
+
+use std::rc::Rc;
+
+use ringbend_gateway::{MembershipStatus, RECOVERY_INTERVAL, SplitChange};
+
+use crate::node::Node;
+
+/// Greets instances that are not heard for as long as the process lives.
+pub(crate) async fn recover_membership(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(RECOVERY_INTERVAL).await;
+        node.greet_unheard();
+        node.report_membership();
+    }
+}
+
+impl Node {
+    /// Greets a bounded number of instances that may run and are not heard. Members leave this to
+    /// schedulers, unless they alone reach the store.
+    pub(crate) fn greet_unheard(&self) {
+        let now = self.clock.now();
+        let mut membership = self.membership.borrow_mut();
+        membership.observe(now, &self.peers.borrow());
+        if !self.is_scheduler() && !self.readers.borrow().reads() {
+            return;
+        }
+        let addresses = membership.greetings(now, &self.peers.borrow());
+        self.greet(&addresses);
+    }
+
+    /// Updates the metrics of known and registered instances, and logs the start and end of a split.
+    /// Members do not hear other data centres, so only schedulers report.
+    fn report_membership(&self) {
+        let now = self.clock.now();
+        let status = self.membership.borrow().status(now, &self.peers.borrow());
+        let missing = if self.is_scheduler() { status.unheard_data_centres.len() } else { 0 };
+        self.metrics.registered_instances.set(status.registered as i64);
+        self.metrics.unheard_instances.set(status.unheard as i64);
+        self.metrics.unheard_data_centres.set(missing as i64);
+        match self.membership.borrow_mut().update_split(now, missing > 0) {
+            Some(SplitChange::Began) => log_split(&status),
+            Some(SplitChange::Ended) => {
+                let MembershipStatus { known, registered, unheard, .. } = status;
+                log::info!(target: "peers", known, registered, unheard; "all data centres are heard");
+            }
+            None => {}
+        }
+    }
+}
+
+fn log_split(status: &MembershipStatus) {
+    let MembershipStatus { known, registered, unheard, .. } = status;
+    let names: Vec<&str> = status.unheard_data_centres.iter().map(|name| name.as_str()).collect();
+    let data_centres = names.join(",");
+    log::warn!(target: "peers", known, registered, unheard, data_centres; "no instance of these data centres is heard");
+}
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -12,8 +12,8 @@
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
     Backoffs, ColdPacing, Directory, Freshness, HealthTracker, InstanceRank, Limits, LoadTracker,
-    Outbox, PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget, StoreOutages,
-    StoreReaders, WorkId, fleet_backoff_factor,
+    Membership, Outbox, PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget,
+    StoreOutages, StoreReaders, WorkId, fleet_backoff_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -28,7 +28,8 @@
 use crate::peer_socket::{FlushSignals, PeerSocket};
 use crate::placement_grants::PlacementGrants;
 use crate::placement_requests::PlacementRequests;
-use crate::ports::{ConfigDecoder, Cursor, Dialect, DurableStore, InstanceRecord};
+use crate::ports::{ConfigDecoder, Cursor, Dialect, DurableStore};
+use crate::registry_copy::RegistryCopy;
 use crate::reservations::MemoryReservations;
 use crate::signals::LoggedSignals;
 use crate::suspect_store::SUSPECTS_WAIT;
@@ -63,7 +64,11 @@
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) peers: RefCell<Peers>,
     /// The registry's entries when it was last read.
-    pub(crate) registry_records: RefCell<Vec<InstanceRecord>>,
+    pub(crate) registry_records: RefCell<RegistryCopy>,
+    /// The instances that may run, whether they are heard or not.
+    pub(crate) membership: RefCell<Membership>,
+    /// Notified when this instance's row was found to be missing in the registry.
+    pub(crate) registration_due: Notify,
     /// Updates that have not been sent to other instances yet.
     pub(crate) outbox: RefCell<Outbox>,
     pub(crate) flush: FlushSignals,
@@ -81,6 +86,8 @@
     pub(crate) store_lost: Notify,
     /// Start of the current store outage, as detected by the configuration watch.
     pub(crate) store_lost_at: Cell<Option<Timestamp>>,
+    /// Whether the configuration watch has lost the store since the start.
+    pub(crate) had_store_outage: Cell<bool>,
     /// Notified when the configuration watch reaches the store again.
     pub(crate) store_recovered: Notify,
     /// Notified when this instance has read the configuration table.
@@ -160,7 +167,9 @@
         let budget = RetryBudget::new(cfg.bounds.budget());
         let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
         let own = InstanceRank::new(cfg.capacity(), cfg.listen.peers.unwrap_or(unknown));
-        let peers = Peers::new(clock.now(), cfg.data_centre.clone(), own);
+        let mut peers = Peers::new(clock.now(), cfg.data_centre.clone(), own);
+        peers.set_expected_data_centres(cfg.regions.data_centres().cloned());
+        let membership = Membership::new(cfg.data_centre.clone());
         Rc::new(Self {
             cfg: RefCell::new(cfg),
             clock,
@@ -182,6 +191,8 @@
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
             peers: RefCell::new(peers),
             registry_records: RefCell::default(),
+            membership: RefCell::new(membership),
+            registration_due: Notify::new(),
             outbox: RefCell::default(),
             flush: FlushSignals::default(),
             peer_socket: OnceCell::new(),
@@ -191,6 +202,7 @@
             load_changed: Notify::new(),
             store_lost: Notify::new(),
             store_lost_at: Cell::new(None),
+            had_store_outage: Cell::new(false),
             store_recovered: Notify::new(),
             store_read: Notify::new(),
             outages: RefCell::default(),
--- a/crates/ringbend-relay/src/peer_socket.rs
+++ b/crates/ringbend-relay/src/peer_socket.rs
@@ -1,5 +1,6 @@
 //! The datagram socket for peer traffic, and the common part of all digests.
 
+use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,13 +33,15 @@
 pub(crate) struct PeerSocket {
     pub(crate) socket: Rc<UdpSocket>,
     pub(crate) address: SocketAddrV4,
+    /// Addresses with which no datagrams are exchanged; empty except in tests.
+    pub(crate) dropped: RefCell<Vec<SocketAddrV4>>,
 }
 
 impl PeerSocket {
     pub(crate) async fn open(address: SocketAddrV4) -> std::io::Result<Self> {
         let socket = Rc::new(UdpSocket::bind(address).await?);
         let address = SocketAddrV4::new(*address.ip(), socket.local_addr()?.port());
-        Ok(Self { socket, address })
+        Ok(Self { socket, address, dropped: RefCell::default() })
     }
 }
 
@@ -60,6 +63,7 @@
             role: encode_role(peers.role()),
             instances: count(peers.local_instances(now)),
             fleet: count(peers.instances(now)),
+            possible: count(peers.possible_instances(now)),
             ..LoadDigest::default()
         }
     }
@@ -90,6 +94,9 @@
 
     pub(crate) fn send_digest(&self, digest: &LoadDigest, address: SocketAddrV4) {
         let Some(peer_socket) = self.peer_socket.get() else { return };
+        if peer_socket.dropped.borrow().contains(&address) {
+            return;
+        }
         let bytes = digest.encode_to_vec();
         match peer_socket.socket.try_send_to(&bytes, address.into()) {
             Ok(sent) => self.metrics.peer_bytes(sent as u64),
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -276,6 +276,26 @@
     pub capacity: u32,
 }
 
+/// A row of the registry, or its removal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegistryChange {
+    /// The row's key.
+    pub key: Arc<str>,
+    /// The entry; `None` if the row was removed or cannot be decoded.
+    pub record: Option<InstanceRecord>,
+}
+
+/// Rows of the registry, as of a position in its history.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegistryBatch {
+    /// The rows.
+    pub changes: Vec<RegistryChange>,
+    /// The position up to which they are known.
+    pub cursor: Cursor,
+    /// Whether there are no further changes up to the position.
+    pub is_complete: bool,
+}
+
 /// Registry through which instances discover each other.
 #[async_trait(?Send)]
 pub trait InstanceRegistry {
@@ -284,7 +304,10 @@
 
     /// Lists all entries, including this instance's own; some may belong to instances that no
     /// longer run.
-    async fn list(&self) -> Result<Vec<InstanceRecord>, SourceError>;
+    async fn list(&self) -> Result<RegistryBatch, SourceError>;
+
+    /// Long-polls for changes after `after`: waits at most `wait` for the first one.
+    async fn changes(&self, after: Cursor, wait: Duration) -> Result<RegistryBatch, SourceError>;
 
     /// Removes this instance's entry.
     async fn deregister(&self) -> Result<(), SourceError>;
--- /dev/null
+++ b/crates/ringbend-relay/src/registry_watch.rs
@@ -0,0 +1,145 @@
+//! Follows the registry at the instance that reads the watched tables, so that a group of instances
+//! learns of all others with one long poll.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ringbend_gateway::HEARTBEAT_INTERVAL;
+use ringbend_wire::LoadDigest;
+
+use crate::node::Node;
+use crate::ports::{InstanceRegistry, SourceError};
+
+/// The wait requested from the store.
+const POLL_TIMEOUT: Duration = Duration::from_millis(9_000);
+
+/// How long the store may take beyond the requested wait, as for the watched tables.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// How long to wait for further changes after one: many instances write their rows together.
+const BATCH_DELAY: Duration = Duration::from_millis(400);
+
+/// How long after its start an instance first reads the registry, unless the store was unavailable:
+/// the instances that start together find each other without this call.
+const START_DELAY: Duration = Duration::from_secs(3);
+
+/// Interval between calls if the registry cannot be read although the store answers other calls.
+const RETRY_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Interval between checks whether the delay after the start is over.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The minimum interval between writes of this instance's row on request.
+const MIN_REGISTRATION_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Follows the registry whenever this instance reads the watched tables.
+pub(crate) async fn follow_registry(node: Rc<Node>, registry: Rc<dyn InstanceRegistry>) {
+    loop {
+        wait_until_reading(&node).await;
+        let error = tokio::select! {
+            error = follow(&node, &*registry) => error,
+            () = node.stopped_reading.notified() => continue,
+            // A call with a long wait would hang for a long time after a network failure.
+            () = node.store_lost.notified() => SourceError::Unreachable,
+        };
+        log::info!(target: "store", error:%; "registry not followed; retrying");
+        tokio::select! {
+            () = node.store_recovered.notified() => {}
+            () = tokio::time::sleep(RETRY_INTERVAL) => {}
+        }
+    }
+}
+
+async fn wait_until_reading(node: &Node) {
+    loop {
+        let mut started = std::pin::pin!(node.started_reading.notified());
+        // Registered before the check, so that no notification in between is missed.
+        started.as_mut().enable();
+        if node.readers.borrow().reads() {
+            break;
+        }
+        started.await;
+    }
+    while node.clock.now().since(node.clock.started_at()) < START_DELAY
+        && !node.had_store_outage.get()
+    {
+        tokio::time::sleep(START_CHECK_INTERVAL).await;
+    }
+}
+
+/// Follows the registry until a call fails.
+async fn follow(node: &Node, registry: &dyn InstanceRegistry) -> SourceError {
+    match read_changes(node, registry).await {
+        Ok(never) => match never {},
+        Err(e) => e,
+    }
+}
+
+async fn read_changes(
+    node: &Node,
+    registry: &dyn InstanceRegistry,
+) -> Result<std::convert::Infallible, SourceError> {
+    // The first call does not wait, so that the rows are known at once.
+    let mut wait = Duration::ZERO;
+    loop {
+        let cursor = node.registry_records.borrow().cursor();
+        let result = match cursor {
+            Some(cursor) => with_timeout(wait, registry.changes(cursor, wait)).await,
+            None => Err(SourceError::HistoryGone),
+        };
+        let has_changed = match result {
+            Ok(batch) if batch.is_complete => {
+                let has_changed = !batch.changes.is_empty();
+                node.apply_registry(batch);
+                has_changed
+            }
+            Ok(_) | Err(SourceError::HistoryGone) => {
+                node.replace_registry(with_timeout(Duration::ZERO, registry.list()).await?);
+                true
+            }
+            Err(e) => return Err(e),
+        };
+        node.greet_unheard();
+        node.request_registrations();
+        if has_changed {
+            tokio::time::sleep(BATCH_DELAY).await;
+        }
+        wait = POLL_TIMEOUT;
+    }
+}
+
+async fn with_timeout<T>(
+    wait: Duration,
+    call: impl Future<Output = Result<T, SourceError>>,
+) -> Result<T, SourceError> {
+    tokio::time::timeout(wait + CALL_TIMEOUT, call).await.unwrap_or(Err(SourceError::TimedOut))
+}
+
+/// Writes this instance's row whenever the reader of the registry finds it missing.
+pub(crate) async fn register_on_request(node: Rc<Node>, registry: Rc<dyn InstanceRegistry>) {
+    loop {
+        node.registration_due.notified().await;
+        // Without a role change in between, as surplus schedulers need no row.
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        let Some(own) = node.own_record().filter(|_| node.is_scheduler()) else { continue };
+        log::info!(target: "peers", "registry row is missing; writing it again");
+        if let Err(e) = with_timeout(Duration::ZERO, registry.register(&own)).await {
+            // The reader asks again.
+            log::info!(target: "peers", error:% = e; "registration failed");
+        }
+        tokio::time::sleep(MIN_REGISTRATION_INTERVAL).await;
+    }
+}
+
+impl Node {
+    /// Asks schedulers whose rows are missing to write them.
+    fn request_registrations(&self) {
+        let now = self.clock.now();
+        let unregistered = self.membership.borrow_mut().unregistered(now);
+        let digest = LoadDigest { unregistered: true, ..self.digest() };
+        self.send_digest_to_all(&digest, unregistered);
+        if self.is_scheduler() && self.membership.borrow().lacks_own_row() {
+            self.registration_due.notify_one();
+        }
+    }
+}
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -18,6 +18,7 @@
 use crate::discovery::{greet_seeds, join};
 use crate::gossip_receiver::receive_digests;
 use crate::gossip_sender::GossipSender;
+use crate::membership::recover_membership;
 use crate::node::Node;
 use crate::peer_copies::CopyServer;
 use crate::peer_socket::PeerSocket;
@@ -25,6 +26,7 @@
     ConfigDecoder, ConfigSource, Dialect, DurableStore, EndpointSource, InstanceRegistry,
     OperatorChange,
 };
+use crate::registry_watch::{follow_registry, register_on_request};
 use crate::suspect_store::load_suspects;
 use crate::table_copies::{ConfigCopy, EndpointCopy, copy_age};
 use crate::watch::Watch;
@@ -143,6 +145,7 @@
             let socket = PeerSocket::open(address).await;
             let socket = socket.change_context(RelayError::Listen(address.into()))?;
             node.peers.borrow_mut().set_own_address(socket.address);
+            node.membership.borrow_mut().set_own_address(socket.address);
             let has_seeds = !seeds.is_empty();
             // Cannot fail, as a relay is started only once.
             drop(node.peer_socket.set(socket));
@@ -151,6 +154,12 @@
             tasks.push(tokio::task::spawn_local(GossipSender::new(node.clone()).run()));
             let join = join(node.clone(), ports.registry.clone(), has_seeds);
             tasks.push(tokio::task::spawn_local(join));
+            let registry = &ports.registry;
+            tasks.extend([
+                tokio::task::spawn_local(recover_membership(node.clone())),
+                tokio::task::spawn_local(follow_registry(node.clone(), registry.clone())),
+                tokio::task::spawn_local(register_on_request(node.clone(), registry.clone())),
+            ]);
         } else {
             node.joined.set(true);
         }
@@ -231,6 +240,14 @@
         self.node.peers.borrow().instances(self.node.clock.now())
     }
 
+    /// Drops all further datagrams to and from these addresses instead of those given before; used
+    /// by tests of network partitions.
+    pub fn drop_datagrams(&self, peers: &[SocketAddrV4]) {
+        if let Some(socket) = self.node.peer_socket.get() {
+            *socket.dropped.borrow_mut() = peers.to_vec();
+        }
+    }
+
     /// The number of requests known to be open on endpoints, including those of other instances.
     pub fn known_open_requests(&self) -> usize {
         self.node.load.borrow().open_requests()
@@ -259,6 +276,8 @@
             Ok(cfg) => {
                 cfg.unknown.iter().for_each(|warning| log::warn!(target: "relay", "{warning}"));
                 self.node.budget.borrow_mut().set_bounds(cfg.bounds.budget());
+                let data_centres = cfg.regions.data_centres().cloned();
+                self.node.peers.borrow_mut().set_expected_data_centres(data_centres);
                 *self.node.cfg.borrow_mut() = cfg;
                 log::info!(target: "relay", path:? = path; "settings reloaded");
             }
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -230,6 +230,7 @@
             let now = self.node.clock.now();
             self.node.readers.borrow_mut().call_failed(now);
             self.node.store_lost_at.set(Some(self.node.store_lost_at.get().unwrap_or(now)));
+            self.node.had_store_outage.set(true);
             self.node.store_lost.notify_waiters();
         }
         if self.lost_at.is_none() {
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -89,6 +89,12 @@
     pub queued_requests: Gauge,
     /// Instances considered alive, including this one.
     pub live_instances: Gauge,
+    /// Registry rows when this instance last read them.
+    pub registered_instances: Gauge,
+    /// Registry rows of instances that are not heard.
+    pub unheard_instances: Gauge,
+    /// Known data centres from which a scheduler hears nobody.
+    pub unheard_data_centres: Gauge,
 }
 
 impl fmt::Debug for Metrics {
@@ -128,6 +134,9 @@
             open_requests: Gauge::default(),
             queued_requests: Gauge::default(),
             live_instances: Gauge::default(),
+            registered_instances: Gauge::default(),
+            unheard_instances: Gauge::default(),
+            unheard_data_centres: Gauge::default(),
         }
     }
 }
@@ -307,5 +316,20 @@
             self.queued_requests.clone(),
         );
         r.register("live_instances", "Instances considered alive", self.live_instances.clone());
+        r.register(
+            "registered_instances",
+            "Registry rows when this instance last read them",
+            self.registered_instances.clone(),
+        );
+        r.register(
+            "unheard_instances",
+            "Registry rows of instances that are not heard",
+            self.unheard_instances.clone(),
+        );
+        r.register(
+            "unheard_data_centres",
+            "Known data centres from which a scheduler hears nobody",
+            self.unheard_data_centres.clone(),
+        );
     }
 }
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -296,6 +296,13 @@
     /// Endpoints that have announced that they are draining.
     #[prost(message, repeated, tag = "32")]
     pub drains: ::prost::alloc::vec::Vec<EndpointDrain>,
+    /// How many instances may run in all data centres: those that the sender knows, and those of data
+    /// centres that its settings name and that it does not hear.
+    #[prost(uint32, tag = "33")]
+    pub possible: u32,
+    /// The receiver schedules and its row is missing in the registry.
+    #[prost(bool, tag = "34")]
+    pub unregistered: bool,
 }
 /// An endpoint that has announced that it is draining.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
