--- a/crates/ringbend-gateway/src/membership.rs
+++ b/crates/ringbend-gateway/src/membership.rs
@@ -39,6 +39,10 @@
 /// How long the address of a scheduler without a row is kept after it was last heard.
 const UNREGISTERED_RETENTION: Duration = Duration::from_secs(3_600);
 
+/// How long an instance that another one named is greeted if it has no row and was never heard: the
+/// greeting or its answer may be lost, or the path between them may fail for a while.
+const NAMED_RETENTION: Duration = Duration::from_secs(30);
+
 /// How long an instance schedules without a row before it is asked to write one. Schedulers that
 /// start write theirs within a second and a half, and surplus ones soon cease to schedule.
 const REGISTRATION_GRACE: Duration = Duration::from_secs(4);
@@ -70,7 +74,9 @@
     data_centre: Option<DataCentre>,
     capacity: u32,
     is_registered: bool,
-    /// When it was last heard as a scheduler, or since when its row is known.
+    /// Whether it has been heard as a scheduler.
+    was_heard: bool,
+    /// When it was last heard as a scheduler, or since when it is known.
     last_seen: Timestamp,
     /// Since when it has been heard as a scheduler without interruption.
     schedules_since: Option<Timestamp>,
@@ -153,6 +159,7 @@
             data_centre: None,
             capacity: 0,
             is_registered: false,
+            was_heard: false,
             last_seen: now,
             schedules_since: None,
             greeted_at: None,
@@ -172,14 +179,25 @@
             let Some(contact) = self.contact(now, address) else { break };
             contact.data_centre = Some(data_centre.clone());
             contact.capacity = capacity;
+            contact.was_heard = true;
             contact.last_seen = now;
             contact.schedules_since.get_or_insert(now);
         }
         self.contacts.retain(|_, contact| {
-            contact.is_registered || now.since(contact.last_seen) < UNREGISTERED_RETENTION
+            let retention =
+                if contact.was_heard { UNREGISTERED_RETENTION } else { NAMED_RETENTION };
+            contact.is_registered || now.since(contact.last_seen) < retention
         });
     }
 
+    /// Adds schedulers that another instance named.
+    pub fn add_named(&mut self, now: Timestamp, named: &[SocketAddrV4]) {
+        let own = self.own;
+        for address in named.iter().filter(|address| Some(**address) != own) {
+            self.contact(now, *address);
+        }
+    }
+
     /// Removes an instance that has announced that it stops.
     pub fn remove(&mut self, address: SocketAddrV4) {
         self.contacts.remove(&address);
@@ -271,8 +289,11 @@
 impl Contact {
     /// Whether to greet the instance, which is not heard, with these data centres being heard.
     fn is_due(&self, now: Timestamp, heard: &BTreeSet<DataCentre>) -> bool {
-        // Rows of earlier versions name no data centre.
-        let is_centre_heard = self.data_centre.as_ref().is_none_or(|centre| heard.contains(centre));
+        let is_centre_heard = match &self.data_centre {
+            Some(centre) => heard.contains(centre),
+            // Rows of earlier versions name no data centre.
+            None => self.is_registered,
+        };
         let interval = match is_centre_heard {
             false => UNHEARD_CENTRE_INTERVAL,
             true if now.since(self.last_seen) < PRESUMED_DEAD_AFTER => UNHEARD_INSTANCE_INTERVAL,
--- a/crates/ringbend-relay/src/gossip_receiver.rs
+++ b/crates/ringbend-relay/src/gossip_receiver.rs
@@ -213,6 +213,7 @@
                 }
             }
         }
+        self.membership.borrow_mut().add_named(self.clock.now(), &addresses);
         self.greet(&addresses);
     }
 
--- a/crates/ringbend-relay/src/registry_watch.rs
+++ b/crates/ringbend-relay/src/registry_watch.rs
@@ -19,8 +19,9 @@
 /// How long to wait for further changes after one: many instances write their rows together.
 const BATCH_DELAY: Duration = Duration::from_millis(400);
 
-/// How long after its start an instance first reads the registry, unless the store was unavailable:
-/// the instances that start together find each other without this call.
+/// How long after its start an instance first reads the registry, unless the store was unavailable or
+/// the instance is alone or hears nobody of a data centre: otherwise the instances that start together
+/// find each other without this call.
 const START_DELAY: Duration = Duration::from_secs(3);
 
 /// Interval between calls if the registry cannot be read although the store answers other calls.
@@ -60,13 +61,19 @@
         }
         started.await;
     }
-    while node.clock.now().since(node.clock.started_at()) < START_DELAY
-        && !node.had_store_outage.get()
-    {
+    while node.clock.now().since(node.clock.started_at()) < START_DELAY && !may_be_split(node) {
         tokio::time::sleep(START_CHECK_INTERVAL).await;
     }
 }
 
+/// Whether others may run that this instance could not find so far.
+fn may_be_split(node: &Node) -> bool {
+    let (now, peers) = (node.clock.now(), node.peers.borrow());
+    let status = node.membership.borrow().status(now, &peers);
+    let is_split = status.known == 1 || !status.unheard_data_centres.is_empty();
+    node.had_store_outage.get() || (is_split && peers.schedules())
+}
+
 /// Follows the registry until a call fails.
 async fn follow(node: &Node, registry: &dyn InstanceRegistry) -> SourceError {
     match read_changes(node, registry).await {
