--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod job;
 mod limits;
 mod load;
+mod membership;
 mod outbox;
 mod overload;
 mod pace;
@@ -70,6 +71,9 @@
 pub use job::Job;
 pub use limits::{KnownLimit, LimitSignal, LimitSource, LimitUpdate, Limits, MalformedLimit};
 pub use load::{DecodeTask, EndpointLoad, HelperMemory, LoadTracker, PrefillTask, Work, WorkId};
+pub use membership::{
+    Membership, MembershipStatus, RECOVERY_INTERVAL, RegisteredInstance, SplitChange,
+};
 pub use outbox::Outbox;
 pub use overload::{
     Admission, Capacity, Decision, OverloadConfig, OverloadQueue, PlaceReason, WaitingRequest,
--- a/crates/ringbend-gateway/src/regions.rs
+++ b/crates/ringbend-gateway/src/regions.rs
@@ -52,7 +52,7 @@
 }
 
 impl RegionMap {
-    /// All data centres.
+    /// All data centres that have a region.
     pub fn data_centres(&self) -> impl Iterator<Item = &DataCentre> {
         self.0.keys()
     }
--- a/crates/ringbend-gateway/tests/schedulers.rs
+++ b/crates/ringbend-gateway/tests/schedulers.rs
@@ -91,7 +91,8 @@
         let (centre, capacity, peers) = &self.instances[&from];
         let (centre, capacity) = (data_centre(*centre), *capacity);
         let instances = peers.local_instances(self.now);
-        let status = PeerStatus { role: peers.role(), instances, fleet: peers.instances(self.now) };
+        let (fleet, possible) = (peers.instances(self.now), peers.possible_instances(self.now));
+        let status = PeerStatus { role: peers.role(), instances, fleet, possible };
         let incarnation = u64::from(u32::from(*from.ip()));
         let (_, _, recipient) = self.instances.get_mut(&to).unwrap();
         recipient.record_digest(self.now, from, incarnation);
@@ -327,7 +328,7 @@
     assert!(!peers.knows_scheduler_in(at(0), &data_centre(1)));
     peers.record_digest(at(0), address(1, 1), 7);
     peers.describe(address(1, 1), data_centre(1), LARGE);
-    let status = |role| PeerStatus { role, instances: 1, fleet: 2 };
+    let status = |role| PeerStatus { role, instances: 1, fleet: 2, possible: 2 };
     peers.set_status(address(1, 1), status(Role::Member));
     assert!(!peers.knows_scheduler_in(at(0), &data_centre(1)));
     peers.set_status(address(1, 1), status(Role::Scheduler));
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod limits;
 mod log_fields;
 mod lost_endpoints;
+mod membership;
 mod node;
 mod overload_driver;
 mod overload_queues;
@@ -39,6 +40,8 @@
 mod prompt_queue;
 mod ranks;
 mod refusal;
+mod registry_copy;
+mod registry_watch;
 mod relay;
 mod reservations;
 mod runs;
@@ -62,8 +65,9 @@
 pub use ports::{
     Batch, ConfigDecoder, ConfigItem, ConfigSource, Cursor, Dialect, DurableRow, DurableStore,
     EndpointSource, EngineReport, ForwardContext, InstanceRecord, InstanceRegistry,
-    InvalidRequestHead, InvalidRow, OperatorChange, PrefillHelper, ReportRequest, RequestMetadata,
-    ReservationCommand, ReservationRequest, ResponseMetadata, Source, SourceError,
+    InvalidRequestHead, InvalidRow, OperatorChange, PrefillHelper, RegistryBatch, RegistryChange,
+    ReportRequest, RequestMetadata, ReservationCommand, ReservationRequest, ResponseMetadata,
+    Source, SourceError,
 };
 pub use relay::{Ports, Relay, RelayError};
 pub use shutdown::StopSummary;
