--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -287,10 +287,12 @@
         let aim_ms = self.config.route.target_latency.as_millis() as u64;
         let gap_aim_ms = self.gap_target().as_millis() as u64;
         let account = AccountName(self.config.account.as_ref().map(|account| &account.id));
+        let prompt = self.metadata.demand.map_or(0, |demand| demand.prompt_tokens);
+        let prefill_ms = self.prefill_time().as_millis() as u64;
         log::info!(
             target: "request", id, fingerprint:% = self.original.fingerprint, route:%,
             config:% = self.config.version, outcome, ms, sends,
-            first_ms:%, gap_ms, aim_ms, gap_aim_ms,
+            first_ms:%, gap_ms, aim_ms, gap_aim_ms, prompt, prefill_ms,
             priority = self.priority(), account:%;
             "ended"
         );
