--- a/crates/ringbend-relay/src/discovery.rs
+++ b/crates/ringbend-relay/src/discovery.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use rand::Rng;
-use ringbend_gateway::{InstanceRank, Role, SCHEDULERS_PER_DATA_CENTRE};
-use ringbend_types::DataCentre;
+use ringbend_gateway::{InstanceRank, Role, SCHEDULERS_PER_DATA_CENTRE, WatchedTable};
+use ringbend_types::{DataCentre, Timestamp};
 
 use crate::SourceError;
 use crate::node::Node;
@@ -30,6 +30,9 @@
 /// response never arrives.
 const REGISTRY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Interval between checks whether another instance has reached the store.
+const PROOF_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Number of instances of the own data centre in the first greeting. One scheduler is enough, as it
 /// names the others, but entries of instances that no longer run may precede it. Each further
 /// greeting goes to twice as many.
@@ -63,19 +66,25 @@
         // If the seeds reply in this time, the registry need not be read.
         tokio::time::sleep(SEED_TIMEOUT).await;
     }
+    let mut has_failed = false;
     loop {
+        let sent = node.clock.now();
         // A call that hangs since the store became unavailable is abandoned once the store is back.
         let joined = tokio::select! {
-            done = register(&node, &*registry) => done,
-            () = node.store_recovered.notified() => continue,
+            done = register(&node, &*registry, has_failed) => done,
+            () = node.store_recovered.notified() => {
+                has_failed = true;
+                continue;
+            }
         };
         match joined {
             Ok(()) => break,
             Err(e) => {
+                has_failed = true;
                 log::info!(target: "peers", error:% = e; "registration failed; retrying");
                 tokio::select! {
                     () = tokio::time::sleep(REGISTRY_RETRY_INTERVAL.mul_f64(node.store_retry_factor())) => {}
-                    () = node.store_recovered.notified() => {}
+                    () = store_answered_after(&node, sent) => {}
                 }
             }
         }
@@ -85,6 +94,20 @@
     log::info!(target: "peers", instances, schedules; "discovery complete");
 }
 
+/// Waits until the store has answered this instance or another one that is known after `at`.
+async fn store_answered_after(node: &Node, at: Timestamp) {
+    let recovered = node.store_recovered.notified();
+    let proved_elsewhere = async {
+        while node.readers.borrow().proved_at(WatchedTable::Config) <= Some(at) {
+            tokio::time::sleep(PROOF_POLL_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        () = recovered => {}
+        () = proved_elsewhere => {}
+    }
+}
+
 /// Whether other instances schedule for this one, so that it needs no registry entry.
 fn is_member(node: &Node) -> bool {
     node.peers.borrow().role() == Role::Member
@@ -101,44 +124,46 @@
 /// schedulers do: an instance that starts contacts the best-ranked registered ones, and learns of
 /// the others from them. An instance that was killed finds its own and the others' entries
 /// unchanged, so one call is enough after the loss of all instances.
-async fn register(node: &Rc<Node>, registry: &dyn InstanceRegistry) -> Result<(), SourceError> {
+///
+/// Instances that could not read the registry when they started (`has_failed`) may know each other
+/// in groups only, so their schedulers read it as well.
+async fn register(
+    node: &Rc<Node>,
+    registry: &dyn InstanceRegistry,
+    has_failed: bool,
+) -> Result<(), SourceError> {
     let Some(address) = node.peers_address() else { return Ok(()) };
-    if !knows_local_instances(node) {
+    if (has_failed && !is_member(node)) || !knows_local_instances(node) {
         read_registry(node, registry).await?;
-        if node.registry_records.borrow().is_empty() {
+        if node.registry_records.borrow().is_empty() && !node.is_scheduler() {
             let wait = node.rng.borrow_mut().random_range(EMPTY_REGISTRY_WAIT_MS);
             tokio::time::sleep(Duration::from_millis(wait)).await;
             read_registry(node, registry).await?;
         }
         schedule_if_needed(node);
+        // A starting instance greets other data centres once it schedules.
+        if node.is_scheduler() {
+            node.greet_unheard();
+        }
         greet_own_data_centre(node).await;
     }
     let has_row = node.registry_records.borrow().iter().any(|row| row.address == address);
     if is_member(node) || has_row {
         return Ok(());
     }
-    let own = {
-        let cfg = node.cfg.borrow();
-        InstanceRecord {
-            address,
-            data_centre: Some(cfg.data_centre.clone()),
-            capacity: cfg.capacity(),
-        }
-    };
+    let Some(own) = node.own_record() else { return Ok(()) };
     with_timeout(registry.register(&own)).await?;
-    if !knows_local_instances(node) {
-        // Of two instances that start together, the one that reads later finds the other.
+    if has_failed || !knows_local_instances(node) {
+        // Of two instances that register together, the one that reads later finds the other.
         read_registry(node, registry).await?;
+        node.greet_unheard();
         greet_own_data_centre(node).await;
-        node.greet_other_data_centres();
     }
     Ok(())
 }
 
 async fn read_registry(node: &Node, registry: &dyn InstanceRegistry) -> Result<(), SourceError> {
-    let rows = with_timeout(registry.list()).await?;
-    log::info!(target: "peers", rows = rows.len(); "registry read");
-    *node.registry_records.borrow_mut() = rows;
+    node.replace_registry(with_timeout(registry.list()).await?);
     Ok(())
 }
 
@@ -206,23 +231,35 @@
 }
 
 impl Node {
+    /// This instance's row in the registry; `None` without a configured peer address.
+    pub(crate) fn own_record(&self) -> Option<InstanceRecord> {
+        let cfg = self.cfg.borrow();
+        let data_centre = Some(cfg.data_centre.clone());
+        Some(InstanceRecord {
+            address: self.peers_address()?,
+            data_centre,
+            capacity: cfg.capacity(),
+        })
+    }
+
     /// Greets the instances that are likely schedulers in each other data centre.
     pub(crate) fn greet_other_data_centres(&self) {
         let addresses = {
             let (rows, home) = (self.registry_records.borrow(), &self.cfg.borrow().data_centre);
+            let rows: Vec<&InstanceRecord> = rows.iter().collect();
             addresses_elsewhere(&rows, home)
         };
         self.greet(&addresses);
     }
 }
 
-fn addresses_elsewhere(rows: &[InstanceRecord], home: &DataCentre) -> Vec<SocketAddrV4> {
+fn addresses_elsewhere(rows: &[&InstanceRecord], home: &DataCentre) -> Vec<SocketAddrV4> {
     let mut centres: Vec<&DataCentre> =
         rows.iter().filter_map(|row| row.data_centre.as_ref()).collect();
     centres.sort();
     centres.dedup();
     let addresses_in = |centre: &DataCentre| {
-        let there = rows.iter().filter(|row| row.data_centre.as_ref() == Some(centre));
+        let there = rows.iter().copied().filter(|row| row.data_centre.as_ref() == Some(centre));
         ranked_addresses(there).into_iter().take(SCHEDULERS_PER_DATA_CENTRE).collect::<Vec<_>>()
     };
     centres.into_iter().filter(|centre| *centre != home).flat_map(addresses_in).collect()
