--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -1,4 +1,4 @@
-//! Exchange of the watched tables' copies between instances.
+//! Fetches the watched tables' copies from other instances.
 //!
 //! One instance reads the store and the others fetch its copy from each other, so that the number
 //! of calls to the store does not grow with the number of instances. Copies are fetched over HTTP
@@ -7,40 +7,31 @@
 
 use std::fmt;
 use std::net::SocketAddrV4;
-use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::MessageBody;
 use actix_http::header::{HOST, HeaderValue, InvalidHeaderValue};
-use actix_http::{ConnectionType, Method, RequestHead, Response, StatusCode, Uri};
+use actix_http::{ConnectionType, Method, RequestHead, StatusCode, Uri};
 use bytes::Bytes;
-use futures_util::future::LocalBoxFuture;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use ringbend_gateway::{ConfigVersion, CopyVersions, Endpoint, EndpointChange, Evacuations};
-use ringbend_runtime::{Handler, HttpRequest, HttpResponse, empty};
 use ringbend_types::Timestamp;
 use ringbend_wire::{
     self as wire, EndpointChanges, Message, WireError, decode_endpoint_change, decode_evacuations,
-    encode_endpoint_change, encode_evacuations,
 };
 
+use crate::config_copy::ConfigCopy;
+use crate::endpoint_copy::EndpointCopy;
 use crate::exchange::{self, ExchangeError};
-use crate::guarded_body::GuardedBody;
 use crate::node::Node;
 use crate::ports::{Cursor, InvalidRow};
-use crate::table_copies::{ConfigCopy, EndpointCopy};
 use crate::watch::TableCopy;
 
 /// Path of the configuration.
-const CONFIG_PATH: &str = "/copies/config";
+pub(crate) const CONFIG_PATH: &str = "/copies/config";
 
 /// Path of the endpoints.
-const ENDPOINTS_PATH: &str = "/copies/endpoints";
-
-/// Maximum number of copies served at once. A large configuration takes a while over a slow link,
-/// and instances that already have it can serve it as well.
-const MAX_COPY_RESPONSES: usize = 4;
+pub(crate) const ENDPOINTS_PATH: &str = "/copies/endpoints";
 
 /// Maximum size of a copy, in bytes; the store's rows are smaller.
 const MAX_COPY_BYTES: usize = 4 << 20;
@@ -67,73 +58,6 @@
 /// How long a member waits for copies before it reads the store itself.
 const MEMBER_WAIT: Duration = Duration::from_millis(800);
 
-/// Serves copies to other instances.
-pub(crate) struct CopyServer {
-    pub(crate) node: Rc<Node>,
-}
-
-/// Counts a response with a copy as active until it has been written.
-struct ActiveCopyResponse(Rc<Node>);
-
-impl ActiveCopyResponse {
-    fn new(node: Rc<Node>) -> Self {
-        node.active_copy_responses.set(node.active_copy_responses.get() + 1);
-        Self(node)
-    }
-}
-
-impl Drop for ActiveCopyResponse {
-    fn drop(&mut self) {
-        self.0.active_copy_responses.set(self.0.active_copy_responses.get() - 1);
-    }
-}
-
-impl Handler for CopyServer {
-    fn handle(self: Rc<Self>, req: HttpRequest) -> LocalBoxFuture<'static, HttpResponse> {
-        Box::pin(std::future::ready(self.respond(req.head().uri.path())))
-    }
-}
-
-impl CopyServer {
-    fn respond(&self, path: &str) -> HttpResponse {
-        if self.node.active_copy_responses.get() >= MAX_COPY_RESPONSES {
-            return empty(StatusCode::SERVICE_UNAVAILABLE);
-        }
-        let copy = match path {
-            CONFIG_PATH => config_copy(&self.node),
-            ENDPOINTS_PATH => Some(endpoints_copy(&self.node)),
-            _ => return empty(StatusCode::NOT_FOUND),
-        };
-        let Some(copy) = copy else { return empty(StatusCode::SERVICE_UNAVAILABLE) };
-        let body = GuardedBody::new(copy, ActiveCopyResponse::new(self.node.clone()));
-        Response::with_body(StatusCode::OK, body.boxed())
-    }
-}
-
-/// Encodes the configuration for a peer. `None` while a later configuration is unreadable: the
-/// cursor would make the receiver skip that one.
-fn config_copy(node: &Node) -> Option<Bytes> {
-    if node.replica.borrow().has_unreadable() {
-        return None;
-    }
-    let row = node.encoded_config.borrow().as_ref()?.to_vec();
-    let cursor = node.config_cursor.get().0;
-    let evacuations = Some(encode_evacuations(node.directory.borrow().evacuations()));
-    Some(wire::ConfigCopy { row, cursor, evacuations }.encode_to_vec().into())
-}
-
-fn endpoints_copy(node: &Node) -> Bytes {
-    let directory = node.directory.borrow();
-    let now = node.clock.now();
-    let as_of_now =
-        |e: &Endpoint| Endpoint { cold_left: directory.cold_left(now, &e.id), ..e.clone() };
-    let rows = directory
-        .registered()
-        .map(|e| encode_endpoint_change(&EndpointChange::Present(as_of_now(e))));
-    let to_cursor = node.endpoints_cursor.get().0;
-    EndpointChanges { from_cursor: 0, to_cursor, rows: rows.collect() }.encode_to_vec().into()
-}
-
 fn has_newer_config(node: &Node, versions: CopyVersions) -> bool {
     versions.config > node.replica.borrow().version().unwrap_or_default()
 }
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -15,12 +15,14 @@
 use crate::admin::{AdminServer, ReadinessCheck};
 use crate::callers::Callers;
 use crate::config::RelayConfig;
+use crate::config_copy::ConfigCopy;
+use crate::copy_server::CopyServer;
 use crate::discovery::{greet_seeds, join};
+use crate::endpoint_copy::EndpointCopy;
 use crate::gossip_receiver::receive_digests;
 use crate::gossip_sender::GossipSender;
 use crate::membership::recover_membership;
 use crate::node::Node;
-use crate::peer_copies::CopyServer;
 use crate::peer_socket::PeerSocket;
 use crate::ports::{
     ConfigDecoder, ConfigSource, Dialect, DurableStore, EndpointSource, InstanceRegistry,
@@ -28,7 +30,7 @@
 };
 use crate::registry_watch::{follow_registry, register_on_request};
 use crate::suspect_store::load_suspects;
-use crate::table_copies::{ConfigCopy, EndpointCopy, copy_age};
+use crate::table_copies::copy_age;
 use crate::watch::Watch;
 
 /// Why a relay did not start.
--- a/crates/ringbend-relay/src/table_gossip.rs
+++ b/crates/ringbend-relay/src/table_gossip.rs
@@ -10,9 +10,10 @@
     decode_role, encode_evacuations,
 };
 
+use crate::endpoint_copy::apply_endpoints;
 use crate::node::Node;
 use crate::ports::Cursor;
-use crate::table_copies::{apply_endpoints, apply_outage_update, leave_reading_to_others};
+use crate::table_copies::{apply_outage_update, leave_reading_to_others};
 
 /// A copy's proof of currency is not sent on its own if it has advanced by less than this. A reader
 /// renews it once per second.
