--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod gossip_sender;
 mod guarded_body;
 mod headers;
+mod hedging;
 mod limits;
 mod log_fields;
 mod lost_endpoints;
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -1,11 +1,4 @@
-//! Runs of a request on an endpoint until the response starts, and hedging.
-//!
-//! The first event of a short prompt may be overdue because its engine is slow, has failed or is
-//! prefilling something else. The cause cannot be determined in time. The request is therefore also
-//! sent to another engine, provided that this one can still meet the target, and the first response
-//! is used. Requests whose engine has just crashed or become slow thus meet their target, where
-//! they would otherwise wait for over a second. The cost is a prompt that is prefilled twice; the
-//! retry budget bounds how often.
+//! Runs of a request on an endpoint until the response starts.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,9 +6,7 @@
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
-use ringbend_gateway::{
-    Endpoint, EventId, LimitSource, Placement, SuspectState, hedge_at, overdue_after,
-};
+use ringbend_gateway::{Endpoint, EventId, LimitSource, Placement, overdue_after};
 use ringbend_types::Timestamp;
 use smallvec::SmallVec;
 
@@ -23,7 +14,6 @@
 use crate::crashes::AbandonGuard;
 use crate::exchange::{self, ExchangeError, IncomingResponse};
 use crate::headers::clone_head;
-use crate::log_fields::Millis;
 use crate::node::{Node, TrackedSend};
 use crate::ports::ResponseMetadata;
 use crate::scheduling::ScheduledSend;
@@ -34,17 +24,17 @@
 /// endpoint to stop, and removes the work from the load tracker.
 pub(crate) struct Run {
     pub(crate) endpoint: Endpoint,
-    tracked: TrackedSend,
+    pub(crate) tracked: TrackedSend,
     /// The endpoints that the run depends on until its first event, in their state at the send.
-    dependencies: SmallVec<[Endpoint; 4]>,
+    pub(crate) dependencies: SmallVec<[Endpoint; 4]>,
     /// When the request was sent.
-    sent: Timestamp,
+    pub(crate) sent: Timestamp,
     /// Expected time to the first event.
-    expected: Duration,
+    pub(crate) expected: Duration,
     /// When a missing first event counts as a failure.
     silence_deadline: Timestamp,
-    abandon_guard: AbandonGuard,
-    started: LocalBoxFuture<'static, Result<ResponseStart, ExchangeError>>,
+    pub(crate) abandon_guard: AbandonGuard,
+    pub(crate) started: LocalBoxFuture<'static, Result<ResponseStart, ExchangeError>>,
 }
 
 /// A response that has started.
@@ -151,110 +141,6 @@
         std::iter::once(lead).chain(helpers).cloned().collect()
     }
 
-    /// Waits for a run's response, and starts a hedge if it can meet the target.
-    pub(crate) async fn await_first_response(
-        &mut self,
-        mut run: Run,
-    ) -> Result<(Run, ResponseStart), SendFailure> {
-        let Some(hedge_time) = self.hedge_at(&run) else { return self.await_response(run).await };
-        match self.run_until(&run.dependencies, hedge_time, &mut run.started).await {
-            Err(RunError::Late) => {}
-            started => return self.settle(run, started),
-        }
-        let placed = {
-            let placing = std::pin::pin!(self.schedule(false));
-            let deadline = self.attempts.deadline();
-            let first = self.run_until(&run.dependencies, deadline, &mut run.started);
-            tokio::select! {
-                biased;
-                started = first => Err(started),
-                placed = placing => Ok(placed),
-            }
-        };
-        match placed {
-            Err(started) => self.settle(run, started),
-            Ok(Ok(second))
-                if !self.is_suspect()
-                    && self.is_hedge_useful(&run, &second)
-                    && self.begin_hedge() =>
-            {
-                match self.start(second, None).await {
-                    Ok(second) => self.race(run, second).await,
-                    Err(_) => self.await_response(run).await,
-                }
-            }
-            Ok(_) => self.await_response(run).await,
-        }
-    }
-
-    /// Whether the request is suspected of crashing endpoints, so that it runs on one at a time.
-    fn is_suspect(&self) -> bool {
-        self.node.suspect_state(self.original.fingerprint) != SuspectState::Clear
-    }
-
-    /// When a hedge is started if there is no response yet; `None` if there will be none.
-    fn hedge_at(&self, run: &Run) -> Option<Timestamp> {
-        let is_short = self.config.service.engine.is_some() && run.tracked.memory.is_none();
-        if !is_short || !self.may_rerun() || self.is_suspect() {
-            return None;
-        }
-        hedge_at(run.sent, run.expected, self.first_event_due())
-    }
-
-    /// Whether a hedge is expected to meet the target on another endpoint.
-    fn is_hedge_useful(&self, run: &Run, second: &ScheduledSend) -> bool {
-        let now = self.node.clock.now();
-        let is_in_time = now + second.expected <= self.first_event_due();
-        let is_worth_it = is_in_time && second.endpoint.id != run.endpoint.id;
-        let waited_ms = Millis(Some(now.since(run.sent)));
-        log::info!(
-            target: "request", id = self.request_id(), endpoint:% = run.endpoint.id, waited_ms:%,
-            expected_ms:% = Millis(Some(run.expected)), other:% = second.endpoint.id,
-            other_ms:% = Millis(Some(second.expected)), is_worth_it;
-            "first event overdue; considering a hedge"
-        );
-        is_worth_it
-    }
-
-    /// Waits for the first response of two runs.
-    async fn race(
-        &mut self,
-        mut first_run: Run,
-        mut second_run: Run,
-    ) -> Result<(Run, ResponseStart), SendFailure> {
-        let deadline = self.attempts.deadline();
-        let (started, is_second) = {
-            let first = self.run_until(&first_run.dependencies, deadline, &mut first_run.started);
-            let second =
-                self.run_until(&second_run.dependencies, deadline, &mut second_run.started);
-            tokio::select! {
-                biased;
-                started = first => (started, false),
-                started = second => (started, true),
-            }
-        };
-        let (run, mut other) =
-            if is_second { (second_run, first_run) } else { (first_run, second_run) };
-        match self.settle(run, started) {
-            Ok((run, started)) if !started.response.not_run => {
-                // The request succeeded, so the end of the other run's endpoint is not attributed
-                // to it.
-                other.abandon_guard.disarm();
-                Ok((run, started))
-            }
-            Ok((run, started)) => {
-                // The request was not run there; the other run continues.
-                if let Err(SendFailure::Send(_)) =
-                    self.check_response(&run.endpoint, &started.response, started.head.status)
-                {
-                    drop(run);
-                }
-                self.await_response(other).await
-            }
-            Err(_) => self.await_response(other).await,
-        }
-    }
-
     /// Waits for a run's response.
     pub(crate) async fn await_response(
         &mut self,
@@ -271,7 +157,7 @@
     }
 
     /// Returns the response that a run has started, or records why there is none.
-    fn settle(
+    pub(crate) fn settle(
         &mut self,
         mut run: Run,
         started: Result<ResponseStart, RunError>,
