refactor(gateway): registered endpoints and the index of addresses in modules of their own

The types of endpoints and of changes are in endpoint.rs, the index of endpoints by address in address_index.rs. No change of behaviour.

Measured: `cargo test -p ringbend-gateway -p ringbend-relay`: passed.

--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -1,55 +1,18 @@
 //! The registered endpoints, and how long endpoints whose rows vanished are kept.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use ringbend_types::{DataCentre, EndpointId, EndpointStart, ServiceName, Timestamp};
+use ringbend_types::{EndpointId, EndpointStart, ServiceName, Timestamp};
 use smallvec::SmallVec;
 
+use crate::address_index::AddressIndex;
 use crate::cold_endpoints::ColdEndpoints;
 use crate::drains::{Drain, Drains};
+pub use crate::endpoint::{Endpoint, EndpointChange};
 use crate::evacuations::Evacuations;
 
-/// A registered endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Endpoint {
-    /// Its id. A restarted endpoint may keep it.
-    pub id: EndpointId,
-    /// The start time of its process, if endpoints report it.
-    pub start: Option<EndpointStart>,
-    /// The service it belongs to.
-    pub service: ServiceName,
-    /// The address on which it listens. It may be reused by others after the endpoint has ended.
-    pub address: SocketAddrV4,
-    /// The data centre in which it runs.
-    pub data_centre: DataCentre,
-    /// Number of requests it processes at once.
-    pub slots: u32,
-    /// Whether its row announces that it is leaving and takes no new work.
-    pub leaving: bool,
-    /// How much longer it is cold, as of the time when its row was read.
-    pub cold_left: Duration,
-}
-
-impl Endpoint {
-    /// Whether this is another endpoint of the same service at the same address.
-    fn is_at_address_of(&self, other: &Self) -> bool {
-        self.id != other.id && self.address == other.address && self.service == other.service
-    }
-}
-
-/// A change of the list of endpoints.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum EndpointChange {
-    /// The endpoint is registered with these values.
-    Present(Endpoint),
-    /// Its row was removed.
-    Gone(EndpointId),
-    /// Its row exists but cannot be decoded, or was written by another writer.
-    Unreadable(EndpointId),
-}
-
 /// Endpoints whose processes have ended; their memory and work are lost.
 pub type EndedEndpoints = SmallVec<[EndpointId; 2]>;
 
@@ -91,9 +54,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     entries: BTreeMap<EndpointId, Entry>,
-    /// The endpoints registered at each address. A starting instance takes in a few thousand
-    /// endpoints and compares each with those at its address.
-    at_address: HashMap<SocketAddrV4, SmallVec<[EndpointId; 1]>>,
+    at_address: AddressIndex,
     former: BTreeMap<EndpointId, FormerEndpoint>,
     drains: Drains,
     evacuations: Evacuations,
@@ -270,23 +231,14 @@
     fn insert(&mut self, entry: Entry) {
         let (id, address) = (entry.endpoint.id.clone(), entry.endpoint.address);
         if let Some(before) = self.entries.insert(id.clone(), entry) {
-            self.remove_from_address(&before.endpoint);
-        }
-        self.at_address.entry(address).or_default().push(id);
-    }
-
-    fn remove_from_address(&mut self, endpoint: &Endpoint) {
-        if let Some(ids) = self.at_address.get_mut(&endpoint.address) {
-            ids.retain(|id| *id != endpoint.id);
-            if ids.is_empty() {
-                self.at_address.remove(&endpoint.address);
-            }
+            self.at_address.remove(&before.endpoint);
         }
+        self.at_address.add(address, id);
     }
 
     /// The endpoints at an address that no other endpoint has replaced.
     fn listening(&self, address: SocketAddrV4) -> impl Iterator<Item = &Entry> {
-        let ids = self.at_address.get(&address).into_iter().flatten();
+        let ids = self.at_address.at(address);
         ids.filter_map(|id| self.entries.get(id)).filter(|entry| entry.replaced_by.is_none())
     }
 
@@ -324,13 +276,12 @@
 
     fn remove(&mut self, now: Timestamp, id: &EndpointId) {
         let Some(entry) = self.entries.remove(id) else { return };
-        self.remove_from_address(&entry.endpoint);
+        self.at_address.remove(&entry.endpoint);
         self.cold.forget(id);
         self.former.retain(|_, former| now < former.until);
         let former = FormerEndpoint { start: entry.endpoint.start, until: now + FORMER_RETENTION };
         self.former.insert(id.clone(), former);
-        let at_address = self.at_address.get(&entry.endpoint.address).into_iter().flatten();
-        for other in at_address {
+        for other in self.at_address.at(entry.endpoint.address) {
             if let Some(other) = self.entries.get_mut(other) {
                 other.replaced_by.take_if(|by| by == id);
             }
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! behind each decision. Does no I/O, reads no clock and starts no threads: the driver passes the
 //! time in.
 
+mod address_index;
 mod admission;
 mod attempts;
 mod backoffs;
@@ -14,6 +15,7 @@
 mod deferral;
 mod directory;
 mod drains;
+mod endpoint;
 mod engine;
 mod evacuations;
 mod events;
