--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! behind each decision. Does no I/O, reads no clock and starts no threads: the driver passes the
 //! time in.
 
+mod account_shares;
 mod address_index;
 mod admission;
 mod attempts;
@@ -28,6 +29,7 @@
 mod load;
 mod membership;
 mod outbox;
+mod overload;
 mod pace;
 mod peers;
 mod permits;
@@ -49,6 +51,7 @@
 mod waiting_prompt;
 mod weights;
 
+pub use account_shares::AccountShares;
 pub use admission::{AdmissionBounds, AdmissionRequest, Admitted, Denied, admit};
 pub use attempts::{Attempts, NextStep, SendOutcome};
 pub use backoffs::{BackoffState, Backoffs};
@@ -69,6 +72,10 @@
     Membership, MembershipStatus, RECOVERY_INTERVAL, RegisteredInstance, SplitChange,
 };
 pub use outbox::Outbox;
+pub use overload::{
+    Admission, Capacity, Decision, OverloadConfig, OverloadQueue, PlaceReason, WaitingRequest,
+    begin_time, startable,
+};
 pub use pace::{LIMITED_QUERY_INTERVAL, Pace, PaceQueries, overdue_after};
 pub use peers::{
     Arbiter, CopyVersions, HEARTBEAT_INTERVAL, PEER_TIMEOUT, PeerObservation, PeerStatus, Peers,
