--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! time in.
 
 mod account_shares;
+mod address_index;
 mod admission;
 mod attempts;
 mod backoffs;
@@ -15,6 +16,7 @@
 mod deferral;
 mod directory;
 mod drains;
+mod endpoint;
 mod engine;
 mod evacuations;
 mod events;
