--- a/crates/ringbend-gateway/src/membership.rs
+++ b/crates/ringbend-gateway/src/membership.rs
@@ -206,7 +206,7 @@
     /// The instances to greet now: of each data centre the ones that were greeted longest ago, the
     /// best-ranked first.
     pub fn greetings(&mut self, now: Timestamp, peers: &Peers) -> Vec<SocketAddrV4> {
-        let heard: BTreeSet<DataCentre> = peers.heard_data_centres(now).cloned().collect();
+        let heard: BTreeSet<&DataCentre> = peers.heard_data_centres(now).collect();
         let mut due: BTreeMap<Option<DataCentre>, Vec<_>> = BTreeMap::new();
         for (address, contact) in &self.contacts {
             if peers.is_alive(now, *address) || !contact.is_due(now, &heard) {
@@ -288,7 +288,7 @@
 
 impl Contact {
     /// Whether to greet the instance, which is not heard, with these data centres being heard.
-    fn is_due(&self, now: Timestamp, heard: &BTreeSet<DataCentre>) -> bool {
+    fn is_due(&self, now: Timestamp, heard: &BTreeSet<&DataCentre>) -> bool {
         let is_centre_heard = match &self.data_centre {
             Some(centre) => heard.contains(centre),
             // Rows of earlier versions name no data centre.
--- a/crates/ringbend-gateway/src/peers/expected.rs
+++ b/crates/ringbend-gateway/src/peers/expected.rs
@@ -45,7 +45,8 @@
     pub fn possible_instances(&self, now: Timestamp) -> usize {
         if self.schedules() {
             let missing = self.missing_data_centres(|peer| peer.is_alive(now));
-            return self.instances(now) + missing * self.home_instances(now);
+            let home = if missing == 0 { 0 } else { self.home_instances(now) };
+            return self.instances(now) + missing * home;
         }
         let local = self.alive(now).filter(|(_, peer)| peer.runs_in(&self.home));
         let schedulers = local.filter(|(_, peer)| peer.schedules());
--- a/crates/ringbend-gateway/tests/split_counts.rs
+++ b/crates/ringbend-gateway/tests/split_counts.rs
@@ -88,6 +88,8 @@
         let own = (0..INSTANCES).map(|number| retries_of(&instance(number, &[0]), possible));
         3 * own.sum::<usize>()
     };
+    let possible = (0..INSTANCES).map(|number| instance(number, &[0]).possible_instances(NOW));
+    assert!(possible.into_iter().all(|possible| possible == 60));
     assert_eq!(total(false), 240, "by the number of known instances");
     assert!(total(true) <= 120, "{}", total(true));
 }
--- a/crates/ringbend-relay/src/discovery.rs
+++ b/crates/ringbend-relay/src/discovery.rs
@@ -94,10 +94,15 @@
     log::info!(target: "peers", instances, schedules; "discovery complete");
 }
 
-/// Waits until the store has answered this instance or another one that is known after `at`.
+/// Waits until the store has answered this instance after `at`, or another one that is known if this
+/// one is a scheduler that hears nobody of a data centre. Otherwise hundreds of instances whose calls
+/// failed would repeat them at the same moment.
 async fn store_answered_after(node: &Node, at: Timestamp) {
     let recovered = node.store_recovered.notified();
     let proved_elsewhere = async {
+        if !node.is_scheduler() || !misses_data_centre(node) {
+            return std::future::pending().await;
+        }
         while node.readers.borrow().proved_at(WatchedTable::Config) <= Some(at) {
             tokio::time::sleep(PROOF_POLL_INTERVAL).await;
         }
@@ -120,20 +125,29 @@
     node.peers.borrow().local_instances(node.clock.now()) > 1
 }
 
+/// Whether a data centre is expected or registered from which nobody is heard.
+fn misses_data_centre(node: &Node) -> bool {
+    let status = node.membership.borrow().status(node.clock.now(), &node.peers.borrow());
+    !status.unheard_data_centres.is_empty()
+}
+
 /// Contacts the registered instances, and writes this instance's entry if it needs one. Only
 /// schedulers do: an instance that starts contacts the best-ranked registered ones, and learns of
 /// the others from them. An instance that was killed finds its own and the others' entries
 /// unchanged, so one call is enough after the loss of all instances.
 ///
-/// Instances that could not read the registry when they started (`has_failed`) may know each other
-/// in groups only, so their schedulers read it as well.
+/// Instances whose first call failed (`has_failed`) may know each other in groups only. Schedulers
+/// that hear nobody of an expected data centre then read the registry as well. Others leave that to
+/// the one that follows it: calls of hundreds of instances that start at once also time out for lack
+/// of processor time.
 async fn register(
     node: &Rc<Node>,
     registry: &dyn InstanceRegistry,
     has_failed: bool,
 ) -> Result<(), SourceError> {
     let Some(address) = node.peers_address() else { return Ok(()) };
-    if (has_failed && !is_member(node)) || !knows_local_instances(node) {
+    let may_be_split = has_failed && !is_member(node) && misses_data_centre(node);
+    if may_be_split || !knows_local_instances(node) {
         read_registry(node, registry).await?;
         if node.registry_records.borrow().is_empty() && !node.is_scheduler() {
             let wait = node.rng.borrow_mut().random_range(EMPTY_REGISTRY_WAIT_MS);
@@ -153,7 +167,7 @@
     }
     let Some(own) = node.own_record() else { return Ok(()) };
     with_timeout(registry.register(&own)).await?;
-    if has_failed || !knows_local_instances(node) {
+    if may_be_split || !knows_local_instances(node) {
         // Of two instances that register together, the one that reads later finds the other.
         read_registry(node, registry).await?;
         node.greet_unheard();
--- a/crates/ringbend-relay/src/gossip_sender.rs
+++ b/crates/ringbend-relay/src/gossip_sender.rs
@@ -226,9 +226,8 @@
         if self.metrics.live_instances.get() != instances as i64 {
             log::info!(target: "peers", instances; "number of live instances changed");
             self.metrics.live_instances.set(instances as i64);
+            self.update_possible_instances(now);
         }
-        let possible = self.peers.borrow().possible_instances(now);
-        self.budget.borrow_mut().set_instances(now, possible);
     }
 
     /// This instance's own requests that are placed.
--- a/crates/ringbend-relay/src/membership.rs
+++ b/crates/ringbend-relay/src/membership.rs
@@ -2,37 +2,51 @@
 
 use std::rc::Rc;
 
-use ringbend_gateway::{MembershipStatus, RECOVERY_INTERVAL, SplitChange};
+use ringbend_gateway::{HEARTBEAT_INTERVAL, MembershipStatus, RECOVERY_INTERVAL, SplitChange};
+use ringbend_types::Timestamp;
 
 use crate::node::Node;
 
 /// Greets instances that are not heard for as long as the process lives.
 pub(crate) async fn recover_membership(node: Rc<Node>) {
+    let mut reported_at = node.clock.now();
     loop {
         tokio::time::sleep(RECOVERY_INTERVAL).await;
         node.greet_unheard();
-        node.report_membership();
+        let now = node.clock.now();
+        if now.since(reported_at) >= HEARTBEAT_INTERVAL {
+            reported_at = now;
+            node.report_membership(now);
+        }
     }
 }
 
 impl Node {
+    /// Updates the number of instances that may run, by which the retry budget is divided.
+    pub(crate) fn update_possible_instances(&self, now: Timestamp) {
+        let possible = self.peers.borrow().possible_instances(now);
+        if self.possible_instances.replace(possible) != possible {
+            self.budget.borrow_mut().set_instances(now, possible);
+        }
+    }
+
     /// Greets a bounded number of instances that may run and are not heard. Members leave this to
     /// schedulers, unless they alone reach the store.
     pub(crate) fn greet_unheard(&self) {
-        let now = self.clock.now();
-        let mut membership = self.membership.borrow_mut();
-        membership.observe(now, &self.peers.borrow());
         if !self.is_scheduler() && !self.readers.borrow().reads() {
             return;
         }
+        let now = self.clock.now();
+        let mut membership = self.membership.borrow_mut();
+        membership.observe(now, &self.peers.borrow());
         let addresses = membership.greetings(now, &self.peers.borrow());
         self.greet(&addresses);
     }
 
     /// Updates the metrics of known and registered instances, and logs the start and end of a split.
     /// Members do not hear other data centres, so only schedulers report.
-    fn report_membership(&self) {
-        let now = self.clock.now();
+    fn report_membership(&self, now: Timestamp) {
+        self.update_possible_instances(now);
         let status = self.membership.borrow().status(now, &self.peers.borrow());
         let missing = if self.is_scheduler() { status.unheard_data_centres.len() } else { 0 };
         self.metrics.registered_instances.set(status.registered as i64);
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -67,6 +67,8 @@
     pub(crate) registry_records: RefCell<RegistryCopy>,
     /// The instances that may run, whether they are heard or not.
     pub(crate) membership: RefCell<Membership>,
+    /// The number of instances that may run, updated about once per second.
+    pub(crate) possible_instances: Cell<usize>,
     /// Notified when this instance's row was found to be missing in the registry.
     pub(crate) registration_due: Notify,
     /// Updates that have not been sent to other instances yet.
@@ -192,6 +194,7 @@
             peers: RefCell::new(peers),
             registry_records: RefCell::default(),
             membership: RefCell::new(membership),
+            possible_instances: Cell::default(),
             registration_due: Notify::new(),
             outbox: RefCell::default(),
             flush: FlushSignals::default(),
--- a/crates/ringbend-relay/src/peer_socket.rs
+++ b/crates/ringbend-relay/src/peer_socket.rs
@@ -63,7 +63,7 @@
             role: encode_role(peers.role()),
             instances: count(peers.local_instances(now)),
             fleet: count(peers.instances(now)),
-            possible: count(peers.possible_instances(now)),
+            possible: count(self.possible_instances.get()),
             ..LoadDigest::default()
         }
     }
--- a/crates/ringbend-relay/src/registry_watch.rs
+++ b/crates/ringbend-relay/src/registry_watch.rs
@@ -86,12 +86,12 @@
     node: &Node,
     registry: &dyn InstanceRegistry,
 ) -> Result<std::convert::Infallible, SourceError> {
-    // The first call does not wait, so that the rows are known at once.
-    let mut wait = Duration::ZERO;
     loop {
         let cursor = node.registry_records.borrow().cursor();
         let result = match cursor {
-            Some(cursor) => with_timeout(wait, registry.changes(cursor, wait)).await,
+            Some(cursor) => {
+                with_timeout(POLL_TIMEOUT, registry.changes(cursor, POLL_TIMEOUT)).await
+            }
             None => Err(SourceError::HistoryGone),
         };
         let has_changed = match result {
@@ -111,7 +111,6 @@
         if has_changed {
             tokio::time::sleep(BATCH_DELAY).await;
         }
-        wait = POLL_TIMEOUT;
     }
 }
 
