--- a/crates/ringbend-relay/src/registry_watch.rs
+++ b/crates/ringbend-relay/src/registry_watch.rs
@@ -61,11 +61,19 @@
         }
         started.await;
     }
-    while node.clock.now().since(node.clock.started_at()) < START_DELAY && !may_be_split(node) {
+    while !is_recovery_due(node) {
         tokio::time::sleep(START_CHECK_INTERVAL).await;
     }
 }
 
+/// Whether to look for instances that were not found at the start. Discovery comes first: where
+/// hundreds of instances start together and most of them schedule for a moment, greetings by all of
+/// them take the processor time that discovery needs.
+pub(crate) fn is_recovery_due(node: &Node) -> bool {
+    let is_starting = node.clock.now().since(node.clock.started_at()) < START_DELAY;
+    !is_starting || may_be_split(node)
+}
+
 /// Whether others may run that this instance could not find so far.
 fn may_be_split(node: &Node) -> bool {
     let (now, peers) = (node.clock.now(), node.peers.borrow());
@@ -86,12 +94,12 @@
     node: &Node,
     registry: &dyn InstanceRegistry,
 ) -> Result<std::convert::Infallible, SourceError> {
-    // The first call does not wait, so that the rows are known at once.
-    let mut wait = Duration::ZERO;
     loop {
         let cursor = node.registry_records.borrow().cursor();
         let result = match cursor {
-            Some(cursor) => with_timeout(wait, registry.changes(cursor, wait)).await,
+            Some(cursor) => {
+                with_timeout(POLL_TIMEOUT, registry.changes(cursor, POLL_TIMEOUT)).await
+            }
             None => Err(SourceError::HistoryGone),
         };
         let has_changed = match result {
@@ -111,7 +119,6 @@
         if has_changed {
             tokio::time::sleep(BATCH_DELAY).await;
         }
-        wait = POLL_TIMEOUT;
     }
 }
 
