fix(relay): the search for unheard instances leaves the first seconds to discovery

Change: the search begins 3 s after the start, or at once after an outage of the store; the state of a split is computed once a second.

--- a/crates/ringbend-gateway/src/membership.rs
+++ b/crates/ringbend-gateway/src/membership.rs
@@ -269,19 +269,28 @@
         is_due.then_some(SplitChange::Began)
     }
 
+    /// The data centres that the settings or the rows name and from which nobody is heard.
+    fn missing_data_centres(&self, now: Timestamp, peers: &Peers) -> BTreeSet<DataCentre> {
+        let rows = self.contacts.values().filter(|contact| contact.is_registered);
+        let in_rows = rows.filter_map(|contact| contact.data_centre.as_ref());
+        let named = peers.expected_data_centres().chain(in_rows);
+        let mut missing: BTreeSet<&DataCentre> =
+            named.filter(|centre| **centre != self.home).collect();
+        if !missing.is_empty() {
+            let heard: BTreeSet<&DataCentre> = peers.heard_data_centres(now).collect();
+            missing.retain(|centre| !heard.contains(centre));
+        }
+        missing.into_iter().cloned().collect()
+    }
+
     /// How many instances are known and registered, and which data centres are missing.
     pub fn status(&self, now: Timestamp, peers: &Peers) -> MembershipStatus {
         let rows = || self.contacts.iter().filter(|(_, contact)| contact.is_registered);
-        let heard: BTreeSet<&DataCentre> = peers.heard_data_centres(now).collect();
-        let named = peers.expected_data_centres();
-        let in_rows = rows().filter_map(|(_, contact)| contact.data_centre.as_ref());
-        let all: BTreeSet<&DataCentre> = named.chain(in_rows).collect();
-        let is_missing = |centre: &&DataCentre| **centre != self.home && !heard.contains(centre);
         MembershipStatus {
             known: peers.instances(now),
             registered: rows().count() + usize::from(self.is_registered),
             unheard: rows().filter(|(address, _)| !peers.is_alive(now, **address)).count(),
-            unheard_data_centres: all.into_iter().filter(is_missing).cloned().collect(),
+            unheard_data_centres: self.missing_data_centres(now, peers).into_iter().collect(),
         }
     }
 }
--- a/crates/ringbend-relay/src/membership.rs
+++ b/crates/ringbend-relay/src/membership.rs
@@ -33,10 +33,9 @@
         }
     }
 
-    /// Greets a bounded number of instances that may run and are not heard. Members leave this to
-    /// schedulers, unless they alone reach the store.
+    /// Greets a bounded number of instances that may run and are not heard.
     pub(crate) fn greet_unheard(&self) {
-        if !self.is_scheduler() && !self.readers.borrow().reads() {
+        if !self.recovers_membership() {
             return;
         }
         let now = self.clock.now();
@@ -46,10 +45,18 @@
         self.greet(&addresses);
     }
 
+    /// Members leave the search for instances to schedulers, unless they alone reach the store.
+    fn recovers_membership(&self) -> bool {
+        self.is_scheduler() || self.readers.borrow().reads()
+    }
+
     /// Updates the metrics of known and registered instances, and logs the start and end of a split.
     /// Members do not hear other data centres, so only schedulers report.
     fn report_membership(&self, now: Timestamp) {
         self.update_possible_instances(now);
+        if self.recovers_membership() {
+            self.membership.borrow_mut().observe(now, &self.peers.borrow());
+        }
         let status = self.membership.borrow().status(now, &self.peers.borrow());
         let missing = if self.is_scheduler() { status.unheard_data_centres.len() } else { 0 };
         self.metrics.registered_instances.set(status.registered as i64);
--- a/crates/ringbend-relay/src/registry_watch.rs
+++ b/crates/ringbend-relay/src/registry_watch.rs
@@ -19,16 +19,15 @@
 /// How long to wait for further changes after one: many instances write their rows together.
 const BATCH_DELAY: Duration = Duration::from_millis(400);
 
-/// How long after its start an instance first reads the registry, unless the store was unavailable or
-/// the instance is alone or hears nobody of a data centre: otherwise the instances that start together
-/// find each other without this call.
+/// How long after its start an instance first searches for others, unless the store was unavailable:
+/// otherwise instances that start together find each other without it.
 const START_DELAY: Duration = Duration::from_secs(3);
 
 /// Interval between calls if the registry cannot be read although the store answers other calls.
 const RETRY_INTERVAL: Duration = Duration::from_secs(3);
 
 /// Interval between checks whether the delay after the start is over.
-const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The minimum interval between writes of this instance's row on request.
 const MIN_REGISTRATION_INTERVAL: Duration = Duration::from_secs(5);
@@ -66,20 +65,12 @@
     }
 }
 
-/// Whether to look for instances that were not found at the start. Discovery comes first: where
-/// hundreds of instances start together and most of them schedule for a moment, greetings by all of
-/// them take the processor time that discovery needs.
+/// Whether to look for instances that were not found at the start: after an outage of the store at
+/// once, as discovery may have failed. Otherwise discovery comes first. Where hundreds of instances
+/// start together, most of them schedule for a moment, and their search for each other would take
+/// the processor time that discovery needs.
 pub(crate) fn is_recovery_due(node: &Node) -> bool {
-    let is_starting = node.clock.now().since(node.clock.started_at()) < START_DELAY;
-    !is_starting || may_be_split(node)
-}
-
-/// Whether others may run that this instance could not find so far.
-fn may_be_split(node: &Node) -> bool {
-    let (now, peers) = (node.clock.now(), node.peers.borrow());
-    let status = node.membership.borrow().status(now, &peers);
-    let is_split = status.known == 1 || !status.unheard_data_centres.is_empty();
-    node.had_store_outage.get() || (is_split && peers.schedules())
+    node.had_store_outage.get() || node.clock.now().since(node.clock.started_at()) >= START_DELAY
 }
 
 /// Follows the registry until a call fails.
