fix(relay): the registry is followed from ten seconds after the start, or after an outage

Cause: the instance that reads the watched tables began to follow the registry 3 s after its start, with two calls. Two tests of store_reader.rs bound the calls of a fleet in its first seconds: 1 of 12 whole runs of the file failed (16 calls, bound 15), before that 3 of 43 (8 calls, bound 6); none of 42 before the registry was followed.

Change: 10 s, by when unanswered hellos have been repeated twice; after an outage of the store at once, as before.

--- a/crates/ringbend-relay/src/registry_watch.rs
+++ b/crates/ringbend-relay/src/registry_watch.rs
@@ -23,6 +23,10 @@
 /// otherwise instances that start together find each other without it.
 const START_DELAY: Duration = Duration::from_secs(3);
 
+/// The same for following the registry, which costs two calls to the store: until then, unanswered
+/// hellos are repeated after 2 and 4 seconds.
+const FOLLOW_DELAY: Duration = Duration::from_secs(10);
+
 /// Interval between calls if the registry cannot be read although the store answers other calls.
 const RETRY_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -60,7 +64,7 @@
         }
         started.await;
     }
-    while !is_recovery_due(node) {
+    while !is_due_after_start(node, FOLLOW_DELAY) {
         tokio::time::sleep(START_CHECK_INTERVAL).await;
     }
 }
@@ -70,7 +74,11 @@
 /// start together, most of them schedule for a moment, and their search for each other would take
 /// the processor time that discovery needs.
 pub(crate) fn is_recovery_due(node: &Node) -> bool {
-    node.had_store_outage.get() || node.clock.now().since(node.clock.started_at()) >= START_DELAY
+    is_due_after_start(node, START_DELAY)
+}
+
+fn is_due_after_start(node: &Node, delay: Duration) -> bool {
+    node.had_store_outage.get() || node.clock.now().since(node.clock.started_at()) >= delay
 }
 
 /// Follows the registry until a call fails.
