fix(relay): the registry is followed only once the store has answered the reader

Cause: in an outage of the store all copies grow old, so most instances begin to read the tables, and each of them also called for the registry: some 100 of 103 instances every 2 s. After an outage many read for a moment, and each that did called it as well.

Change: an instance follows the registry once its own read of the configuration was answered and it still reads 400 ms later.

--- a/crates/ringbend-relay/src/registry_watch.rs
+++ b/crates/ringbend-relay/src/registry_watch.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ringbend_gateway::HEARTBEAT_INTERVAL;
+use ringbend_gateway::{HEARTBEAT_INTERVAL, WatchedTable};
 use ringbend_wire::LoadDigest;
 
 use crate::node::Node;
@@ -27,11 +27,15 @@
 /// hellos are repeated after 2 and 4 seconds.
 const FOLLOW_DELAY: Duration = Duration::from_secs(10);
 
+/// How long an instance reads the watched tables before it follows the registry. When all copies
+/// have grown old at once, most instances read them for a moment, and only one goes on.
+const SETTLING_TIME: Duration = Duration::from_millis(400);
+
 /// Interval between calls if the registry cannot be read although the store answers other calls.
 const RETRY_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Interval between checks whether the delay after the start is over.
-const START_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between checks whether the registry is to be followed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The minimum interval between writes of this instance's row on request.
 const MIN_REGISTRATION_INTERVAL: Duration = Duration::from_secs(5);
@@ -40,6 +44,10 @@
 pub(crate) async fn follow_registry(node: Rc<Node>, registry: Rc<dyn InstanceRegistry>) {
     loop {
         wait_until_reading(&node).await;
+        tokio::time::sleep(SETTLING_TIME).await;
+        if !node.readers.borrow().reads() {
+            continue;
+        }
         let error = tokio::select! {
             error = follow(&node, &*registry) => error,
             () = node.stopped_reading.notified() => continue,
@@ -54,6 +62,8 @@
     }
 }
 
+/// Waits until this instance reads the watched tables and the store has answered it. In an outage
+/// most instances try to read, and none of them needs a further call.
 async fn wait_until_reading(node: &Node) {
     loop {
         let mut started = std::pin::pin!(node.started_reading.notified());
@@ -64,8 +74,13 @@
         }
         started.await;
     }
-    while !is_due_after_start(node, FOLLOW_DELAY) {
-        tokio::time::sleep(START_CHECK_INTERVAL).await;
+    while !node.readers.borrow().has_read(WatchedTable::Config)
+        || !is_due_after_start(node, FOLLOW_DELAY)
+    {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        if !node.readers.borrow().reads() {
+            return;
+        }
     }
 }
 
