--- a/crates/ringbend-gateway/src/membership.rs
+++ b/crates/ringbend-gateway/src/membership.rs
@@ -1,6 +1,6 @@
 //! Decides whom to greet so that groups of instances that do not know each other find each other.
 //!
-//! Addresses come from two sources: the registry's rows, and the schedulers that were heard before.
+//! Addresses come from two sources: the registry's rows, and the schedulers known from digests.
 //! The rows are needed after a start without the store, the other source after a partition in which
 //! the store is unavailable too. Greeting one scheduler of a group is enough: its answer names the
 //! others, and they greet each other.
@@ -14,32 +14,32 @@
 use crate::peers::Peers;
 use crate::schedulers::{InstanceRank, SCHEDULERS_PER_DATA_CENTRE};
 
-/// The interval at which instances that are not heard are considered for a greeting: a quarter of
+/// The interval at which instances that are silent are considered for a greeting: a quarter of
 /// the second within which instances must know each other.
 pub const RECOVERY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The interval between greetings of an instance in a data centre from which nobody is heard: half
+/// The interval between greetings of an instance in a data centre without a live instance: half
 /// of the second within which instances must know each other, as a greeting may be lost.
 const UNHEARD_CENTRE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The interval between greetings of an instance if others of its data centre are heard.
+/// The interval between greetings of an instance if others of its data centre are live.
 const UNHEARD_INSTANCE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The maximum number of instances of a data centre that are greeted at once, so that many rows of
 /// dead instances cost no more than a few datagrams.
 const MAX_GREETED: usize = SCHEDULERS_PER_DATA_CENTRE;
 
-/// How long an instance that others of its data centre outlive is not heard before it is taken for
+/// How long an instance that others of its data centre outlive may be silent before it is presumed
 /// dead and greeted rarely.
 const PRESUMED_DEAD_AFTER: Duration = Duration::from_secs(600);
 
 /// The interval between greetings of an instance that is presumed dead.
 const PRESUMED_DEAD_INTERVAL: Duration = Duration::from_secs(30);
 
-/// How long the address of a scheduler without a row is kept after it was last heard.
+/// How long the address of a scheduler without a row is kept after it last sent a digest.
 const UNREGISTERED_RETENTION: Duration = Duration::from_secs(3_600);
 
-/// How long an instance that another one named is greeted if it has no row and was never heard: the
+/// How long an instance that another one named is greeted if it has no row and never sent a digest: the
 /// greeting or its answer may be lost, or the path between them may fail for a while.
 const NAMED_RETENTION: Duration = Duration::from_secs(30);
 
@@ -50,7 +50,7 @@
 /// The interval between requests to the same instance to write its row.
 const REGISTRATION_RETRY: Duration = Duration::from_secs(5);
 
-/// How long a data centre is not heard before that is reported as a split. Instances that start
+/// How long a data centre is silent before that is reported as a split. Instances that start
 /// together find each other sooner.
 const SPLIT_GRACE: Duration = Duration::from_secs(2);
 
@@ -74,11 +74,11 @@
     data_centre: Option<DataCentre>,
     capacity: u32,
     is_registered: bool,
-    /// Whether it has been heard as a scheduler.
+    /// Whether it has been live as a scheduler.
     was_heard: bool,
-    /// When it was last heard as a scheduler, or since when it is known.
+    /// When it last sent a digest as a scheduler, or since when it is known.
     last_seen: Timestamp,
-    /// Since when it has been heard as a scheduler without interruption.
+    /// Since when it has been live as a scheduler without interruption.
     schedules_since: Option<Timestamp>,
     greeted_at: Option<Timestamp>,
     /// When it was last asked to write its row.
@@ -92,29 +92,29 @@
     pub known: usize,
     /// The number of rows when the registry was last read.
     pub registered: usize,
-    /// The number of rows of instances that are not heard.
+    /// The number of rows of instances that are silent.
     pub unheard: usize,
-    /// The data centres that the settings or the rows name and from which nobody is heard.
+    /// The data centres that the settings or the rows name and without a live instance.
     pub unheard_data_centres: Vec<DataCentre>,
 }
 
 /// A change of whether the fleet is split.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SplitChange {
-    /// Data centres have not been heard for a while.
+    /// Data centres have been silent for a while.
     Began,
-    /// All data centres are heard again.
+    /// All data centres are live again.
     Ended,
 }
 
-/// The instances that may be running, whether they are heard or not.
+/// The instances that may be running, live or silent.
 #[derive(Debug, Clone)]
 pub struct Membership {
     home: DataCentre,
     own: Option<SocketAddrV4>,
     has_read_registry: bool,
     is_registered: bool,
-    /// Since when data centres are not heard, and whether that was reported.
+    /// Since when data centres are silent, and whether that was reported.
     split: Option<(Timestamp, bool)>,
     contacts: BTreeMap<SocketAddrV4, Contact>,
 }
@@ -167,7 +167,7 @@
         }))
     }
 
-    /// Records which schedulers are heard, and drops those without a row that were not heard for
+    /// Records which schedulers are live, and drops those without a row that were silent for
     /// long.
     pub fn observe(&mut self, now: Timestamp, peers: &Peers) {
         for (address, contact) in &mut self.contacts {
@@ -234,7 +234,7 @@
         self.has_read_registry && !self.is_registered
     }
 
-    /// The schedulers that are heard and have no row although they have had time to write one.
+    /// The schedulers that are live and have no row although they have had time to write one.
     /// Records that they are asked to.
     pub fn unregistered(&mut self, now: Timestamp) -> Vec<SocketAddrV4> {
         if !self.has_read_registry {
@@ -269,7 +269,7 @@
         is_due.then_some(SplitChange::Began)
     }
 
-    /// The data centres that the settings or the rows name and from which nobody is heard.
+    /// The data centres that the settings or the rows name and without a live instance.
     fn missing_data_centres(&self, now: Timestamp, peers: &Peers) -> BTreeSet<DataCentre> {
         let rows = self.contacts.values().filter(|contact| contact.is_registered);
         let in_rows = rows.filter_map(|contact| contact.data_centre.as_ref());
@@ -296,7 +296,7 @@
 }
 
 impl Contact {
-    /// Whether to greet the instance, which is not heard, with these data centres being heard.
+    /// Whether to greet the instance, which is silent, with these data centres being heard.
     fn is_due(&self, now: Timestamp, heard: &BTreeSet<&DataCentre>) -> bool {
         let is_centre_heard = match &self.data_centre {
             Some(centre) => heard.contains(centre),
--- a/crates/ringbend-gateway/src/peers/expected.rs
+++ b/crates/ringbend-gateway/src/peers/expected.rs
@@ -1,8 +1,8 @@
-//! Data centres that the settings name and from which nobody is heard.
+//! Data centres that the settings name and without a live instance.
 //!
 //! Their instances may run and use the same endpoints without knowing of this one. Rules that divide
 //! an allowance among instances or schedulers count such a data centre as if it were as large as
-//! this one. While all data centres are heard, nothing is added.
+//! this one. While all data centres are live, nothing is added.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
@@ -40,7 +40,7 @@
     }
 
     /// The number of instances that may run, including this one: those that are known, and those of
-    /// expected data centres from which nobody is heard. A member hears only its own data centre,
+    /// expected data centres without a live instance. A member receives digests only from its own data centre,
     /// so it takes the number from the schedulers.
     pub fn possible_instances(&self, now: Timestamp) -> usize {
         if self.schedules() {
--- a/crates/ringbend-relay/src/discovery.rs
+++ b/crates/ringbend-relay/src/discovery.rs
@@ -95,7 +95,7 @@
 }
 
 /// Waits until the store has answered this instance after `at`, or another one that is known if this
-/// one is a scheduler that hears nobody of a data centre. Otherwise hundreds of instances whose calls
+/// one is a scheduler that knows no live instance of a data centre. Otherwise hundreds of instances whose calls
 /// failed would repeat them at the same moment.
 async fn store_answered_after(node: &Node, at: Timestamp) {
     let recovered = node.store_recovered.notified();
@@ -125,7 +125,7 @@
     node.peers.borrow().local_instances(node.clock.now()) > 1
 }
 
-/// Whether a data centre is expected or registered from which nobody is heard.
+/// Whether a data centre is expected or registered without a live instance.
 fn misses_data_centre(node: &Node) -> bool {
     let status = node.membership.borrow().status(node.clock.now(), &node.peers.borrow());
     !status.unheard_data_centres.is_empty()
@@ -137,7 +137,7 @@
 /// unchanged, so one call is enough after the loss of all instances.
 ///
 /// Instances whose first call failed (`has_failed`) may know each other in groups only. Schedulers
-/// that hear nobody of an expected data centre then read the registry as well. Others leave that to
+/// that know no live instance of an expected one then read the registry as well. Others leave that to
 /// the one that follows it: calls of hundreds of instances that start at once also time out for lack
 /// of processor time.
 async fn register(
--- a/crates/ringbend-relay/src/membership.rs
+++ b/crates/ringbend-relay/src/membership.rs
@@ -8,7 +8,7 @@
 use crate::node::Node;
 use crate::registry_watch::is_recovery_due;
 
-/// Greets instances that are not heard for as long as the process lives.
+/// Greets instances that are silent for as long as the process lives.
 pub(crate) async fn recover_membership(node: Rc<Node>) {
     let mut reported_at = node.clock.now();
     loop {
@@ -33,7 +33,7 @@
         }
     }
 
-    /// Greets a bounded number of instances that may run and are not heard.
+    /// Greets a bounded number of instances that may run and are silent.
     pub(crate) fn greet_unheard(&self) {
         if !self.recovers_membership() {
             return;
@@ -51,7 +51,7 @@
     }
 
     /// Updates the metrics of known and registered instances, and logs the start and end of a split.
-    /// Members do not hear other data centres, so only schedulers report.
+    /// Members receive nothing from other data centres, so only schedulers report.
     fn report_membership(&self, now: Timestamp) {
         self.update_possible_instances(now);
         if self.recovers_membership() {
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -68,7 +68,7 @@
     pub(crate) peers: RefCell<Peers>,
     /// The registry's entries when it was last read.
     pub(crate) registry_records: RefCell<RegistryCopy>,
-    /// The instances that may run, whether they are heard or not.
+    /// The instances that may run, live or silent.
     pub(crate) membership: RefCell<Membership>,
     /// The number of instances that may run, updated about once per second.
     pub(crate) possible_instances: Cell<usize>,
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -101,9 +101,9 @@
     pub live_instances: Gauge,
     /// Registry rows when this instance last read them.
     pub registered_instances: Gauge,
-    /// Registry rows of instances that are not heard.
+    /// Registry rows of instances that are silent.
     pub unheard_instances: Gauge,
-    /// Known data centres from which a scheduler hears nobody.
+    /// Known data centres in which a scheduler knows no live instance.
     pub unheard_data_centres: Gauge,
     start_engines_asked: Gauge,
     start_engines_answered: Gauge,
