feat(relay): connect failures by reason, and the endpoints that an instance cannot reach

Cause: the lines of failed sends say 'cannot connect' whether the connect timed out or was refused, and nothing tells that one instance fails to connect where others do, which the hypotheses differ in. Change: connects go through the trait Network, so that tests can cut the links of one instance; a failure has its reason; a line of the target paths when an endpoint cannot be reached and when it is reached again, a gauge of such endpoints and a counter of failures by reason. Result: no decision is changed.

--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod priorities;
 mod quarantine;
 mod quiet;
+mod reachability;
 mod regions;
 mod replica;
 mod reservation;
@@ -91,6 +92,7 @@
 };
 pub use priorities::{Priorities, Rank};
 pub use quarantine::{EndedProcess, Quarantine, STRIKES_TO_HOLD, SuspectState, Suspicion};
+pub use reachability::Reachability;
 pub use regions::{AllowedDataCentres, AllowedRegions, RegionMap};
 pub use replica::{OfferResult, Replica};
 pub use reservation::{
--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -13,16 +13,15 @@
 //! other reasons, each run of a long prompt is likely to involve another one of them.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ringbend_gateway::{EndedProcess, Endpoint};
 use ringbend_types::{Fingerprint, Timestamp};
-use tokio::net::TcpStream;
 
 use crate::active_request::ActiveRequest;
+use crate::network::{self, ConnectError};
 use crate::node::Node;
 use crate::timeouts::RunError;
 
@@ -142,11 +141,10 @@
             probes.retain(|_, probe| now.since(probe.at) < PROBE_RESULT_TTL);
             probes.insert(address, probe);
         }
-        let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-        let found = match connected {
-            Ok(Ok(_)) => ProbeResult::Listening,
-            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => ProbeResult::Refused,
-            Ok(Err(_)) | Err(_) => ProbeResult::Silent,
+        let found = match network::connect(&*self.network, address, PROBE_TIMEOUT).await {
+            Ok(_) => ProbeResult::Listening,
+            Err(ConnectError::Refused) => ProbeResult::Refused,
+            Err(_) => ProbeResult::Silent,
         };
         if let Some(probe) = self.probes.borrow_mut().0.get_mut(&address) {
             probe.found = Some(found);
--- a/crates/ringbend-relay/src/endpoint_copy.rs
+++ b/crates/ringbend-relay/src/endpoint_copy.rs
@@ -39,6 +39,7 @@
     node.endpoints_changed.notify_waiters();
     let directory = node.directory.borrow();
     node.health.borrow_mut().retain(|id| directory.get(id).is_some());
+    node.reachability.borrow_mut().retain(|address| directory.by_address(address).is_some());
 }
 
 impl EndpointCopy {
--- a/crates/ringbend-relay/src/engine_pace.rs
+++ b/crates/ringbend-relay/src/engine_pace.rs
@@ -217,7 +217,7 @@
     }
 
     pub(crate) async fn fetch_report(
-        &self,
+        self: &Rc<Self>,
         engine: &EndpointId,
     ) -> Result<Option<EngineReport>, ExchangeError> {
         let Some(endpoint) = self.directory.borrow().get(engine).cloned() else { return Ok(None) };
@@ -229,7 +229,7 @@
 
     /// Requests an engine's report, whether or not requests may be sent to the engine.
     pub(crate) async fn request_report(
-        &self,
+        self: &Rc<Self>,
         endpoint: &Endpoint,
     ) -> Result<ReportResponse, ExchangeError> {
         let request = self.dialect.report_request(&endpoint.id);
@@ -239,8 +239,9 @@
         head.headers = request.headers;
         head.set_connection_type(actix_http::ConnectionType::Close);
         let sent_at = self.clock.now();
+        let connection = self.connect_endpoint(endpoint.address).await?;
         let mut incoming =
-            exchange::send(&self.http_config, endpoint.address, head, Bytes::new()).await?;
+            exchange::send(&self.http_config, connection, head, Bytes::new()).await?;
         let status = incoming.head.status;
         let metadata = self.dialect.parse_response(status, &incoming.head.headers);
         if !metadata.is_wrong_endpoint {
--- a/crates/ringbend-relay/src/exchange.rs
+++ b/crates/ringbend-relay/src/exchange.rs
@@ -6,8 +6,6 @@
 //! dedicated connection also prevents late responses to earlier requests from being mixed up.
 
 use std::fmt;
-use std::net::SocketAddrV4;
-use std::time::Duration;
 
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
@@ -21,10 +19,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 use crate::buffers::{HeldBytes, NoRoom};
-
-/// Connect timeout. Within a region connecting takes a few milliseconds. A lost SYN packet is
-/// retransmitted only after a second, so a longer timeout gains nothing.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+use crate::network::ConnectError;
 
 /// Number of bytes per read.
 const READ_BYTES: usize = 8 << 10;
@@ -39,7 +34,7 @@
 #[derive(Debug)]
 pub(crate) enum ExchangeError {
     /// The connection could not be established, so nothing was sent.
-    ConnectFailed,
+    ConnectFailed(ConnectError),
     /// The request cannot be encoded, so nothing was sent.
     EncodeFailed(std::io::Error),
     /// The connection broke.
@@ -57,7 +52,7 @@
 impl fmt::Display for ExchangeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::ConnectFailed => write!(f, "cannot connect"),
+            Self::ConnectFailed(e) => e.fmt(f),
             Self::EncodeFailed(e) => write!(f, "cannot encode the request: {e}"),
             Self::Io(e) => write!(f, "connection error: {e}"),
             Self::Head(e) => write!(f, "invalid response head: {e}"),
@@ -70,10 +65,16 @@
 
 impl std::error::Error for ExchangeError {}
 
+impl From<ConnectError> for ExchangeError {
+    fn from(e: ConnectError) -> Self {
+        Self::ConnectFailed(e)
+    }
+}
+
 impl ExchangeError {
     /// Whether no byte of the request can have reached the endpoint.
     pub(crate) fn is_unsent(&self) -> bool {
-        matches!(self, Self::ConnectFailed | Self::EncodeFailed(_))
+        matches!(self, Self::ConnectFailed(_) | Self::EncodeFailed(_))
     }
 }
 
@@ -96,23 +97,23 @@
     framing: Framing,
 }
 
-/// Sends a request and reads the head of the response.
+/// Sends a request on a new connection and reads the head of the response.
 pub(crate) async fn send(
     cfg: &ServiceConfig,
-    address: SocketAddrV4,
+    connection: TcpStream,
     head: RequestHead,
     body: Bytes,
 ) -> Result<IncomingResponse, ExchangeError> {
     let method = head.method.clone();
     let mut codec = ClientCodec::new(cfg.clone());
     let (request, rest) = encode(&mut codec, head, body).map_err(ExchangeError::EncodeFailed)?;
-    let (mut read, mut write) = connect(address).await?.into_split();
+    let (mut read, mut write) = connection.into_split();
     let mut buf = BytesMut::with_capacity(READ_BYTES);
     // An endpoint may respond before it has read the body, so writing and reading run concurrently.
     let written = async {
         if write.write_all(&request).await.is_err() || write.write_all(&rest).await.is_err() {
             // A response, if one arrives, is more informative than the failed write.
-            log::debug!(target: "exchange", address:%; "request not written completely");
+            log::debug!(target: "exchange", "request not written completely");
         }
         std::future::pending::<()>().await;
     };
@@ -124,15 +125,6 @@
     Ok(IncomingResponse { head, connection: read, _write: write, buf, framing })
 }
 
-async fn connect(address: SocketAddrV4) -> Result<TcpStream, ExchangeError> {
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let connection = connected.ok().and_then(Result::ok).ok_or(ExchangeError::ConnectFailed)?;
-    if let Err(e) = connection.set_nodelay(true) {
-        log::debug!(target: "exchange", error:% = e; "cannot set TCP_NODELAY");
-    }
-    Ok(connection)
-}
-
 /// Encodes a request. Small bodies are part of the first buffer, so that they are written with the
 /// head; others are returned unchanged, so that they are not held twice.
 fn encode(
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod cold_endpoints;
 mod config;
 mod config_copy;
+mod connector;
 mod copy_server;
 mod crashes;
 mod discovery;
@@ -31,6 +32,7 @@
 mod log_fields;
 mod lost_endpoints;
 mod membership;
+mod network;
 mod node;
 mod overload_driver;
 mod overload_queues;
@@ -66,12 +68,13 @@
 pub use config::{
     BoundsConfig, ListenConfig, OverloadSettings, RelayConfig, RelayConfigError, StoreConfig,
 };
+pub use network::TcpNetwork;
 pub use ports::{
     Batch, ConfigDecoder, ConfigItem, ConfigSource, Cursor, Dialect, DurableRow, DurableStore,
     EndpointSource, EngineReport, ForwardContext, InstanceRecord, InstanceRegistry,
-    InvalidRequestHead, InvalidRow, OperatorChange, PrefillHelper, RegistryBatch, RegistryChange,
-    ReportRequest, RequestMetadata, ReservationCommand, ReservationRequest, ResponseMetadata,
-    Source, SourceError,
+    InvalidRequestHead, InvalidRow, Network, OperatorChange, PrefillHelper, RegistryBatch,
+    RegistryChange, ReportRequest, RequestMetadata, ReservationCommand, ReservationRequest,
+    ResponseMetadata, Source, SourceError,
 };
 pub use relay::{Ports, Relay, RelayError};
 pub use shutdown::StopSummary;
--- a/crates/ringbend-relay/src/lost_endpoints.rs
+++ b/crates/ringbend-relay/src/lost_endpoints.rs
@@ -132,7 +132,7 @@
             match report.await {
                 // Another process at the address says nothing about this one but that it has ended.
                 Ok(Ok(response)) => return response.metadata.is_wrong_endpoint,
-                Err(_) | Ok(Err(ExchangeError::ConnectFailed)) => {}
+                Err(_) | Ok(Err(ExchangeError::ConnectFailed(_))) => {}
                 // A process that resets or closes the connection is running.
                 Ok(Err(_)) => return false,
             }
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -12,8 +12,9 @@
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
     AccountShares, Backoffs, ColdPacing, Directory, Freshness, HealthTracker, InstanceRank, Limits,
-    LoadTracker, Membership, Outbox, PaceQueries, Peers, Permits, Quarantine, Replica, RetryBudget,
-    SpreadSequence, StartSurvey, StoreOutages, StoreReaders, WorkId, fleet_backoff_factor,
+    LoadTracker, Membership, Outbox, PaceQueries, Peers, Permits, Quarantine, Reachability,
+    Replica, RetryBudget, SpreadSequence, StartSurvey, StoreOutages, StoreReaders, WorkId,
+    fleet_backoff_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -29,7 +30,7 @@
 use crate::peer_socket::{FlushSignals, PeerSocket};
 use crate::placement_grants::PlacementGrants;
 use crate::placement_requests::PlacementRequests;
-use crate::ports::{ConfigDecoder, Cursor, Dialect, DurableStore};
+use crate::ports::{ConfigDecoder, Cursor, Dialect, DurableStore, Network};
 use crate::registry_copy::RegistryCopy;
 use crate::reservations::MemoryReservations;
 use crate::signals::LoggedSignals;
@@ -40,6 +41,7 @@
     pub(crate) cfg: RefCell<RelayConfig>,
     pub(crate) clock: Clock,
     pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) network: Rc<dyn Network>,
     pub(crate) config_decoder: Rc<dyn ConfigDecoder>,
     /// The active configuration, encoded as in its table; served to other instances.
     pub(crate) encoded_config: RefCell<Option<Bytes>>,
@@ -51,6 +53,8 @@
     pub(crate) directory: RefCell<Directory>,
     pub(crate) load: RefCell<LoadTracker>,
     pub(crate) health: RefCell<HealthTracker>,
+    /// Which endpoints this instance cannot connect to.
+    pub(crate) reachability: RefCell<Reachability>,
     /// Rate limits that endpoints announce in their responses.
     pub(crate) limits: RefCell<Limits>,
     /// Endpoints that asked this instance to send nothing for a while.
@@ -170,6 +174,7 @@
         cfg: RelayConfig,
         clock: Clock,
         dialect: Rc<dyn Dialect>,
+        network: Rc<dyn Network>,
         config_decoder: Rc<dyn ConfigDecoder>,
         durable_store: Rc<dyn DurableStore>,
     ) -> Rc<Self> {
@@ -187,6 +192,7 @@
             cfg: RefCell::new(cfg),
             clock,
             dialect,
+            network,
             config_decoder,
             encoded_config: RefCell::default(),
             config_cursor: Cell::default(),
@@ -195,6 +201,7 @@
             directory: RefCell::default(),
             load: RefCell::default(),
             health: RefCell::default(),
+            reachability: RefCell::default(),
             limits: RefCell::default(),
             backoffs: RefCell::default(),
             cold_pacing: RefCell::default(),
--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -210,7 +210,8 @@
     head.headers
         .insert(HOST, HeaderValue::from_str(&peer.to_string()).map_err(CopyError::Address)?);
     head.set_connection_type(ConnectionType::Close);
-    let sent = exchange::send(&node.http_config, peer, head, Bytes::new()).await;
+    let connection = node.connect_peer(peer).await.map_err(|e| CopyError::Exchange(e.into()))?;
+    let sent = exchange::send(&node.http_config, connection, head, Bytes::new()).await;
     let mut incoming = sent.map_err(CopyError::Exchange)?;
     if incoming.head.status != StatusCode::OK {
         return Err(CopyError::Refused(incoming.head.status));
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -1,6 +1,7 @@
 //! Interfaces that the relay needs from its environment; an adapter implements them.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 };
 use ringbend_types::{ClientAccountId, DataCentre, EndpointId, EndpointStart};
 use smallvec::SmallVec;
+use tokio::net::TcpStream;
 
 /// The headers of a caller's request that the relay interprets.
 #[derive(Debug, Clone, Default)]
@@ -165,6 +167,13 @@
     fn mark_local_response(&self, request: &RequestMetadata, headers: &mut HeaderMap);
 }
 
+/// Opens connections to endpoints and other instances.
+#[async_trait(?Send)]
+pub trait Network {
+    /// Connects to an address. The caller limits the time.
+    async fn connect(&self, address: SocketAddrV4) -> io::Result<TcpStream>;
+}
+
 /// A position in a watched table's change history.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Cursor(pub u64);
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -25,7 +25,7 @@
 use crate::node::Node;
 use crate::peer_socket::PeerSocket;
 use crate::ports::{
-    ConfigDecoder, ConfigSource, Dialect, DurableStore, EndpointSource, InstanceRegistry,
+    ConfigDecoder, ConfigSource, Dialect, DurableStore, EndpointSource, InstanceRegistry, Network,
     OperatorChange,
 };
 use crate::registry_watch::{follow_registry, register_on_request};
@@ -65,6 +65,8 @@
     pub registry: Rc<dyn InstanceRegistry>,
     /// Storage for data that must survive the end of all instances.
     pub durable_store: Rc<dyn DurableStore>,
+    /// Connections to endpoints and other instances.
+    pub network: Rc<dyn Network>,
 }
 
 /// A running relay.
@@ -121,7 +123,14 @@
         cfg.unknown.iter().for_each(|warning| log::warn!(target: "relay", "{warning}"));
         let listen = cfg.listen.clone();
         let seeds = cfg.listen.seeds.clone();
-        let node = Node::new(cfg, clock, ports.dialect, ports.config_decoder, ports.durable_store);
+        let node = Node::new(
+            cfg,
+            clock,
+            ports.dialect,
+            ports.network,
+            ports.config_decoder,
+            ports.durable_store,
+        );
         let mut servers = Vec::new();
         let callers = Rc::new(Callers { node: node.clone() });
         servers.push(start_server(listen.callers.into(), callers).await?);
@@ -252,6 +261,11 @@
         }
     }
 
+    /// The number of endpoints that this instance cannot connect to.
+    pub fn unreachable_endpoints(&self) -> usize {
+        self.node.reachability.borrow().failing()
+    }
+
     /// The number of requests known to be open on endpoints, including those of other instances.
     pub fn known_open_requests(&self) -> usize {
         self.node.load.borrow().open_requests()
--- a/crates/ringbend-relay/src/reservations.rs
+++ b/crates/ringbend-relay/src/reservations.rs
@@ -158,7 +158,8 @@
     head.uri = Uri::from_static(request.path);
     head.headers = request.headers;
     head.set_connection_type(actix_http::ConnectionType::Close);
-    let mut incoming = exchange::send(&node.http_config, address, head, request.body).await?;
+    let connection = node.connect_endpoint(address).await?;
+    let mut incoming = exchange::send(&node.http_config, connection, head, request.body).await?;
     let status = incoming.head.status;
     let response = node.dialect.parse_response(status, &incoming.head.headers);
     if let Some(known) = known.filter(|_| !response.is_wrong_endpoint) {
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -68,7 +68,8 @@
     async fn begin(self) -> Result<ResponseStart, ExchangeError> {
         let Self { node, endpoint, head, body, request_id, last_event, streaming } = self;
         let sent_at = node.clock.now();
-        let incoming = exchange::send(&node.http_config, endpoint.address, head, body).await?;
+        let connection = node.connect_endpoint(endpoint.address).await?;
+        let incoming = exchange::send(&node.http_config, connection, head, body).await?;
         let head = clone_head(&incoming.head);
         let response = node.dialect.parse_response(head.status, &head.headers);
         if !response.is_wrong_endpoint
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -58,6 +58,9 @@
     failures: Family<CodeLabels, Counter>,
     first_token: Family<BucketLabels, Histogram>,
     attempts: Counter,
+    connect_failures: Family<CodeLabels, Counter>,
+    /// Endpoints that this instance cannot connect to.
+    pub unreachable_endpoints: Gauge,
     retries: Counter,
     claims: Counter,
     table_calls: Counter,
@@ -125,6 +128,8 @@
             failures: Family::default(),
             first_token: Family::new_with_constructor(histogram),
             attempts: Counter::default(),
+            connect_failures: Family::default(),
+            unreachable_endpoints: Gauge::default(),
             retries: Counter::default(),
             claims: Counter::default(),
             table_calls: Counter::default(),
@@ -201,6 +206,11 @@
         }
     }
 
+    /// Counts a failed connect to an endpoint.
+    pub fn connect_failure(&self, code: &'static str) {
+        self.connect_failures.get_or_create(&CodeLabels { code }).inc();
+    }
+
     /// Counts a requested claim.
     pub fn claim(&self) {
         self.claims.inc();
@@ -287,6 +297,10 @@
             self.first_token.clone(),
         );
         r.register("attempts", "Attempts at endpoints", self.attempts.clone());
+        let failures = self.connect_failures.clone();
+        r.register("connect_failures", "Failed connects to endpoints, by code", failures);
+        let unreachable = self.unreachable_endpoints.clone();
+        r.register("unreachable_endpoints", "Endpoints that cannot be connected to", unreachable);
         r.register("retries", "Attempts after the first", self.retries.clone());
         r.register("claims", "Requested claims", self.claims.clone());
         r.register("table_calls", "Calls to the table service", self.table_calls.clone());
