fix(relay): connect to endpoints through another instance where the direct path is lost

Callers of instances without links to the engines were served in 11 of 85 first attempts, those of the others in 181 of 181. Cause: an instance had one path to an endpoint. It tried one endpoint after another over links that were all cut, 400 ms each, and charged each failure to the endpoint. Evidence: 207 of 210 failed sends of such an instance are failed connects, while other instances reach the same endpoints. Change: if a connect has not succeeded after 100 ms, or is refused, other instances are asked to connect and pass the bytes (CONNECT to the address for instances; one hop; registered endpoints only; frames towards the caller's instance, so that a carrier's end is no end of a response). An endpoint that another instance reaches and this one does not has a lost path: further connections are carried at once, and the path is tried again each 400 ms. Why it works: nothing but the connection differs, so retries, shares, permits and cancellation are decided and counted where they were.

--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -14,6 +14,7 @@
 
 use ringbend_types::{DataCentre, Timestamp};
 
+use crate::carriers::Candidates;
 use crate::schedulers::{InstanceRank, Role};
 use crate::snapshot::ConfigVersion;
 
@@ -238,6 +239,16 @@
         if local.is_empty() { holders().map(|(address, _)| address).collect() } else { local }
     }
 
+    /// The live instances that may carry connections to endpoints.
+    pub fn carrier_candidates(&self, now: Timestamp) -> Candidates {
+        let (local, remote): (Vec<_>, Vec<_>) =
+            self.alive(now).partition(|(_, peer)| peer.runs_in(&self.home));
+        let addresses = |peers: Vec<(SocketAddrV4, &Peer)>| {
+            peers.into_iter().map(|(address, _)| address).collect()
+        };
+        Candidates { local: addresses(local), remote: addresses(remote) }
+    }
+
     /// Whether the copy of the endpoint table at `address` is not known to be as current as
     /// `endpoints`.
     pub fn is_behind(&self, address: SocketAddrV4, endpoints: u64) -> bool {
--- a/crates/ringbend-gateway/src/reachability.rs
+++ b/crates/ringbend-gateway/src/reachability.rs
@@ -1,37 +1,115 @@
-//! Endpoints that this instance fails to connect to.
+//! Which endpoints this instance reaches directly, and which only other instances reach.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use ringbend_types::Timestamp;
 
+/// The interval at which a lost path is tried again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// How long other instances are not asked again about an endpoint that none of them reached.
+const UNREACHED_TTL: Duration = Duration::from_millis(300);
+
+/// A path on which connecting has failed since the last success.
+#[derive(Debug, Clone, Copy)]
+struct FailingPath {
+    since: Timestamp,
+    /// Whether another instance has reached the endpoint since then.
+    is_lost: bool,
+    checked_at: Timestamp,
+    /// When other instances were last found not to reach the endpoint either.
+    unreached_at: Option<Timestamp>,
+}
+
 /// The paths from this instance to endpoints on which connecting has failed, by address.
 #[derive(Debug, Clone, Default)]
 pub struct Reachability {
-    failing: BTreeMap<SocketAddrV4, Timestamp>,
+    failing: BTreeMap<SocketAddrV4, FailingPath>,
+    /// The endpoints on which connecting has failed since it last succeeded on any.
+    failed_since_success: BTreeSet<SocketAddrV4>,
 }
 
 impl Reachability {
-    /// Records that connecting failed. Returns whether it is the first failure since a success.
-    pub fn record_failure(&mut self, now: Timestamp, address: SocketAddrV4) -> bool {
-        let is_first = !self.failing.contains_key(&address);
-        self.failing.entry(address).or_insert(now);
-        is_first
+    /// Records that connecting directly failed.
+    pub fn record_failure(&mut self, now: Timestamp, address: SocketAddrV4) {
+        self.failed_since_success.insert(address);
+        let new = FailingPath { since: now, is_lost: false, checked_at: now, unreached_at: None };
+        self.failing.entry(address).or_insert(new);
     }
 
-    /// Records that connecting succeeded. Returns for how long it had failed.
+    /// Records that connecting directly succeeded. Returns for how long the path was lost, if it
+    /// was.
     pub fn record_success(&mut self, now: Timestamp, address: SocketAddrV4) -> Option<Duration> {
-        self.failing.remove(&address).map(|since| now.since(since))
+        self.failed_since_success.clear();
+        let path = self.failing.remove(&address)?;
+        path.is_lost.then(|| now.since(path.since))
+    }
+
+    /// Records that another instance reached an endpoint that this one did not. Returns whether the
+    /// path was not known to be lost.
+    pub fn record_reached_elsewhere(&mut self, now: Timestamp, address: SocketAddrV4) -> bool {
+        self.record_failure(now, address);
+        let Some(path) = self.failing.get_mut(&address) else { return false };
+        path.unreached_at = None;
+        !std::mem::replace(&mut path.is_lost, true)
+    }
+
+    /// Records that other instances did not reach the endpoint either.
+    pub fn record_unreached(&mut self, now: Timestamp, address: SocketAddrV4) {
+        self.record_failure(now, address);
+        if let Some(path) = self.failing.get_mut(&address) {
+            path.is_lost = false;
+            path.unreached_at = Some(now);
+        }
+    }
+
+    /// Whether only other instances reach the endpoint.
+    pub fn is_lost(&self, address: SocketAddrV4) -> bool {
+        self.failing.get(&address).is_some_and(|path| path.is_lost)
+    }
+
+    /// Whether other instances were just found not to reach the endpoint either.
+    pub fn is_unreached(&self, now: Timestamp, address: SocketAddrV4) -> bool {
+        let unreached_at = self.failing.get(&address).and_then(|path| path.unreached_at);
+        unreached_at.is_some_and(|at| now.since(at) < UNREACHED_TTL)
+    }
+
+    /// Whether a refused connection says something about the endpoint. If connecting failed on
+    /// other endpoints too, this instance may have lost its links.
+    pub fn may_testify(&self, address: SocketAddrV4) -> bool {
+        self.failed_since_success.iter().all(|failed| *failed == address)
+    }
+
+    /// Whether to try a lost path again now. Records the try if so.
+    pub fn begin_check(&mut self, now: Timestamp, address: SocketAddrV4) -> bool {
+        let Some(path) = self.failing.get_mut(&address) else { return false };
+        let is_due = path.is_lost && now.since(path.checked_at) >= CHECK_INTERVAL;
+        if is_due {
+            path.checked_at = now;
+        }
+        is_due
+    }
+
+    /// Up to `count` lost paths to try again now, those that were tried longest ago first. Records
+    /// the tries.
+    pub fn begin_checks(&mut self, now: Timestamp, count: usize) -> Vec<SocketAddrV4> {
+        let lost = self.failing.iter().filter(|(_, path)| path.is_lost);
+        let mut lost: Vec<_> = lost.map(|(address, path)| (path.checked_at, *address)).collect();
+        lost.sort_unstable();
+        let due = lost.into_iter().map(|(_, address)| address);
+        due.filter(|address| self.begin_check(now, *address)).take(count).collect()
     }
 
-    /// The number of endpoints to which connecting fails.
-    pub fn failing(&self) -> usize {
-        self.failing.len()
+    /// The number of endpoints that only other instances reach.
+    pub fn lost(&self) -> usize {
+        self.failing.values().filter(|path| path.is_lost).count()
     }
 
     /// Drops endpoints that are no longer registered.
     pub fn retain(&mut self, is_registered: impl Fn(SocketAddrV4) -> bool) {
         self.failing.retain(|address, _| is_registered(*address));
+        self.failed_since_success.retain(|address| is_registered(*address));
     }
 }
--- a/crates/ringbend-relay/src/admin.rs
+++ b/crates/ringbend-relay/src/admin.rs
@@ -68,8 +68,9 @@
         self.node.metrics.overloaded_services.set(queues.overloaded(now) as i64);
         self.node.metrics.set_overload_queue(queues.len_by_priority());
         self.node.metrics.buffered_bytes.set(self.node.buffers.held() as i64);
-        let unreachable = self.node.reachability.borrow().failing();
+        let unreachable = self.node.reachability.borrow().lost();
         self.node.metrics.unreachable_endpoints.set(unreachable as i64);
+        self.node.metrics.open_tunnels.set(self.node.open_tunnels.get() as i64);
         self.node.metrics.endpoints_age.set(age(WatchedTable::Endpoints));
         self.node.metrics.reads_store.set(self.node.readers.borrow().reads().into());
     }
--- a/crates/ringbend-relay/src/connector.rs
+++ b/crates/ringbend-relay/src/connector.rs
@@ -1,30 +1,82 @@
-//! Connects to endpoints and records which of them this instance cannot reach.
+//! Connects to endpoints: directly, or through another instance where the direct path is lost.
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use ringbend_gateway::Candidates;
 use tokio::net::TcpStream;
 
+use crate::connection::Connection;
 use crate::network::{self, ConnectError};
 use crate::node::Node;
+use crate::tunnel::{self, CarrierError};
 
 /// Connect timeout. Within a region connecting takes a few milliseconds. A lost SYN packet is
 /// retransmitted only after a second, so a longer timeout gains nothing.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long connecting directly may take before other instances are asked as well.
+const HEAD_START: Duration = Duration::from_millis(100);
+
+/// How long other instances are asked.
+const CARRIER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The maximum number of instances that are asked for one connection.
+const MAX_ASKED: usize = 6;
+
+/// The number of instances that have to be refused for an endpoint to count as refusing. One may
+/// have lost its links without knowing it yet.
+const REFUSALS: usize = 2;
+
+/// The interval between checks of lost paths.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The maximum number of lost paths that are checked at once.
+const MAX_CHECKS: usize = 4;
+
+/// What other instances found out about an endpoint that this one does not reach.
+enum ReachedElsewhere {
+    /// An instance has connected to it.
+    Connected(Connection),
+    /// The endpoint refuses connections from there as well.
+    Refused,
+    /// No other instance reaches it.
+    Unreachable,
+    /// No instance has answered the question.
+    Unknown,
+}
 
 impl Node {
     /// Connects to an endpoint.
     pub(crate) async fn connect_endpoint(
         self: &Rc<Self>,
         address: SocketAddrV4,
-    ) -> Result<TcpStream, ConnectError> {
-        let connected = network::connect(&*self.network, address, CONNECT_TIMEOUT).await;
-        match &connected {
-            Ok(_) => self.record_connected(address),
-            Err(why) => self.record_connect_failure(address, *why),
+    ) -> Result<Connection, ConnectError> {
+        if self.reachability.borrow().is_lost(address) {
+            self.check_path(address);
+            return self.connect_elsewhere(address, ConnectError::TimedOut).await;
+        }
+        let mut direct = std::pin::pin!(self.connect_directly(address, CONNECT_TIMEOUT));
+        match tokio::time::timeout(HEAD_START, &mut direct).await {
+            Ok(Ok(stream)) => return Ok(Connection::direct(stream)),
+            Ok(Err(why)) => return self.connect_elsewhere(address, why).await,
+            Err(_) => {}
+        }
+        let mut elsewhere = std::pin::pin!(self.connect_elsewhere(address, ConnectError::TimedOut));
+        tokio::select! {
+            biased;
+            connected = &mut direct => match connected {
+                Ok(stream) => Ok(Connection::direct(stream)),
+                Err(_) => elsewhere.await,
+            },
+            connected = &mut elsewhere => match connected {
+                Ok(connection) => Ok(connection),
+                Err(_) => direct.await.map(Connection::direct),
+            },
         }
-        connected
     }
 
     /// Connects to another instance.
@@ -35,19 +87,201 @@
         network::connect(&*self.network, address, CONNECT_TIMEOUT).await
     }
 
-    fn record_connected(&self, address: SocketAddrV4) {
+    /// Connects to an endpoint, not through another instance.
+    pub(crate) async fn connect_directly(
+        &self,
+        address: SocketAddrV4,
+        timeout: Duration,
+    ) -> Result<TcpStream, ConnectError> {
+        let connected = network::connect(&*self.network, address, timeout).await;
         let now = self.clock.now();
-        let Some(failed) = self.reachability.borrow_mut().record_success(now, address) else {
-            return;
+        match &connected {
+            Ok(_) => {
+                if let Some(lost) = self.reachability.borrow_mut().record_success(now, address) {
+                    let ms = lost.as_millis() as u64;
+                    log::info!(target: "paths", address:%, ms; "endpoint reached directly again");
+                }
+            }
+            Err(why) => {
+                self.metrics.connect_failure(why.label());
+                self.reachability.borrow_mut().record_failure(now, address);
+            }
+        }
+        connected
+    }
+
+    /// Tries a lost path again, unless it was tried recently.
+    pub(crate) fn check_path(self: &Rc<Self>, address: SocketAddrV4) {
+        if self.reachability.borrow_mut().begin_check(self.clock.now(), address) {
+            self.spawn_check(address);
+        }
+    }
+
+    fn spawn_check(self: &Rc<Self>, address: SocketAddrV4) {
+        let node = self.clone();
+        tokio::task::spawn_local(async move {
+            drop(node.connect_directly(address, CONNECT_TIMEOUT).await);
+        });
+    }
+
+    /// The instances that may carry connections.
+    pub(crate) fn carrier_candidates(&self) -> Candidates {
+        self.peers.borrow().carrier_candidates(self.clock.now())
+    }
+
+    /// Connects through another instance. `why` is the failure of the direct connection.
+    async fn connect_elsewhere(
+        self: &Rc<Self>,
+        address: SocketAddrV4,
+        why: ConnectError,
+    ) -> Result<Connection, ConnectError> {
+        if self.reachability.borrow().is_unreached(self.clock.now(), address) {
+            return Err(why);
+        }
+        match self.ask_carriers(address).await {
+            ReachedElsewhere::Connected(connection) => Ok(connection),
+            ReachedElsewhere::Refused => Err(ConnectError::Refused),
+            ReachedElsewhere::Unreachable | ReachedElsewhere::Unknown => Err(why),
+        }
+    }
+
+    /// Asks other instances, each after the one before has failed or has not answered for a while,
+    /// until one has connected to the endpoint.
+    async fn ask_carriers(self: &Rc<Self>, address: SocketAddrV4) -> ReachedElsewhere {
+        let now = self.clock.now();
+        let candidates = self.carrier_candidates();
+        let order = self.carriers.borrow().order(now, &candidates, &mut *self.rng.borrow_mut());
+        let mut search = CarrierSearch::new(self.clone(), address, order);
+        let found = match tokio::time::timeout(CARRIER_TIMEOUT, search.run()).await {
+            Ok(found) => found,
+            Err(_) => search.conclusion(),
         };
-        let ms = failed.as_millis() as u64;
-        log::info!(target: "paths", address:%, ms; "endpoint reached again");
+        if !matches!(found, ReachedElsewhere::Connected(_)) {
+            self.reachability.borrow_mut().record_unreached(self.clock.now(), address);
+        }
+        found
+    }
+
+    /// Records that another instance reaches an endpoint that this one does not.
+    fn record_carried(&self, address: SocketAddrV4, carrier: SocketAddrV4) {
+        let now = self.clock.now();
+        if self.reachability.borrow_mut().record_reached_elsewhere(now, address) {
+            log::warn!(
+                target: "paths", address:%, carrier:%;
+                "endpoint cannot be reached directly; connecting through another instance"
+            );
+        }
+    }
+}
+
+/// The search for an instance that connects to an endpoint.
+struct CarrierSearch {
+    node: Rc<Node>,
+    endpoint: SocketAddrV4,
+    /// The instances to ask, the next one last.
+    remaining: Vec<SocketAddrV4>,
+    asked: Vec<SocketAddrV4>,
+    /// The instances that could not help.
+    failed: Vec<SocketAddrV4>,
+    refusals: usize,
+    unreachable: usize,
+}
+
+impl CarrierSearch {
+    fn new(node: Rc<Node>, endpoint: SocketAddrV4, mut order: Vec<SocketAddrV4>) -> Self {
+        order.reverse();
+        let (asked, failed) = (Vec::new(), Vec::new());
+        Self { node, endpoint, remaining: order, asked, failed, refusals: 0, unreachable: 0 }
     }
 
-    fn record_connect_failure(&self, address: SocketAddrV4, why: ConnectError) {
-        self.metrics.connect_failure(why.label());
-        if self.reachability.borrow_mut().record_failure(self.clock.now(), address) {
-            log::warn!(target: "paths", address:%, why:%; "endpoint cannot be reached");
+    async fn run(&mut self) -> ReachedElsewhere {
+        let mut open = FuturesUnordered::new();
+        let delay = self.node.carriers.borrow().ask_delay();
+        loop {
+            if let Some(carrier) = self.next() {
+                open.push(ask(self.node.clone(), carrier, self.endpoint));
+            }
+            let answer = match tokio::time::timeout(delay, open.next()).await {
+                Ok(Some(answer)) => answer,
+                Ok(None) => return self.conclusion(),
+                Err(_) => continue,
+            };
+            let (carrier, started_at, answer) = answer;
+            match answer {
+                Ok(connection) => {
+                    let now = self.node.clock.now();
+                    let mut carriers = self.node.carriers.borrow_mut();
+                    // The endpoint is reachable, so the others have no path to it.
+                    for failed in &self.failed {
+                        carriers.record_failed(now, *failed);
+                    }
+                    carriers.record_helped(now, carrier, now.since(started_at));
+                    self.node.record_carried(self.endpoint, carrier);
+                    return ReachedElsewhere::Connected(connection);
+                }
+                Err(why) => self.record_failure(carrier, why),
+            }
+            if self.refusals >= REFUSALS {
+                return ReachedElsewhere::Refused;
+            }
         }
     }
+
+    fn next(&mut self) -> Option<SocketAddrV4> {
+        if self.asked.len() >= MAX_ASKED {
+            return None;
+        }
+        let carrier = self.remaining.pop()?;
+        self.asked.push(carrier);
+        Some(carrier)
+    }
+
+    fn record_failure(&mut self, carrier: SocketAddrV4, why: CarrierError) {
+        log::debug!(target: "paths", address:% = self.endpoint, carrier:%, why:?; "tunnel refused");
+        match why {
+            CarrierError::Refused => self.refusals += 1,
+            CarrierError::Unreachable(named) => {
+                self.unreachable += 1;
+                let own = self.node.peers_address();
+                let is_new = |a: &SocketAddrV4| !self.asked.contains(a) && Some(*a) != own;
+                let named: Vec<_> = named.into_iter().filter(is_new).collect();
+                self.remaining.retain(|address| !named.contains(address));
+                self.remaining.extend(named.into_iter().rev());
+            }
+            CarrierError::Declined(_) | CarrierError::NoAnswer => {
+                let now = self.node.clock.now();
+                self.node.carriers.borrow_mut().record_failed(now, carrier);
+            }
+        }
+        self.failed.push(carrier);
+    }
+
+    fn conclusion(&self) -> ReachedElsewhere {
+        match (self.refusals, self.unreachable) {
+            (0, 0) => ReachedElsewhere::Unknown,
+            (0, _) => ReachedElsewhere::Unreachable,
+            (_, 0) => ReachedElsewhere::Refused,
+            // Those that cannot reach it prove nothing, and those that are refused may be cut off.
+            (_, _) => ReachedElsewhere::Unreachable,
+        }
+    }
+}
+
+async fn ask(
+    node: Rc<Node>,
+    carrier: SocketAddrV4,
+    endpoint: SocketAddrV4,
+) -> (SocketAddrV4, ringbend_types::Timestamp, Result<Connection, CarrierError>) {
+    let started_at = node.clock.now();
+    (carrier, started_at, tunnel::open(&node, carrier, endpoint).await)
+}
+
+/// Tries lost paths again, so that connections are direct soon after the links work.
+pub(crate) async fn check_lost_paths(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let now = node.clock.now();
+        let due = node.reachability.borrow_mut().begin_checks(now, MAX_CHECKS);
+        due.into_iter().for_each(|address| node.spawn_check(address));
+    }
 }
--- a/crates/ringbend-relay/src/exchange.rs
+++ b/crates/ringbend-relay/src/exchange.rs
@@ -14,11 +14,11 @@
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::buffers::{HeldBytes, NoRoom};
+use crate::connection::{Connection, ConnectionReader};
 use crate::network::ConnectError;
 
 /// Number of bytes per read.
@@ -91,7 +91,7 @@
 /// endpoint to stop.
 pub(crate) struct IncomingResponse {
     pub(crate) head: ResponseHead,
-    connection: OwnedReadHalf,
+    connection: ConnectionReader,
     _write: OwnedWriteHalf,
     buf: BytesMut,
     framing: Framing,
@@ -100,14 +100,14 @@
 /// Sends a request on a new connection and reads the head of the response.
 pub(crate) async fn send(
     cfg: &ServiceConfig,
-    connection: TcpStream,
+    connection: Connection,
     head: RequestHead,
     body: Bytes,
 ) -> Result<IncomingResponse, ExchangeError> {
     let method = head.method.clone();
     let mut codec = ClientCodec::new(cfg.clone());
     let (request, rest) = encode(&mut codec, head, body).map_err(ExchangeError::EncodeFailed)?;
-    let (mut read, mut write) = connection.into_split();
+    let Connection { reader: mut read, mut write } = connection;
     let mut buf = BytesMut::with_capacity(READ_BYTES);
     // An endpoint may respond before it has read the body, so writing and reading run concurrently.
     let written = async {
@@ -143,9 +143,10 @@
     Ok((request, Bytes::new()))
 }
 
-async fn read_head(
+/// Reads the head of a response, and bytes of its body into `buf`.
+pub(crate) async fn read_head(
     codec: &mut ClientCodec,
-    connection: &mut OwnedReadHalf,
+    connection: &mut ConnectionReader,
     buf: &mut BytesMut,
 ) -> Result<ResponseHead, ExchangeError> {
     loop {
@@ -164,11 +165,10 @@
 
 /// Reads more bytes. The end of the connection is an error.
 async fn read_more(
-    connection: &mut OwnedReadHalf,
+    connection: &mut ConnectionReader,
     buf: &mut BytesMut,
 ) -> Result<(), ExchangeError> {
-    buf.reserve(READ_BYTES);
-    match connection.read_buf(buf).await.map_err(ExchangeError::Io)? {
+    match connection.read(buf).await.map_err(ExchangeError::Io)? {
         0 => Err(ExchangeError::Truncated),
         _ => Ok(()),
     }
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod cold_endpoints;
 mod config;
 mod config_copy;
+mod connection;
 mod connector;
 mod copy_server;
 mod crashes;
@@ -63,6 +64,8 @@
 mod table_copies;
 mod table_gossip;
 mod timeouts;
+mod tunnel;
+mod tunnel_server;
 mod watch;
 
 pub use config::{
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -11,10 +11,10 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use ringbend_gateway::{
-    AccountShares, Backoffs, ColdPacing, Directory, Freshness, HealthTracker, InstanceRank, Limits,
-    LoadTracker, Membership, Outbox, PaceQueries, Peers, Permits, Quarantine, Reachability,
-    Replica, RetryBudget, SpreadSequence, StartSurvey, StoreOutages, StoreReaders, WorkId,
-    fleet_backoff_factor,
+    AccountShares, Backoffs, Carriers, ColdPacing, Directory, Freshness, HealthTracker,
+    InstanceRank, Limits, LoadTracker, Membership, Outbox, PaceQueries, Peers, Permits, Quarantine,
+    Reachability, Replica, RetryBudget, SpreadSequence, StartSurvey, StoreOutages, StoreReaders,
+    WorkId, fleet_backoff_factor,
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
@@ -53,8 +53,12 @@
     pub(crate) directory: RefCell<Directory>,
     pub(crate) load: RefCell<LoadTracker>,
     pub(crate) health: RefCell<HealthTracker>,
-    /// Which endpoints this instance cannot connect to.
+    /// Which endpoints this instance does not reach directly.
     pub(crate) reachability: RefCell<Reachability>,
+    /// Which other instances have carried connections to endpoints.
+    pub(crate) carriers: RefCell<Carriers>,
+    /// The connections to endpoints that this instance carries for others.
+    pub(crate) open_tunnels: Cell<usize>,
     /// Rate limits that endpoints announce in their responses.
     pub(crate) limits: RefCell<Limits>,
     /// Endpoints that asked this instance to send nothing for a while.
@@ -202,6 +206,8 @@
             load: RefCell::default(),
             health: RefCell::default(),
             reachability: RefCell::default(),
+            carriers: RefCell::default(),
+            open_tunnels: Cell::new(0),
             limits: RefCell::default(),
             backoffs: RefCell::default(),
             cold_pacing: RefCell::default(),
--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -21,6 +21,7 @@
 };
 
 use crate::config_copy::ConfigCopy;
+use crate::connection::Connection;
 use crate::endpoint_copy::EndpointCopy;
 use crate::exchange::{self, ExchangeError};
 use crate::node::Node;
@@ -211,6 +212,7 @@
         .insert(HOST, HeaderValue::from_str(&peer.to_string()).map_err(CopyError::Address)?);
     head.set_connection_type(ConnectionType::Close);
     let connection = node.connect_peer(peer).await.map_err(|e| CopyError::Exchange(e.into()))?;
+    let connection = Connection::direct(connection);
     let sent = exchange::send(&node.http_config, connection, head, Bytes::new()).await;
     let mut incoming = sent.map_err(CopyError::Exchange)?;
     if incoming.head.status != StatusCode::OK {
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -8,7 +8,7 @@
 
 use error_stack::{Report, ResultExt};
 use ringbend_gateway::{Endpoint, EndpointChange, WatchedTable};
-use ringbend_runtime::{Clock, Server, ServerConfig, serve};
+use ringbend_runtime::{Clock, Server, ServerConfig, serve, serve_with_tunnels};
 use ringbend_types::Timestamp;
 use tokio::task::JoinHandle;
 
@@ -16,6 +16,7 @@
 use crate::callers::Callers;
 use crate::config::RelayConfig;
 use crate::config_copy::ConfigCopy;
+use crate::connector::check_lost_paths;
 use crate::copy_server::CopyServer;
 use crate::discovery::{greet_seeds, join};
 use crate::endpoint_copy::EndpointCopy;
@@ -32,6 +33,7 @@
 use crate::start_survey::survey_engines;
 use crate::suspect_store::load_suspects;
 use crate::table_copies::copy_age;
+use crate::tunnel_server::TunnelServer;
 use crate::watch::Watch;
 
 /// Why a relay did not start.
@@ -150,8 +152,11 @@
             vec![tokio::task::spawn_local(config.run()), tokio::task::spawn_local(endpoints.run())];
         tasks.push(tokio::task::spawn_local(load_suspects(node.clone())));
         if let Some(address) = listen.peers {
-            let server =
-                start_server(address.into(), Rc::new(CopyServer { node: node.clone() })).await?;
+            let copies = Rc::new(CopyServer { node: node.clone() });
+            let tunnels = Rc::new(TunnelServer { node: node.clone() });
+            let server = serve_with_tunnels(address.into(), server_config(), copies, tunnels)
+                .await
+                .change_context(RelayError::Listen(address.into()))?;
             let address = SocketAddrV4::new(*address.ip(), server.address().port());
             servers.push(server);
             let socket = PeerSocket::open(address).await;
@@ -163,6 +168,7 @@
             drop(node.peer_socket.set(socket));
             tasks.push(tokio::task::spawn_local(greet_seeds(node.clone(), seeds)));
             tasks.push(tokio::task::spawn_local(receive_digests(node.clone())));
+            tasks.push(tokio::task::spawn_local(check_lost_paths(node.clone())));
             tasks.push(tokio::task::spawn_local(survey_engines(node.clone())));
             tasks.push(tokio::task::spawn_local(GossipSender::new(node.clone()).run()));
             let join = join(node.clone(), ports.registry.clone(), has_seeds);
@@ -261,9 +267,9 @@
         }
     }
 
-    /// The number of endpoints that this instance cannot connect to.
+    /// The number of endpoints that only other instances reach.
     pub fn unreachable_endpoints(&self) -> usize {
-        self.node.reachability.borrow().failing()
+        self.node.reachability.borrow().lost()
     }
 
     /// The number of requests known to be open on endpoints, including those of other instances.
@@ -306,10 +312,13 @@
     }
 }
 
+fn server_config() -> ServerConfig {
+    ServerConfig { keep_alive: KEEP_ALIVE, ..ServerConfig::default() }
+}
+
 async fn start_server(
     address: SocketAddr,
     handler: Rc<dyn ringbend_runtime::Handler>,
 ) -> Result<Server, Report<RelayError>> {
-    let cfg = ServerConfig { keep_alive: KEEP_ALIVE, ..ServerConfig::default() };
-    serve(address, cfg, handler).await.change_context(RelayError::Listen(address))
+    serve(address, server_config(), handler).await.change_context(RelayError::Listen(address))
 }
--- a/crates/ringbend-runtime/src/lib.rs
+++ b/crates/ringbend-runtime/src/lib.rs
@@ -12,5 +12,8 @@
 pub use body::{BodyError, read_body, read_body_with};
 pub use clock::{Clock, unix_millis};
 pub use response::{StreamError, StreamSender, empty, json, stream, text};
-pub use server::{Handler, HttpRequest, HttpResponse, Server, ServerConfig, serve};
+pub use server::{
+    Handler, HttpRequest, HttpResponse, PendingTunnel, Server, ServerConfig, TunnelHandler, serve,
+    serve_with_tunnels,
+};
 pub use timers::{Subscription, TimerService};
--- a/crates/ringbend-runtime/src/server.rs
+++ b/crates/ringbend-runtime/src/server.rs
@@ -2,14 +2,21 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
-use actix_http::{HttpService, KeepAlive, Request, Response};
-use actix_rt::net::TcpListener;
+use actix_codec::Framed;
+use actix_http::body::{BodySize, BoxBody};
+use actix_http::error::DispatchError;
+use actix_http::h1::{Codec, Message};
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{HttpServiceBuilder, KeepAlive, Request, Response, StatusCode};
+use actix_rt::net::{TcpListener, TcpStream};
 use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::BytesMut;
+use futures_util::SinkExt;
 use futures_util::future::LocalBoxFuture;
 use tokio::task::JoinHandle;
 
@@ -25,6 +32,53 @@
     fn handle(self: Rc<Self>, req: HttpRequest) -> LocalBoxFuture<'static, HttpResponse>;
 }
 
+/// A CONNECT request that is not answered yet.
+pub struct PendingTunnel(Framed<TcpStream, Codec>);
+
+impl PendingTunnel {
+    /// Accepts the request. Returns the connection and what was already read from it.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub async fn accept(mut self) -> std::io::Result<(TcpStream, BytesMut)> {
+        self.respond(Response::new(StatusCode::OK)).await?;
+        let parts = self.0.into_parts();
+        Ok((parts.io, parts.read_buf))
+    }
+
+    /// Rejects the request and closes the connection.
+    pub async fn reject(mut self, status: StatusCode, header: Option<(HeaderName, HeaderValue)>) {
+        let mut res = Response::new(status);
+        if let Some((name, value)) = header {
+            res.headers_mut().insert(name, value);
+        }
+        if let Err(e) = self.respond(res).await {
+            log::debug!("tunnel request not answered: {e}");
+        }
+    }
+
+    async fn respond(&mut self, res: HttpResponse) -> std::io::Result<()> {
+        self.0.send(Message::Item((res.drop_body(), BodySize::None))).await
+    }
+}
+
+impl std::fmt::Debug for PendingTunnel {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PendingTunnel").finish_non_exhaustive()
+    }
+}
+
+/// Handles CONNECT requests.
+pub trait TunnelHandler {
+    /// Handles one request until its tunnel has ended.
+    fn handle(
+        self: Rc<Self>,
+        req: HttpRequest,
+        tunnel: PendingTunnel,
+    ) -> LocalBoxFuture<'static, ()>;
+}
+
 /// Limits of a server.
 #[derive(Debug, Clone)]
 pub struct ServerConfig {
@@ -98,18 +152,70 @@
     cfg: ServerConfig,
     handler: Rc<dyn Handler>,
 ) -> std::io::Result<Server> {
-    let listener = TcpListener::bind(address).await?;
-    let address = listener.local_addr()?;
-    let service = HttpService::build()
+    let service = builder(&cfg).finish(responder(handler)).tcp_auto_h2c();
+    listen(address, &cfg, service).await
+}
+
+/// Like [`serve`], with CONNECT requests handled by `tunnels`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn serve_with_tunnels(
+    address: SocketAddr,
+    cfg: ServerConfig,
+    handler: Rc<dyn Handler>,
+    tunnels: Rc<dyn TunnelHandler>,
+) -> std::io::Result<Server> {
+    let connect = fn_service(move |(req, framed): (Request, Framed<TcpStream, Codec>)| {
+        let tunnels = tunnels.clone();
+        async move {
+            tunnels.handle(req, PendingTunnel(framed)).await;
+            Ok::<_, Infallible>(())
+        }
+    });
+    let service = builder(&cfg).upgrade(connect).finish(responder(handler)).tcp_auto_h2c();
+    listen(address, &cfg, service).await
+}
+
+fn builder<S>(cfg: &ServerConfig) -> HttpServiceBuilder<TcpStream, S>
+where
+    S: ServiceFactory<Request, Config = ()>,
+    S::Error: Into<HttpResponse> + 'static,
+    S::InitError: Debug,
+    <S::Service as Service<Request>>::Future: 'static,
+{
+    HttpServiceBuilder::default()
         .keep_alive(KeepAlive::Timeout(cfg.keep_alive))
         .client_request_timeout(cfg.head_timeout)
         .client_disconnect_timeout(Duration::from_secs(1))
         .h1_allow_half_closed(false)
-        .finish(fn_service(move |req: Request| {
-            let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.handle(req).await) }
-        }))
-        .tcp_auto_h2c();
+}
+
+fn responder(
+    handler: Rc<dyn Handler>,
+) -> impl ServiceFactory<Request, Config = (), Response = HttpResponse, Error = Infallible, InitError = ()>
+{
+    fn_service(move |req: Request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(req).await) }
+    })
+}
+
+async fn listen(
+    address: SocketAddr,
+    cfg: &ServerConfig,
+    service: impl ServiceFactory<
+        TcpStream,
+        Config = (),
+        Response = (),
+        Error = DispatchError,
+        InitError = (),
+        Service: 'static,
+    >,
+) -> std::io::Result<Server> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
     let service = match service.new_service(()).await {
         Ok(service) => Rc::new(service),
         Err(()) => return Err(std::io::Error::other("the HTTP service failed to start")),
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -59,7 +59,10 @@
     first_token: Family<BucketLabels, Histogram>,
     attempts: Counter,
     connect_failures: Family<CodeLabels, Counter>,
-    /// Endpoints that this instance cannot connect to.
+    tunnels: Counter,
+    /// Connections to endpoints that this instance carries for others.
+    pub open_tunnels: Gauge,
+    /// Endpoints that only other instances reach.
     pub unreachable_endpoints: Gauge,
     retries: Counter,
     claims: Counter,
@@ -129,6 +132,8 @@
             first_token: Family::new_with_constructor(histogram),
             attempts: Counter::default(),
             connect_failures: Family::default(),
+            tunnels: Counter::default(),
+            open_tunnels: Gauge::default(),
             unreachable_endpoints: Gauge::default(),
             retries: Counter::default(),
             claims: Counter::default(),
@@ -211,6 +216,11 @@
         self.connect_failures.get_or_create(&CodeLabels { code }).inc();
     }
 
+    /// Counts a connection to an endpoint that is carried for another instance.
+    pub fn tunnel_carried(&self) {
+        self.tunnels.inc();
+    }
+
     /// Counts a requested claim.
     pub fn claim(&self) {
         self.claims.inc();
@@ -300,7 +310,14 @@
         let failures = self.connect_failures.clone();
         r.register("connect_failures", "Failed connects to endpoints, by code", failures);
         let unreachable = self.unreachable_endpoints.clone();
-        r.register("unreachable_endpoints", "Endpoints that cannot be connected to", unreachable);
+        r.register(
+            "unreachable_endpoints",
+            "Endpoints that only other instances reach",
+            unreachable,
+        );
+        r.register("tunnels", "Connections carried for other instances", self.tunnels.clone());
+        let tunnels = self.open_tunnels.clone();
+        r.register("open_tunnels", "Open connections carried for other instances", tunnels);
         r.register("retries", "Attempts after the first", self.retries.clone());
         r.register("claims", "Requested claims", self.claims.clone());
         r.register("table_calls", "Calls to the table service", self.table_calls.clone());
