fix(relay): a refusal seen by one instance is no proof that a process ended

Cause: a request that broke off on an address that refuses connections strikes its request; a cut link refuses as well. Change: other instances are asked, by a tunnel, whether the endpoint listens; two have to be refused, or all that are known. An instance gives its own refusal only if it has just connected to another endpoint. One that knows no other instance takes its own refusal for proof, as before. Why it works: an engine that ended refuses everyone, a lost link only one.

--- a/crates/ringbend-gateway/src/reachability.rs
+++ b/crates/ringbend-gateway/src/reachability.rs
@@ -1,6 +1,6 @@
 //! Which endpoints this instance reaches directly, and which only other instances reach.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -27,14 +27,12 @@
 #[derive(Debug, Clone, Default)]
 pub struct Reachability {
     failing: BTreeMap<SocketAddrV4, FailingPath>,
-    /// The endpoints on which connecting has failed since it last succeeded on any.
-    failed_since_success: BTreeSet<SocketAddrV4>,
+    last_success: Option<Timestamp>,
 }
 
 impl Reachability {
     /// Records that connecting directly failed.
     pub fn record_failure(&mut self, now: Timestamp, address: SocketAddrV4) {
-        self.failed_since_success.insert(address);
         let new = FailingPath { since: now, is_lost: false, checked_at: now, unreached_at: None };
         self.failing.entry(address).or_insert(new);
     }
@@ -42,7 +40,7 @@
     /// Records that connecting directly succeeded. Returns for how long the path was lost, if it
     /// was.
     pub fn record_success(&mut self, now: Timestamp, address: SocketAddrV4) -> Option<Duration> {
-        self.failed_since_success.clear();
+        self.last_success = Some(now);
         let path = self.failing.remove(&address)?;
         path.is_lost.then(|| now.since(path.since))
     }
@@ -76,10 +74,14 @@
         unreached_at.is_some_and(|at| now.since(at) < UNREACHED_TTL)
     }
 
-    /// Whether a refused connection says something about the endpoint. If connecting failed on
-    /// other endpoints too, this instance may have lost its links.
-    pub fn may_testify(&self, address: SocketAddrV4) -> bool {
-        self.failed_since_success.iter().all(|failed| *failed == address)
+    /// Whether this instance has connected directly to any endpoint within `time`.
+    pub fn has_connected_within(&self, now: Timestamp, time: Duration) -> bool {
+        self.last_success.is_some_and(|at| now.since(at) < time)
+    }
+
+    /// Whether connecting directly to this endpoint has failed since it last succeeded.
+    pub fn is_failing(&self, address: SocketAddrV4) -> bool {
+        self.failing.contains_key(&address)
     }
 
     /// Whether to try a lost path again now. Records the try if so.
@@ -110,6 +112,5 @@
     /// Drops endpoints that are no longer registered.
     pub fn retain(&mut self, is_registered: impl Fn(SocketAddrV4) -> bool) {
         self.failing.retain(|address, _| is_registered(*address));
-        self.failed_since_success.retain(|address| is_registered(*address));
     }
 }
--- a/crates/ringbend-relay/src/connector.rs
+++ b/crates/ringbend-relay/src/connector.rs
@@ -6,6 +6,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use rand::seq::SliceRandom;
 use ringbend_gateway::Candidates;
 use tokio::net::TcpStream;
 
@@ -31,6 +32,15 @@
 /// have lost its links without knowing it yet.
 const REFUSALS: usize = 2;
 
+/// How long a successful connect to any endpoint proves that this instance has links.
+const CONTROL_TTL: Duration = Duration::from_millis(200);
+
+/// Timeout of connecting to another endpoint to find out whether this instance has links.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// The maximum number of endpoints that are connected to for that.
+const MAX_CONTROLS: usize = 3;
+
 /// The interval between checks of lost paths.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -124,6 +134,52 @@
         });
     }
 
+    /// Whether an endpoint listens, by what other instances find. `None` if they do not tell.
+    pub(crate) async fn is_listening_elsewhere(
+        self: &Rc<Self>,
+        address: SocketAddrV4,
+    ) -> Option<bool> {
+        match self.ask_carriers(address).await {
+            ReachedElsewhere::Connected(_) => Some(true),
+            ReachedElsewhere::Refused => Some(false),
+            ReachedElsewhere::Unreachable | ReachedElsewhere::Unknown => None,
+        }
+    }
+
+    /// Whether this instance reaches any endpoint but the one at `address`, so that a refusal by
+    /// that one is not due to the links of this instance. True if there is no other endpoint.
+    pub(crate) async fn reaches_other_endpoint(&self, address: SocketAddrV4) -> bool {
+        if self.reachability.borrow().has_connected_within(self.clock.now(), CONTROL_TTL) {
+            return true;
+        }
+        let controls = self.control_endpoints(address);
+        if controls.is_empty() {
+            return true;
+        }
+        let mut connecting: FuturesUnordered<_> = controls
+            .iter()
+            .map(|control| self.connect_directly(*control, CONTROL_TIMEOUT))
+            .collect();
+        while let Some(connected) = connecting.next().await {
+            if connected.is_ok() {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Endpoints other than the one at `address`, preferably ones that did not fail.
+    fn control_endpoints(&self, address: SocketAddrV4) -> Vec<SocketAddrV4> {
+        let directory = self.directory.borrow();
+        let others = directory.registered().map(|endpoint| endpoint.address);
+        let mut others: Vec<_> = others.filter(|other| *other != address).collect();
+        others.shuffle(&mut *self.rng.borrow_mut());
+        let reachability = self.reachability.borrow();
+        others.sort_by_key(|other| reachability.is_failing(*other));
+        others.truncate(MAX_CONTROLS);
+        others
+    }
+
     /// The instances that may carry connections.
     pub(crate) fn carrier_candidates(&self) -> Candidates {
         self.peers.borrow().carrier_candidates(self.clock.now())
--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! A broken connection proves nothing: engines cut off responses, connections are reset, and
 //! engines are shut down. The end of a process is proved if its address refuses connections right
-//! after one broke, or by a later message of the process itself or of its successor. Without such
+//! after one broke, those of other instances as well, or by a later message of the process itself or of its successor. Without such
 //! proof the request is not blamed: a missed strike costs one more engine, while a wrong one may
 //! cause a harmless request to be held. An endpoint that is leaving is expected to end, so its end
 //! is no strike either.
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ringbend_gateway::{EndedProcess, Endpoint};
+use ringbend_gateway::{Candidates, EndedProcess, Endpoint};
 use ringbend_types::{Fingerprint, Timestamp};
 
 use crate::active_request::ActiveRequest;
@@ -29,6 +29,10 @@
 /// milliseconds, and the request waits for it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// How long other instances may take to find out whether an endpoint that refuses this instance
+/// listens.
+const ELSEWHERE_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Delay after which an address that accepted a connection is probed again. A process that ends may
 /// close its connections before it stops listening, and a proxy in front of it may notice later.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(60);
@@ -123,7 +127,7 @@
             Some((at, None)) if now.since(at) < PROBE_RESULT_TTL => {}
             _ => return self.connect_probe(now, address).await,
         }
-        let until = now + PROBE_TIMEOUT;
+        let until = now + PROBE_TIMEOUT + ELSEWHERE_PROBE_TIMEOUT;
         while self.clock.now() < until {
             tokio::time::sleep(Duration::from_millis(1)).await;
             if let Some(found) = self.probes.borrow().0.get(&address).and_then(|probe| probe.found)
@@ -134,24 +138,40 @@
         ProbeResult::Silent
     }
 
-    async fn connect_probe(&self, now: Timestamp, address: SocketAddrV4) -> ProbeResult {
+    async fn connect_probe(self: &Rc<Self>, now: Timestamp, address: SocketAddrV4) -> ProbeResult {
         let probe = Probe { at: now, found: None };
         {
             let probes = &mut self.probes.borrow_mut().0;
             probes.retain(|_, probe| now.since(probe.at) < PROBE_RESULT_TTL);
             probes.insert(address, probe);
         }
-        let found = match network::connect(&*self.network, address, PROBE_TIMEOUT).await {
-            Ok(_) => ProbeResult::Listening,
-            Err(ConnectError::Refused) => ProbeResult::Refused,
-            Err(_) => ProbeResult::Silent,
-        };
+        let found = self.find_listener(address).await;
         if let Some(probe) = self.probes.borrow_mut().0.get_mut(&address) {
             probe.found = Some(found);
         }
         found
     }
 
+    async fn find_listener(self: &Rc<Self>, address: SocketAddrV4) -> ProbeResult {
+        let is_lost = self.reachability.borrow().is_lost(address);
+        if !is_lost {
+            match network::connect(&*self.network, address, PROBE_TIMEOUT).await {
+                Ok(_) => return ProbeResult::Listening,
+                Err(ConnectError::Refused) => {}
+                Err(_) => return ProbeResult::Silent,
+            }
+        }
+        if self.carrier_candidates() == Candidates::default() {
+            return if is_lost { ProbeResult::Silent } else { ProbeResult::Refused };
+        }
+        let asked = self.is_listening_elsewhere(address);
+        match tokio::time::timeout(ELSEWHERE_PROBE_TIMEOUT, asked).await {
+            Ok(Some(true)) => ProbeResult::Listening,
+            Ok(Some(false)) => ProbeResult::Refused,
+            Ok(None) | Err(_) => ProbeResult::Silent,
+        }
+    }
+
     /// Checks whether an endpoint on which a request broke off has crashed, and records a strike if
     /// so. Returns whether the address accepted a connection.
     async fn probe_for_crash(self: &Rc<Self>, endpoint: &Endpoint, run: SuspectedRun) -> bool {
--- a/crates/ringbend-relay/src/tunnel_server.rs
+++ b/crates/ringbend-relay/src/tunnel_server.rs
@@ -85,7 +85,7 @@
                     forward(peer, buf, endpoint).await;
                 }
             }
-            Err(ConnectError::Refused) if node.reachability.borrow().may_testify(target) => {
+            Err(ConnectError::Refused) if node.reaches_other_endpoint(target).await => {
                 tunnel.reject(StatusCode::BAD_GATEWAY, None).await;
             }
             Err(_) => {
