fix(relay): reject requests at once while no instance reaches an endpoint of their service

Callers waited 3.6 s for a 503, or for their deadline, though it was known that nobody could serve them. Cause: each request tried one endpoint after another, 400 ms each, and the instance stayed ready. Change: an endpoint that this instance does not reach, and of which another one has answered the same, is out of reach. While all of a service are, requests get 503 with Retry-After at once; while all endpoints are, the instance is not ready and closes connections after its responses. A refused connect or an instance that does not answer proves nothing here. Why it works: it is known before the request is sent.

--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -94,7 +94,7 @@
 };
 pub use priorities::{Priorities, Rank};
 pub use quarantine::{EndedProcess, Quarantine, STRIKES_TO_HOLD, SuspectState, Suspicion};
-pub use reachability::Reachability;
+pub use reachability::{PATH_CHECK_INTERVAL, Reachability};
 pub use regions::{AllowedDataCentres, AllowedRegions, RegionMap};
 pub use replica::{OfferResult, Replica};
 pub use reservation::{
--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -10,7 +10,8 @@
 use bytes::Bytes;
 use rand::Rng;
 use ringbend_gateway::{
-    Account, Attempts, ConfigVersion, HealthEvent, NextStep, Route, SendOutcome, Service,
+    Account, Attempts, ConfigVersion, HealthEvent, NextStep, PATH_CHECK_INTERVAL, Route,
+    SendOutcome, Service,
 };
 use ringbend_runtime::HttpResponse;
 use ringbend_types::{EndpointId, Fingerprint, PromptBucket, RunState, Timestamp, TokenCount};
@@ -172,6 +173,10 @@
                 self.retry_after = Some(self.with_jitter(after));
                 Some(self.refusal_unless_run(Refusal::BackingOff))
             }
+            SendFailure::OutOfReach => {
+                self.retry_after = Some(self.with_jitter(PATH_CHECK_INTERVAL));
+                Some(self.refusal_unless_run(Refusal::OutOfReach))
+            }
             SendFailure::Stopping => Some(self.refusal_unless_run(Refusal::Stopping)),
             SendFailure::Aborted | SendFailure::NoBufferRoom => {
                 self.attempts.record_aborted();
@@ -384,6 +389,8 @@
     Aborted,
     /// The response could not be held, because other bodies take all the memory for them.
     NoBufferRoom,
+    /// No instance reaches any endpoint of the service.
+    OutOfReach,
     /// The send ended with this outcome.
     Send(SendOutcome),
 }
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -66,9 +66,10 @@
         self.with_connection_close(res)
     }
 
-    /// While the instance is stopping, each response closes its connection.
+    /// While the instance is stopping, or no endpoint is reached, each response closes its
+    /// connection, so that the caller's next one may be to another instance.
     fn with_connection_close(&self, mut res: HttpResponse) -> HttpResponse {
-        if self.node.stopping_since.get().is_some() {
+        if self.node.stopping_since.get().is_some() || self.node.is_cut_off() {
             res.head_mut().set_connection_type(ConnectionType::Close);
         }
         res
--- a/crates/ringbend-relay/src/connector.rs
+++ b/crates/ringbend-relay/src/connector.rs
@@ -8,6 +8,7 @@
 use futures_util::stream::FuturesUnordered;
 use rand::seq::SliceRandom;
 use ringbend_gateway::Candidates;
+use ringbend_types::ServiceName;
 use tokio::net::TcpStream;
 
 use crate::connection::Connection;
@@ -41,6 +42,12 @@
 /// The maximum number of endpoints that are connected to for that.
 const MAX_CONTROLS: usize = 3;
 
+/// How long no endpoint was reached before those that were not tried are tried.
+const EXPLORE_AFTER: Duration = Duration::from_millis(500);
+
+/// The maximum number of such endpoints that are tried in one interval.
+const MAX_EXPLORED: usize = 8;
+
 /// The interval between checks of lost paths.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -130,7 +137,12 @@
     fn spawn_check(self: &Rc<Self>, address: SocketAddrV4) {
         let node = self.clone();
         tokio::task::spawn_local(async move {
-            drop(node.connect_directly(address, CONNECT_TIMEOUT).await);
+            let is_lost = node.reachability.borrow().is_lost(address);
+            if is_lost {
+                drop(node.connect_directly(address, CONNECT_TIMEOUT).await);
+            } else {
+                drop(node.connect_endpoint(address).await);
+            }
         });
     }
 
@@ -213,11 +225,54 @@
             Err(_) => search.conclusion(),
         };
         if !matches!(found, ReachedElsewhere::Connected(_)) {
-            self.reachability.borrow_mut().record_unreached(self.clock.now(), address);
+            let is_alone = candidates == Candidates::default();
+            let is_out_of_reach = is_alone || matches!(found, ReachedElsewhere::Unreachable);
+            self.record_unreached(address, is_out_of_reach);
         }
         found
     }
 
+    fn record_unreached(&self, address: SocketAddrV4, is_out_of_reach: bool) {
+        let had_any = self.reachability.borrow().has_out_of_reach();
+        let now = self.clock.now();
+        self.reachability.borrow_mut().record_unreached(now, address, is_out_of_reach);
+        if is_out_of_reach && !had_any {
+            log::warn!(target: "paths", address:%; "no instance reaches the endpoint");
+        }
+    }
+
+    /// Whether no instance reaches any endpoint of the service.
+    pub(crate) fn is_out_of_reach(&self, service: &ServiceName) -> bool {
+        let reachability = self.reachability.borrow();
+        let directory = self.directory.borrow();
+        let endpoints = directory.of_service(self.clock.now(), service);
+        reachability.has_out_of_reach()
+            && reachability.are_out_of_reach(endpoints.map(|endpoint| endpoint.address))
+    }
+
+    /// Whether no instance reaches any endpoint at all.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let reachability = self.reachability.borrow();
+        let directory = self.directory.borrow();
+        reachability.has_out_of_reach()
+            && reachability.are_out_of_reach(directory.registered().map(|e| e.address))
+    }
+
+    /// Tries endpoints that were not tried while none is reached, so that it becomes known which
+    /// services can be served.
+    fn explore(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let is_reached = self.reachability.borrow().has_reached_within(now, EXPLORE_AFTER);
+        if is_reached || !self.reachability.borrow().has_out_of_reach() {
+            return;
+        }
+        let directory = self.directory.borrow();
+        let reachability = self.reachability.borrow();
+        let untried = directory.registered().map(|endpoint| endpoint.address);
+        let untried = untried.filter(|address| !reachability.is_failing(*address));
+        untried.take(MAX_EXPLORED).for_each(|address| self.spawn_check(address));
+    }
+
     /// Records that another instance reaches an endpoint that this one does not.
     fn record_carried(&self, address: SocketAddrV4, carrier: SocketAddrV4) {
         let now = self.clock.now();
@@ -332,12 +387,14 @@
     (carrier, started_at, tunnel::open(&node, carrier, endpoint).await)
 }
 
-/// Tries lost paths again, so that connections are direct soon after the links work.
+/// Tries lost paths and endpoints that are out of reach again, so that they are used soon after the
+/// links work.
 pub(crate) async fn check_lost_paths(node: Rc<Node>) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let now = node.clock.now();
         let due = node.reachability.borrow_mut().begin_checks(now, MAX_CHECKS);
         due.into_iter().for_each(|address| node.spawn_check(address));
+        node.explore();
     }
 }
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -280,6 +280,7 @@
         let has_state = !self.directory.borrow().is_empty() && self.is_suspects_wait_over();
         self.stopping_since.get().is_none()
             && has_state
+            && !self.is_cut_off()
             && age.is_some_and(|age| age < MAX_READY_CONFIG_AGE)
     }
 
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -44,6 +44,8 @@
     BackingOff,
     /// The request may crash endpoints, and no arbiter is available to place it. It was not sent.
     Suspected,
+    /// No instance reaches any endpoint of the service. The request was not sent.
+    OutOfReach,
     /// The deadline passed and the request was not run.
     LateNotRun,
     /// The deadline passed.
@@ -100,6 +102,7 @@
             Self::Overloaded => "overloaded",
             Self::BackingOff => "backing-off",
             Self::Suspected => "suspected",
+            Self::OutOfReach => "out-of-reach",
             Self::LateNotRun => "late-not-run",
             Self::Late => "late",
         }
@@ -132,6 +135,7 @@
             | Self::Overloaded
             | Self::BackingOff
             | Self::Suspected
+            | Self::OutOfReach
             | Self::LateNotRun => Some(hint.unwrap_or(DEFAULT_RETRY_AFTER)),
             _ => None,
         }
--- a/crates/ringbend-relay/src/scheduling.rs
+++ b/crates/ringbend-relay/src/scheduling.rs
@@ -57,6 +57,9 @@
         if self.is_held() {
             return Err(SendFailure::Held);
         }
+        if self.node.is_out_of_reach(&self.config.service.name) {
+            return Err(SendFailure::OutOfReach);
+        }
         if let Some(after) = self.node.all_backing_off(&self.config.service.name) {
             return Err(SendFailure::BackingOff(after));
         }
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -206,6 +206,7 @@
             | SendFailure::Limited(_)
             | SendFailure::Overloaded(_)
             | SendFailure::BackingOff(_)
+            | SendFailure::OutOfReach
             | SendFailure::Stopping
             | SendFailure::NoBufferRoom
             | SendFailure::Aborted => false,
