fix(relay): probe idle connections to endpoints and tunnels

Callers waited for streams whose link had been lost until the caller's own timeout: nothing arrives on such a connection, and nothing is sent. Cause: connections had no keep-alive; neither tokio nor actix sets one, or a TCP_USER_TIMEOUT. Change: the system probes connections to endpoints and tunnels after 1 s without traffic, each second, and gives up after two probes. No TCP_USER_TIMEOUT, which would decide by itself when probes give up. Why it works: a link that is lost answers no probe; an engine that is silent for a second has a kernel that does. That a stream breaks after three seconds is not shown by a run: loopback has no links to cut.

--- a/crates/ringbend-relay/src/network.rs
+++ b/crates/ringbend-relay/src/network.rs
@@ -6,10 +6,19 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
 use crate::ports::Network;
 
+/// How long a connection is idle before it is probed, and the time between probes. The system counts
+/// whole seconds.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The number of unanswered probes after which a connection counts as broken. Machines may be silent
+/// for about a second.
+const KEEP_ALIVE_PROBES: u32 = 2;
+
 /// Why a connection could not be established.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectError {
@@ -66,6 +75,16 @@
     }
 }
 
+/// Makes the system probe an idle connection, so that one whose link is lost breaks. No
+/// `TCP_USER_TIMEOUT` is set: it would replace the number of probes.
+pub(crate) fn enable_keep_alive(connection: &TcpStream) -> io::Result<()> {
+    let probes = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_INTERVAL)
+        .with_interval(KEEP_ALIVE_INTERVAL)
+        .with_retries(KEEP_ALIVE_PROBES);
+    SockRef::from(connection).set_tcp_keepalive(&probes)
+}
+
 /// The network of the machine that the instance runs on.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TcpNetwork;
@@ -74,8 +93,8 @@
 impl Network for TcpNetwork {
     async fn connect(&self, address: SocketAddrV4) -> io::Result<TcpStream> {
         let connection = TcpStream::connect(address).await?;
-        if let Err(e) = connection.set_nodelay(true) {
-            log::debug!(target: "paths", error:% = e; "cannot set TCP_NODELAY");
+        if let Err(e) = connection.set_nodelay(true).and_then(|()| enable_keep_alive(&connection)) {
+            log::debug!(target: "paths", error:% = e; "cannot set socket options");
         }
         Ok(connection)
     }
--- a/crates/ringbend-relay/src/tunnel_server.rs
+++ b/crates/ringbend-relay/src/tunnel_server.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
 
-use crate::network::ConnectError;
+use crate::network::{self, ConnectError};
 use crate::node::Node;
 use crate::tunnel::ALTERNATIVES_HEADER;
 
@@ -81,7 +81,9 @@
         match self.connect(target).await {
             Ok(endpoint) => {
                 node.metrics.tunnel_carried();
-                if let Ok((peer, buf)) = tunnel.accept().await {
+                if let Ok((peer, buf)) = tunnel.accept().await
+                    && network::enable_keep_alive(&peer).is_ok()
+                {
                     forward(peer, buf, endpoint).await;
                 }
             }
