--- a/crates/ringbend-relay/src/connector.rs
+++ b/crates/ringbend-relay/src/connector.rs
@@ -74,7 +74,11 @@
     ) -> Result<Connection, ConnectError> {
         if self.reachability.borrow().is_lost(address) {
             self.check_path(address);
-            return self.connect_elsewhere(address, ConnectError::TimedOut).await;
+            return match self.connect_elsewhere(address, ConnectError::TimedOut).await {
+                Ok(connection) => Ok(connection),
+                // The others may have lost their links while this instance's work again.
+                Err(_) => self.connect_directly(address, HEAD_START).await.map(Connection::direct),
+            };
         }
         let mut direct = std::pin::pin!(self.connect_directly(address, CONNECT_TIMEOUT));
         match tokio::time::timeout(HEAD_START, &mut direct).await {
