feat(relay): listen.source, the local address of outgoing connections

Cause: a host with several addresses cannot choose the one from which an instance connects, and on one machine all instances look alike to an endpoint, so links cannot be cut by pair with real processes. Change: the setting listen.source binds connections to endpoints and other instances; the system chooses if it is omitted, as before.

--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -1,7 +1,7 @@
 //! The settings file of a relay: addresses, location and bounds.
 
 use std::fmt;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -113,6 +113,9 @@
     /// port of `peers`, which is the same on all instances.
     #[serde(default)]
     pub seeds: Vec<SocketAddrV4>,
+    /// The local address of connections to endpoints and other instances; the system chooses one if
+    /// omitted.
+    pub source: Option<Ipv4Addr>,
 }
 
 /// The store with the watched tables.
@@ -182,7 +185,7 @@
 }
 
 /// Setting names that are suggested for unknown ones.
-const KNOWN_NAMES: [&str; 40] = [
+const KNOWN_NAMES: [&str; 41] = [
     "instance",
     "data_centre",
     "cpu_share",
@@ -193,6 +196,7 @@
     "metrics",
     "peers",
     "seeds",
+    "source",
     "store",
     "address",
     "bounds",
--- a/crates/ringbend-relay/src/network.rs
+++ b/crates/ringbend-relay/src/network.rs
@@ -2,12 +2,12 @@
 
 use std::fmt;
 use std::io::{self, ErrorKind};
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::ports::Network;
 
@@ -87,12 +87,25 @@
 
 /// The network of the machine that the instance runs on.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct TcpNetwork;
+pub struct TcpNetwork {
+    source: Option<Ipv4Addr>,
+}
+
+impl TcpNetwork {
+    /// A network whose connections come from `source`, or from an address that the system chooses.
+    pub fn new(source: Option<Ipv4Addr>) -> Self {
+        Self { source }
+    }
+}
 
 #[async_trait(?Send)]
 impl Network for TcpNetwork {
     async fn connect(&self, address: SocketAddrV4) -> io::Result<TcpStream> {
-        let connection = TcpStream::connect(address).await?;
+        let socket = TcpSocket::new_v4()?;
+        if let Some(source) = self.source {
+            socket.bind(SocketAddrV4::new(source, 0).into())?;
+        }
+        let connection = socket.connect(address.into()).await?;
         if let Err(e) = connection.set_nodelay(true).and_then(|()| enable_keep_alive(&connection)) {
             log::debug!(target: "paths", error:% = e; "cannot set socket options");
         }
--- a/crates/ringbend-relay/tests/network.rs
+++ b/crates/ringbend-relay/tests/network.rs
@@ -1,6 +1,6 @@
 //! Options of connections to endpoints and other instances.
 
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use ringbend_relay::{Network, TcpNetwork};
@@ -14,7 +14,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
     let address: SocketAddrV4 = address;
-    let connection = TcpNetwork.connect(address).await.unwrap();
+    let connection = TcpNetwork::default().connect(address).await.unwrap();
     let socket = SockRef::from(&connection);
     assert!(socket.keepalive().unwrap());
     let (time, interval) = (socket.tcp_keepalive_time(), socket.tcp_keepalive_interval());
@@ -24,3 +24,14 @@
     assert_eq!(socket.tcp_user_timeout().unwrap(), None);
     assert!(connection.nodelay().unwrap());
 }
+
+#[actix_rt::test]
+async fn connections_come_from_the_configured_address() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    let source = Ipv4Addr::new(127, 7, 7, 7);
+    let network = TcpNetwork::new(Some(source));
+    let (connection, accepted) = tokio::join!(network.connect(address), listener.accept());
+    assert_eq!(connection.unwrap().local_addr().unwrap().ip(), source);
+    assert_eq!(accepted.unwrap().1.ip(), source);
+}
