fix(relay): an instance is out of reach of an endpoint only once all known carriers have failed

Cause: a search that ended in time before it had asked everyone counted as one in which nobody reaches the endpoint; instances that could not reach it were asked again and again, each taking 250 ms to find that out.

--- a/crates/ringbend-gateway/src/carriers.rs
+++ b/crates/ringbend-gateway/src/carriers.rs
@@ -102,6 +102,12 @@
         order.into_iter().map(|(.., address)| address).collect()
     }
 
+    /// Whether none of the candidates could help recently.
+    pub fn have_all_failed(&self, now: Timestamp, candidates: &Candidates) -> bool {
+        let failed = |address| self.records.get(address).is_some_and(|r: &Record| r.failed(now));
+        candidates.local.iter().chain(&candidates.remote).all(failed)
+    }
+
     /// The instance that last helped, if that is recent.
     pub fn latest(&self, now: Timestamp) -> Option<SocketAddrV4> {
         let helped = self.records.iter().filter(|(_, record)| record.helped(now));
--- a/crates/ringbend-gateway/src/reachability.rs
+++ b/crates/ringbend-gateway/src/reachability.rs
@@ -9,7 +9,8 @@
 /// The interval at which a lost path, or an endpoint that is out of reach, is tried again.
 pub const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
-/// How long other instances are not asked again about an endpoint that none of them reached.
+/// How long an endpoint that was not reached, directly or through other instances, is not tried
+/// again in the same way.
 const UNREACHED_TTL: Duration = Duration::from_millis(300);
 
 /// A path on which connecting has failed since the last success.
@@ -18,6 +19,7 @@
     since: Timestamp,
     /// Whether another instance has reached the endpoint since then.
     is_lost: bool,
+    failed_at: Timestamp,
     checked_at: Timestamp,
     /// When other instances were last found not to reach the endpoint either.
     unreached_at: Option<Timestamp>,
@@ -45,13 +47,15 @@
 impl Reachability {
     /// Records that connecting directly failed.
     pub fn record_failure(&mut self, now: Timestamp, address: SocketAddrV4) {
-        self.failing.entry(address).or_insert(FailingPath {
+        let path = self.failing.entry(address).or_insert(FailingPath {
             since: now,
             is_lost: false,
+            failed_at: now,
             checked_at: now,
             unreached_at: None,
             is_out_of_reach: false,
         });
+        path.failed_at = now;
     }
 
     /// Records that connecting directly succeeded. Returns for how long the path was lost, if it
@@ -133,6 +137,13 @@
         self.last_reached.is_some_and(|at| now.since(at) < time)
     }
 
+    /// Whether connecting directly to this endpoint has just failed, or is known to fail until the
+    /// next check.
+    pub fn has_just_failed(&self, now: Timestamp, address: SocketAddrV4) -> bool {
+        let path = self.failing.get(&address);
+        path.is_some_and(|path| path.is_checked() || now.since(path.failed_at) < UNREACHED_TTL)
+    }
+
     /// Whether connecting directly to this endpoint has failed since it last succeeded.
     pub fn is_failing(&self, address: SocketAddrV4) -> bool {
         self.failing.contains_key(&address)
--- a/crates/ringbend-relay/src/connector.rs
+++ b/crates/ringbend-relay/src/connector.rs
@@ -230,8 +230,10 @@
         };
         if !matches!(found, ReachedElsewhere::Connected(_)) {
             let is_alone = candidates == Candidates::default();
-            let is_out_of_reach = is_alone || matches!(found, ReachedElsewhere::Unreachable);
-            self.record_unreached(address, is_out_of_reach);
+            let have_all_failed =
+                self.carriers.borrow().have_all_failed(self.clock.now(), &candidates);
+            let is_unreachable = matches!(found, ReachedElsewhere::Unreachable);
+            self.record_unreached(address, is_alone || (is_unreachable && have_all_failed));
         }
         found
     }
@@ -357,6 +359,7 @@
             CarrierError::Refused => self.refusals += 1,
             CarrierError::Unreachable(named) => {
                 self.unreachable += 1;
+                self.node.carriers.borrow_mut().record_failed(self.node.clock.now(), carrier);
                 let own = self.node.peers_address();
                 let is_new = |a: &SocketAddrV4| !self.asked.contains(a) && Some(*a) != own;
                 let named: Vec<_> = named.into_iter().filter(is_new).collect();
