fix(relay): a lost path does not count against the endpoint

Callers of other instances were sent to fewer engines while one instance had lost its links. Cause: a run that broke off with its link counted as a failure of the endpoint, which members tell to the schedulers that place for all. Change: a failure over a path that is known to be lost is not recorded as one of the endpoint, nor is the engine suspected of being slow. Why it works: the check that follows a broken connection asks another instance, so it is known by then whether the path is lost.

--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -88,10 +88,13 @@
             log::warn!(target: "request", id = self.request_id(), endpoint:% = endpoint.id, why:%; "response dropped");
             return SendFailure::NoBufferRoom;
         }
-        if !matches!(why, RunError::Ended) {
+        // Other instances reach the endpoint if only the path is lost, so it must not be avoided.
+        let is_path_lost = self.node.reachability.borrow().is_lost(endpoint.address);
+        if !matches!(why, RunError::Ended) && !is_path_lost {
             self.record_health(&endpoint.id, HealthEvent::Bad);
         }
-        if matches!(why, RunError::Exchange(_)) && self.config.service.engine.is_some() {
+        let is_engine = self.config.service.engine.is_some();
+        if matches!(why, RunError::Exchange(_)) && is_engine && !is_path_lost {
             // If the engine's report fails as well, schedulers of other data centres learn of it.
             self.node.suspect_engine(&endpoint.id);
         }
