fix(relay): a refused connection at a single instance is not out of reach

Callers of an instance that knows no other got out-of-reach at once, and the instance was not ready, while the only engine was being restarted. Cause: without another instance to ask, any failed connect counted as out of reach. Change: without other instances only a connect that timed out does. Why it works: a refusal costs no time, and the endpoint may accept the next connection. Result: an_endpoint_that_refuses_connections_is_not_out_of_reach failed before and passes; endpoint_paths.rs 11 of 11, one run.

--- a/crates/ringbend-relay/src/connector.rs
+++ b/crates/ringbend-relay/src/connector.rs
@@ -72,6 +72,9 @@
         self: &Rc<Self>,
         address: SocketAddrV4,
     ) -> Result<Connection, ConnectError> {
+        if self.carrier_candidates() == Candidates::default() {
+            return self.connect_alone(address).await;
+        }
         if self.reachability.borrow().is_lost(address) {
             self.check_path(address);
             return match self.connect_elsewhere(address, ConnectError::TimedOut).await {
@@ -100,6 +103,15 @@
         }
     }
 
+    /// Connects to an endpoint while no other instance is known.
+    async fn connect_alone(&self, address: SocketAddrV4) -> Result<Connection, ConnectError> {
+        let connected = self.connect_directly(address, CONNECT_TIMEOUT).await;
+        if matches!(connected, Err(ConnectError::TimedOut)) {
+            self.record_unreached(address, true);
+        }
+        connected.map(Connection::direct)
+    }
+
     /// Connects to another instance.
     pub(crate) async fn connect_peer(
         &self,
@@ -229,11 +241,10 @@
             Err(_) => search.conclusion(),
         };
         if !matches!(found, ReachedElsewhere::Connected(_)) {
-            let is_alone = candidates == Candidates::default();
             let have_all_failed =
                 self.carriers.borrow().have_all_failed(self.clock.now(), &candidates);
             let is_unreachable = matches!(found, ReachedElsewhere::Unreachable);
-            self.record_unreached(address, is_alone || (is_unreachable && have_all_failed));
+            self.record_unreached(address, is_unreachable && have_all_failed);
         }
         found
     }
