fix(relay): prove the end of a process beside witnesses that fail or do not answer

Cause: a witness that had itself just been refused answered that the endpoint was out of reach; one that did not answer within 200 ms took the other one's refusal with it; and a witness tried three other endpoints at most, which may all have ended. Change: only a timeout makes a carrier answer without trying; what was answered in time counts; without any answer the own refusal counts if this instance reaches another endpoint; six endpoints are tried for that, and a success of the last half second counts. Why it works: a refusal costs no time, so it can always be seen again.

--- a/crates/ringbend-gateway/src/reachability.rs
+++ b/crates/ringbend-gateway/src/reachability.rs
@@ -19,7 +19,8 @@
     since: Timestamp,
     /// Whether another instance has reached the endpoint since then.
     is_lost: bool,
-    failed_at: Timestamp,
+    /// When connecting last timed out.
+    timed_out_at: Option<Timestamp>,
     checked_at: Timestamp,
     /// When other instances were last found not to reach the endpoint either.
     unreached_at: Option<Timestamp>,
@@ -47,15 +48,22 @@
 impl Reachability {
     /// Records that connecting directly failed.
     pub fn record_failure(&mut self, now: Timestamp, address: SocketAddrV4) {
-        let path = self.failing.entry(address).or_insert(FailingPath {
+        self.failing.entry(address).or_insert(FailingPath {
             since: now,
             is_lost: false,
-            failed_at: now,
+            timed_out_at: None,
             checked_at: now,
             unreached_at: None,
             is_out_of_reach: false,
         });
-        path.failed_at = now;
+    }
+
+    /// Records that connecting directly timed out.
+    pub fn record_timeout(&mut self, now: Timestamp, address: SocketAddrV4) {
+        self.record_failure(now, address);
+        if let Some(path) = self.failing.get_mut(&address) {
+            path.timed_out_at = Some(now);
+        }
     }
 
     /// Records that connecting directly succeeded. Returns for how long the path was lost, if it
@@ -137,11 +145,11 @@
         self.last_reached.is_some_and(|at| now.since(at) < time)
     }
 
-    /// Whether connecting directly to this endpoint has just failed, or is known to fail until the
-    /// next check.
-    pub fn has_just_failed(&self, now: Timestamp, address: SocketAddrV4) -> bool {
-        let path = self.failing.get(&address);
-        path.is_some_and(|path| path.is_checked() || now.since(path.failed_at) < UNREACHED_TTL)
+    /// Whether connecting directly to this endpoint has just timed out, or is known to fail until
+    /// the next check. A refusal costs no time, so it is not counted.
+    pub fn would_time_out(&self, now: Timestamp, address: SocketAddrV4) -> bool {
+        let Some(path) = self.failing.get(&address) else { return false };
+        path.is_checked() || path.timed_out_at.is_some_and(|at| now.since(at) < UNREACHED_TTL)
     }
 
     /// Whether connecting directly to this endpoint has failed since it last succeeded.
--- a/crates/ringbend-relay/src/connector.rs
+++ b/crates/ringbend-relay/src/connector.rs
@@ -34,13 +34,13 @@
 const REFUSALS: usize = 2;
 
 /// How long a successful connect to any endpoint proves that this instance has links.
-const CONTROL_TTL: Duration = Duration::from_millis(200);
+const CONTROL_TTL: Duration = Duration::from_millis(500);
 
 /// Timeout of connecting to another endpoint to find out whether this instance has links.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// The maximum number of endpoints that are connected to for that.
-const MAX_CONTROLS: usize = 3;
+const MAX_CONTROLS: usize = 6;
 
 /// How long no endpoint was reached before those that were not tried are tried.
 const EXPLORE_AFTER: Duration = Duration::from_millis(500);
@@ -137,7 +137,11 @@
             }
             Err(why) => {
                 self.metrics.connect_failure(why.label());
-                self.reachability.borrow_mut().record_failure(now, address);
+                let mut reachability = self.reachability.borrow_mut();
+                match why {
+                    ConnectError::TimedOut => reachability.record_timeout(now, address),
+                    _ => reachability.record_failure(now, address),
+                }
             }
         }
         connected
@@ -162,15 +166,22 @@
         });
     }
 
-    /// Whether an endpoint listens, by what other instances find. `None` if they do not tell.
-    pub(crate) async fn is_listening_elsewhere(
+    /// Whether an endpoint that this instance does not reach listens, by what other instances find
+    /// within `timeout`. If none answers, a refusal counts if this instance reaches another
+    /// endpoint. `None` if that is not known.
+    pub(crate) async fn is_listening(
         self: &Rc<Self>,
         address: SocketAddrV4,
+        timeout: Duration,
     ) -> Option<bool> {
-        match self.ask_carriers(address).await {
+        match self.ask_carriers(address, timeout).await {
             ReachedElsewhere::Connected(_) => Some(true),
             ReachedElsewhere::Refused => Some(false),
-            ReachedElsewhere::Unreachable | ReachedElsewhere::Unknown => None,
+            ReachedElsewhere::Unreachable => None,
+            ReachedElsewhere::Unknown => {
+                let is_lost = self.reachability.borrow().is_lost(address);
+                (!is_lost && self.reaches_other_endpoint(address).await).then_some(false)
+            }
         }
     }
 
@@ -222,7 +233,7 @@
         if self.reachability.borrow().is_unreached(self.clock.now(), address) {
             return Err(why);
         }
-        match self.ask_carriers(address).await {
+        match self.ask_carriers(address, CARRIER_TIMEOUT).await {
             ReachedElsewhere::Connected(connection) => Ok(connection),
             ReachedElsewhere::Refused => Err(ConnectError::Refused),
             ReachedElsewhere::Unreachable | ReachedElsewhere::Unknown => Err(why),
@@ -231,12 +242,16 @@
 
     /// Asks other instances, each after the one before has failed or has not answered for a while,
     /// until one has connected to the endpoint.
-    async fn ask_carriers(self: &Rc<Self>, address: SocketAddrV4) -> ReachedElsewhere {
+    async fn ask_carriers(
+        self: &Rc<Self>,
+        address: SocketAddrV4,
+        timeout: Duration,
+    ) -> ReachedElsewhere {
         let now = self.clock.now();
         let candidates = self.carrier_candidates();
         let order = self.carriers.borrow().order(now, &candidates, &mut *self.rng.borrow_mut());
         let mut search = CarrierSearch::new(self.clone(), address, order);
-        let found = match tokio::time::timeout(CARRIER_TIMEOUT, search.run()).await {
+        let found = match tokio::time::timeout(timeout, search.run()).await {
             Ok(found) => found,
             Err(_) => search.conclusion(),
         };
--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -164,11 +164,10 @@
         if self.carrier_candidates() == Candidates::default() {
             return if is_lost { ProbeResult::Silent } else { ProbeResult::Refused };
         }
-        let asked = self.is_listening_elsewhere(address);
-        match tokio::time::timeout(ELSEWHERE_PROBE_TIMEOUT, asked).await {
-            Ok(Some(true)) => ProbeResult::Listening,
-            Ok(Some(false)) => ProbeResult::Refused,
-            Ok(None) | Err(_) => ProbeResult::Silent,
+        match self.is_listening(address, ELSEWHERE_PROBE_TIMEOUT).await {
+            Some(true) => ProbeResult::Listening,
+            Some(false) => ProbeResult::Refused,
+            None => ProbeResult::Silent,
         }
     }
 
--- a/crates/ringbend-relay/src/tunnel_server.rs
+++ b/crates/ringbend-relay/src/tunnel_server.rs
@@ -99,7 +99,7 @@
 
     /// Connects directly, never through another instance.
     async fn connect(&self, target: SocketAddrV4) -> Result<TcpStream, ConnectError> {
-        if self.node.reachability.borrow().has_just_failed(self.node.clock.now(), target) {
+        if self.node.reachability.borrow().would_time_out(self.node.clock.now(), target) {
             self.node.check_path(target);
             return Err(ConnectError::TimedOut);
         }
