refactor(relay): answers of carriers have a type

Cause: the search for a carrier returned a tuple of three, and listed four cases for three results; a comment described an earlier rule. Change: a struct Answer, three cases, the comment. No decision is changed.

--- a/crates/ringbend-gateway/src/reachability.rs
+++ b/crates/ringbend-gateway/src/reachability.rs
@@ -86,8 +86,8 @@
         !std::mem::replace(&mut path.is_lost, true)
     }
 
-    /// Records that other instances did not reach the endpoint either. It is out of reach unless it
-    /// refuses connections or none of them has answered.
+    /// Records that other instances did not reach the endpoint either. It is out of reach if no
+    /// instance is left that may reach it.
     pub fn record_unreached(
         &mut self,
         now: Timestamp,
--- a/crates/ringbend-relay/src/connector.rs
+++ b/crates/ringbend-relay/src/connector.rs
@@ -8,7 +8,7 @@
 use futures_util::stream::FuturesUnordered;
 use rand::seq::SliceRandom;
 use ringbend_gateway::Candidates;
-use ringbend_types::ServiceName;
+use ringbend_types::{ServiceName, Timestamp};
 use tokio::net::TcpStream;
 
 use crate::connection::Connection;
@@ -349,8 +349,8 @@
                 Ok(None) => return self.conclusion(),
                 Err(_) => continue,
             };
-            let (carrier, started_at, answer) = answer;
-            match answer {
+            let Answer { carrier, asked_at, connected } = answer;
+            match connected {
                 Ok(connection) => {
                     let now = self.node.clock.now();
                     let mut carriers = self.node.carriers.borrow_mut();
@@ -358,7 +358,7 @@
                     for failed in &self.failed {
                         carriers.record_failed(now, *failed);
                     }
-                    carriers.record_helped(now, carrier, now.since(started_at));
+                    carriers.record_helped(now, carrier, now.since(asked_at));
                     self.node.record_carried(self.endpoint, carrier);
                     return ReachedElsewhere::Connected(connection);
                 }
@@ -403,21 +403,23 @@
     fn conclusion(&self) -> ReachedElsewhere {
         match (self.refusals, self.unreachable) {
             (0, 0) => ReachedElsewhere::Unknown,
-            (0, _) => ReachedElsewhere::Unreachable,
             (_, 0) => ReachedElsewhere::Refused,
-            // Those that cannot reach it prove nothing, and those that are refused may be cut off.
+            // Those that are refused may be cut off like those that cannot reach it.
             (_, _) => ReachedElsewhere::Unreachable,
         }
     }
 }
 
-async fn ask(
-    node: Rc<Node>,
+/// An instance's answer to the request for a connection.
+struct Answer {
     carrier: SocketAddrV4,
-    endpoint: SocketAddrV4,
-) -> (SocketAddrV4, ringbend_types::Timestamp, Result<Connection, CarrierError>) {
-    let started_at = node.clock.now();
-    (carrier, started_at, tunnel::open(&node, carrier, endpoint).await)
+    asked_at: Timestamp,
+    connected: Result<Connection, CarrierError>,
+}
+
+async fn ask(node: Rc<Node>, carrier: SocketAddrV4, endpoint: SocketAddrV4) -> Answer {
+    let asked_at = node.clock.now();
+    Answer { carrier, asked_at, connected: tunnel::open(&node, carrier, endpoint).await }
 }
 
 /// Tries lost paths and endpoints that are out of reach again, so that they are used soon after the
