--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -2,10 +2,10 @@
 //!
 //! A broken connection proves nothing: engines cut off responses, connections are reset, and
 //! engines are shut down. The end of a process is proved if its address refuses connections right
-//! after one broke, those of other instances as well, or by a later message of the process itself or of its successor. Without such
-//! proof the request is not blamed: a missed strike costs one more engine, while a wrong one may
-//! cause a harmless request to be held. An endpoint that is leaving is expected to end, so its end
-//! is no strike either.
+//! after one broke, from here and from other instances, or by a later message of the process itself
+//! or of its successor. Without such proof the request is not blamed: a missed strike costs one more
+//! engine, while a wrong one may cause a harmless request to be held. An endpoint that is leaving is
+//! expected to end, so its end is no strike either.
 //!
 //! Only the end of the endpoint that a request was sent to counts, not that of the helpers that
 //! prefill part of a long prompt. A request that crashes every engine that starts it also crashes
@@ -152,6 +152,7 @@
         found
     }
 
+    /// Connects to an address, and lets other instances do so if it refuses this one.
     async fn find_listener(self: &Rc<Self>, address: SocketAddrV4) -> ProbeResult {
         let is_lost = self.reachability.borrow().is_lost(address);
         if !is_lost {
