feat(relay): prompt parts in the lines of requests and of broken sends

Nothing in the lines told that two requests share a part of their prompts, so a cause that many requests share could not be seen. Lines of ended requests and of sends that broke off name the parts, the latter also for how long the response had been streaming. No decision reads them yet.

--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -302,7 +302,7 @@
             target: "request", id, fingerprint:% = self.original.fingerprint, route:%,
             config:% = self.config.version, outcome, ms, sends,
             first_ms:%, gap_ms, aim_ms, gap_aim_ms, prompt, prefill_ms,
-            priority = self.priority(), account:%;
+            priority = self.priority(), account:%, parts:% = self.metadata.parts;
             "ended"
         );
     }
--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -18,9 +18,10 @@
 use std::time::Duration;
 
 use ringbend_gateway::{Candidates, EndedProcess, Endpoint};
-use ringbend_types::{Fingerprint, Timestamp};
+use ringbend_types::{Fingerprint, SharedParts, Timestamp};
 
 use crate::active_request::ActiveRequest;
+use crate::log_fields::Millis;
 use crate::network::{self, ConnectError};
 use crate::node::Node;
 use crate::timeouts::RunError;
@@ -68,11 +69,15 @@
 }
 
 /// A run that may be the cause of its endpoint's crash.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct SuspectedRun {
     pub(crate) fingerprint: Fingerprint,
     /// The request's strikes when the run started.
     pub(crate) strikes_before: usize,
+    /// The parts of the request's prompt.
+    pub(crate) parts: SharedParts,
+    /// Since when the run streams its response.
+    pub(crate) streaming_since: Option<Timestamp>,
 }
 
 /// Guards a run without a response. If it is dropped in this state, the caller has disconnected.
@@ -98,10 +103,10 @@
         if !self.is_armed || !was_abandoned_early {
             return;
         }
-        let (node, endpoint, run) = (self.node.clone(), self.endpoint.clone(), self.run);
+        let (node, endpoint, run) = (self.node.clone(), self.endpoint.clone(), self.run.clone());
         tokio::task::spawn_local(async move {
             tokio::time::sleep(ABANDON_PROBE_DELAY).await;
-            node.probe_for_crash(&endpoint, run).await;
+            node.probe_for_crash(&endpoint, &run).await;
         });
     }
 }
@@ -174,11 +179,13 @@
 
     /// Checks whether an endpoint on which a request broke off has crashed, and records a strike if
     /// so. Returns whether the address accepted a connection.
-    async fn probe_for_crash(self: &Rc<Self>, endpoint: &Endpoint, run: SuspectedRun) -> bool {
+    async fn probe_for_crash(self: &Rc<Self>, endpoint: &Endpoint, run: &SuspectedRun) -> bool {
         let found = self.probe(endpoint.address).await;
         let is_settled = self.directory.borrow().is_settled(endpoint);
+        let streamed = run.streaming_since.map(|since| self.clock.now().since(since));
         log::info!(
-            target: "endpoints", endpoint:% = endpoint.id, fingerprint:% = run.fingerprint, found:?, is_settled;
+            target: "endpoints", endpoint:% = endpoint.id, fingerprint:% = run.fingerprint,
+            parts:% = run.parts, streamed_ms:% = Millis(streamed), found:?, is_settled;
             "request broke off; endpoint probed"
         );
         if found == ProbeResult::Refused && is_settled {
@@ -191,17 +198,17 @@
     /// connection. The request does not wait for the second probe, which is made even if its caller
     /// disconnects.
     async fn probe_twice(self: Rc<Self>, endpoint: Endpoint, run: SuspectedRun) {
-        if !self.probe_for_crash(&endpoint, run).await {
+        if !self.probe_for_crash(&endpoint, &run).await {
             return;
         }
         tokio::task::spawn_local(async move {
             tokio::time::sleep(SECOND_PROBE_DELAY).await;
-            self.probe_for_crash(&endpoint, run).await;
+            self.probe_for_crash(&endpoint, &run).await;
         });
     }
 
     /// Records that an endpoint's process ended while it ran the request.
-    pub(crate) fn record_strike(self: &Rc<Self>, run: SuspectedRun, endpoint: &Endpoint) {
+    pub(crate) fn record_strike(self: &Rc<Self>, run: &SuspectedRun, endpoint: &Endpoint) {
         let fingerprint = run.fingerprint;
         let process = EndedProcess { endpoint: endpoint.id.clone(), start: endpoint.start };
         let now = self.clock.now();
@@ -215,7 +222,12 @@
 
 impl ActiveRequest {
     fn suspected_run(&self) -> SuspectedRun {
-        SuspectedRun { fingerprint: self.original.fingerprint, strikes_before: self.strikes_before }
+        SuspectedRun {
+            fingerprint: self.original.fingerprint,
+            strikes_before: self.strikes_before,
+            parts: self.metadata.parts.clone(),
+            streaming_since: self.streaming_since,
+        }
     }
 
     /// Creates the guard of a run on this endpoint that is sent now.
@@ -245,7 +257,7 @@
                 }
             }
             RunError::Ended if node.directory.borrow().has_ended(endpoint) => {
-                node.record_strike(run, endpoint);
+                node.record_strike(&run, endpoint);
             }
             _ => {}
         }
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -14,7 +14,7 @@
     Demand, Endpoint, EndpointChange, EndpointSignals, EngineUsage, EvacuationChange, EventId,
     Pace, Reservation, ReservationId, ReservationReply, SnapshotParts,
 };
-use ringbend_types::{ClientAccountId, DataCentre, EndpointId, EndpointStart};
+use ringbend_types::{ClientAccountId, DataCentre, EndpointId, EndpointStart, SharedParts};
 use smallvec::SmallVec;
 use tokio::net::TcpStream;
 
@@ -32,6 +32,8 @@
     /// Tokens that the request needs from an engine; `None` for requests that do not run on an
     /// engine.
     pub demand: Option<Demand>,
+    /// The parts of the prompt that other requests may have as well.
+    pub parts: SharedParts,
 }
 
 /// A request header has a value that cannot be parsed.
--- a/crates/ringbend-types/src/lib.rs
+++ b/crates/ringbend-types/src/lib.rs
@@ -5,6 +5,7 @@
 mod decimal;
 mod fingerprint;
 mod id;
+mod prompt_part;
 mod quantity;
 mod request_rate;
 mod retry_after;
@@ -18,6 +19,7 @@
     AttemptId, ChangeId, ClassName, ClientAccountId, DataCentre, EndpointId, InstanceId, LeaseName,
     ModelName, ParseIdError, Region, RequestId, RequestKey, ServiceName,
 };
+pub use prompt_part::{ParsePromptPartError, PromptPart, PromptPartId, SharedParts};
 pub use quantity::{
     ByteCount, EndpointStart, FencingToken, Incarnation, ParseQuantityError, PromptBucket,
     SettingsVersion, TokenCount, TokensPerSecond,
