--- a/crates/ringbend-gateway/src/job.rs
+++ b/crates/ringbend-gateway/src/job.rs
@@ -9,6 +9,7 @@
 use crate::load::Work;
 use crate::placement::{Demand, Placement, PlacementGoal, stake};
 use crate::priorities::{Priorities, Rank};
+use crate::quarantine::Suspects;
 use crate::regions::AllowedDataCentres;
 use crate::weights::PlacementWeights;
 
@@ -45,9 +46,10 @@
     pub account: Option<ClientAccountId>,
     /// Equal for repetitions of the same request; `None` if no decision needs it.
     pub fingerprint: Option<Fingerprint>,
-    /// Set if endpoints ended while they ran the request. Such a request runs on one endpoint at a
-    /// time, apart from other suspects.
-    pub suspect: Option<Fingerprint>,
+    /// Set if endpoints ended while they ran the request, or another one with the same part of its
+    /// prompt. Requests that have a suspect in common run on one endpoint at a time, apart from other
+    /// suspects.
+    pub suspects: Suspects,
 }
 
 impl Job {
@@ -85,7 +87,7 @@
             first_by: self.first_by,
             stake: stake(w, demand.prompt_tokens) * rank.stake_factor(),
             until: self.deadline,
-            suspect: self.suspect,
+            suspects: self.suspects.clone(),
         }
     }
 }
--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -93,7 +93,10 @@
     Demand, Placement, PlacementGoal, is_long, place_on_engines, place_on_service, stake,
 };
 pub use priorities::{Priorities, Rank};
-pub use quarantine::{EndedProcess, Quarantine, STRIKES_TO_HOLD, SuspectState, Suspicion};
+pub use quarantine::{
+    Assessment, EndedProcess, MAX_SUSPECTS, Quarantine, STRIKES_TO_HOLD, SuspectState, Suspects,
+    Suspicion,
+};
 pub use reachability::{PATH_CHECK_INTERVAL, Reachability};
 pub use regions::{AllowedDataCentres, AllowedRegions, RegionMap};
 pub use replica::{OfferResult, Replica};
--- a/crates/ringbend-gateway/src/load.rs
+++ b/crates/ringbend-gateway/src/load.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 
 use crate::pace::Pace;
+use crate::quarantine::Suspects;
 use crate::residual_load::{EngineUsage, ResidualLoad, UsageReport};
 use crate::suspect_work::SuspectWork;
 use crate::waiting_prompt::WaitingPrompt;
@@ -50,8 +51,8 @@
     /// Whether its prompt is long: it waited for its turn and is kept off engines reserved for
     /// short prompts.
     pub long: bool,
-    /// The fingerprint of the request, if it is suspected of ending endpoints.
-    pub suspect: Option<Fingerprint>,
+    /// The fingerprints of the request and its parts, if one is suspected of ending endpoints.
+    pub suspects: Suspects,
 }
 
 /// Memory on a helper that holds a part of a prompt which is too large for its lead.
@@ -185,7 +186,7 @@
             let load = self.endpoints.entry(held.endpoint.clone()).or_default();
             load.memory_tokens += held.tokens;
         }
-        if work.suspect.is_some() {
+        if !work.suspects.is_empty() {
             self.suspects.begin(id);
         }
         self.open.insert(id, OpenWork { work, writing: false, since: now });
@@ -197,8 +198,8 @@
         let known = self.open.get(&id).map(|open| &open.work);
         if known.is_none_or(|known| known.lead != work.lead || known.helpers != work.helpers) {
             self.place(now, id, work);
-        } else if let Some(fingerprint) = work.suspect {
-            self.mark_suspect(id, fingerprint);
+        } else if !work.suspects.is_empty() {
+            self.mark_suspect(id, work.suspects);
         }
         if writing {
             self.first_event(id);
@@ -224,7 +225,7 @@
     pub fn end(&mut self, now: Timestamp, id: WorkId) {
         self.waiting.remove(&id);
         let Some(OpenWork { work, writing, .. }) = self.open.remove(&id) else { return };
-        self.suspects.end(now, id, work.suspect, work.endpoints());
+        self.suspects.end(now, id, work.suspects.clone(), work.endpoints());
         if let Some(load) = self.endpoints.get_mut(&work.lead) {
             load.decode_tasks.retain(|task| task.id != id);
             load.memory_tokens = load.memory_tokens.saturating_sub(work.memory_tokens);
@@ -247,17 +248,24 @@
     }
 
     /// Marks open work as belonging to a suspect.
-    pub fn mark_suspect(&mut self, id: WorkId, fingerprint: Fingerprint) {
+    pub fn mark_suspect(&mut self, id: WorkId, suspects: Suspects) {
         if let Some(open) = self.open.get_mut(&id) {
-            open.work.suspect = Some(fingerprint);
+            open.work.suspects = suspects;
             self.suspects.begin(id);
         }
     }
 
-    /// When the latest open run of a suspect was placed on any endpoint.
-    pub fn last_placed(&self, suspect: Fingerprint) -> Option<Timestamp> {
+    /// When the latest undecided run of a suspect was placed on any endpoint or, if its caller has
+    /// disconnected, ended there.
+    pub fn last_undecided(&self, now: Timestamp, suspect: Fingerprint) -> Option<Timestamp> {
         let open = self.suspects.open().filter_map(|id| self.open.get(id));
-        open.filter(|open| open.work.suspect == Some(suspect)).map(|open| open.since).max()
+        let open = open.filter(|open| open.work.suspects.contains(&suspect)).map(|open| open.since);
+        open.max().max(self.suspects.last_ended(now, suspect))
+    }
+
+    /// Records that an endpoint has crashed, which decides the runs of suspects there.
+    pub fn decide_suspects_on(&mut self, endpoint: &EndpointId) {
+        self.suspects.forget(endpoint);
     }
 
     /// The suspects that run on this endpoint or did so until a moment ago.
@@ -267,8 +275,8 @@
         endpoint: &'a EndpointId,
     ) -> impl Iterator<Item = Fingerprint> + 'a {
         let runs_there = move |work: &Work| work.endpoints().any(|on| on == endpoint);
-        let open =
-            self.suspect_work().filter_map(move |work| work.suspect.filter(|_| runs_there(work)));
+        let open = self.suspect_work().filter(move |work| runs_there(work));
+        let open = open.flat_map(|work| work.suspects.iter().copied());
         open.chain(self.suspects.recent(now, endpoint))
     }
 
--- a/crates/ringbend-gateway/src/quarantine.rs
+++ b/crates/ringbend-gateway/src/quarantine.rs
@@ -1,7 +1,8 @@
-//! Requests that have ended the engines that ran them, over all tries of their callers and all
-//! instances.
+//! Requests, and parts of prompts, that have ended the engines that ran them, over all tries of all
+//! callers and all instances.
 //!
-//! A request is identified by its fingerprint. A process of an endpoint that ended while it ran the
+//! A request is identified by its fingerprint, and so is a part of prompts, which many requests
+//! share; see [`attribution`] for what follows from that. The rest applies to both. A process of an endpoint that ended while it ran the
 //! request is a strike. One strike makes the request a suspect: most suspects merely ran beside the
 //! request that is to blame, and are cleared by the first successful run anywhere. With
 //! `STRIKES_TO_HOLD` strikes the request is held: it is sent to no endpoint any more, except for a
@@ -15,19 +16,29 @@
 //! The record of a request only grows within a round, and a later round supersedes an earlier one.
 //! Instances can therefore exchange records in any order, more than once, and converge.
 
+mod attribution;
+
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
-use ringbend_types::{EndpointId, EndpointStart, Fingerprint, Timestamp};
+use ringbend_types::{EndpointId, EndpointStart, Fingerprint, PromptPartId, Timestamp};
 use smallvec::SmallVec;
 
+pub use attribution::Assessment;
+
+use crate::endpoint::Endpoint;
+
 /// The number of strikes after which a request is held. Two are no proof: an endpoint that ends by
 /// itself adds a strike to everything that runs on it, and some of those requests meet a second
 /// such endpoint. Three in a row, each apart from other suspects, are most unlikely unless the
 /// request is their cause.
 pub const STRIKES_TO_HOLD: usize = 3;
 
+/// The maximum number of strikes of a part. Those beyond `STRIKES_TO_HOLD` distinguish it from other
+/// causes of the same crashes.
+const MAX_PART_STRIKES: usize = 6;
+
 /// How long after its last strike or try a held request is tried again, once per entry: endpoints
 /// of another version may run it successfully. There are few entries, as each try may end an
 /// endpoint with everything that runs there.
@@ -53,6 +64,13 @@
 /// returns later receives everything.
 const REPEAT_TIME: Duration = Duration::from_secs(5);
 
+/// The fingerprints of a suspected request: those of the parts of its prompt and, last, its own.
+/// Empty for a request that is not suspected.
+pub type Suspects = SmallVec<[Fingerprint; 1]>;
+
+/// The maximum number of fingerprints by which a suspected request is kept apart from others.
+pub const MAX_SUSPECTS: usize = 16;
+
 /// The process of an endpoint that ended.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EndedProcess {
@@ -62,15 +80,24 @@
     pub start: Option<EndpointStart>,
 }
 
+impl EndedProcess {
+    /// The process that is known as `endpoint`.
+    pub fn of(endpoint: &Endpoint) -> Self {
+        Self { endpoint: endpoint.id.clone(), start: endpoint.start }
+    }
+}
+
 /// The record of one request, as exchanged between instances.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspicion {
-    /// The fingerprint of the request.
+    /// The fingerprint of the request or part.
     pub fingerprint: Fingerprint,
+    /// The part of prompts; `None` for a request.
+    pub part: Option<PromptPartId>,
     /// Raised each time the request is cleared.
     pub round: u32,
-    /// The processes that ended while they ran it, one per strike, in order; `STRIKES_TO_HOLD` at
-    /// most.
+    /// The processes that ended while they ran it, one per strike, in order; for a request
+    /// `STRIKES_TO_HOLD` at most.
     pub ended: SmallVec<[EndedProcess; STRIKES_TO_HOLD]>,
     /// The number of tries since the request is held.
     pub tries: u8,
@@ -83,12 +110,16 @@
         self.ended.len() + 1 >= STRIKES_TO_HOLD
     }
 
-    fn new(fingerprint: Fingerprint) -> Self {
-        Self { fingerprint, round: 0, ended: SmallVec::new(), tries: 0 }
+    fn new(fingerprint: Fingerprint, part: Option<PromptPartId>) -> Self {
+        Self { fingerprint, part, round: 0, ended: SmallVec::new(), tries: 0 }
+    }
+
+    fn max_strikes(&self) -> usize {
+        if self.part.is_some() { MAX_PART_STRIKES } else { STRIKES_TO_HOLD }
     }
 }
 
-/// How a request is treated.
+/// How a request or part is treated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SuspectState {
     /// It has no strikes.
@@ -123,11 +154,13 @@
 }
 
 impl Quarantine {
-    /// How a request is treated.
+    /// How a request or part is treated.
     pub fn state(&self, fingerprint: Fingerprint) -> SuspectState {
         match self.strikes(fingerprint) {
             0 => SuspectState::Clear,
-            strikes if strikes < STRIKES_TO_HOLD => SuspectState::Suspect(strikes),
+            strikes if strikes < STRIKES_TO_HOLD || self.has_rival(fingerprint) => {
+                SuspectState::Suspect(strikes)
+            }
             _ => SuspectState::Held,
         }
     }
@@ -137,16 +170,18 @@
         self.records.get(&fingerprint).map_or(0, |record| record.suspicion.ended.len())
     }
 
-    /// Whether a suspect may run beside these. A request with two strikes runs beside no other
-    /// suspect, so that its third strike can be attributed to it. Others are kept apart only if
-    /// there is room: when many endpoints end at once, there are more suspects than endpoints.
+    /// Whether a request with these suspects may run beside the others. One with two strikes runs
+    /// beside no other suspect, so that its third strike can be attributed to it. Others are kept
+    /// apart only if there is room: when many endpoints end at once, there are more suspects than
+    /// endpoints.
     pub fn may_run_beside(
         &self,
-        fingerprint: Fingerprint,
+        suspects: &[Fingerprint],
         mut others: impl Iterator<Item = Fingerprint>,
     ) -> bool {
         let is_severe = |fingerprint| self.strikes(fingerprint) + 1 >= STRIKES_TO_HOLD;
-        others.all(|other| other == fingerprint || (!is_severe(fingerprint) && !is_severe(other)))
+        let is_apart = suspects.iter().any(|suspect| is_severe(*suspect));
+        others.all(|other| suspects.contains(&other) || (!is_apart && !is_severe(other)))
     }
 
     /// Records that a process ended while it ran the request. The run began when the request had
@@ -158,11 +193,32 @@
         process: EndedProcess,
         before: usize,
     ) -> bool {
-        if before != self.strikes(fingerprint) || before >= STRIKES_TO_HOLD {
+        self.add_strike(now, Suspicion::new(fingerprint, None), process, before)
+    }
+
+    /// Like [`Quarantine::strike`], for a part of the request's prompt.
+    pub fn strike_part(
+        &mut self,
+        now: Timestamp,
+        (fingerprint, part): (Fingerprint, PromptPartId),
+        process: EndedProcess,
+        before: usize,
+    ) -> bool {
+        self.add_strike(now, Suspicion::new(fingerprint, Some(part)), process, before)
+    }
+
+    fn add_strike(
+        &mut self,
+        now: Timestamp,
+        unknown: Suspicion,
+        process: EndedProcess,
+        before: usize,
+    ) -> bool {
+        let fingerprint = unknown.fingerprint;
+        if before != self.strikes(fingerprint) || before >= unknown.max_strikes() {
             return false;
         }
-        let mut updated =
-            self.get(fingerprint).cloned().unwrap_or_else(|| Suspicion::new(fingerprint));
+        let mut updated = self.get(fingerprint).cloned().unwrap_or(unknown);
         if updated.ended.contains(&process) {
             // It was sent again to the process that had cut it off, before that process was known
             // to have ended.
@@ -172,7 +228,8 @@
         self.merge(now, &updated)
     }
 
-    /// Records a successful run of the request. Returns whether it had any strikes.
+    /// Records a successful run of the request, or of a request with the part. Returns whether it
+    /// had any strikes.
     pub fn clear(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         let Some(record) = self.records.get_mut(&fingerprint) else { return false };
         if record.suspicion.ended.is_empty() {
@@ -201,7 +258,7 @@
             return true;
         }
         let before = (known.ended.len(), known.tries);
-        for (at, process) in received.ended.iter().take(STRIKES_TO_HOLD).enumerate() {
+        for (at, process) in received.ended.iter().take(MAX_PART_STRIKES).enumerate() {
             match known.ended.get_mut(at) {
                 // Two concurrent runs: all instances keep the same one.
                 Some(known) if process < known => *known = process.clone(),
@@ -305,10 +362,11 @@
 
     /// The number of held requests.
     pub fn held_count(&self) -> usize {
-        self.records.values().filter(|record| record.is_held()).count()
+        let is_request = |record: &&Record| record.suspicion.part.is_none();
+        self.records.values().filter(is_request).filter(|record| record.is_held()).count()
     }
 
-    /// The number of requests that are suspected or held.
+    /// The number of requests and parts that are suspected or held.
     pub fn suspect_count(&self) -> usize {
         self.records.values().filter(|record| !record.suspicion.ended.is_empty()).count()
     }
--- a/crates/ringbend-gateway/tests/cold_start.rs
+++ b/crates/ringbend-gateway/tests/cold_start.rs
@@ -101,7 +101,7 @@
         stake: stake(&scene.weights, demand.prompt_tokens),
         until: scene.now + ms(10_000),
         long: false,
-        suspect: None,
+        suspects: Default::default(),
     }
 }
 
--- a/crates/ringbend-gateway/tests/permits.rs
+++ b/crates/ringbend-gateway/tests/permits.rs
@@ -27,7 +27,7 @@
         priority,
         account: None,
         fingerprint: None,
-        suspect: None,
+        suspects: Default::default(),
     }
 }
 
--- a/crates/ringbend-gateway/tests/quarantine.rs
+++ b/crates/ringbend-gateway/tests/quarantine.rs
@@ -70,7 +70,11 @@
     let mut load = LoadTracker::default();
     let on = endpoint(1).id;
     let suspects = |load: &LoadTracker, now| load.suspects_on(at(now), &on).collect::<Vec<_>>();
-    load.place(at(0), work_id(1), Work { suspect: Some(request(1)), ..work(1, ms(0)) });
+    load.place(
+        at(0),
+        work_id(1),
+        Work { suspects: [request(1)].into_iter().collect(), ..work(1, ms(0)) },
+    );
     assert_eq!(suspects(&load, 60), [request(1)]);
     load.end(at(60), work_id(1));
     assert_eq!(suspects(&load, 70), [request(1)]);
@@ -83,11 +87,11 @@
     add_strikes(&mut quarantine, request(1), 1);
     add_strikes(&mut quarantine, request(2), 1);
     add_strikes(&mut quarantine, request(3), 2);
-    let may = |of, other| quarantine.may_run_beside(request(of), [request(other)].into_iter());
+    let may = |of, other| quarantine.may_run_beside(&[request(of)], [request(other)].into_iter());
     assert!(may(1, 2) && may(2, 1));
     assert!(!may(1, 3) && !may(3, 1));
     assert!(may(3, 3), "another try of the same request is no other suspect");
-    assert!(quarantine.may_run_beside(request(3), std::iter::empty()));
+    assert!(quarantine.may_run_beside(&[request(3)], std::iter::empty()));
 }
 
 #[test]
@@ -240,7 +244,10 @@
 #[test]
 fn a_suspect_is_placed_beside_no_other_and_other_requests_are_placed_as_usual() {
     let mut scene = Scene::new(3);
-    let suspect = |lead| ringbend_gateway::Work { suspect: Some(request(1)), ..work(lead, ms(1)) };
+    let suspect = |lead| ringbend_gateway::Work {
+        suspects: [request(1)].into_iter().collect(),
+        ..work(lead, ms(1))
+    };
     scene.load.place(at(0), work_id(1), suspect(1));
     scene.load.place(at(0), work_id(2), suspect(2));
     scene.load.place(at(0), work_id(3), work(3, ms(40)));
@@ -257,13 +264,29 @@
 fn runs_that_began_before_their_request_was_suspected_are_attributed_to_it() {
     let mut scene = Scene::new(2);
     scene.load.place(at(0), work_id(1), work(0, ms(1)));
-    assert!(scene.load.last_placed(request(1)).is_none());
-    scene.load.mark_suspect(work_id(1), request(1));
-    assert!(scene.load.last_placed(request(1)).is_some());
-    let suspect_work = ringbend_gateway::Work { suspect: Some(request(2)), ..work(1, ms(1)) };
+    assert!(scene.load.last_undecided(at(0), request(1)).is_none());
+    scene.load.mark_suspect(work_id(1), [request(1)].into_iter().collect());
+    assert!(scene.load.last_undecided(at(0), request(1)).is_some());
+    let suspect_work =
+        ringbend_gateway::Work { suspects: [request(2)].into_iter().collect(), ..work(1, ms(1)) };
     scene.load.merge_placed(at(1), work_id(2), work(1, ms(1)), true);
     scene.load.merge_placed(at(2), work_id(2), suspect_work, true);
-    assert!(scene.load.last_placed(request(2)).is_some());
+    assert!(scene.load.last_undecided(at(2), request(2)).is_some());
     scene.load.end(at(3), work_id(2));
-    assert!(scene.load.last_placed(request(2)).is_none());
+    // The endpoint may still crash because of it.
+    assert_eq!(scene.load.last_undecided(at(252), request(2)), Some(at(3)));
+    assert!(scene.load.last_undecided(at(253), request(2)).is_none());
+}
+
+#[test]
+fn a_crash_decides_the_runs_of_suspects_on_the_endpoint() {
+    let mut scene = Scene::new(2);
+    let suspect =
+        ringbend_gateway::Work { suspects: [request(1)].into_iter().collect(), ..work(1, ms(1)) };
+    scene.load.place(at(0), work_id(1), suspect);
+    scene.load.end(at(1), work_id(1));
+    scene.load.decide_suspects_on(&endpoint(0).id);
+    assert!(scene.load.last_undecided(at(2), request(1)).is_some());
+    scene.load.decide_suspects_on(&endpoint(1).id);
+    assert!(scene.load.last_undecided(at(2), request(1)).is_none());
 }
--- a/crates/ringbend-gateway/tests/support/mod.rs
+++ b/crates/ringbend-gateway/tests/support/mod.rs
@@ -76,7 +76,7 @@
         stake: 1.0,
         until: at(2_000_000),
         long: false,
-        suspect: None,
+        suspects: Default::default(),
     }
 }
 
@@ -186,6 +186,6 @@
         priority: 0,
         account: None,
         fingerprint: None,
-        suspect: None,
+        suspects: Default::default(),
     }
 }
--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -27,6 +27,7 @@
 use crate::refusal::Refusal;
 use crate::runs::{ResponseBody, ResponseStart, Run};
 use crate::streams::ResponseStream;
+use crate::suspect_keys::{StrikeCounts, SuspectKeys};
 
 /// The request as received from the caller.
 pub(crate) struct OriginalRequest {
@@ -34,6 +35,8 @@
     pub(crate) body: Bytes,
     /// Equal for repeats of the same request under another request id.
     pub(crate) fingerprint: Fingerprint,
+    /// What crashes of its endpoints are attributed to.
+    pub(crate) keys: Rc<SuspectKeys>,
     /// The memory of the body.
     pub(crate) _held: HeldBytes,
 }
@@ -61,8 +64,8 @@
     is_end_logged: bool,
     /// Since when the current run streams its response.
     pub(crate) streaming_since: Option<Timestamp>,
-    /// The request's strikes when its last run started.
-    pub(crate) strikes_before: usize,
+    /// The strikes of the request and its parts when its last run started.
+    pub(crate) strikes_before: StrikeCounts,
     /// Whether this is the trial run of a held request.
     pub(crate) is_trial: bool,
     delivery: DeliveryTimes,
@@ -120,7 +123,7 @@
             retry_after,
             is_end_logged,
             streaming_since: None,
-            strikes_before: 0,
+            strikes_before: StrikeCounts::new(),
             is_trial: false,
             delivery: DeliveryTimes::default(),
             pauses: LongPauseCounter::default(),
@@ -158,8 +161,9 @@
                 Some(self.refusal_unless_run(Refusal::LateNotRun))
             }
             SendFailure::Held => {
-                self.retry_after = self.time_until_trial();
-                Some(self.refusal_unless_run(Refusal::Held))
+                let (retry_after, refusal) = self.held_reason();
+                self.retry_after = retry_after;
+                Some(self.refusal_unless_run(refusal))
             }
             SendFailure::Limited(after) => {
                 self.retry_after = Some(after);
@@ -208,10 +212,14 @@
         }
     }
 
-    /// Time until the next trial run of a held request.
-    fn time_until_trial(&self) -> Option<Duration> {
-        let (now, fingerprint) = (self.node.clock.now(), self.original.fingerprint);
-        self.node.quarantine.borrow().until_try(now, fingerprint)
+    /// The time until the next trial run of what the request is held for, and the refusal.
+    fn held_reason(&self) -> (Option<Duration>, Refusal) {
+        let quarantine = self.node.quarantine.borrow();
+        let cause = self.original.keys.assess(&quarantine).cause;
+        let cause = cause.unwrap_or(self.original.fingerprint);
+        let is_part = cause != self.original.fingerprint;
+        let refusal = if is_part { Refusal::HeldPart } else { Refusal::Held };
+        (quarantine.until_try(self.node.clock.now(), cause), refusal)
     }
 
     /// Time after which a long prompt that could not be placed in time is worth retrying. The
@@ -351,6 +359,7 @@
         }
         self.record_health(&run.endpoint.id, HealthEvent::Good);
         self.node.clear_suspect(self.original.fingerprint);
+        self.watch_survival(&run.endpoint).run_ended();
         Ok(SendSuccess::Complete(res, status))
     }
 }
--- a/crates/ringbend-relay/src/admin.rs
+++ b/crates/ringbend-relay/src/admin.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{Method, StatusCode};
 use futures_util::future::LocalBoxFuture;
-use ringbend_gateway::{STRIKES_TO_HOLD, Suspicion, WatchedTable};
+use ringbend_gateway::{SuspectState, Suspicion, WatchedTable};
 use ringbend_runtime::{Handler, HttpRequest, HttpResponse, empty, json, text};
 use ringbend_types::Fingerprint;
 use serde::Serialize;
@@ -36,6 +36,9 @@
 #[derive(Serialize)]
 struct SuspectEntry {
     fingerprint: String,
+    /// The part of prompts; absent for a request.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    part: Option<String>,
     held: bool,
     ended: Vec<String>,
     tries: u8,
@@ -79,7 +82,8 @@
         let quarantine = self.node.quarantine.borrow();
         let entry = |suspicion: &Suspicion| SuspectEntry {
             fingerprint: suspicion.fingerprint.to_string(),
-            held: suspicion.ended.len() >= STRIKES_TO_HOLD,
+            part: suspicion.part.map(|part| part.to_string()),
+            held: quarantine.state(suspicion.fingerprint) == SuspectState::Held,
             ended: suspicion.ended.iter().map(|process| process.endpoint.to_string()).collect(),
             tries: suspicion.tries,
         };
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -19,6 +19,7 @@
 use crate::node::Node;
 use crate::ports::RequestMetadata;
 use crate::refusal::Refusal;
+use crate::suspect_keys::SuspectKeys;
 
 /// How long a request waits for the initial state of an instance that has just started. The first
 /// copies take some tens of milliseconds; the shortest target times to the first event are 120 and
@@ -110,7 +111,9 @@
         let rank = priorities.rank(priority.unwrap_or(route.priority));
         let attempts =
             Attempts::new(route.repeat, route.max_runs, deadline).with_rank(rank, arrived_at);
-        let original = OriginalRequest { head: req.head().clone(), body, fingerprint, _held: held };
+        let keys = SuspectKeys::new(fingerprint, service.name.clone(), metadata.parts.clone());
+        let (head, keys) = (req.head().clone(), Rc::new(keys));
+        let original = OriginalRequest { head, body, fingerprint, keys, _held: held };
         let mut request = ActiveRequest::new(
             self.node.clone(),
             metadata.clone(),
@@ -120,8 +123,8 @@
             arrived_at,
             open,
         );
-        if request.is_held() {
-            request.is_trial = self.node.claim_trial(fingerprint).await;
+        if let Some(cause) = request.held_for() {
+            request.is_trial = self.node.claim_trial(cause).await;
         }
         Ok(request.run().await)
     }
--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -18,12 +18,15 @@
 use std::time::Duration;
 
 use ringbend_gateway::{Candidates, EndedProcess, Endpoint};
-use ringbend_types::{Fingerprint, SharedParts, Timestamp};
+use ringbend_types::{Fingerprint, Timestamp};
+use smallvec::SmallVec;
 
 use crate::active_request::ActiveRequest;
 use crate::log_fields::Millis;
 use crate::network::{self, ConnectError};
 use crate::node::Node;
+use crate::survival::SURVIVAL_TIME;
+use crate::suspect_keys::{StrikeCounts, SuspectKeys};
 use crate::timeouts::RunError;
 
 /// How long an endpoint may take to accept or refuse a connection. Within a region this takes a few
@@ -71,11 +74,9 @@
 /// A run that may be the cause of its endpoint's crash.
 #[derive(Debug, Clone)]
 pub(crate) struct SuspectedRun {
-    pub(crate) fingerprint: Fingerprint,
-    /// The request's strikes when the run started.
-    pub(crate) strikes_before: usize,
-    /// The parts of the request's prompt.
-    pub(crate) parts: SharedParts,
+    pub(crate) keys: Rc<SuspectKeys>,
+    /// The strikes of the request and its parts when the run started.
+    pub(crate) strikes_before: StrikeCounts,
     /// Since when the run streams its response.
     pub(crate) streaming_since: Option<Timestamp>,
 }
@@ -184,8 +185,8 @@
         let is_settled = self.directory.borrow().is_settled(endpoint);
         let streamed = run.streaming_since.map(|since| self.clock.now().since(since));
         log::info!(
-            target: "endpoints", endpoint:% = endpoint.id, fingerprint:% = run.fingerprint,
-            parts:% = run.parts, streamed_ms:% = Millis(streamed), found:?, is_settled;
+            target: "endpoints", endpoint:% = endpoint.id, fingerprint:% = run.keys.request,
+            parts:% = run.keys.parts, streamed_ms:% = Millis(streamed), found:?, is_settled;
             "request broke off; endpoint probed"
         );
         if found == ProbeResult::Refused && is_settled {
@@ -209,23 +210,37 @@
 
     /// Records that an endpoint's process ended while it ran the request.
     pub(crate) fn record_strike(self: &Rc<Self>, run: &SuspectedRun, endpoint: &Endpoint) {
-        let fingerprint = run.fingerprint;
-        let process = EndedProcess { endpoint: endpoint.id.clone(), start: endpoint.start };
+        let process = EndedProcess::of(endpoint);
         let now = self.clock.now();
-        if self.quarantine.borrow_mut().strike(now, fingerprint, process, run.strikes_before) {
+        let mut struck: SmallVec<[Fingerprint; 4]> = SmallVec::new();
+        {
+            let mut quarantine = self.quarantine.borrow_mut();
+            let mut before = run.strikes_before.iter().copied().chain(std::iter::repeat(0));
+            let survived = run.streaming_since.is_some_and(|at| now.since(at) >= SURVIVAL_TIME);
+            for (part, before) in run.keys.keyed_parts().zip(before.by_ref()) {
+                if !survived && quarantine.strike_part(now, part, process.clone(), before) {
+                    struck.push(part.0);
+                }
+            }
+            let (request, before) = (run.keys.request, before.next().unwrap_or_default());
+            if quarantine.strike(now, request, process, before) {
+                struck.push(request);
+            }
+        }
+        for fingerprint in &struck {
             self.metrics.strike();
-            self.publish_suspect(fingerprint, true);
-            self.store_suspect(fingerprint);
+            self.publish_suspect(*fingerprint, true);
+            self.store_suspect(*fingerprint);
         }
+        self.vouch_for(&struck);
     }
 }
 
 impl ActiveRequest {
     fn suspected_run(&self) -> SuspectedRun {
         SuspectedRun {
-            fingerprint: self.original.fingerprint,
-            strikes_before: self.strikes_before,
-            parts: self.metadata.parts.clone(),
+            keys: self.original.keys.clone(),
+            strikes_before: self.strikes_before.clone(),
             streaming_since: self.streaming_since,
         }
     }
--- a/crates/ringbend-relay/src/fingerprint.rs
+++ b/crates/ringbend-relay/src/fingerprint.rs
@@ -2,7 +2,7 @@
 
 use actix_http::RequestHead;
 use ringbend_gateway::Account;
-use ringbend_types::Fingerprint;
+use ringbend_types::{Fingerprint, PromptPartId, ServiceName};
 use sha2::{Digest, Sha256};
 
 /// Hashes what identifies a request: account, host, method, path and query, and body. The request
@@ -36,3 +36,16 @@
         Fingerprint::from_digest(&self.0.finalize().into())
     }
 }
+
+/// Separates the fingerprints of parts from those of requests.
+const PART_DOMAIN: &[u8] = b"prompt part";
+
+/// The fingerprint of a part of prompts. Endpoints of another service run another model, so the part
+/// is another one there.
+pub(crate) fn part_fingerprint(service: &ServiceName, part: PromptPartId) -> Fingerprint {
+    let mut digest = Sha256::new();
+    digest.update(PART_DOMAIN);
+    digest.update(part.0.to_be_bytes());
+    digest.update(service.as_str().as_bytes());
+    Fingerprint::from_digest(&digest.finalize().into())
+}
--- a/crates/ringbend-relay/src/hedging.rs
+++ b/crates/ringbend-relay/src/hedging.rs
@@ -55,7 +55,7 @@
 
     /// Whether the request is suspected of crashing endpoints, so that it runs on one at a time.
     fn is_suspect(&self) -> bool {
-        self.node.suspect_state(self.original.fingerprint) != SuspectState::Clear
+        self.assess().state != SuspectState::Clear
     }
 
     /// When a hedge is started if there is no response yet; `None` if there will be none.
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -59,6 +59,8 @@
 mod signals;
 mod start_survey;
 mod streams;
+mod survival;
+mod suspect_keys;
 mod suspect_store;
 mod suspects;
 mod table_copies;
--- a/crates/ringbend-relay/src/log_fields.rs
+++ b/crates/ringbend-relay/src/log_fields.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use ringbend_types::ClientAccountId;
+use ringbend_types::{ClientAccountId, PromptPartId};
 
 /// Milliseconds, or a dash if there is no value.
 pub(crate) struct Millis(pub(crate) Option<Duration>);
@@ -40,3 +40,15 @@
         }
     }
 }
+
+/// A part of prompts, or a dash for a request.
+pub(crate) struct PartName(pub(crate) Option<PromptPartId>);
+
+impl fmt::Display for PartName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(part) => write!(f, "{part}"),
+            None => write!(f, "-"),
+        }
+    }
+}
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -18,7 +18,7 @@
 };
 use ringbend_runtime::Clock;
 use ringbend_telemetry::Metrics;
-use ringbend_types::{Fingerprint, ServiceName, Timestamp};
+use ringbend_types::{ServiceName, Timestamp};
 use ringbend_wire::EndpointChanges;
 use tokio::sync::Notify;
 
@@ -34,6 +34,8 @@
 use crate::registry_copy::RegistryCopy;
 use crate::reservations::MemoryReservations;
 use crate::signals::LoggedSignals;
+use crate::survival::Survivors;
+use crate::suspect_keys::SuspectKeys;
 use crate::suspect_store::SUSPECTS_WAIT;
 
 /// The state of one relay. It is confined to one thread.
@@ -153,7 +155,9 @@
     /// Recent connection probes of endpoints on which a request broke off.
     pub(crate) probes: RefCell<EndpointProbes>,
     /// Requests that are currently open on endpoints.
-    pub(crate) open_sends: RefCell<HashMap<WorkId, Fingerprint>>,
+    pub(crate) open_sends: RefCell<HashMap<WorkId, Rc<SuspectKeys>>>,
+    /// Runs that have recently outlived the time in which a fatal prompt crashes its engine.
+    pub(crate) survivors: RefCell<Survivors>,
     /// The memory that bodies of requests and responses take.
     pub(crate) buffers: Rc<BufferBudget>,
     pub(crate) metrics: Metrics,
@@ -258,6 +262,7 @@
             durable_store,
             probes: RefCell::default(),
             open_sends: RefCell::default(),
+            survivors: RefCell::default(),
             buffers,
             metrics: Metrics::default(),
             http_config: ServiceConfig::default(),
--- a/crates/ringbend-relay/src/permits.rs
+++ b/crates/ringbend-relay/src/permits.rs
@@ -102,7 +102,7 @@
             return ClosedEndpoints::new();
         }
         let limited = self.available_permits(self.clock.now(), service);
-        let is_next = job.suspect.is_some() || self.permits.borrow().is_next(service, id);
+        let is_next = !job.suspects.is_empty() || self.permits.borrow().is_next(service, id);
         let closed = limited.into_iter().filter(|(_, has_permit)| !(*has_permit && is_next));
         closed.map(|(endpoint, _)| endpoint).collect()
     }
--- a/crates/ringbend-relay/src/placement.rs
+++ b/crates/ringbend-relay/src/placement.rs
@@ -74,8 +74,8 @@
         job: &Job,
         engine: Option<EngineProfile>,
     ) -> Result<Placement, PlacementError> {
-        if let Some(fingerprint) = job.suspect {
-            return self.schedule_suspect(id, job, engine, fingerprint).await;
+        if !job.suspects.is_empty() {
+            return self.schedule_suspect(id, job, engine).await;
         }
         if self.is_scheduler() {
             return self.place_or_delegate(id, job, engine).await;
@@ -268,7 +268,7 @@
             weights: &cfg.placement,
             health: &health,
             tried: &job.tried,
-            is_suspect: job.suspect.is_some(),
+            is_suspect: !job.suspects.is_empty(),
             limits: &limits,
             priorities,
             rank: job.rank(now, &priorities),
--- a/crates/ringbend-relay/src/placement_grants.rs
+++ b/crates/ringbend-relay/src/placement_grants.rs
@@ -154,13 +154,13 @@
         };
         let engine = service.engine;
         let is_delegated = ask.owner.is_some();
-        if !is_delegated && job.suspect.is_none() {
+        if !is_delegated && job.suspects.is_empty() {
             self.placement_grants.borrow_mut().record_served(id.instance);
         }
         if let Some(prompt) = self.controlled_prompt(&job, engine) {
             return self.begin_controlled(from, id, job, prompt, is_delegated);
         }
-        let waits = job.suspect.is_some() || (!job.at_once && self.is_long(&job, engine));
+        let waits = !job.suspects.is_empty() || (!job.at_once && self.is_long(&job, engine));
         let deadline = job.deadline;
         let placed =
             if waits { Err(NotPlaced::MustWait) } else { self.try_place(id, &job, engine) };
@@ -234,13 +234,11 @@
         engine: Option<EngineProfile>,
         is_delegated: bool,
     ) {
-        let placed = match (job.suspect, is_delegated) {
-            (Some(fingerprint), true) => self.place_suspect(id, &job, engine, fingerprint).await,
-            (Some(fingerprint), false) => {
-                self.schedule_suspect(id, &job, engine, fingerprint).await
-            }
-            (None, true) => self.place_when_due(id, &job, engine, PermitIssuer::Local).await,
-            (None, false) => self.place_or_delegate(id, &job, engine).await,
+        let placed = match (job.suspects.is_empty(), is_delegated) {
+            (false, true) => self.place_suspect(id, &job, engine).await,
+            (false, false) => self.schedule_suspect(id, &job, engine).await,
+            (true, true) => self.place_when_due(id, &job, engine, PermitIssuer::Local).await,
+            (true, false) => self.place_or_delegate(id, &job, engine).await,
         };
         self.complete_grant(from, id, &job, placed);
     }
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -34,6 +34,8 @@
     MayHaveRun,
     /// The request is held because it crashes endpoints. It was not sent.
     Held,
+    /// The request is held because a part of its prompt crashes endpoints. It was not sent.
+    HeldPart,
     /// The remaining endpoints are rate-limited and have no permit in time. The request was not
     /// sent.
     Limited,
@@ -98,6 +100,7 @@
             Self::NotTaken => "not-taken",
             Self::MayHaveRun => "may-have-run",
             Self::Held => "held",
+            Self::HeldPart => "held-part",
             Self::Limited => "limited",
             Self::Overloaded => "overloaded",
             Self::BackingOff => "backing-off",
@@ -131,6 +134,7 @@
             | Self::NoEndpoint
             | Self::NotTaken
             | Self::Held
+            | Self::HeldPart
             | Self::Limited
             | Self::Overloaded
             | Self::BackingOff
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -104,9 +104,9 @@
         }
         // The reservation took some milliseconds, so the check is repeated.
         self.admit(&dependencies)?;
-        self.node.open_sends.borrow_mut().insert(tracked.id, self.original.fingerprint);
+        self.node.open_sends.borrow_mut().insert(tracked.id, self.original.keys.clone());
         self.streaming_since = None;
-        self.strikes_before = self.node.quarantine.borrow().strikes(self.original.fingerprint);
+        self.strikes_before = self.original.keys.strikes(&self.node.quarantine.borrow());
         self.attempts.record_send(&endpoint.id);
         self.node.backoffs.borrow_mut().record_sent(self.node.clock.now(), &endpoint);
         self.node.metrics.attempt(self.attempts.tried().len() as u32);
--- a/crates/ringbend-relay/src/scheduling.rs
+++ b/crates/ringbend-relay/src/scheduling.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use ringbend_gateway::{
-    AllowedDataCentres, AllowedRegions, Endpoint, HealthEvent, Job, Placement, Reservation,
-    ReservationId, SuspectState, WorkId,
+    AllowedDataCentres, AllowedRegions, Assessment, Endpoint, HealthEvent, Job, Placement,
+    Reservation, ReservationId, SuspectState, Suspects, WorkId,
 };
 use ringbend_types::{Fingerprint, Timestamp};
 use smallvec::SmallVec;
@@ -120,7 +120,7 @@
                 .overload
                 .is_enabled()
                 .then_some(self.original.fingerprint),
-            suspect: self.suspect_fingerprint(),
+            suspects: self.suspects(),
         }
     }
 
@@ -136,15 +136,27 @@
 
     /// Whether the request must not be sent to any endpoint.
     pub(crate) fn is_held(&self) -> bool {
-        !self.is_trial && self.node.suspect_state(self.original.fingerprint) == SuspectState::Held
+        !self.is_trial && self.held_for().is_some()
     }
 
-    /// The request's fingerprint if it is suspected of crashing endpoints. The trial run of a held
-    /// request needs no arbiter.
-    fn suspect_fingerprint(&self) -> Option<Fingerprint> {
-        let fingerprint = self.original.fingerprint;
-        let is_suspect = matches!(self.node.suspect_state(fingerprint), SuspectState::Suspect(_));
-        (is_suspect && !self.is_trial).then_some(fingerprint)
+    /// The request or part for which the request is held, whether or not this is its trial run.
+    pub(crate) fn held_for(&self) -> Option<Fingerprint> {
+        let assessment = self.assess();
+        assessment.cause.filter(|_| assessment.state == SuspectState::Held)
+    }
+
+    /// How the request is treated according to this instance's knowledge.
+    pub(crate) fn assess(&self) -> Assessment {
+        self.original.keys.assess(&self.node.quarantine.borrow())
+    }
+
+    /// The fingerprints of the request and its parts if one is suspected of crashing endpoints. The
+    /// trial run of a held request needs no arbiter.
+    fn suspects(&self) -> Suspects {
+        match self.assess().state {
+            SuspectState::Suspect(_) if !self.is_trial => self.original.keys.suspects(),
+            _ => Suspects::new(),
+        }
     }
 
     /// Reserves memory for the request if its lead engine has too little.
--- a/crates/ringbend-relay/src/short_prompts.rs
+++ b/crates/ringbend-relay/src/short_prompts.rs
@@ -51,7 +51,7 @@
         job: &Job,
         engine: Option<EngineProfile>,
     ) -> Option<(EngineProfile, Demand)> {
-        if !self.cfg.borrow().overload.is_enabled() || job.at_once || job.suspect.is_some() {
+        if !self.cfg.borrow().overload.is_enabled() || job.at_once || !job.suspects.is_empty() {
             return None;
         }
         engine.zip(job.demand).filter(|_| !self.is_long(job, engine))
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -130,6 +130,7 @@
     send_event(request, tx, first).await?;
     request.record_forwarded(&endpoint.id);
     request.streaming_since = Some(request.node.clock.now());
+    let mut survival = request.watch_survival(&endpoint);
     loop {
         let silence_deadline = gap_deadline(request);
         match request.wait_or_replace(&dependencies, silence_deadline, events.next()).await {
@@ -138,10 +139,13 @@
                 send_event(request, tx, event).await?;
                 request.record_forwarded(&endpoint.id);
             }
-            Ok(None) => return Ok(()),
+            Ok(None) => {
+                survival.run_ended();
+                return Ok(());
+            }
             Err(why) => {
                 let failure = request.record_run_error(&endpoint, &why);
-                drop((tracked, events));
+                drop((tracked, events, survival));
                 let resumed = resume(request, failure, last).await?;
                 ResponseStream { endpoint, tracked, dependencies, events, .. } = resumed;
                 let Some(next) = resumed.first else { return Ok(()) };
@@ -149,6 +153,7 @@
                 send_event(request, tx, next).await?;
                 request.record_forwarded(&endpoint.id);
                 request.streaming_since = Some(request.node.clock.now());
+                survival = request.watch_survival(&endpoint);
             }
         }
     }
--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -5,13 +5,17 @@
 use std::time::Duration;
 
 use ringbend_gateway::{
-    Arbiter, Endpoint, EngineProfile, Job, Peers, Placement, SuspectState, WorkId,
+    Arbiter, Assessment, EndedProcess, Endpoint, EngineProfile, Job, Peers, Placement,
+    SuspectState, WorkId,
 };
 use ringbend_types::{Fingerprint, Timestamp};
 use ringbend_wire::{LoadDigest, Suspicion, decode_suspicion, encode_suspicion};
+use smallvec::SmallVec;
 
+use crate::log_fields::PartName;
 use crate::node::Node;
 use crate::placement::{NotPlaced, PermitIssuer, PlacementError};
+use crate::suspect_keys::SuspectKeys;
 
 /// Maximum number of suspects per datagram, so that it stays well below the receive buffer.
 const MAX_PER_DATAGRAM: usize = 64;
@@ -46,8 +50,13 @@
         let ended = known.iter().flat_map(|s| &s.ended).map(|p| p.endpoint.as_str());
         let ended = ended.collect::<Vec<_>>().join(" ");
         let (round, tries) = known.as_ref().map_or((0, 0), |s| (s.round, s.tries));
-        log::info!(target: "suspects", fingerprint:% = fingerprint, state:?, ended, round, tries; "suspect state changed");
+        let part = PartName(known.as_ref().and_then(|s| s.part));
+        log::info!(target: "suspects", fingerprint:% = fingerprint, part:%, state:?, ended, round, tries; "suspect state changed");
+        for process in known.iter().flat_map(|s| &s.ended) {
+            self.load.borrow_mut().decide_suspects_on(&process.endpoint);
+        }
         self.metrics.held_requests.set(self.quarantine.borrow().held_count() as i64);
+        self.metrics.held_parts.set(self.quarantine.borrow().held_part_count() as i64);
         {
             let mut outbox = self.outbox.borrow_mut();
             outbox.local_suspicions.push(fingerprint);
@@ -56,14 +65,16 @@
             }
             if state != SuspectState::Clear {
                 let sends = self.open_sends.borrow();
-                for (id, _) in sends.iter().filter(|(_, sent)| **sent == fingerprint) {
-                    self.load.borrow_mut().mark_suspect(*id, fingerprint);
+                let of_suspect = |keys: &SuspectKeys| keys.all().any(|key| key == fingerprint);
+                for (id, keys) in sends.iter().filter(|(_, keys)| of_suspect(keys)) {
+                    self.load.borrow_mut().mark_suspect(*id, keys.suspects());
                     outbox.placed.push(*id);
                 }
             }
         }
         self.flush.immediate.notify_one();
-        if state == SuspectState::Held {
+        // A part may become held because another possible cause was cleared.
+        if state == SuspectState::Held || known.is_some_and(|s| s.part.is_some()) {
             self.request_held.notify_waiters();
         }
     }
@@ -108,18 +119,22 @@
 
     /// Merges suspects known to another instance. Those from a member are forwarded to all
     /// instances, those from a scheduler to the members.
-    pub(crate) fn merge_suspicions(&self, digest: &LoadDigest, from_scheduler: bool) {
+    pub(crate) fn merge_suspicions(self: &Rc<Self>, digest: &LoadDigest, from_scheduler: bool) {
         let now = self.clock.now();
+        let mut changed: SmallVec<[Fingerprint; 4]> = SmallVec::new();
         for encoded in &digest.suspicions {
             match decode_suspicion(encoded) {
                 Ok(suspicion) => {
                     if self.quarantine.borrow_mut().merge(now, &suspicion) {
-                        self.publish_suspect(suspicion.fingerprint, !from_scheduler);
+                        changed.push(suspicion.fingerprint);
                     }
                 }
                 Err(e) => log::warn!(target: "peers", error:% = e; "invalid suspicion in digest"),
             }
         }
+        // Whether a part is held depends on the strikes of others, so all are merged before.
+        changed.iter().for_each(|suspect| self.publish_suspect(*suspect, !from_scheduler));
+        self.vouch_for(&changed);
         if digest.knows_suspects {
             self.record_suspects_known("another instance");
         }
@@ -149,12 +164,12 @@
     }
 
     /// Waits until the request is held.
-    pub(crate) async fn wait_until_held(&self, fingerprint: Fingerprint) {
+    pub(crate) async fn wait_until_held(&self, keys: &SuspectKeys) {
         loop {
             let mut notified = std::pin::pin!(self.request_held.notified());
             // Registered before the check, so that no notification in between is missed.
             notified.as_mut().enable();
-            if self.suspect_state(fingerprint) == SuspectState::Held {
+            if keys.assess(&self.quarantine.borrow()).state == SuspectState::Held {
                 return;
             }
             notified.await;
@@ -169,7 +184,6 @@
         id: WorkId,
         job: &Job,
         engine: Option<EngineProfile>,
-        suspect: Fingerprint,
     ) -> Result<Placement, PlacementError> {
         let until =
             (self.clock.now() + ARBITER_TIMEOUT).min(job.caller_timeout_at).min(job.deadline);
@@ -177,7 +191,7 @@
             let now = self.clock.now();
             let arbiter = self.peers.borrow().arbiter(now, &job.service, &[]);
             match arbiter {
-                Some(Arbiter::Local) => return self.place_suspect(id, job, engine, suspect).await,
+                Some(Arbiter::Local) => return self.place_suspect(id, job, engine).await,
                 Some(Arbiter::Remote(_)) => {
                     let next = |peers: &Peers, now, asked: &[SocketAddrV4]| {
                         peers.arbiter(now, &job.service, asked).and_then(Arbiter::address)
@@ -188,7 +202,7 @@
                 }
                 None => {}
             }
-            match self.suspect_state(suspect) {
+            match self.assess(job).state {
                 SuspectState::Clear | SuspectState::Suspect(1) => {
                     log::info!(target: "request", id = job.request.as_ref(); "no arbiter replied; placing suspect locally");
                     return self.place_when_due(id, job, engine, PermitIssuer::Any).await;
@@ -212,30 +226,40 @@
             })
     }
 
-    /// Whether the request may run on the endpoint, given the suspects that already run there.
+    /// Whether the request may run on the endpoint, given the suspects that already run there. An
+    /// endpoint that a suspect has crashed looks idle until its row is removed.
     pub(crate) fn may_run_on(&self, job: &Job, endpoint: &Endpoint) -> bool {
-        let Some(fingerprint) = job.suspect else { return true };
-        let load = self.load.borrow();
-        self.quarantine
-            .borrow()
-            .may_run_beside(fingerprint, load.suspects_on(self.clock.now(), &endpoint.id))
+        if job.suspects.is_empty() {
+            return true;
+        }
+        let (load, quarantine) = (self.load.borrow(), self.quarantine.borrow());
+        let beside = load.suspects_on(self.clock.now(), &endpoint.id);
+        quarantine.may_run_beside(&job.suspects, beside)
+            && !quarantine.has_ended(&EndedProcess::of(endpoint))
     }
 
-    /// Whether a suspect may be sent now: it was cleared, or no other run of it was sent recently
-    /// and is still open, and there is an endpoint without other suspects.
-    fn may_place_suspect(
-        &self,
-        id: WorkId,
-        job: &Job,
-        fingerprint: Fingerprint,
-    ) -> Result<bool, PlacementError> {
-        match self.suspect_state(fingerprint) {
+    /// How a suspect that is to be placed is treated by now.
+    fn assess(&self, job: &Job) -> Assessment {
+        self.quarantine.borrow().assess(job.suspects.iter().copied())
+    }
+
+    /// Whether a suspect may be sent now: it was cleared, or no other run that has a suspect in
+    /// common with it was sent recently and is still undecided, and there is an endpoint without
+    /// other suspects.
+    fn may_place_suspect(&self, id: WorkId, job: &Job) -> Result<bool, PlacementError> {
+        match self.assess(job).state {
             SuspectState::Clear => Ok(true),
             SuspectState::Held => Err(PlacementError::Held),
             SuspectState::Suspect(_) => {
-                let last = self.load.borrow().last_placed(fingerprint);
-                let now = self.clock.now();
-                let is_alone = last.is_none_or(|at| now.since(at) >= CONCURRENT_RUN_DELAY);
+                let (now, load) = (self.clock.now(), self.load.borrow());
+                let has_strikes =
+                    |suspect: &&Fingerprint| self.quarantine.borrow().strikes(**suspect) > 0;
+                let mut suspects = job.suspects.iter().filter(has_strikes);
+                let is_alone = suspects.all(|suspect| {
+                    let last = load.last_undecided(now, *suspect);
+                    last.is_none_or(|at| now.since(at) >= CONCURRENT_RUN_DELAY)
+                });
+                drop(load);
                 Ok(is_alone && self.has_endpoint_without_suspects(id, job))
             }
         }
@@ -247,13 +271,12 @@
         id: WorkId,
         job: &Job,
         engine: Option<EngineProfile>,
-        fingerprint: Fingerprint,
     ) -> Result<Placement, PlacementError> {
         self.wait_for_turn(id, job, engine).await?;
         let started_at = self.clock.now();
         let until = job.caller_timeout_at.min(job.deadline);
         let placement = loop {
-            if self.may_place_suspect(id, job, fingerprint)? {
+            if self.may_place_suspect(id, job)? {
                 match self.try_place(id, job, engine) {
                     Ok(placement) => break placement,
                     Err(NotPlaced::NoEndpoint) => return Err(PlacementError::NoEndpoint),
@@ -267,7 +290,7 @@
             tokio::time::sleep(POLL_INTERVAL).await;
         };
         let waited_ms = self.clock.now().since(started_at).as_millis() as u64;
-        log::info!(target: "request", id = job.request.as_ref(), fingerprint:% = fingerprint, waited_ms; "suspect placed");
+        log::info!(target: "request", id = job.request.as_ref(), suspects = job.suspects.len(), waited_ms; "suspect placed");
         Ok(placement)
     }
 }
--- a/crates/ringbend-relay/src/timeouts.rs
+++ b/crates/ringbend-relay/src/timeouts.rs
@@ -127,7 +127,7 @@
             () = self.node.clock.sleep_until(until) => Err(RunError::Late),
             () = self.node.wait_until_ended(dependencies) => Err(RunError::Ended),
             () = lost => Err(RunError::Lost),
-            () = self.node.wait_until_held(self.original.fingerprint), if self.is_cancelled_when_held() => {
+            () = self.node.wait_until_held(&self.original.keys), if self.is_cancelled_when_held() => {
                 Err(RunError::Held)
             }
         };
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -79,6 +79,8 @@
     pub overloaded_services: Gauge,
     /// Requests that are held because they end endpoints.
     pub held_requests: Gauge,
+    /// Parts of prompts whose requests are held because they end endpoints.
+    pub held_parts: Gauge,
     /// Endpoints that announce a rate limit.
     pub limited_endpoints: Gauge,
     /// Endpoints that have announced that they are draining.
@@ -148,6 +150,7 @@
             overload_wait: histogram(),
             overloaded_services: Gauge::default(),
             held_requests: Gauge::default(),
+            held_parts: Gauge::default(),
             limited_endpoints: Gauge::default(),
             draining_endpoints: Gauge::default(),
             endpoint_backoffs: Gauge::default(),
@@ -337,6 +340,11 @@
             "Requests held because they end endpoints",
             self.held_requests.clone(),
         );
+        r.register(
+            "held_parts",
+            "Prompt parts whose requests are held because they end endpoints",
+            self.held_parts.clone(),
+        );
         let rates = self.endpoint_limits.clone();
         r.register("endpoint_limit", "Rate limit of an endpoint, in requests per second", rates);
         let waiting = self.overload_queue.clone();
--- a/crates/ringbend-wire/src/convert.rs
+++ b/crates/ringbend-wire/src/convert.rs
@@ -6,7 +6,9 @@
 use ringbend_membership as gossip;
 use ringbend_policy as policy;
 use ringbend_settings::{LogEntry, Replica, Snapshot};
-use ringbend_types::{Incarnation, ParseFingerprintError, ParseIdError, SettingsVersion};
+use ringbend_types::{
+    Incarnation, ParseFingerprintError, ParseIdError, ParsePromptPartError, SettingsVersion,
+};
 
 use crate::generated as wire;
 
@@ -27,6 +29,8 @@
     Decode(prost::DecodeError),
     /// A fingerprint is malformed.
     Fingerprint(ParseFingerprintError),
+    /// The id of a prompt part is malformed.
+    Part(ParsePromptPartError),
 }
 
 impl fmt::Display for WireError {
@@ -39,6 +43,7 @@
             Self::Settings(e) => write!(f, "invalid settings: {e}"),
             Self::Decode(e) => write!(f, "invalid message: {e}"),
             Self::Fingerprint(e) => write!(f, "invalid fingerprint: {e}"),
+            Self::Part(e) => write!(f, "invalid prompt part: {e}"),
         }
     }
 }
@@ -57,6 +62,12 @@
     }
 }
 
+impl From<ParsePromptPartError> for WireError {
+    fn from(e: ParsePromptPartError) -> Self {
+        Self::Part(e)
+    }
+}
+
 impl From<AddrParseError> for WireError {
     fn from(e: AddrParseError) -> Self {
         Self::Address(e)
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -167,9 +167,10 @@
     /// Whether its prompt is long, so that it waited for its turn.
     #[prost(bool, tag = "12")]
     pub long: bool,
-    /// The request's fingerprint, if it is suspected of ending endpoints.
-    #[prost(bytes = "vec", tag = "13")]
-    pub suspect: ::prost::alloc::vec::Vec<u8>,
+    /// The fingerprints of the request and, before it, of the parts of its prompt, if one is suspected of
+    /// ending endpoints. An instance of the former release reads the last one.
+    #[prost(bytes = "vec", repeated, tag = "13")]
+    pub suspects: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
 }
 /// A long prompt that waits at the sender for its turn to be read.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -372,6 +373,9 @@
     /// How often it was tried since it is held.
     #[prost(uint32, tag = "4")]
     pub tries: u32,
+    /// The part of prompts that it stands for, in hexadecimal; empty if it stands for a request.
+    #[prost(string, tag = "5")]
+    pub part: ::prost::alloc::string::String,
 }
 /// What is new of one instance's work.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -437,9 +441,10 @@
     /// The start of the instance whose request it is, where a scheduler asks for it.
     #[prost(fixed64, optional, tag = "13")]
     pub owner: ::core::option::Option<u64>,
-    /// The request's fingerprint, if it is suspected of ending endpoints.
-    #[prost(bytes = "vec", tag = "14")]
-    pub suspect: ::prost::alloc::vec::Vec<u8>,
+    /// The fingerprints of the request and, before it, of the parts of its prompt, if one is suspected of
+    /// ending endpoints. An instance of the former release reads the last one.
+    #[prost(bytes = "vec", repeated, tag = "14")]
+    pub suspects: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
     /// Its rank among those that wait for a place, zero first.
     #[prost(uint32, tag = "15")]
     pub rank: u32,
--- a/crates/ringbend-wire/src/load.rs
+++ b/crates/ringbend-wire/src/load.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use ringbend_gateway::{
-    AllowedDataCentres, Demand, HealthEvent, HelperMemory, Job, Pace, Role, WaitingPrompt, Work,
-    WorkId,
+    AllowedDataCentres, Demand, HealthEvent, HelperMemory, Job, MAX_SUSPECTS, Pace, Role, Suspects,
+    WaitingPrompt, Work, WorkId,
 };
 use ringbend_types::{
     ClientAccountId, DataCentre, EndpointId, Fingerprint, ParseFingerprintError, ParseIdError,
@@ -36,7 +36,7 @@
         writing,
         held: work.held.iter().map(encode_held_memory).collect(),
         long: work.long,
-        suspect: encode_fingerprint(work.suspect),
+        suspects: encode_suspects(&work.suspects),
     }
 }
 
@@ -48,6 +48,15 @@
     if bytes.is_empty() { Ok(None) } else { bytes.try_into().map(Some) }
 }
 
+fn encode_suspects(suspects: &Suspects) -> Vec<Vec<u8>> {
+    suspects.iter().map(|suspect| suspect.as_bytes().to_vec()).collect()
+}
+
+/// Decodes suspects. Those beyond the number that an instance sends are dropped.
+fn decode_suspects(suspects: &[Vec<u8>]) -> Result<Suspects, ParseFingerprintError> {
+    suspects.iter().take(MAX_SUSPECTS).map(|suspect| suspect.as_slice().try_into()).collect()
+}
+
 fn encode_held_memory(held: &HelperMemory) -> HeldMemory {
     HeldMemory { endpoint: held.endpoint.to_string(), tokens: held.tokens }
 }
@@ -74,7 +83,7 @@
         stake: placed.stake,
         until: now + Duration::from_millis(placed.left_ms),
         long: placed.long,
-        suspect: decode_fingerprint(&placed.suspect)?,
+        suspects: decode_suspects(&placed.suspects)?,
     })
 }
 
@@ -128,7 +137,7 @@
         tried: job.tried.iter().map(EndpointId::to_string).collect(),
         at_once: job.at_once,
         owner: None,
-        suspect: encode_fingerprint(job.suspect),
+        suspects: encode_suspects(&job.suspects),
         rank: job.priority.into(),
         closed: job.backing_off.iter().map(EndpointId::to_string).collect(),
         data_centres: encode_data_centres(&job.data_centres),
@@ -162,7 +171,7 @@
         priority: u8::try_from(ask.rank).unwrap_or(u8::MAX),
         account: decode_account(&ask.account)?,
         fingerprint: decode_fingerprint(&ask.fingerprint)?,
-        suspect: decode_fingerprint(&ask.suspect)?,
+        suspects: decode_suspects(&ask.suspects)?,
     })
 }
 
--- a/crates/ringbend-wire/src/suspicions.rs
+++ b/crates/ringbend-wire/src/suspicions.rs
@@ -17,6 +17,7 @@
         round: suspicion.round,
         ended: ended.collect(),
         tries: suspicion.tries.into(),
+        part: suspicion.part.map(|part| part.to_string()).unwrap_or_default(),
     }
 }
 
@@ -24,14 +25,16 @@
 ///
 /// # Errors
 ///
-/// Fails if the fingerprint or an endpoint's id is malformed.
+/// Fails if the fingerprint, the part or an endpoint's id is malformed.
 pub fn decode_suspicion(suspicion: &wire::Suspicion) -> Result<Suspicion, WireError> {
     let ended = suspicion.ended.iter().map(|process| {
         let start = process.start_ms.map(EndpointStart);
         Ok(EndedProcess { endpoint: process.endpoint.parse()?, start })
     });
+    let part = Some(suspicion.part.as_str()).filter(|part| !part.is_empty());
     Ok(Suspicion {
         fingerprint: suspicion.fingerprint.as_slice().try_into()?,
+        part: part.map(str::parse).transpose()?,
         round: suspicion.round,
         ended: ended.collect::<Result<_, WireError>>()?,
         tries: u8::try_from(suspicion.tries).unwrap_or(u8::MAX),
--- a/crates/ringbend-wire/tests/messages.rs
+++ b/crates/ringbend-wire/tests/messages.rs
@@ -46,7 +46,7 @@
         priority: 2,
         account: Some("account-7".parse().unwrap()),
         fingerprint: Some(Fingerprint::from_digest(&[7; 32])),
-        suspect: None,
+        suspects: Default::default(),
     };
     let id = WorkId { instance: 1, sequence: 70_000 };
     let ask = Ask { owner: Some(1), ..encode_ask(now, id, &job) };
