fix(relay): forward the bytes that arrive with the head of an unframed response

A response with neither length nor chunks was read further before the bytes that had come with its head were looked at. So its first event waited for the next one (404 ms in the test), and was lost if the connection was reset meanwhile: a stream that had begun was answered with 502, or run again from its start and joined to nothing.

Buffered bytes are returned first now. unframed_responses.rs (new), seven tests: four failed before (first event late; a stream that ends inside an event, direct and over another instance; a resumed one), all pass after, three runs.

--- a/crates/ringbend-relay/src/exchange.rs
+++ b/crates/ringbend-relay/src/exchange.rs
@@ -205,14 +205,17 @@
     }
 
     async fn next_chunk_until_close(&mut self) -> Result<Option<Bytes>, ExchangeError> {
-        match read_more(&mut self.connection, &mut self.buf).await {
-            Err(ExchangeError::Truncated) if self.buf.is_empty() => {
-                self.framing = Framing::Done;
-                Ok(None)
+        if self.buf.is_empty() {
+            match read_more(&mut self.connection, &mut self.buf).await {
+                Ok(()) => {}
+                Err(ExchangeError::Truncated) => {
+                    self.framing = Framing::Done;
+                    return Ok(None);
+                }
+                Err(e) => return Err(e),
             }
-            Ok(()) | Err(ExchangeError::Truncated) => Ok(Some(self.buf.split().freeze())),
-            Err(e) => Err(e),
         }
+        Ok(Some(self.buf.split().freeze()))
     }
 
     /// Reads the complete body, of at most `limit` bytes.
