fix(relay): how long a run had streamed is measured when it breaks off

Read from the code: the time was taken when the strike was recorded, up to 360 ms after the break, as the endpoint is probed twice and by others. A fatal part whose response had begun could so count as survived. No test shows it; fatal_parts, fatal_requests, false_suspects pass as before.

--- a/crates/ringbend-gateway/src/quarantine.rs
+++ b/crates/ringbend-gateway/src/quarantine.rs
@@ -2,11 +2,11 @@
 //! callers and all instances.
 //!
 //! A request is identified by its fingerprint, and so is a part of prompts, which many requests
-//! share; see [`attribution`] for what follows from that. The rest applies to both. A process of an endpoint that ended while it ran the
-//! request is a strike. One strike makes the request a suspect: most suspects merely ran beside the
-//! request that is to blame, and are cleared by the first successful run anywhere. With
-//! `STRIKES_TO_HOLD` strikes the request is held: it is sent to no endpoint any more, except for a
-//! few tries much later.
+//! share; what follows from that is in `attribution`, and the rest applies to both. A process of an
+//! endpoint that ended while it ran the request is a strike. One strike makes the request a suspect:
+//! most suspects merely ran beside the request that is to blame, and are cleared by the first
+//! successful run anywhere. With `STRIKES_TO_HOLD` strikes the request is held: it is sent to no
+//! endpoint any more, except for a few tries much later.
 //!
 //! Each strike stems from a run that began when all earlier strikes were known, so that it ran
 //! apart from other suspects. Of several concurrent runs only one counts: otherwise a call that
@@ -128,6 +128,7 @@
         }
     }
 
+    /// The number of processes in the lists that do not count as strikes.
     fn side_lists_len(&self) -> usize {
         self.tested.len() + self.concurrent.len()
     }
--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -77,8 +77,8 @@
     pub(crate) keys: Rc<SuspectKeys>,
     /// The strikes of the request and its parts when the run started.
     pub(crate) strikes_before: StrikeCounts,
-    /// Since when the run streams its response.
-    pub(crate) streaming_since: Option<Timestamp>,
+    /// How long the run had streamed its response when it broke off.
+    pub(crate) streamed: Option<Duration>,
 }
 
 /// Guards a run without a response. If it is dropped in this state, the caller has disconnected.
@@ -183,10 +183,9 @@
     async fn probe_for_crash(self: &Rc<Self>, endpoint: &Endpoint, run: &SuspectedRun) -> bool {
         let found = self.probe(endpoint.address).await;
         let is_settled = self.directory.borrow().is_settled(endpoint);
-        let streamed = run.streaming_since.map(|since| self.clock.now().since(since));
         log::info!(
             target: "endpoints", endpoint:% = endpoint.id, fingerprint:% = run.keys.request,
-            parts:% = run.keys.parts, streamed_ms:% = Millis(streamed), found:?, is_settled;
+            parts:% = run.keys.parts, streamed_ms:% = Millis(run.streamed), found:?, is_settled;
             "request broke off; endpoint probed"
         );
         if found == ProbeResult::Refused && is_settled {
@@ -216,7 +215,7 @@
         {
             let mut quarantine = self.quarantine.borrow_mut();
             let mut before = run.strikes_before.iter().copied().chain(std::iter::repeat(0));
-            let survived = run.streaming_since.is_some_and(|at| now.since(at) >= SURVIVAL_TIME);
+            let survived = run.streamed.is_some_and(|streamed| streamed >= SURVIVAL_TIME);
             for (part, before) in run.keys.keyed_parts().zip(before.by_ref()) {
                 if !survived && quarantine.strike_part(now, part, process.clone(), before) {
                     struck.push(part.0);
@@ -240,10 +239,11 @@
 
 impl ActiveRequest {
     fn suspected_run(&self) -> SuspectedRun {
+        let now = self.node.clock.now();
         SuspectedRun {
             keys: self.original.keys.clone(),
             strikes_before: self.strikes_before.clone(),
-            streaming_since: self.streaming_since,
+            streamed: self.streaming_since.map(|since| now.since(since)),
         }
     }
 
