--- a/crates/ringbend-relay/src/permits.rs
+++ b/crates/ringbend-relay/src/permits.rs
@@ -249,9 +249,8 @@
         job: &Job,
         due: Timestamp,
     ) -> Result<(), PlacementError> {
-        let limited = self.rate_limited_endpoints(&job.service).len();
-        let all = self.directory.borrow().of_service(self.clock.now(), &job.service).count();
-        if all > limited {
+        let limited = self.rate_limited_endpoints(&job.service);
+        if self.running_endpoints(&job.service).iter().any(|id| !limited.contains(id)) {
             return Ok(());
         }
         self.time_until_permit(job, 1, due).map(drop)
--- a/crates/ringbend-relay/src/suspects.rs
+++ b/crates/ringbend-relay/src/suspects.rs
@@ -8,7 +8,7 @@
     Arbiter, Assessment, EndedProcess, Endpoint, EngineProfile, Job, Peers, Placement,
     SuspectState, WorkId,
 };
-use ringbend_types::{Fingerprint, Timestamp};
+use ringbend_types::{EndpointId, Fingerprint, ServiceName, Timestamp};
 use ringbend_wire::{LoadDigest, Suspicion, decode_suspicion, encode_suspicion};
 use smallvec::SmallVec;
 
@@ -227,7 +227,8 @@
     }
 
     /// Whether the request may run on the endpoint, given the suspects that already run there. An
-    /// endpoint that a suspect has crashed looks idle until its row is removed.
+    /// endpoint that a suspect has crashed looks idle until its row is removed, so it is used only
+    /// if there is no other.
     pub(crate) fn may_run_on(&self, job: &Job, endpoint: &Endpoint) -> bool {
         if job.suspects.is_empty() {
             return true;
@@ -235,7 +236,16 @@
         let (load, quarantine) = (self.load.borrow(), self.quarantine.borrow());
         let beside = load.suspects_on(self.clock.now(), &endpoint.id);
         quarantine.may_run_beside(&job.suspects, beside)
-            && !quarantine.has_ended(&EndedProcess::of(endpoint))
+            && (!quarantine.has_ended(&EndedProcess::of(endpoint))
+                || self.running_endpoints(&job.service).is_empty())
+    }
+
+    /// The endpoints of a service that no suspect is known to have crashed.
+    pub(crate) fn running_endpoints(&self, service: &ServiceName) -> Vec<EndpointId> {
+        let (directory, quarantine) = (self.directory.borrow(), self.quarantine.borrow());
+        let all = directory.of_service(self.clock.now(), service);
+        let running = all.filter(|endpoint| !quarantine.has_ended(&EndedProcess::of(endpoint)));
+        running.map(|endpoint| endpoint.id.clone()).collect()
     }
 
     /// How a suspect that is to be placed is treated by now.
