refactor(relay): the fingerprint of a request in one place; strikes counted once

OriginalRequest held the fingerprint beside SuspectKeys, which has it as well. An end of an endpoint that is noted for a concurrent run, and is no strike, was counted by the metric of strikes; it is not now, and the metric's help names parts.

--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -14,7 +14,7 @@
     SendOutcome, Service,
 };
 use ringbend_runtime::HttpResponse;
-use ringbend_types::{EndpointId, Fingerprint, PromptBucket, RunState, Timestamp, TokenCount};
+use ringbend_types::{EndpointId, PromptBucket, RunState, Timestamp, TokenCount};
 
 use crate::buffers::{BodyKind, HeldBytes};
 use crate::engine_pace::LongPauseCounter;
@@ -33,8 +33,6 @@
 pub(crate) struct OriginalRequest {
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
-    /// Equal for repeats of the same request under another request id.
-    pub(crate) fingerprint: Fingerprint,
     /// What crashes of its endpoints are attributed to.
     pub(crate) keys: Rc<SuspectKeys>,
     /// The memory of the body.
@@ -216,8 +214,8 @@
     fn held_reason(&self) -> (Option<Duration>, Refusal) {
         let quarantine = self.node.quarantine.borrow();
         let cause = self.original.keys.assess(&quarantine).cause;
-        let cause = cause.unwrap_or(self.original.fingerprint);
-        let is_part = cause != self.original.fingerprint;
+        let cause = cause.unwrap_or(self.original.keys.request);
+        let is_part = cause != self.original.keys.request;
         let refusal = if is_part { Refusal::HeldPart } else { Refusal::Held };
         (quarantine.until_try(self.node.clock.now(), cause), refusal)
     }
@@ -307,7 +305,7 @@
         let prompt = self.metadata.demand.map_or(0, |demand| demand.prompt_tokens);
         let prefill_ms = self.prefill_time().as_millis() as u64;
         log::info!(
-            target: "request", id, fingerprint:% = self.original.fingerprint, route:%,
+            target: "request", id, fingerprint:% = self.original.keys.request, route:%,
             config:% = self.config.version, outcome, ms, sends,
             first_ms:%, gap_ms, aim_ms, gap_aim_ms, prompt, prefill_ms,
             priority = self.priority(), account:%, parts:% = self.metadata.parts;
@@ -358,7 +356,7 @@
             return Err(SendFailure::Send(SendOutcome::FailedAnswer));
         }
         self.record_health(&run.endpoint.id, HealthEvent::Good);
-        self.node.clear_suspect(self.original.fingerprint);
+        self.node.clear_suspect(self.original.keys.request);
         self.watch_survival(&run.endpoint).run_ended();
         Ok(SendSuccess::Complete(res, status))
     }
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -113,7 +113,7 @@
             Attempts::new(route.repeat, route.max_runs, deadline).with_rank(rank, arrived_at);
         let keys = SuspectKeys::new(fingerprint, service.name.clone(), metadata.parts.clone());
         let (head, keys) = (req.head().clone(), Rc::new(keys));
-        let original = OriginalRequest { head, body, fingerprint, keys, _held: held };
+        let original = OriginalRequest { head, body, keys, _held: held };
         let mut request = ActiveRequest::new(
             self.node.clone(),
             metadata.clone(),
--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -212,6 +212,7 @@
         let process = EndedProcess::of(endpoint);
         let now = self.clock.now();
         let mut struck: SmallVec<[Fingerprint; 4]> = SmallVec::new();
+        let mut noted = None;
         {
             let mut quarantine = self.quarantine.borrow_mut();
             let mut before = run.strikes_before.iter().copied().chain(std::iter::repeat(0));
@@ -222,14 +223,14 @@
                 }
             }
             let (request, before) = (run.keys.request, before.next().unwrap_or_default());
-            if quarantine.strike(now, request, process.clone(), before)
-                || quarantine.note_concurrent(now, request, process)
-            {
+            if quarantine.strike(now, request, process.clone(), before) {
                 struck.push(request);
+            } else if quarantine.note_concurrent(now, request, process) {
+                noted = Some(request);
             }
         }
-        for fingerprint in &struck {
-            self.metrics.strike();
+        struck.iter().for_each(|_| self.metrics.strike());
+        for fingerprint in struck.iter().chain(&noted) {
             self.publish_suspect(*fingerprint, true);
             self.store_suspect(*fingerprint);
         }
--- a/crates/ringbend-relay/src/scheduling.rs
+++ b/crates/ringbend-relay/src/scheduling.rs
@@ -119,7 +119,7 @@
                 .borrow()
                 .overload
                 .is_enabled()
-                .then_some(self.original.fingerprint),
+                .then_some(self.original.keys.request),
             suspects: self.suspects(),
         }
     }
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -76,7 +76,7 @@
     pub(crate) fn record_run_error(&mut self, endpoint: &Endpoint, why: &RunError) -> SendFailure {
         if matches!(why, RunError::Held) {
             log::warn!(
-                target: "request", id = self.request_id(), fingerprint:% = self.original.fingerprint,
+                target: "request", id = self.request_id(), fingerprint:% = self.original.keys.request,
                 endpoint:% = endpoint.id, why:%;
                 "send cancelled: request is held"
             );
@@ -104,7 +104,7 @@
         }
         let end = if why.is_unsent() { SendOutcome::NotSent } else { SendOutcome::Unknown };
         log::warn!(
-            target: "request", id = self.request_id(), fingerprint:% = self.original.fingerprint,
+            target: "request", id = self.request_id(), fingerprint:% = self.original.keys.request,
             endpoint:% = endpoint.id, why:%, end:? = end;
             "send failed"
         );
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -94,7 +94,7 @@
             }
             return;
         }
-        request.node.clear_suspect(request.original.fingerprint);
+        request.node.clear_suspect(request.original.keys.request);
         request.log_end("streamed");
     });
     res
--- a/crates/ringbend-relay/src/suspect_keys.rs
+++ b/crates/ringbend-relay/src/suspect_keys.rs
@@ -15,7 +15,9 @@
 /// The fingerprints of a request and of the parts of its prompt.
 #[derive(Debug)]
 pub(crate) struct SuspectKeys {
+    /// Equal for repeats of the same request under another request id.
     pub(crate) request: Fingerprint,
+    /// The parts that other requests may have as well.
     pub(crate) parts: SharedParts,
     service: ServiceName,
     /// Computed only once some part is known to have strikes.
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -332,7 +332,7 @@
         );
         r.register(
             "strikes",
-            "Requests whose endpoint ended while running them",
+            "Ends of endpoints counted against requests and prompt parts",
             self.strikes.clone(),
         );
         r.register(
