--- a/review/rig-2/model.py
+++ b/review/rig-2/model.py
@@ -17,6 +17,8 @@
 class ModelEngine(Engine):
     """A model engine: streams events, and reports its load. It may fall silent and go on."""
 
+    events, gap_s = EVENTS, GAP_S
+
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.awake = asyncio.Event()
@@ -59,16 +61,16 @@
                      f"X-Ringbend-Engine-Load: {self.running},0,16\r\n"
                      "Content-Type: text/event-stream\r\n"
                      "Transfer-Encoding: chunked\r\n\r\n".encode())
-        for number in range(1, EVENTS + 1):
+        for number in range(1, self.events + 1):
             await self.awake.wait()
-            event = f"id: {number}\ndata: piece {number} of {EVENTS}\n\n".encode()
+            event = f"id: {number}\ndata: piece {number} of {self.events}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             try:
                 await writer.drain()
             except ConnectionError:
                 record.add("engine-cut-off", engine=self.name, attempt=attempt, after=number)
                 raise
-            await asyncio.sleep(GAP_S)
+            await asyncio.sleep(self.gap_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         record.add("engine-finished", engine=self.name, attempt=attempt)
