fix(runtime): read no more of a connection than its request needs

Callers saw an instance stop answering, or its process end for lack of memory, while some clients pipelined requests and did not read the responses.

Cause: the dispatcher of actix-http asks for its bound of 16 queued requests only between passes, and one pass decodes all heads in a read buffer of up to 128 KB: hundreds of requests a connection, each with its header map. A full buffer wakes its own task, so the process is busy as well, and the copies of the configuration expired (503, stale-config). Ruled out: the handler, which runs one request of a connection at a time, and the write buffer, which is bounded.

Change: the server handles HTTP/1.1 connections itself, on the codec of actix-http: one request at a time, its body read as the handler asks for it, at most 4 KB of what follows read ahead, so that the rest waits in the system's buffers. Limits on the head, its time, idle time and unread responses are options of the server. A response on a connection that is closed is followed by reading what the client still sends, so that it is not discarded by a reset. HTTP/2 is an option, on as before.

--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -1,5 +1,6 @@
 //! Starting a relay, reloading its settings and reading its state.
 
+use std::cell::Cell;
 use std::fmt;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
@@ -8,7 +9,7 @@
 
 use error_stack::{Report, ResultExt};
 use ringbend_gateway::{Endpoint, EndpointChange, WatchedTable};
-use ringbend_runtime::{Clock, Server, ServerConfig, serve, serve_with_tunnels};
+use ringbend_runtime::{Clock, ConnectionLimits, Server, ServerConfig, serve, serve_with_tunnels};
 use ringbend_types::Timestamp;
 use tokio::task::JoinHandle;
 
@@ -319,7 +320,8 @@
 }
 
 fn server_config() -> ServerConfig {
-    ServerConfig { keep_alive: KEEP_ALIVE, ..ServerConfig::default() }
+    let limits = ConnectionLimits { idle_timeout: KEEP_ALIVE, ..ConnectionLimits::default() };
+    ServerConfig { limits: Rc::new(Cell::new(limits)), http2: true, ..ServerConfig::default() }
 }
 
 async fn start_server(
--- a/crates/ringbend-runtime/src/lib.rs
+++ b/crates/ringbend-runtime/src/lib.rs
@@ -5,15 +5,20 @@
 
 mod body;
 mod clock;
+mod connections;
+mod http1;
+mod protocols;
 mod response;
 mod server;
 mod timers;
+mod wire;
 
 pub use body::{BodyError, read_body, read_body_with};
 pub use clock::{Clock, unix_millis};
+pub use connections::{ConnectionCounts, Connections};
 pub use response::{StreamError, StreamSender, empty, json, stream, text};
 pub use server::{
-    Handler, HttpRequest, HttpResponse, PendingTunnel, Server, ServerConfig, TunnelHandler, serve,
-    serve_with_tunnels,
+    ConnectionLimits, Handler, HttpRequest, HttpResponse, PendingTunnel, Server, ServerConfig,
+    TunnelHandler, serve, serve_with_tunnels,
 };
 pub use timers::{Subscription, TimerService};
--- a/crates/ringbend-runtime/src/server.rs
+++ b/crates/ringbend-runtime/src/server.rs
@@ -1,25 +1,28 @@
-//! An HTTP/1.1 and HTTP/2 server that runs on the thread that starts it.
+//! An HTTP server that runs on the thread that starts it: HTTP/1.1, and HTTP/2 where it is enabled.
 
 use std::cell::Cell;
-use std::convert::Infallible;
-use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_codec::Framed;
 use actix_http::body::{BodySize, BoxBody};
-use actix_http::error::DispatchError;
 use actix_http::h1::{Codec, Message};
 use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{HttpServiceBuilder, KeepAlive, Request, Response, StatusCode};
+use actix_http::{Request, Response, StatusCode};
 use actix_rt::net::{TcpListener, TcpStream};
-use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::BytesMut;
 use futures_util::SinkExt;
 use futures_util::future::LocalBoxFuture;
+use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 
+use crate::connections::Connections;
+use crate::http1::Admission;
+use crate::protocols::Protocols;
+use crate::response::empty;
+
 /// The request type of handlers.
 pub type HttpRequest = Request;
 
@@ -30,12 +33,22 @@
 pub trait Handler {
     /// Handles one request.
     fn handle(self: Rc<Self>, req: HttpRequest) -> LocalBoxFuture<'static, HttpResponse>;
+
+    /// The response to a request on a connection for which there is no room. The request is not
+    /// handled.
+    fn refuse(&self, _: &HttpRequest) -> HttpResponse {
+        empty(StatusCode::SERVICE_UNAVAILABLE)
+    }
 }
 
 /// A CONNECT request that is not answered yet.
 pub struct PendingTunnel(Framed<TcpStream, Codec>);
 
 impl PendingTunnel {
+    pub(crate) fn new(framed: Framed<TcpStream, Codec>) -> Self {
+        Self(framed)
+    }
+
     /// Accepts the request. Returns the connection and what was already read from it.
     ///
     /// # Errors
@@ -79,49 +92,72 @@
     ) -> LocalBoxFuture<'static, ()>;
 }
 
-/// Limits of a server.
-#[derive(Debug, Clone)]
-pub struct ServerConfig {
-    /// How long a connection may stay idle between requests.
-    pub keep_alive: Duration,
+/// Limits on what the client of a connection may send, and for how long it may hold up the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// The maximum size of a request head in bytes; a larger one is refused with 431.
+    pub head_bytes: usize,
     /// How long the head of a request may take to arrive.
     pub head_timeout: Duration,
-    /// Maximum number of open connections. Further ones wait in the system's backlog.
-    pub max_connections: usize,
+    /// How long a connection may stay idle between requests.
+    pub idle_timeout: Duration,
+    /// How long a response may remain unread.
+    pub write_timeout: Duration,
 }
 
-impl Default for ServerConfig {
+impl Default for ConnectionLimits {
     fn default() -> Self {
         Self {
-            keep_alive: Duration::from_secs(75),
+            head_bytes: 64 << 10,
             head_timeout: Duration::from_secs(10),
-            max_connections: 10_000,
+            idle_timeout: Duration::from_secs(75),
+            write_timeout: Duration::from_secs(30),
         }
     }
 }
 
-/// A running server. Dropping it stops accepting connections; open ones continue.
-#[derive(Debug)]
-pub struct Server {
-    address: SocketAddr,
-    connections: Rc<Cell<usize>>,
-    task: JoinHandle<()>,
+/// Configuration of a server.
+#[derive(Debug, Clone)]
+pub struct ServerConfig {
+    /// Limits on connections. A change applies to the next request of each connection.
+    pub limits: Rc<Cell<ConnectionLimits>>,
+    /// The open connections. If there is no room for another one, one whose client does not use it is
+    /// closed, or the new one is refused.
+    pub connections: Rc<Connections>,
+    /// The size of the system's buffer for what a connection has received; the system's default if
+    /// omitted.
+    pub receive_buffer_bytes: Option<u32>,
+    /// Whether clients that begin with the preface of HTTP/2 are served.
+    pub http2: bool,
 }
 
-/// Counts an open connection until it is dropped.
-struct ConnectionGuard(Rc<Cell<usize>>);
+/// The default of the maximum number of open connections.
+const MAX_CONNECTIONS: usize = 10_000;
 
-impl ConnectionGuard {
-    fn new(connections: &Rc<Cell<usize>>) -> Self {
-        connections.set(connections.get() + 1);
-        Self(connections.clone())
+/// How many connections beyond the maximum are told at the same time that there is no room for them;
+/// others are closed.
+const MAX_REFUSALS: usize = 16;
+
+/// The length of the queue of connections that are not accepted yet.
+const BACKLOG: u32 = 1_024;
+
+impl Default for ServerConfig {
+    fn default() -> Self {
+        Self {
+            limits: Rc::default(),
+            connections: Connections::new(MAX_CONNECTIONS),
+            receive_buffer_bytes: None,
+            http2: false,
+        }
     }
 }
 
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
+/// A running server. Dropping it stops accepting connections; open ones continue.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    connections: Rc<Connections>,
+    task: JoinHandle<()>,
 }
 
 impl Server {
@@ -132,7 +168,7 @@
 
     /// The number of open connections.
     pub fn connections(&self) -> usize {
-        self.connections.get()
+        self.connections.open()
     }
 }
 
@@ -152,8 +188,7 @@
     cfg: ServerConfig,
     handler: Rc<dyn Handler>,
 ) -> std::io::Result<Server> {
-    let service = builder(&cfg).finish(responder(handler)).tcp_auto_h2c();
-    listen(address, &cfg, service).await
+    listen(address, cfg, handler, None).await
 }
 
 /// Like [`serve`], with CONNECT requests handled by `tunnels`.
@@ -167,86 +202,64 @@
     handler: Rc<dyn Handler>,
     tunnels: Rc<dyn TunnelHandler>,
 ) -> std::io::Result<Server> {
-    let connect = fn_service(move |(req, framed): (Request, Framed<TcpStream, Codec>)| {
-        let tunnels = tunnels.clone();
-        async move {
-            tunnels.handle(req, PendingTunnel(framed)).await;
-            Ok::<_, Infallible>(())
-        }
-    });
-    let service = builder(&cfg).upgrade(connect).finish(responder(handler)).tcp_auto_h2c();
-    listen(address, &cfg, service).await
-}
-
-fn builder<S>(cfg: &ServerConfig) -> HttpServiceBuilder<TcpStream, S>
-where
-    S: ServiceFactory<Request, Config = ()>,
-    S::Error: Into<HttpResponse> + 'static,
-    S::InitError: Debug,
-    <S::Service as Service<Request>>::Future: 'static,
-{
-    HttpServiceBuilder::default()
-        .keep_alive(KeepAlive::Timeout(cfg.keep_alive))
-        .client_request_timeout(cfg.head_timeout)
-        .client_disconnect_timeout(Duration::from_secs(1))
-        .h1_allow_half_closed(false)
-}
-
-fn responder(
-    handler: Rc<dyn Handler>,
-) -> impl ServiceFactory<Request, Config = (), Response = HttpResponse, Error = Infallible, InitError = ()>
-{
-    fn_service(move |req: Request| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(req).await) }
-    })
+    listen(address, cfg, handler, Some(tunnels)).await
 }
 
 async fn listen(
     address: SocketAddr,
-    cfg: &ServerConfig,
-    service: impl ServiceFactory<
-        TcpStream,
-        Config = (),
-        Response = (),
-        Error = DispatchError,
-        InitError = (),
-        Service: 'static,
-    >,
+    cfg: ServerConfig,
+    handler: Rc<dyn Handler>,
+    tunnels: Option<Rc<dyn TunnelHandler>>,
 ) -> std::io::Result<Server> {
-    let listener = TcpListener::bind(address).await?;
+    let listener = bind(address, cfg.receive_buffer_bytes)?;
     let address = listener.local_addr()?;
-    let service = match service.new_service(()).await {
-        Ok(service) => Rc::new(service),
-        Err(()) => return Err(std::io::Error::other("the HTTP service failed to start")),
-    };
-    let connections = Rc::new(Cell::new(0));
-    let open_connections = connections.clone();
-    let permits = Rc::new(tokio::sync::Semaphore::new(cfg.max_connections));
-    let task = tokio::task::spawn_local(async move {
-        loop {
-            let Ok(permit) = tokio::sync::Semaphore::acquire(&permits).await else { return };
-            permit.forget();
-            let connection = match listener.accept().await {
-                Ok((connection, _)) => connection,
-                Err(e) => {
-                    log::warn!("failed to accept a connection: {e}");
-                    permits.add_permits(1);
-                    actix_rt::time::sleep(Duration::from_millis(50)).await;
-                    continue;
-                }
-            };
-            let _ = connection.set_nodelay(true);
-            let (service, permits) = (service.clone(), permits.clone());
-            let guard = ConnectionGuard::new(&open_connections);
-            tokio::task::spawn_local(async move {
-                let _guard = guard;
-                if let Err(e) = service.call(connection).await {
-                    log::debug!("connection closed with an error: {e}");
-                }
-                permits.add_permits(1);
-            });
-        }
-    });
+    let connections = cfg.connections.clone();
+    let protocols = Protocols::new(&cfg, handler, tunnels).await?;
+    let task = tokio::task::spawn_local(accept(listener, connections.clone(), Rc::new(protocols)));
     Ok(Server { address, connections, task })
 }
+
+fn bind(address: SocketAddr, receive_buffer_bytes: Option<u32>) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    if let Some(bytes) = receive_buffer_bytes {
+        // Accepted connections inherit it.
+        socket.set_recv_buffer_size(bytes)?;
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn accept(listener: TcpListener, connections: Rc<Connections>, protocols: Rc<Protocols>) {
+    let refusals = Arc::new(tokio::sync::Semaphore::new(MAX_REFUSALS));
+    loop {
+        let io = match listener.accept().await {
+            Ok((io, _)) => io,
+            Err(e) => {
+                log::warn!("failed to accept a connection: {e}");
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let _ = io.set_nodelay(true);
+        let refusal = match connections.has_room().await {
+            true => None,
+            false => match refusals.clone().try_acquire_owned() {
+                Ok(refusal) => Some(refusal),
+                Err(_) => continue,
+            },
+        };
+        let admission = match refusal {
+            Some(_) => Admission::Refused,
+            None => Admission::Accepted,
+        };
+        let (open, protocols) = (connections.add(), protocols.clone());
+        tokio::task::spawn_local(async move {
+            protocols.serve(io, open.state.clone(), admission).await;
+            drop((open, refusal));
+        });
+    }
+}
--- a/crates/ringbendd/src/instance.rs
+++ b/crates/ringbendd/src/instance.rs
@@ -75,11 +75,11 @@
         }
         let (drain, drain_requested) = mpsc::unbounded_channel();
         let callers = Rc::new(CallerApi::new(app.clone()));
-        let callers = serve(app.cfg.callers_address, ServerConfig::default(), callers)
+        let callers = serve(app.cfg.callers_address, server_config(), callers)
             .await
             .change_context(DaemonError::Listen)?;
         let admin = Rc::new(AdminApi::new(app.clone(), drain));
-        let admin = serve(app.cfg.admin_address, ServerConfig::default(), admin)
+        let admin = serve(app.cfg.admin_address, server_config(), admin)
             .await
             .change_context(DaemonError::Listen)?;
         PolicyDriver::start(&app);
@@ -182,6 +182,10 @@
     Ok((tracing, Some(exports)))
 }
 
+fn server_config() -> ServerConfig {
+    ServerConfig { http2: true, ..ServerConfig::default() }
+}
+
 fn new_app(
     cfg: DaemonConfig,
     incarnation: Incarnation,
