fix(relay): serve HTTP/1.1 only on a relay's addresses

Callers saw an instance run out of memory while one client opened thousands of HTTP/2 streams.

Cause: the callers' address detected the preface of HTTP/2, although callers of a relay use HTTP/1.1 only, and neither actix-http nor the relay bounds the streams of a connection: each became a request with a connection to an endpoint of its own.

Change: a relay's servers no longer offer HTTP/2; its preface is an invalid head, answered with 400. ringbendd, which documents HTTP/2 for its callers, keeps it, without a bound on streams.

--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -321,7 +321,7 @@
 
 fn server_config() -> ServerConfig {
     let limits = ConnectionLimits { idle_timeout: KEEP_ALIVE, ..ConnectionLimits::default() };
-    ServerConfig { limits: Rc::new(Cell::new(limits)), http2: true, ..ServerConfig::default() }
+    ServerConfig { limits: Rc::new(Cell::new(limits)), ..ServerConfig::default() }
 }
 
 async fn start_server(
