fix(relay): bound callers' connections by memory and descriptors

Callers could not connect while some clients held thousands of connections without a request.

Cause: a server accepted 10,000 connections whatever the process may open, kept an idle one for 90 s and allowed 10 s and 128 KB for a head; the limits of the configuration reached no server. No descriptor was left for endpoints, the store and other instances.

Change: callers' connections take a quarter of the memory and half of the descriptors for sockets at most. For another one the longest unused one is closed, else one whose client stalls; if there is none the new one is refused with 503 and Retry-After, as not run. Idle time, time and size of a head follow the configuration. New setting max_descriptors; counters, a log line and a page for operators. Readiness and metrics have connections of their own.

--- a/crates/ringbend-gateway/src/snapshot.rs
+++ b/crates/ringbend-gateway/src/snapshot.rs
@@ -91,6 +91,8 @@
 /// Limits on the size and duration of callers' requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
+    /// The maximum size of a request head in bytes.
+    pub head_bytes: usize,
     /// The maximum body size in bytes.
     pub body_bytes: usize,
     /// The maximum time for a request head to arrive.
@@ -103,6 +105,7 @@
     fn default() -> Self {
         // Used until a configuration sets its own limits.
         Self {
+            head_bytes: 16 << 10,
             body_bytes: 4 << 20,
             head_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
--- a/crates/ringbend-relay/src/admin.rs
+++ b/crates/ringbend-relay/src/admin.rs
@@ -71,6 +71,7 @@
         self.node.metrics.overloaded_services.set(queues.overloaded(now) as i64);
         self.node.metrics.set_overload_queue(queues.len_by_priority());
         self.node.metrics.buffered_bytes.set(self.node.buffers.held() as i64);
+        self.update_connection_metrics();
         let unreachable = self.node.reachability.borrow().lost();
         self.node.metrics.unreachable_endpoints.set(unreachable as i64);
         self.node.metrics.open_tunnels.set(self.node.open_tunnels.get() as i64);
@@ -78,6 +79,15 @@
         self.node.metrics.reads_store.set(self.node.readers.borrow().reads().into());
     }
 
+    fn update_connection_metrics(&self) {
+        let (connections, metrics) = (&self.node.callers.connections, &self.node.metrics);
+        metrics.caller_connections.set(connections.open() as i64);
+        let counts = connections.counts();
+        metrics.set_connections_closed("unused", counts.closed_unused);
+        metrics.set_connections_closed("stalled", counts.closed_stalled);
+        metrics.set_connections_closed("refused", counts.refused);
+    }
+
     fn suspects(&self) -> Vec<SuspectEntry> {
         let quarantine = self.node.quarantine.borrow();
         let entry = |suspicion: &Suspicion| SuspectEntry {
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -35,6 +35,13 @@
     fn handle(self: Rc<Self>, req: HttpRequest) -> LocalBoxFuture<'static, HttpResponse> {
         Box::pin(async move { self.handle_request(req).await })
     }
+
+    fn refuse(&self, req: &HttpRequest) -> HttpResponse {
+        match self.node.dialect.parse_request(req.head()) {
+            Ok(metadata) => self.refusal_response(&metadata, Refusal::NoConnectionRoom),
+            Err(_) => Refusal::NoConnectionRoom.into_response(None),
+        }
+    }
 }
 
 impl Callers {
@@ -47,26 +54,29 @@
                 return self.with_connection_close(Refusal::BadHead.into_response(None));
             }
         };
-        let id: Arc<str> = metadata.request_id.clone().unwrap_or_else(|| "-".into());
         let res = match self.serve(req, &metadata, arrived_at).await {
             Ok(res) => res,
-            Err(refusal) => {
-                let version = self.node.replica.borrow().version().unwrap_or_default();
-                let age = self.node.replica.borrow().age(arrived_at);
-                let code = refusal.code();
-                log::info!(
-                    target: "request", id:%, code, config:% = version, config_age_ms:% = Millis(age);
-                    "request refused"
-                );
-                self.node.metrics.failure(code);
-                let mut res = refusal.into_response(None);
-                self.node.dialect.mark_local_response(&metadata, res.headers_mut());
-                res
-            }
+            Err(refusal) => self.refusal_response(&metadata, refusal),
         };
         self.with_connection_close(res)
     }
 
+    /// Logs and counts a refusal, and returns its response.
+    fn refusal_response(&self, metadata: &RequestMetadata, refusal: Refusal) -> HttpResponse {
+        let id: Arc<str> = metadata.request_id.clone().unwrap_or_else(|| "-".into());
+        let version = self.node.replica.borrow().version().unwrap_or_default();
+        let age = self.node.replica.borrow().age(self.node.clock.now());
+        let code = refusal.code();
+        log::info!(
+            target: "request", id:%, code, config:% = version, config_age_ms:% = Millis(age);
+            "request refused"
+        );
+        self.node.metrics.failure(code);
+        let mut res = refusal.into_response(None);
+        self.node.dialect.mark_local_response(metadata, res.headers_mut());
+        res
+    }
+
     /// While the instance is stopping, or no endpoint is reached, each response closes its
     /// connection, so that the caller's next one may be to another instance.
     fn with_connection_close(&self, mut res: HttpResponse) -> HttpResponse {
--- a/crates/ringbend-relay/src/config.rs
+++ b/crates/ringbend-relay/src/config.rs
@@ -58,6 +58,10 @@
     /// rejected before they take more than a share of it.
     #[serde(default = "default_memory")]
     pub memory_mb: f64,
+    /// The descriptors that the process may open. Callers' connections are refused before they take
+    /// those that are needed for endpoints, the store and other instances.
+    #[serde(default = "default_descriptors")]
+    pub max_descriptors: f64,
     /// The addresses that the relay listens on.
     pub listen: ListenConfig,
     /// The store of configuration and endpoints.
@@ -92,6 +96,11 @@
     256.0
 }
 
+/// The default of `max_descriptors`.
+fn default_descriptors() -> f64 {
+    4_096.0
+}
+
 /// Thousandths per core.
 const MILLIS_PER_CORE: f64 = 1_000.0;
 
@@ -185,11 +194,12 @@
 }
 
 /// Setting names that are suggested for unknown ones.
-const KNOWN_NAMES: [&str; 41] = [
+const KNOWN_NAMES: [&str; 42] = [
     "instance",
     "data_centre",
     "cpu_share",
     "memory_mb",
+    "max_descriptors",
     "listen",
     "callers",
     "ready",
@@ -260,9 +270,11 @@
         check_placement(&cfg.placement)?;
         let is_share = cfg.cpu_share > 0.0 && cfg.cpu_share <= MAX_CORES;
         let is_memory = cfg.memory_mb > 0.0 && cfg.memory_mb.is_finite();
+        let is_descriptors = cfg.max_descriptors > 0.0 && cfg.max_descriptors.is_finite();
         check_all(&[
             ("cpu_share", "above 0, at most 1,024", is_share),
             ("memory_mb", "above zero", is_memory),
+            ("max_descriptors", "above zero", is_descriptors),
         ])?;
         Ok(Self { unknown, ..cfg })
     }
--- a/crates/ringbend-relay/src/config_copy.rs
+++ b/crates/ringbend-relay/src/config_copy.rs
@@ -44,9 +44,11 @@
     fn activate(node: &Node, item: ConfigItem) {
         let snapshot = Snapshot::new(item.parts);
         let (version, routes) = (snapshot.version, snapshot.route_count());
+        let limits = snapshot.limits;
         match node.replica.borrow_mut().offer(snapshot) {
             OfferResult::Newer { before } => {
                 let before = before.map_or(0, |v| v.0);
+                node.callers.set_limits(&limits);
                 *node.encoded_config.borrow_mut() = Some(item.raw);
                 // Other instances can fetch it from this one.
                 node.flush.batched.notify_one();
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -51,6 +51,7 @@
 mod registry_watch;
 mod relay;
 mod reservations;
+mod resources;
 mod runs;
 mod scheduling;
 mod sending;
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -33,6 +33,7 @@
 use crate::ports::{ConfigDecoder, Cursor, Dialect, DurableStore, Network};
 use crate::registry_copy::RegistryCopy;
 use crate::reservations::MemoryReservations;
+use crate::resources::CallerConnections;
 use crate::signals::LoggedSignals;
 use crate::survival::Survivors;
 use crate::suspect_keys::SuspectKeys;
@@ -158,6 +159,7 @@
     pub(crate) open_sends: RefCell<HashMap<WorkId, Rc<SuspectKeys>>>,
     /// Runs that have recently outlived the time in which a fatal prompt crashes its engine.
     pub(crate) survivors: RefCell<Survivors>,
+    pub(crate) callers: CallerConnections,
     /// The memory that bodies of requests and responses take.
     pub(crate) buffers: Rc<BufferBudget>,
     pub(crate) metrics: Metrics,
@@ -188,6 +190,7 @@
     ) -> Rc<Self> {
         let incarnation = rand::random();
         let buffers = BufferBudget::new(cfg.memory_mb);
+        let callers = CallerConnections::new(&cfg);
         let budget = RetryBudget::new(cfg.bounds.budget());
         let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
         let own = InstanceRank::new(cfg.capacity(), cfg.listen.peers.unwrap_or(unknown));
@@ -263,6 +266,7 @@
             probes: RefCell::default(),
             open_sends: RefCell::default(),
             survivors: RefCell::default(),
+            callers,
             buffers,
             metrics: Metrics::default(),
             http_config: ServiceConfig::default(),
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -24,6 +24,8 @@
     BodyBroken,
     /// Other bodies take all the memory for them.
     NoBufferRoom,
+    /// Other connections take all the memory or descriptors for them.
+    NoConnectionRoom,
     /// The route leads to no service.
     NoService,
     /// No endpoint of the service accepts work.
@@ -95,6 +97,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::BodyBroken => "body-broken",
             Self::NoBufferRoom => "no-buffer-room",
+            Self::NoConnectionRoom => "no-connection-room",
             Self::NoService => "no-service",
             Self::NoEndpoint => "no-endpoint",
             Self::NotTaken => "not-taken",
@@ -130,6 +133,7 @@
             Self::Denied(Denied::NoConfig | Denied::StaleConfig) => Some(STALE_CONFIG_RETRY_AFTER),
             Self::Stopping => Some(Duration::ZERO),
             Self::NoBufferRoom
+            | Self::NoConnectionRoom
             | Self::NoService
             | Self::NoEndpoint
             | Self::NotTaken
--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -1,6 +1,5 @@
 //! Starting a relay, reloading its settings and reading its state.
 
-use std::cell::Cell;
 use std::fmt;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
@@ -9,7 +8,7 @@
 
 use error_stack::{Report, ResultExt};
 use ringbend_gateway::{Endpoint, EndpointChange, WatchedTable};
-use ringbend_runtime::{Clock, ConnectionLimits, Server, ServerConfig, serve, serve_with_tunnels};
+use ringbend_runtime::{Clock, Server, ServerConfig, serve, serve_with_tunnels};
 use ringbend_types::Timestamp;
 use tokio::task::JoinHandle;
 
@@ -31,6 +30,7 @@
     OperatorChange,
 };
 use crate::registry_watch::{follow_registry, register_on_request};
+use crate::resources::admin_server_config;
 use crate::start_survey::survey_engines;
 use crate::suspect_store::load_suspects;
 use crate::table_copies::copy_age;
@@ -85,10 +85,6 @@
 const READY: usize = 1;
 const METRICS: usize = 2;
 
-/// Idle timeout of callers' connections. Callers stop reusing an idle connection after a limit of
-/// their own, which this timeout only has to exceed.
-const KEEP_ALIVE: Duration = Duration::from_secs(90);
-
 /// Initial value of this instance's clock. Other instances report when they last verified a copy,
 /// which may be before this instance started; a copy that was verified longer ago than this is too
 /// old to be used.
@@ -136,14 +132,13 @@
         );
         let mut servers = Vec::new();
         let callers = Rc::new(Callers { node: node.clone() });
-        servers.push(start_server(listen.callers.into(), callers).await?);
-        servers.push(
-            start_server(listen.ready.into(), Rc::new(ReadinessCheck { node: node.clone() }))
-                .await?,
-        );
+        let callers_config = node.callers.server_config();
+        servers.push(start_server(listen.callers.into(), callers_config, callers).await?);
+        let readiness = Rc::new(ReadinessCheck { node: node.clone() });
+        servers.push(start_server(listen.ready.into(), admin_server_config(), readiness).await?);
         if let Some(address) = listen.metrics {
             let admin = Rc::new(AdminServer { node: node.clone() });
-            servers.push(start_server(address.into(), admin).await?);
+            servers.push(start_server(address.into(), admin_server_config(), admin).await?);
         }
         let config =
             Watch::<OperatorChange, OperatorChange, _>::new(node.clone(), ports.config, ConfigCopy);
@@ -155,9 +150,10 @@
         if let Some(address) = listen.peers {
             let copies = Rc::new(CopyServer { node: node.clone() });
             let tunnels = Rc::new(TunnelServer { node: node.clone() });
-            let server = serve_with_tunnels(address.into(), server_config(), copies, tunnels)
-                .await
-                .change_context(RelayError::Listen(address.into()))?;
+            let server =
+                serve_with_tunnels(address.into(), ServerConfig::default(), copies, tunnels)
+                    .await
+                    .change_context(RelayError::Listen(address.into()))?;
             let address = SocketAddrV4::new(*address.ip(), server.address().port());
             servers.push(server);
             let socket = PeerSocket::open(address).await;
@@ -319,14 +315,10 @@
     }
 }
 
-fn server_config() -> ServerConfig {
-    let limits = ConnectionLimits { idle_timeout: KEEP_ALIVE, ..ConnectionLimits::default() };
-    ServerConfig { limits: Rc::new(Cell::new(limits)), ..ServerConfig::default() }
-}
-
 async fn start_server(
     address: SocketAddr,
+    cfg: ServerConfig,
     handler: Rc<dyn ringbend_runtime::Handler>,
 ) -> Result<Server, Report<RelayError>> {
-    serve(address, server_config(), handler).await.change_context(RelayError::Listen(address))
+    serve(address, cfg, handler).await.change_context(RelayError::Listen(address))
 }
--- a/crates/ringbend-runtime/src/connections.rs
+++ b/crates/ringbend-runtime/src/connections.rs
@@ -112,8 +112,12 @@
     open: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     last_id: Cell<u64>,
     counts: Cell<ConnectionCounts>,
+    logged_at: Cell<Option<Instant>>,
 }
 
+/// Counts are logged at most this often.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A connection that counts as open until this is dropped.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
@@ -136,6 +140,7 @@
             open: RefCell::default(),
             last_id: Cell::default(),
             counts: Cell::default(),
+            logged_at: Cell::default(),
         })
     }
 
@@ -205,5 +210,15 @@
         let mut counts = self.counts.get();
         update(&mut counts);
         self.counts.set(counts);
+        let now = Instant::now();
+        if self.logged_at.get().is_some_and(|at| now.duration_since(at) < LOG_INTERVAL) {
+            return;
+        }
+        self.logged_at.set(Some(now));
+        let ConnectionCounts { closed_unused, closed_stalled, refused } = counts;
+        log::warn!(
+            target: "connections", open = self.open(), max = self.max, closed_unused, closed_stalled, refused;
+            "no room for another connection or its bodies"
+        );
     }
 }
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of one instance. Names contain the unit.
 
 use std::fmt;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, text::encode};
@@ -89,6 +89,9 @@
     pub endpoint_backoffs: Gauge,
     /// Bytes of request and response bodies that are held.
     pub buffered_bytes: Gauge,
+    /// Open connections of callers.
+    pub caller_connections: Gauge,
+    connections_closed: Family<CodeLabels, Counter>,
     /// Endpoints that are cold.
     pub cold_endpoints: Gauge,
     /// Data centres that the operator evacuates.
@@ -155,6 +158,8 @@
             draining_endpoints: Gauge::default(),
             endpoint_backoffs: Gauge::default(),
             buffered_bytes: Gauge::default(),
+            caller_connections: Gauge::default(),
+            connections_closed: Family::default(),
             cold_endpoints: Gauge::default(),
             evacuated_data_centres: Gauge::default(),
             settings_age: Gauge::default(),
@@ -219,6 +224,12 @@
         self.connect_failures.get_or_create(&CodeLabels { code }).inc();
     }
 
+    /// Sets how many callers' connections were closed or refused for lack of room, by code.
+    pub fn set_connections_closed(&self, code: &'static str, count: u64) {
+        let closed = self.connections_closed.get_or_create(&CodeLabels { code });
+        closed.inner().store(count, Ordering::Relaxed);
+    }
+
     /// Counts a connection to an endpoint that is carried for another instance.
     pub fn tunnel_carried(&self) {
         self.tunnels.inc();
@@ -367,6 +378,13 @@
         let draining = self.draining_endpoints.clone();
         r.register("draining_endpoints", "Endpoints that have announced a drain", draining);
         r.register("buffered_bytes", "Bytes of bodies that are held", self.buffered_bytes.clone());
+        let connections = self.caller_connections.clone();
+        r.register("caller_connections", "Open connections of callers", connections);
+        r.register(
+            "connections_closed",
+            "Callers' connections that were closed or refused for lack of room, by code",
+            self.connections_closed.clone(),
+        );
         r.register("cold_endpoints", "Endpoints that are cold", self.cold_endpoints.clone());
         let evacuated = self.evacuated_data_centres.clone();
         r.register(
