fix(relay): count bodies by the memory that they take

Callers saw an instance exceed its memory while clients sent large bodies at once, whole or short of their end, and an ordinary request with a body was refused while responses remained unread.

Cause: bodies were counted by length. A buffer that grows takes up to twice that, both copies exist while it moves, and a first chunk that was kept without copying kept its read buffer. What took the room kept it until the deadline of its request, whether or not its client still moved, and unread responses took the room of request bodies.

Change: a body of a known size has its room reserved when its head arrives, and is refused at once if it does not fit (413 over the limit, 503 without room); one of unknown size is counted by capacity, both copies while it grows. Requests have room that responses cannot take, small bodies room that large ones cannot.

--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -339,13 +339,13 @@
         head: ResponseHead,
         mut incoming: IncomingResponse,
     ) -> Result<SendSuccess, SendFailure> {
-        let mut held = self.node.buffers.body(BodyKind::Response);
+        let held = self.node.buffers.body(BodyKind::Response);
         let (dependencies, deadline) =
             (std::slice::from_ref(&run.endpoint), self.attempts.deadline());
         let result = self
-            .run_until(dependencies, deadline, incoming.read_counted(MAX_RESPONSE_BYTES, &mut held))
+            .run_until(dependencies, deadline, incoming.read_counted(MAX_RESPONSE_BYTES, held))
             .await;
-        let body = result.map_err(|why| self.record_run_error(&run.endpoint, &why))?;
+        let (body, held) = result.map_err(|why| self.record_run_error(&run.endpoint, &why))?;
         let status = head.status;
         let mut res = Response::with_body(status, GuardedBody::new(body, held).boxed());
         copy_headers(&head, res.headers_mut());
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -1,20 +1,21 @@
 //! Handling of a caller's request up to the start of its response.
 
-use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::{ConnectionType, RequestHead};
+use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use rand::Rng;
 use ringbend_gateway::{AdmissionRequest, Admitted, Attempts, admit};
-use ringbend_runtime::{Handler, HttpRequest, HttpResponse, read_body_with};
+use ringbend_runtime::{BodyError, Handler, HttpRequest, HttpResponse, read_chunks};
 use ringbend_types::Timestamp;
 
 use crate::active_request::{ActiveRequest, OriginalRequest, RequestConfig};
-use crate::buffers::BodyKind;
+use crate::buffers::{BodyBuffer, BodyKind, HeldBytes, NoRoom};
 use crate::fingerprint::FingerprintBuilder;
+use crate::headers::content_length;
 use crate::log_fields::Millis;
 use crate::node::Node;
 use crate::ports::RequestMetadata;
@@ -103,13 +104,10 @@
         let timeout = deadline.since(self.node.clock.now());
         let mut builder =
             FingerprintBuilder::new(admitted.account.as_ref(), host(req.head()), req.head());
-        let mut held = self.node.buffers.body(BodyKind::Request);
-        let on_chunk = |chunk: &[u8]| {
-            builder.add_body(chunk);
-            held.add(chunk.len()).map_or(ControlFlow::Break(()), ControlFlow::Continue)
-        };
-        let body = read_body_with(req.take_payload(), limits.body_bytes, timeout, on_chunk).await;
-        let body = body.map_err(|e| Refusal::from(&e))?;
+        let (body, held) = self
+            .read_body(&mut req, limits.body_bytes, timeout, &mut builder)
+            .await
+            .map_err(|e| Refusal::from(&e))?;
         let fingerprint = builder.finish();
         let sample = self.node.rng.borrow_mut().random::<f64>();
         let service = admitted.route.pick_service(sample).ok_or(Refusal::NoService)?.clone();
@@ -139,6 +137,32 @@
         Ok(request.run().await)
     }
 
+    /// Reads the body, whose bytes are counted until the request has ended.
+    async fn read_body(
+        &self,
+        req: &mut HttpRequest,
+        limit: usize,
+        timeout: Duration,
+        fingerprint: &mut FingerprintBuilder,
+    ) -> Result<(Bytes, HeldBytes), BodyError> {
+        let size = content_length(req.head().headers());
+        if size.is_some_and(|size| size > limit) {
+            return Err(BodyError::TooLarge(limit));
+        }
+        let no_room = |NoRoom| BodyError::NoRoom;
+        let held = self.node.buffers.body(BodyKind::Request);
+        let mut body = BodyBuffer::new(held, size, limit).await.map_err(no_room)?;
+        read_chunks(req.take_payload(), timeout, async |chunk| {
+            if body.exceeds_limit(chunk.len()) {
+                return Err(BodyError::TooLarge(limit));
+            }
+            fingerprint.add_body(&chunk);
+            body.push(&chunk).await.map_err(no_room)
+        })
+        .await?;
+        Ok(body.finish())
+    }
+
     /// Delays a request that arrives right after the start until the first copies are available.
     async fn wait_for_initial_state(&self) {
         let until = tokio::time::Instant::now() + STARTUP_WAIT;
--- a/crates/ringbend-relay/src/exchange.rs
+++ b/crates/ringbend-relay/src/exchange.rs
@@ -17,8 +17,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
-use crate::buffers::{HeldBytes, NoRoom};
+use crate::buffers::{BodyBuffer, HeldBytes, NoRoom};
 use crate::connection::{Connection, ConnectionReader};
+use crate::headers::content_length;
 use crate::network::ConnectError;
 
 /// Number of bytes per read.
@@ -220,31 +221,38 @@
 
     /// Reads the complete body, of at most `limit` bytes.
     pub(crate) async fn read_to_end(&mut self, limit: usize) -> Result<Bytes, ExchangeError> {
-        self.collect(limit, |_| Ok(())).await
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.next_chunk().await? {
+            if body.len() + chunk.len() > limit {
+                return Err(ExchangeError::Body(PayloadError::Overflow));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
     }
 
     /// Like [`Self::read_to_end`], with the bytes counted as held.
     pub(crate) async fn read_counted(
         &mut self,
         limit: usize,
-        held: &mut HeldBytes,
-    ) -> Result<Bytes, ExchangeError> {
-        self.collect(limit, |bytes| held.add(bytes)).await
-    }
-
-    async fn collect(
-        &mut self,
-        limit: usize,
-        mut reserve: impl FnMut(usize) -> Result<(), NoRoom>,
-    ) -> Result<Bytes, ExchangeError> {
-        let mut body = BytesMut::new();
+        held: HeldBytes,
+    ) -> Result<(Bytes, HeldBytes), ExchangeError> {
+        let no_room = |NoRoom| ExchangeError::NoRoom;
+        let size = match &self.framing {
+            Framing::Done => Some(0),
+            Framing::Encoded(_) => content_length(&self.head.headers),
+            Framing::UntilClose => None,
+        };
+        if size.is_some_and(|size| size > limit) {
+            return Err(ExchangeError::Body(PayloadError::Overflow));
+        }
+        let mut body = BodyBuffer::new(held, size, limit).await.map_err(no_room)?;
         while let Some(chunk) = self.next_chunk().await? {
-            if body.len() + chunk.len() > limit {
+            if body.exceeds_limit(chunk.len()) {
                 return Err(ExchangeError::Body(PayloadError::Overflow));
             }
-            reserve(chunk.len()).map_err(|NoRoom| ExchangeError::NoRoom)?;
-            body.extend_from_slice(&chunk);
+            body.push(&chunk).await.map_err(no_room)?;
         }
-        Ok(body.freeze())
+        Ok(body.finish())
     }
 }
--- a/crates/ringbend-relay/src/headers.rs
+++ b/crates/ringbend-relay/src/headers.rs
@@ -35,6 +35,11 @@
     result
 }
 
+/// The size of a body that is not chunked, in bytes.
+pub(crate) fn content_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+}
+
 /// Copies the end-to-end headers of a response.
 pub(crate) fn copy_headers(head: &ResponseHead, to: &mut HeaderMap) {
     for (name, value) in &end_to_end(&head.headers) {
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -189,8 +189,8 @@
         durable_store: Rc<dyn DurableStore>,
     ) -> Rc<Self> {
         let incarnation = rand::random();
-        let buffers = BufferBudget::new(cfg.memory_mb);
         let callers = CallerConnections::new(&cfg);
+        let buffers = BufferBudget::new(cfg.memory_mb, callers.connections.clone());
         let budget = RetryBudget::new(cfg.bounds.budget());
         let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
         let own = InstanceRank::new(cfg.capacity(), cfg.listen.peers.unwrap_or(unknown));
--- a/crates/ringbend-runtime/src/body.rs
+++ b/crates/ringbend-runtime/src/body.rs
@@ -1,7 +1,6 @@
 //! Reading request bodies within a size and a time limit.
 
 use std::fmt;
-use std::ops::ControlFlow;
 use std::time::Duration;
 
 use actix_http::Payload;
@@ -35,57 +34,50 @@
 
 impl std::error::Error for BodyError {}
 
+impl From<PayloadError> for BodyError {
+    fn from(e: PayloadError) -> Self {
+        match e {
+            // The connection is closed to make room for others.
+            PayloadError::Io(e) if e.kind() == std::io::ErrorKind::OutOfMemory => Self::NoRoom,
+            e => Self::Broken(e),
+        }
+    }
+}
+
 /// Reads a complete body of at most `limit` bytes within `time`.
 ///
 /// # Errors
 ///
 /// Fails if the body is too large, too slow or malformed.
 pub async fn read_body(payload: Payload, limit: usize, time: Duration) -> Result<Bytes, BodyError> {
-    read_body_with(payload, limit, time, |_| ControlFlow::Continue(())).await
+    let mut body = BytesMut::new();
+    read_chunks(payload, time, async |chunk| {
+        if body.len() + chunk.len() > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        body.extend_from_slice(&chunk);
+        Ok(())
+    })
+    .await?;
+    Ok(body.freeze())
 }
 
-/// Like [`read_body`], and calls `on_chunk` with each chunk of the body as it arrives. Reading ends with
-/// [`BodyError::NoRoom`] if it breaks.
+/// Reads a complete body within `time` and passes each chunk to `on_chunk` as it arrives. Reading ends
+/// if that fails.
 ///
 /// # Errors
 ///
-/// Fails if the body is too large, too slow or malformed, or there is no room for it.
-pub async fn read_body_with(
-    payload: Payload,
-    limit: usize,
-    time: Duration,
-    on_chunk: impl FnMut(&[u8]) -> ControlFlow<()>,
-) -> Result<Bytes, BodyError> {
-    match tokio::time::timeout(time, collect(payload, limit, on_chunk)).await {
-        Ok(body) => body,
-        Err(_) => Err(BodyError::TooSlow),
-    }
-}
-
-async fn collect(
+/// Fails if the body is too slow or malformed, or `on_chunk` fails.
+pub async fn read_chunks(
     mut payload: Payload,
-    limit: usize,
-    mut on_chunk: impl FnMut(&[u8]) -> ControlFlow<()>,
-) -> Result<Bytes, BodyError> {
-    let mut body = BytesMut::new();
-    let mut first_chunk = None;
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(BodyError::Broken)?;
-        if body.len() + first_chunk.as_ref().map_or(0, Bytes::len) + chunk.len() > limit {
-            return Err(BodyError::TooLarge(limit));
-        }
-        if on_chunk(&chunk).is_break() {
-            return Err(BodyError::NoRoom);
-        }
-        if body.is_empty() && first_chunk.is_none() {
-            // Most bodies are a single chunk, which is kept without copying.
-            first_chunk = Some(chunk);
-            continue;
-        }
-        if let Some(first) = first_chunk.take() {
-            body.extend_from_slice(&first);
+    time: Duration,
+    mut on_chunk: impl AsyncFnMut(Bytes) -> Result<(), BodyError>,
+) -> Result<(), BodyError> {
+    let read = async {
+        while let Some(chunk) = payload.next().await {
+            on_chunk(chunk.map_err(BodyError::from)?).await?;
         }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(first_chunk.unwrap_or_else(|| body.freeze()))
+        Ok(())
+    };
+    tokio::time::timeout(time, read).await.unwrap_or(Err(BodyError::TooSlow))
 }
--- a/crates/ringbend-runtime/src/lib.rs
+++ b/crates/ringbend-runtime/src/lib.rs
@@ -13,7 +13,7 @@
 mod timers;
 mod wire;
 
-pub use body::{BodyError, read_body, read_body_with};
+pub use body::{BodyError, read_body, read_chunks};
 pub use clock::{Clock, unix_millis};
 pub use connections::{ConnectionCounts, Connections};
 pub use response::{StreamError, StreamSender, empty, json, stream, text};
