fix(relay): hash a body only once it is complete

Callers were refused with 503 (stale-config) while clients sent large chunked bodies short of their end.

Cause: the fingerprint of a request was computed while its body arrived.

Change: a complete body is hashed, 64 KB at a time with other tasks in between.

--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -102,13 +102,11 @@
         let limits = admitted.snapshot.limits;
         let deadline = arrived_at + admitted.route.timeout.min(client_timeout(metadata));
         let timeout = deadline.since(self.node.clock.now());
-        let mut builder =
+        let fingerprint =
             FingerprintBuilder::new(admitted.account.as_ref(), host(req.head()), req.head());
-        let (body, held) = self
-            .read_body(&mut req, limits.body_bytes, timeout, &mut builder)
-            .await
-            .map_err(|e| Refusal::from(&e))?;
-        let fingerprint = builder.finish();
+        let body = self.read_body(&mut req, limits.body_bytes, timeout).await;
+        let (body, held) = body.map_err(|e| Refusal::from(&e))?;
+        let fingerprint = fingerprint.finish(&body).await;
         let sample = self.node.rng.borrow_mut().random::<f64>();
         let service = admitted.route.pick_service(sample).ok_or(Refusal::NoService)?.clone();
         let service = admitted.snapshot.service(&service).ok_or(Refusal::NoService)?.clone();
@@ -143,7 +141,6 @@
         req: &mut HttpRequest,
         limit: usize,
         timeout: Duration,
-        fingerprint: &mut FingerprintBuilder,
     ) -> Result<(Bytes, HeldBytes), BodyError> {
         let size = content_length(req.head().headers());
         if size.is_some_and(|size| size > limit) {
@@ -156,7 +153,6 @@
             if body.exceeds_limit(chunk.len()) {
                 return Err(BodyError::TooLarge(limit));
             }
-            fingerprint.add_body(&chunk);
             body.push(&chunk).await.map_err(no_room)
         })
         .await?;
--- a/crates/ringbend-relay/src/fingerprint.rs
+++ b/crates/ringbend-relay/src/fingerprint.rs
@@ -1,10 +1,13 @@
-//! Computes the fingerprint of a request while its body is read.
+//! Computes the fingerprint of a request.
 
 use actix_http::RequestHead;
 use ringbend_gateway::Account;
 use ringbend_types::{Fingerprint, PromptPartId, ServiceName};
 use sha2::{Digest, Sha256};
 
+/// How much of a body is hashed before other tasks run, in bytes.
+const CHUNK_BYTES: usize = 64 << 10;
+
 /// Hashes what identifies a request: account, host, method, path and query, and body. The request
 /// id and the deadline differ between attempts, and other headers only say how the request is
 /// served.
@@ -26,13 +29,15 @@
         self.0.update(part.as_bytes());
     }
 
-    /// Adds a chunk of the body.
-    pub(crate) fn add_body(&mut self, chunk: &[u8]) {
-        self.0.update(chunk);
-    }
-
-    /// The fingerprint, once the body is complete.
-    pub(crate) fn finish(self) -> Fingerprint {
+    /// The fingerprint of the request with this body. A body that is not complete is not hashed, as
+    /// clients could keep the processor busy with it. Other tasks run in between.
+    pub(crate) async fn finish(mut self, body: &[u8]) -> Fingerprint {
+        for chunk in body.chunks(CHUNK_BYTES) {
+            self.0.update(chunk);
+            if chunk.len() == CHUNK_BYTES {
+                tokio::task::yield_now().await;
+            }
+        }
         Fingerprint::from_digest(&self.0.finalize().into())
     }
 }
