fix(relay): bound the events that a slow caller has not read

Callers saw an instance exceed its memory while clients did not read their streams.

Cause: up to 64 events were queued for a caller whatever their size, up to 1 MB each, and counted nowhere; an event was written to the connection's buffer as a whole.

Change: a stream queues 64 KB, or one event if that is larger; queued events are counted as bodies of responses, and taken 16 KB at a time. A stream for whose event there is no room is cut off (cut-no-room) after connections whose client stalls were closed.

--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod endpoint_copy;
 mod engine_pace;
 mod evacuations;
+mod event_queue;
 mod exchange;
 mod fingerprint;
 mod gossip_receiver;
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -1,6 +1,7 @@
 //! Forwarding of event streams, which are resumed on another engine when they break.
 
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::ResponseHead;
@@ -11,6 +12,8 @@
 use smallvec::SmallVec;
 
 use crate::active_request::{ActiveRequest, SendFailure};
+use crate::buffers::{BodyKind, NoRoom};
+use crate::event_queue::{EventQueue, QueuedEvent};
 use crate::exchange::{ExchangeError, IncomingResponse};
 use crate::headers::copy_headers;
 use crate::node::TrackedSend;
@@ -77,19 +80,20 @@
 /// Starts the response to the caller and forwards the remaining events in a separate task.
 pub(crate) fn forward(request: ActiveRequest, response_stream: ResponseStream) -> HttpResponse {
     let (tx, mut res) = stream(response_stream.head.status, EVENT_BUFFER);
+    let tx = EventSender { tx, queue: Rc::default() };
     copy_headers(&response_stream.head, res.headers_mut());
     tokio::task::spawn_local(async move {
         let mut request = request;
         let end = tokio::select! {
             end = forward_stream(&mut request, response_stream, &tx) => end,
-            () = tx.closed() => return,
+            () = tx.tx.closed() => return,
         };
         if let Err(cut) = end {
             request.log_end(cut.outcome());
             // A caller that does not read keeps only its connection open.
             drop(request);
             // The caller must be able to detect that the response is incomplete.
-            if tx.send(Err(StreamError)).await.is_err() {
+            if tx.tx.send(Err(StreamError)).await.is_err() {
                 log::debug!(target: "request", outcome = cut.outcome(); "caller disconnected before the stream was cut off");
             }
             return;
@@ -100,11 +104,19 @@
     res
 }
 
+/// The caller's side of a stream.
+struct EventSender {
+    tx: StreamSender<QueuedEvent>,
+    queue: Rc<EventQueue>,
+}
+
 /// Why a stream was cut off.
 enum StreamAbort {
     Deadline,
     /// The caller did not read in time.
     Unread,
+    /// Other bodies take all the memory for them.
+    NoRoom,
     Broken,
 }
 
@@ -113,6 +125,7 @@
         match self {
             Self::Deadline => "cut-late",
             Self::Unread => "cut-unread",
+            Self::NoRoom => "cut-no-room",
             Self::Broken => "cut-broken",
         }
     }
@@ -121,7 +134,7 @@
 async fn forward_stream(
     request: &mut ActiveRequest,
     response_stream: ResponseStream,
-    tx: &StreamSender,
+    tx: &EventSender,
 ) -> Result<(), StreamAbort> {
     let ResponseStream { mut endpoint, mut tracked, mut dependencies, mut events, first, .. } =
         response_stream;
@@ -163,20 +176,26 @@
 ///
 /// # Errors
 ///
-/// The caller has not read the events before it by the request's deadline.
+/// The caller has not read the events before it by the request's deadline, or there is no room for
+/// it.
 async fn send_event(
     request: &ActiveRequest,
-    tx: &StreamSender,
+    tx: &EventSender,
     event: Event,
 ) -> Result<(), StreamAbort> {
     let deadline = request.attempts.deadline();
-    tokio::select! {
-        biased;
-        sent = tx.send(Ok(Bytes::from(event.bytes))) => match sent {
+    let held = request.node.buffers.body(BodyKind::Response);
+    let sending = async {
+        let event = tx.queue.push(Bytes::from(event.bytes), held).await;
+        match tx.tx.send(Ok(event.map_err(|NoRoom| StreamAbort::NoRoom)?)).await {
             Ok(()) => Ok(()),
             // The task ends as soon as it notices that the caller has disconnected.
             Err(_) => std::future::pending().await,
-        },
+        }
+    };
+    tokio::select! {
+        biased;
+        sent = sending => sent,
         () = request.node.clock.sleep_until(deadline) => Err(StreamAbort::Unread),
     }
 }
--- a/crates/ringbend-runtime/src/lib.rs
+++ b/crates/ringbend-runtime/src/lib.rs
@@ -16,7 +16,7 @@
 pub use body::{BodyError, read_body, read_chunks};
 pub use clock::{Clock, unix_millis};
 pub use connections::{ConnectionCounts, Connections};
-pub use response::{StreamError, StreamSender, empty, json, stream, text};
+pub use response::{StreamChunk, StreamError, StreamSender, empty, json, stream, text};
 pub use server::{
     ConnectionLimits, Handler, HttpRequest, HttpResponse, PendingTunnel, Server, ServerConfig,
     TunnelHandler, serve, serve_with_tunnels,
--- a/crates/ringbend-runtime/src/response.rs
+++ b/crates/ringbend-runtime/src/response.rs
@@ -1,7 +1,7 @@
 //! Construction of HTTP responses.
 
 use std::fmt;
-use std::task::Poll;
+use std::task::{Poll, ready};
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
@@ -51,33 +51,50 @@
 
 impl std::error::Error for StreamError {}
 
+/// A part of a streamed response. It is dropped once all of its bytes were taken to be written.
+pub trait StreamChunk: 'static {
+    /// The bytes that were not taken yet.
+    fn remaining(&mut self) -> &mut Bytes;
+}
+
+impl StreamChunk for Bytes {
+    fn remaining(&mut self) -> &mut Bytes {
+        self
+    }
+}
+
 /// The sending half of a streamed response. Dropping it ends the response.
-pub type StreamSender = mpsc::Sender<Result<Bytes, StreamError>>;
+pub type StreamSender<T = Bytes> = mpsc::Sender<Result<T, StreamError>>;
+
+/// How many bytes of a chunk are taken to be written at once.
+const MAX_WRITE_BYTES: usize = 16 << 10;
 
 /// Creates a streamed response that buffers at most `depth` chunks. Its sender is closed when the reader
 /// disconnects.
-///
-/// An error that aborts the response is reported one poll late. The server flushes its buffer only when
-/// the body is pending, and discards the buffer on an error, so without this pause the reader would miss
-/// chunks that were sent just before the abort.
-pub fn stream(status: StatusCode, depth: usize) -> (StreamSender, HttpResponse) {
+pub fn stream<T: StreamChunk>(status: StatusCode, depth: usize) -> (StreamSender<T>, HttpResponse) {
     let (tx, mut rx) = mpsc::channel(depth);
-    let mut pending_error = None;
+    let mut current: Option<T> = None;
     let chunks = stream::poll_fn(move |cx| {
-        if let Some(error) = pending_error.take() {
-            return Poll::Ready(Some(Err(error)));
-        }
-        match rx.poll_recv(cx) {
-            Poll::Ready(Some(Err(error))) => {
-                pending_error = Some(error);
-                cx.waker().wake_by_ref();
-                Poll::Pending
-            }
-            other => other,
+        if current.is_none() {
+            current = match ready!(rx.poll_recv(cx)) {
+                Some(Ok(chunk)) => Some(chunk),
+                Some(Err(e)) => return Poll::Ready(Some(Err(e))),
+                None => return Poll::Ready(None),
+            };
         }
+        Poll::Ready(take_part(&mut current).map(Ok))
     });
     let head: Response<()> = Response::with_body(status, ());
     let body = BodyStream::new(chunks).boxed();
     let res = head.map_body(|_: &mut ResponseHead, ()| body);
     (tx, res)
 }
+
+fn take_part<T: StreamChunk>(current: &mut Option<T>) -> Option<Bytes> {
+    let remaining = current.as_mut()?.remaining();
+    let part = remaining.split_to(remaining.len().min(MAX_WRITE_BYTES));
+    if remaining.is_empty() {
+        *current = None;
+    }
+    Some(part)
+}
--- a/crates/ringbend-standins/src/engine_api.rs
+++ b/crates/ringbend-standins/src/engine_api.rs
@@ -73,7 +73,7 @@
 
     async fn route(&self, mut req: HttpRequest) -> HttpResponse {
         if self.driver.has_crashed() {
-            let (tx, res) = stream(StatusCode::OK, 1);
+            let (tx, res) = stream::<Bytes>(StatusCode::OK, 1);
             let _ = tx.try_send(Err(StreamError));
             return res;
         }
--- a/crates/ringbend-standins/src/service.rs
+++ b/crates/ringbend-standins/src/service.rs
@@ -13,6 +13,7 @@
 
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Method, StatusCode};
+use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use ringbend_platform::headers;
@@ -120,7 +121,7 @@
             actix_rt::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         }
         if faults.lose_answer {
-            let (tx, res) = stream(StatusCode::OK, 1);
+            let (tx, res) = stream::<Bytes>(StatusCode::OK, 1);
             let _ = tx.try_send(Err(StreamError));
             return res;
         }
--- a/crates/ringbend-standins/src/table.rs
+++ b/crates/ringbend-standins/src/table.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use actix_http::{Method, StatusCode};
+use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use ringbend_models::{TableFaults, TableModel, TableRates};
@@ -98,7 +99,7 @@
 
 /// Returns a response whose connection is closed before the body ends.
 fn truncated_response() -> HttpResponse {
-    let (tx, res) = stream(StatusCode::OK, 1);
+    let (tx, res) = stream::<Bytes>(StatusCode::OK, 1);
     let _ = tx.try_send(Err(ringbend_runtime::StreamError));
     res
 }
