--- a/crates/ringbend-runtime/src/http1.rs
+++ b/crates/ringbend-runtime/src/http1.rs
@@ -121,7 +121,9 @@
     /// Waits for the head of a request.
     async fn next_request(&self) -> NextRequest {
         let limits = self.server.limits.get();
+        let idle_deadline = Instant::now() + limits.idle_timeout;
         let mut head_deadline = None;
+        self.state.enter(Phase::Idle);
         loop {
             let head = self.wire.borrow_mut().decode_head(limits.head_bytes);
             match head {
@@ -140,10 +142,8 @@
             if has_begun && head_deadline.is_none() {
                 self.state.enter(Phase::Head);
                 head_deadline = Some(Instant::now() + limits.head_timeout);
-            } else if !has_begun {
-                self.state.enter(Phase::Idle);
             }
-            let deadline = head_deadline.unwrap_or_else(|| Instant::now() + limits.idle_timeout);
+            let deadline = head_deadline.unwrap_or(idle_deadline);
             let read = poll_fn(|cx| self.wire.borrow_mut().poll_read_head(cx, limits.head_bytes));
             tokio::select! {
                 biased;
--- a/crates/ringbend-runtime/src/wire.rs
+++ b/crates/ringbend-runtime/src/wire.rs
@@ -57,7 +57,8 @@
 
     /// Decodes a request head of at most `limit` bytes from what was read.
     pub(crate) fn decode_head(&mut self, limit: usize) -> HeadProgress {
-        if self.buf.is_empty() {
+        // Some clients send a line break after a body.
+        if self.buf.iter().all(|byte| b"\r\n".contains(byte)) {
             // An idle connection keeps no buffer.
             self.buf = BytesMut::new();
             return HeadProgress::Partial;
