--- a/crates/ringbend-gateway/src/lib.rs
+++ b/crates/ringbend-gateway/src/lib.rs
@@ -90,7 +90,8 @@
 };
 pub use permits::{PermitWaiter, Permits};
 pub use placement::{
-    Demand, Placement, PlacementGoal, is_long, place_on_engines, place_on_service, stake,
+    Demand, MAX_TOKENS, Placement, PlacementGoal, is_long, place_on_engines, place_on_service,
+    stake,
 };
 pub use priorities::{Priorities, Rank};
 pub use quarantine::{
--- a/crates/ringbend-gateway/src/placement.rs
+++ b/crates/ringbend-gateway/src/placement.rs
@@ -31,6 +31,10 @@
     pub answer_tokens: u64,
 }
 
+/// More tokens than any prompt or response has. Up to here no product or sum of token counts
+/// overflows, or exceeds the range of a duration.
+pub const MAX_TOKENS: u64 = 1_000_000_000;
+
 /// The size and latency targets of a request to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementGoal {
