fix(runtime): notice that a client which sent ahead has left

Engines went on with requests whose clients had left, if these had sent more requests ahead.

Cause: while a request is handled 4 KB of what follows are read ahead; once those are full nothing reads the end of the connection.

Change: such a connection is checked every 200 ms for its end, which the system reports beside bytes that are not read. Crowds, bounds and checks are the same.

--- a/crates/ringbend-runtime/src/http1.rs
+++ b/crates/ringbend-runtime/src/http1.rs
@@ -25,7 +25,7 @@
 use crate::connections::{ConnectionState, Phase};
 use crate::response::empty;
 use crate::server::{ConnectionLimits, Handler, HttpResponse, PendingTunnel, TunnelHandler};
-use crate::wire::{HeadProgress, RequestBody, Wire};
+use crate::wire::{HeadProgress, ReadAhead, RequestBody, Wire};
 
 /// The response body is read until this many bytes wait to be written.
 const WRITE_BUFFER_BYTES: usize = 32 << 10;
@@ -33,6 +33,9 @@
 /// How long a connection that this side has closed stays open for the client to read the response.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
+/// How often a connection from which no more is read is checked for its end.
+const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// What the connections of a server share.
@@ -206,7 +209,14 @@
     }
 
     async fn disconnected(&self) {
-        poll_fn(|cx| self.wire.borrow_mut().poll_disconnected(cx)).await;
+        let read_ahead = poll_fn(|cx| self.wire.borrow_mut().poll_read_ahead(cx)).await;
+        if read_ahead == ReadAhead::Disconnected {
+            return;
+        }
+        // No more is read, so the end of the connection has to be looked for.
+        while !self.wire.borrow().is_closed_by_client() {
+            tokio::time::sleep(DISCONNECT_POLL_INTERVAL).await;
+        }
     }
 
     /// Whether the connection serves another request.
--- a/crates/ringbend-runtime/src/wire.rs
+++ b/crates/ringbend-runtime/src/wire.rs
@@ -11,7 +11,8 @@
 use actix_http::h1::{Codec, Message};
 use actix_rt::net::TcpStream;
 use bytes::{BufMut, Bytes, BytesMut};
-use futures_util::Stream;
+use futures_util::{FutureExt, Stream};
+use tokio::io::Interest;
 use tokio_util::codec::Decoder;
 
 use crate::connections::{ConnectionState, Phase};
@@ -42,6 +43,13 @@
     body: BodyProgress,
 }
 
+/// What ended reading ahead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadAhead {
+    Disconnected,
+    Full,
+}
+
 /// The result of an attempt to decode a request head.
 pub(crate) enum HeadProgress {
     Complete(Request),
@@ -129,18 +137,25 @@
         self.body == BodyProgress::Complete
     }
 
-    /// Waits until the client has disconnected. While it sends a body, the reader of the body notices.
-    pub(crate) fn poll_disconnected(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    /// Reads ahead until the client has disconnected or sent as much as is read ahead. While it sends a
+    /// body, the reader of the body notices that it has disconnected.
+    pub(crate) fn poll_read_ahead(&mut self, cx: &mut Context<'_>) -> Poll<ReadAhead> {
         if !self.has_complete_body() {
             return Poll::Pending;
         }
         while self.buf.len() < READ_AHEAD_BYTES {
             let room = READ_AHEAD_BYTES - self.buf.len();
             if !matches!(ready!(self.poll_read(cx, room)), Ok(1..)) {
-                return Poll::Ready(());
+                return Poll::Ready(ReadAhead::Disconnected);
             }
         }
-        Poll::Pending
+        Poll::Ready(ReadAhead::Full)
+    }
+
+    /// Whether the client has closed its side, even if it sent bytes before that are not read yet.
+    pub(crate) fn is_closed_by_client(&self) -> bool {
+        let ready = self.io.ready(Interest::READABLE).now_or_never();
+        matches!(ready, Some(Ok(ready)) if ready.is_read_closed()) || matches!(ready, Some(Err(_)))
     }
 
     fn poll_body(
--- a/crates/ringbend-runtime/tests/connections.rs
+++ b/crates/ringbend-runtime/tests/connections.rs
@@ -220,6 +220,17 @@
     scene.wait_for(|scene| scene.connections.open() == 0).await;
 }
 
+#[actix_rt::test]
+async fn the_handler_ends_when_a_client_that_sent_ahead_disconnects() {
+    let scene = Scene::start(8, ConnectionLimits::default()).await;
+    let client = scene.send(&(get("/hang") + &get("/first").repeat(1_000))).await;
+    scene.wait_for(|scene| scene.paths.received.borrow().len() == 1).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    drop(client);
+    scene.wait_for(|scene| scene.paths.dropped.get() == 1).await;
+    scene.wait_for(|scene| scene.connections.open() == 0).await;
+}
+
 #[actix_rt::test]
 async fn an_aborted_stream_delivers_what_was_sent_before() {
     let scene = Scene::start(8, ConnectionLimits::default()).await;
