--- a/crates/ringbend-runtime/src/protocols.rs
+++ b/crates/ringbend-runtime/src/protocols.rs
@@ -44,7 +44,7 @@
             true => Some(http2(cfg, handler.clone()).await?),
             false => None,
         };
-        // Timeouts are those of the limits; this only tells the codec that connections are kept.
+        // Enables keep-alive in the codec; timeouts come from `ConnectionLimits`.
         let http_config = ServiceConfig::default();
         let limits = cfg.limits.clone();
         let http1 = Rc::new(Http1Server { http_config, limits, handler, tunnels });
--- a/crates/ringbend-runtime/src/server.rs
+++ b/crates/ringbend-runtime/src/server.rs
@@ -134,8 +134,8 @@
 /// The default of the maximum number of open connections.
 const MAX_CONNECTIONS: usize = 10_000;
 
-/// How many connections beyond the maximum are told at the same time that there is no room for them;
-/// others are closed.
+/// Maximum number of rejected connections that are answered concurrently. Others are closed without a
+/// response.
 const MAX_REFUSALS: usize = 16;
 
 /// The length of the queue of connections that are not accepted yet.
