refactor(relay): divide the memory of the process in one place

Cause: the share for bodies and the size of a megabyte stood in buffers.rs, and again beside the share for connections in resources.rs; the module of a connection's bytes was named like the crate of the messages between instances.

Change: resources.rs divides memory and descriptors, BufferBudget gets its limit in bytes; the module wire of ringbend-runtime is http1_io, its type Http1Io. No behaviour changes.

--- a/crates/ringbend-relay/src/buffers.rs
+++ b/crates/ringbend-relay/src/buffers.rs
@@ -12,10 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// The share of the memory of the process that bodies may take.
-const BODY_SHARE: f64 = 0.5;
-
-/// The share of that which bodies of requests may take. The rest is left for responses, whose
+/// The share of the room for bodies that those of requests may take. The rest is left for responses, whose
 /// requests have run already.
 const REQUEST_SHARE: f64 = 0.75;
 
@@ -31,9 +28,6 @@
 /// How long a body waits for the room of connections that are closed for it.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Bytes per megabyte.
-const MEGABYTE: f64 = 1_048_576.0;
-
 /// Counts the bytes of all bodies that are held.
 #[derive(Debug)]
 pub(crate) struct BufferBudget {
@@ -66,10 +60,10 @@
 }
 
 impl BufferBudget {
-    /// Creates the budget of a process that may use this much memory.
-    pub(crate) fn new(memory_mb: f64, connections: Rc<Connections>) -> Rc<Self> {
+    /// Creates a budget of `limit` bytes.
+    pub(crate) fn new(limit: usize, connections: Rc<Connections>) -> Rc<Self> {
         Rc::new(Self {
-            limit: (memory_mb * MEGABYTE * BODY_SHARE) as usize,
+            limit,
             requests: Cell::default(),
             responses: Cell::default(),
             released: Notify::new(),
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -33,7 +33,7 @@
 use crate::ports::{ConfigDecoder, Cursor, Dialect, DurableStore, Network};
 use crate::registry_copy::RegistryCopy;
 use crate::reservations::MemoryReservations;
-use crate::resources::CallerConnections;
+use crate::resources::{CallerConnections, body_bytes};
 use crate::signals::LoggedSignals;
 use crate::survival::Survivors;
 use crate::suspect_keys::SuspectKeys;
@@ -190,7 +190,7 @@
     ) -> Rc<Self> {
         let incarnation = rand::random();
         let callers = CallerConnections::new(&cfg);
-        let buffers = BufferBudget::new(cfg.memory_mb, callers.connections.clone());
+        let buffers = BufferBudget::new(body_bytes(&cfg), callers.connections.clone());
         let budget = RetryBudget::new(cfg.bounds.budget());
         let unknown = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
         let own = InstanceRank::new(cfg.capacity(), cfg.listen.peers.unwrap_or(unknown));
--- a/crates/ringbend-relay/src/resources.rs
+++ b/crates/ringbend-relay/src/resources.rs
@@ -8,6 +8,9 @@
 
 use crate::config::RelayConfig;
 
+/// The share of the memory that bodies of requests and responses may take.
+const BODY_SHARE: f64 = 0.5;
+
 /// The share of the memory that callers' connections may take, without the bodies of their requests
 /// and responses.
 const CONNECTION_SHARE: f64 = 0.25;
@@ -36,6 +39,11 @@
 /// The number of callers' connections for which every process has memory.
 const MIN_CONNECTIONS: f64 = 64.0;
 
+/// The bytes that bodies of requests and responses may take.
+pub(crate) fn body_bytes(cfg: &RelayConfig) -> usize {
+    (cfg.memory_mb * MEGABYTE * BODY_SHARE) as usize
+}
+
 /// The maximum number of callers' connections.
 fn max_callers(cfg: &RelayConfig) -> usize {
     let by_memory = cfg.memory_mb * MEGABYTE * CONNECTION_SHARE / CONNECTION_BYTES;
--- a/crates/ringbend-runtime/src/http1.rs
+++ b/crates/ringbend-runtime/src/http1.rs
@@ -23,9 +23,9 @@
 use tokio::time::Instant;
 
 use crate::connections::{ConnectionState, Phase};
+use crate::http1_io::{HeadProgress, Http1Io, ReadAhead, RequestBody};
 use crate::response::empty;
 use crate::server::{ConnectionLimits, Handler, HttpResponse, PendingTunnel, TunnelHandler};
-use crate::wire::{HeadProgress, ReadAhead, RequestBody, Wire};
 
 /// The response body is read until this many bytes wait to be written.
 const WRITE_BUFFER_BYTES: usize = 32 << 10;
@@ -67,7 +67,7 @@
 /// One connection.
 struct Connection {
     server: Rc<Http1Server>,
-    wire: Rc<RefCell<Wire>>,
+    io: Rc<RefCell<Http1Io>>,
     state: Rc<ConnectionState>,
 }
 
@@ -75,13 +75,13 @@
     /// Serves a connection until it is closed.
     pub(crate) async fn serve(
         self: Rc<Self>,
-        io: TcpStream,
+        tcp: TcpStream,
         state: Rc<ConnectionState>,
         admission: Admission,
     ) {
         let codec = Codec::new(self.http_config.clone());
-        let wire = Rc::new(RefCell::new(Wire::new(io, codec)));
-        let connection = Connection { server: self, wire, state };
+        let io = Rc::new(RefCell::new(Http1Io::new(tcp, codec)));
+        let connection = Connection { server: self, io, state };
         connection.serve(admission).await;
     }
 }
@@ -128,7 +128,7 @@
         let mut head_deadline = None;
         self.state.enter(Phase::Idle);
         loop {
-            let head = self.wire.borrow_mut().decode_head(limits.head_bytes);
+            let head = self.io.borrow_mut().decode_head(limits.head_bytes);
             match head {
                 HeadProgress::Complete(req) => return NextRequest::Request(self.with_body(req)),
                 HeadProgress::Partial => {}
@@ -141,13 +141,13 @@
                     return NextRequest::Invalid(StatusCode::BAD_REQUEST);
                 }
             }
-            let has_begun = !self.wire.borrow().buf.is_empty();
+            let has_begun = !self.io.borrow().buf.is_empty();
             if has_begun && head_deadline.is_none() {
                 self.state.enter(Phase::Head);
                 head_deadline = Some(Instant::now() + limits.head_timeout);
             }
             let deadline = head_deadline.unwrap_or(idle_deadline);
-            let read = poll_fn(|cx| self.wire.borrow_mut().poll_read_head(cx, limits.head_bytes));
+            let read = poll_fn(|cx| self.io.borrow_mut().poll_read_head(cx, limits.head_bytes));
             tokio::select! {
                 biased;
                 read = read => if !matches!(read, Ok(1..)) {
@@ -165,16 +165,16 @@
     /// Attaches the body, which the handler reads from the connection.
     fn with_body(&self, mut req: Request) -> Box<Request> {
         let has_body = {
-            let mut wire = self.wire.borrow_mut();
+            let mut io = self.io.borrow_mut();
             let is_tunnel = req.method() == Method::CONNECT && self.server.tunnels.is_some();
             let has_body =
-                !is_tunnel && wire.codec.message_type() != actix_http::h1::MessageType::None;
-            wire.start_body(has_body);
+                !is_tunnel && io.codec.message_type() != actix_http::h1::MessageType::None;
+            io.start_body(has_body);
             has_body
         };
         self.state.enter(if has_body { Phase::Body } else { Phase::Handler });
         if has_body {
-            let body = RequestBody { wire: self.wire.clone(), state: self.state.clone() };
+            let body = RequestBody { io: self.io.clone(), state: self.state.clone() };
             let body: BoxedPayloadStream = Box::pin(body);
             req = req.replace_payload(Payload::from(body)).0;
         }
@@ -182,10 +182,10 @@
     }
 
     async fn open_tunnel(self, req: Request, tunnels: Rc<dyn TunnelHandler>) {
-        let Self { wire, .. } = self;
-        let Some(wire) = Rc::into_inner(wire) else { return };
-        let Wire { io, codec, buf, .. } = wire.into_inner();
-        let framed = Framed::from_parts(FramedParts::with_read_buf(io, codec, buf));
+        let Self { io, .. } = self;
+        let Some(io) = Rc::into_inner(io) else { return };
+        let Http1Io { tcp, codec, buf, .. } = io.into_inner();
+        let framed = Framed::from_parts(FramedParts::with_read_buf(tcp, codec, buf));
         tunnels.handle(req, PendingTunnel::new(framed)).await;
     }
 
@@ -209,24 +209,24 @@
     }
 
     async fn disconnected(&self) {
-        let read_ahead = poll_fn(|cx| self.wire.borrow_mut().poll_read_ahead(cx)).await;
+        let read_ahead = poll_fn(|cx| self.io.borrow_mut().poll_read_ahead(cx)).await;
         if read_ahead == ReadAhead::Disconnected {
             return;
         }
         // No more is read, so the end of the connection has to be looked for.
-        while !self.wire.borrow().is_closed_by_client() {
+        while !self.io.borrow().is_closed_by_client() {
             tokio::time::sleep(DISCONNECT_POLL_INTERVAL).await;
         }
     }
 
     /// Whether the connection serves another request.
     fn is_kept(&self) -> bool {
-        let wire = self.wire.borrow();
-        wire.codec.keep_alive() && wire.has_complete_body() && !self.state.is_closing()
+        let io = self.io.borrow();
+        io.codec.keep_alive() && io.has_complete_body() && !self.state.is_closing()
     }
 
     async fn respond(&self, mut res: HttpResponse) -> Result<(), Disconnected> {
-        if !self.wire.borrow().has_complete_body() {
+        if !self.io.borrow().has_complete_body() {
             res = closing(res);
         }
         let (head, body) = res.into_parts();
@@ -284,7 +284,7 @@
         message: Message<(Response<()>, BodySize)>,
         out: &mut BytesMut,
     ) -> Result<(), Disconnected> {
-        let encoded = self.wire.borrow_mut().codec.encode(message, out);
+        let encoded = self.io.borrow_mut().codec.encode(message, out);
         encoded.map_err(|e| {
             log::warn!("response cannot be encoded: {e}");
             Disconnected
@@ -298,7 +298,7 @@
             let timeout = self.server.limits.get().write_timeout;
             let written = tokio::select! {
                 biased;
-                written = poll_fn(|cx| self.wire.borrow().poll_write(cx, out)) => written,
+                written = poll_fn(|cx| self.io.borrow().poll_write(cx, out)) => written,
                 () = self.state.closing() => return Err(Disconnected),
                 () = tokio::time::sleep(timeout) => return Err(Disconnected),
             };
@@ -314,12 +314,12 @@
     /// discard the response before the client has read it.
     async fn linger(&self) {
         self.state.enter(Phase::Closing);
-        if let Err(e) = SockRef::from(&self.wire.borrow().io).shutdown(std::net::Shutdown::Write) {
+        if let Err(e) = SockRef::from(&self.io.borrow().tcp).shutdown(std::net::Shutdown::Write) {
             log::debug!("connection not shut down: {e}");
         }
         tokio::select! {
             biased;
-            () = poll_fn(|cx| self.wire.borrow_mut().poll_discard(cx)) => {}
+            () = poll_fn(|cx| self.io.borrow_mut().poll_discard(cx)) => {}
             () = self.state.closing() => {}
             () = tokio::time::sleep(LINGER_TIME) => {}
         }
--- a/crates/ringbend-runtime/src/wire.rs
+++ b/crates/ringbend-runtime/src/http1_io.rs
@@ -36,8 +36,8 @@
 }
 
 /// A connection with its codec and the bytes that were read but not decoded.
-pub(crate) struct Wire {
-    pub(crate) io: TcpStream,
+pub(crate) struct Http1Io {
+    pub(crate) tcp: TcpStream,
     pub(crate) codec: Codec,
     pub(crate) buf: BytesMut,
     body: BodyProgress,
@@ -58,9 +58,9 @@
     Malformed(ParseError),
 }
 
-impl Wire {
-    pub(crate) fn new(io: TcpStream, codec: Codec) -> Self {
-        Self { io, codec, buf: BytesMut::new(), body: BodyProgress::Complete }
+impl Http1Io {
+    pub(crate) fn new(tcp: TcpStream, codec: Codec) -> Self {
+        Self { tcp, codec, buf: BytesMut::new(), body: BodyProgress::Complete }
     }
 
     /// Decodes a request head of at most `limit` bytes from what was read.
@@ -94,9 +94,9 @@
     /// Reads at most `room` bytes.
     fn poll_read(&mut self, cx: &mut Context<'_>, room: usize) -> Poll<std::io::Result<usize>> {
         loop {
-            ready!(self.io.poll_read_ready(cx))?;
+            ready!(self.tcp.poll_read_ready(cx))?;
             self.buf.reserve(room);
-            match self.io.try_read_buf(&mut (&mut self.buf).limit(room)) {
+            match self.tcp.try_read_buf(&mut (&mut self.buf).limit(room)) {
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
                 read => return Poll::Ready(read),
             }
@@ -119,8 +119,8 @@
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         loop {
-            ready!(self.io.poll_write_ready(cx))?;
-            match self.io.try_write(bytes) {
+            ready!(self.tcp.poll_write_ready(cx))?;
+            match self.tcp.try_write(bytes) {
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -154,7 +154,7 @@
 
     /// Whether the client has closed its side, even if it sent bytes before that are not read yet.
     pub(crate) fn is_closed_by_client(&self) -> bool {
-        let ready = self.io.ready(Interest::READABLE).now_or_never();
+        let ready = self.tcp.ready(Interest::READABLE).now_or_never();
         matches!(ready, Some(Ok(ready)) if ready.is_read_closed()) || matches!(ready, Some(Err(_)))
     }
 
@@ -199,7 +199,7 @@
 
 /// The body of a request, which is read from its connection as the handler asks for it.
 pub(crate) struct RequestBody {
-    pub(crate) wire: Rc<RefCell<Wire>>,
+    pub(crate) io: Rc<RefCell<Http1Io>>,
     pub(crate) state: Rc<ConnectionState>,
 }
 
@@ -207,6 +207,6 @@
     type Item = Result<Bytes, PayloadError>;
 
     fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.wire.borrow_mut().poll_body(cx, &self.state)
+        self.io.borrow_mut().poll_body(cx, &self.state)
     }
 }
--- a/crates/ringbend-runtime/src/lib.rs
+++ b/crates/ringbend-runtime/src/lib.rs
@@ -7,11 +7,11 @@
 mod clock;
 mod connections;
 mod http1;
+mod http1_io;
 mod protocols;
 mod response;
 mod server;
 mod timers;
-mod wire;
 
 pub use body::{BodyError, read_body, read_chunks};
 pub use clock::{Clock, unix_millis};
