fix(relay): a response whose connection is reset during the upload is not complete

Callers saw: an endpoint answers a long upload at once with a 200 that has neither a length nor chunks, sends part of its body and resets the connection while the upload is still being written. The part reaches the caller as a complete response; a stream ends as if it were whole.

Cause: the kernel reports a reset once, to whichever call comes first. If the write of the request takes the report, the failed write was dropped, and the next read returns zero bytes as after an orderly close, which is the end of a body without a length. The instance that carries a tunnel dropped failed writes in the same way and then sent the empty frame that marks an orderly end.

Change: the reader of a connection is told of a failed write and returns an error in place of the end. A broken pipe is no such failure: the endpoint has closed its side before, and all that it sent has arrived. The carrier ends the tunnel without the empty frame. Responses with a length or chunks are complete as before. Reports, reservations, copies and CONNECT are read by the same code.

--- a/crates/ringbend-relay/src/connection.rs
+++ b/crates/ringbend-relay/src/connection.rs
@@ -21,11 +21,20 @@
 /// Reads what the endpoint sends.
 pub(crate) enum ConnectionReader {
     /// From the endpoint itself.
-    Direct(OwnedReadHalf),
+    Direct(DirectReader),
     /// From the instance that carries the connection, in frames.
     Tunnel(FrameReader),
 }
 
+/// Reads from a socket, and tells its orderly end from a reset that a write has reported.
+///
+/// The kernel reports a reset once, to whichever call comes first. After a write has taken it, reads
+/// return what arrived before, and then zero bytes as at the end of a response.
+pub(crate) struct DirectReader {
+    read: OwnedReadHalf,
+    is_reset: bool,
+}
+
 /// Reads the frames of a tunnel. An empty frame is the end of the endpoint's connection.
 pub(crate) struct FrameReader {
     carrier: OwnedReadHalf,
@@ -38,7 +47,7 @@
     /// A connection to the endpoint itself.
     pub(crate) fn direct(stream: TcpStream) -> Self {
         let (read, write) = stream.into_split();
-        Self { reader: ConnectionReader::Direct(read), write }
+        Self { reader: ConnectionReader::Direct(DirectReader::new(read)), write }
     }
 
     /// A connection through the instance at the other end of `stream`, which has sent `buf`.
@@ -54,13 +63,43 @@
     /// Appends what arrives next to `buf`. Zero bytes are the end of the connection.
     pub(crate) async fn read(&mut self, buf: &mut BytesMut) -> io::Result<usize> {
         match self {
-            Self::Direct(read) => {
-                buf.reserve(READ_BYTES);
-                read.read_buf(buf).await
-            }
+            Self::Direct(reader) => reader.read(buf).await,
             Self::Tunnel(reader) => reader.read(buf).await,
         }
     }
+
+    /// Records that a write to the connection has failed.
+    pub(crate) fn record_write_error(&mut self, e: &io::Error) {
+        match self {
+            Self::Direct(reader) => reader.record_write_error(e),
+            // The carrier marks the end of the endpoint's connection.
+            Self::Tunnel(_) => {}
+        }
+    }
+}
+
+impl DirectReader {
+    pub(crate) fn new(read: OwnedReadHalf) -> Self {
+        Self { read, is_reset: false }
+    }
+
+    /// Like [`ConnectionReader::read`].
+    pub(crate) async fn read(&mut self, buf: &mut BytesMut) -> io::Result<usize> {
+        buf.reserve(READ_BYTES);
+        match self.read.read_buf(buf).await? {
+            0 if self.is_reset => Err(io::ErrorKind::ConnectionReset.into()),
+            count => Ok(count),
+        }
+    }
+
+    /// Records that a write to the socket has failed.
+    pub(crate) fn record_write_error(&mut self, e: &io::Error) {
+        self.is_reset |= is_reset(e);
+    }
+
+    pub(crate) fn into_inner(self) -> OwnedReadHalf {
+        self.read
+    }
 }
 
 impl FrameReader {
@@ -80,3 +119,9 @@
         Ok(0)
     }
 }
+
+/// Whether a write has failed because the connection broke before the peer closed it. A connection
+/// that is reset after that reports a broken pipe, and all that the peer sent has arrived.
+pub(crate) fn is_reset(e: &io::Error) -> bool {
+    e.kind() != io::ErrorKind::BrokenPipe
+}
--- a/crates/ringbend-relay/src/exchange.rs
+++ b/crates/ringbend-relay/src/exchange.rs
@@ -110,17 +110,28 @@
     let (request, rest) = encode(&mut codec, head, body).map_err(ExchangeError::EncodeFailed)?;
     let Connection { reader: mut read, mut write } = connection;
     let mut buf = BytesMut::with_capacity(READ_BYTES);
-    // An endpoint may respond before it has read the body, so writing and reading run concurrently.
-    let written = async {
-        if write.write_all(&request).await.is_err() || write.write_all(&rest).await.is_err() {
-            // A response, if one arrives, is more informative than the failed write.
-            log::debug!(target: "exchange", "request not written completely");
-        }
-        std::future::pending::<()>().await;
+    let write_request = async {
+        write.write_all(&request).await?;
+        write.write_all(&rest).await
     };
-    let head = tokio::select! {
-        head = read_head(&mut codec, &mut read, &mut buf) => head?,
-        () = written => return Err(ExchangeError::Truncated),
+    let head = {
+        // An endpoint may respond before it has read the body, so writing and reading run concurrently.
+        let mut write_request = std::pin::pin!(write_request);
+        let mut is_writing = true;
+        loop {
+            tokio::select! {
+                biased;
+                written = &mut write_request, if is_writing => {
+                    is_writing = false;
+                    if let Err(e) = written {
+                        // A response, if one arrives, is more informative than the failed write.
+                        log::debug!(target: "exchange", error:% = e; "request not written completely");
+                        read.record_write_error(&e);
+                    }
+                }
+                head = read_head(&mut codec, &mut read, &mut buf) => break head?,
+            }
+        }
     };
     let framing = framing(&method, &head, codec);
     Ok(IncomingResponse { head, connection: read, _write: write, buf, framing })
--- a/crates/ringbend-relay/src/tunnel.rs
+++ b/crates/ringbend-relay/src/tunnel.rs
@@ -9,7 +9,7 @@
 use bytes::BytesMut;
 use tokio::io::AsyncWriteExt;
 
-use crate::connection::{Connection, ConnectionReader};
+use crate::connection::{Connection, ConnectionReader, DirectReader};
 use crate::exchange::read_head;
 use crate::node::Node;
 
@@ -41,7 +41,8 @@
     let request = format!("CONNECT {endpoint} HTTP/1.1\r\nHost: {endpoint}\r\n\r\n");
     write.write_all(request.as_bytes()).await.map_err(|_| CarrierError::NoAnswer)?;
     let mut codec = ClientCodec::new(node.http_config.clone());
-    let (mut reader, mut buf) = (ConnectionReader::Direct(read), BytesMut::new());
+    let (mut reader, mut buf) =
+        (ConnectionReader::Direct(DirectReader::new(read)), BytesMut::new());
     let head = read_head(&mut codec, &mut reader, &mut buf).await;
     let head = head.map_err(|_| CarrierError::NoAnswer)?;
     match head.status {
@@ -55,7 +56,7 @@
         }
         status => return Err(CarrierError::Declined(status)),
     }
-    let ConnectionReader::Direct(read) = reader else { return Err(CarrierError::NoAnswer) };
-    let stream = read.reunite(write).map_err(|_| CarrierError::NoAnswer)?;
+    let ConnectionReader::Direct(reader) = reader else { return Err(CarrierError::NoAnswer) };
+    let stream = reader.into_inner().reunite(write).map_err(|_| CarrierError::NoAnswer)?;
     Ok(Connection::tunnel(stream, buf))
 }
--- a/crates/ringbend-relay/src/tunnel_server.rs
+++ b/crates/ringbend-relay/src/tunnel_server.rs
@@ -1,5 +1,6 @@
 //! Tunnels to endpoints for other instances: the side that connects to the endpoint.
 
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
 
+use crate::connection::is_reset;
 use crate::network::{self, ConnectError};
 use crate::node::Node;
 use crate::tunnel::ALTERNATIVES_HEADER;
@@ -123,13 +125,15 @@
     let (mut peer_read, peer_write) = peer.into_split();
     let (mut endpoint_read, mut endpoint_write) = endpoint.into_split();
     let frames = FramedWrite::new(peer_write, LengthDelimitedCodec::new());
+    // A write takes the report of a reset, so that reads end as after an orderly close.
+    let has_reset_write = Cell::new(false);
     let to_endpoint = async {
         endpoint_write.write_all(&buf).await?;
-        copy(&mut peer_read, &mut endpoint_write).await
+        copy(&mut peer_read, &mut endpoint_write, &has_reset_write).await
     };
     tokio::select! {
         ended = to_endpoint => log_end(ended),
-        ended = copy_framed(&mut endpoint_read, frames) => log_end(ended),
+        ended = copy_framed(&mut endpoint_read, frames, &has_reset_write) => log_end(ended),
     }
 }
 
@@ -145,6 +149,7 @@
 async fn copy(
     from: &mut (impl AsyncRead + Unpin),
     to: &mut (impl AsyncWrite + Unpin),
+    has_reset_write: &Cell<bool>,
 ) -> std::io::Result<()> {
     let mut buf = vec![0; BUFFER_BYTES];
     let mut is_open = true;
@@ -153,19 +158,26 @@
         if count == 0 {
             return Ok(());
         }
-        is_open = is_open && to.write_all(&buf[..count]).await.is_ok();
+        if is_open && let Err(e) = to.write_all(&buf[..count]).await {
+            is_open = false;
+            has_reset_write.set(is_reset(&e));
+        }
     }
 }
 
-/// Copies in frames, with an empty one at the end of `from`.
+/// Copies in frames, with an empty one at the orderly end of `from`.
 async fn copy_framed(
     from: &mut (impl AsyncRead + Unpin),
     mut to: FramedWrite<impl AsyncWrite + Unpin, LengthDelimitedCodec>,
+    has_reset_write: &Cell<bool>,
 ) -> std::io::Result<()> {
     let mut buf = BytesMut::with_capacity(BUFFER_BYTES);
     loop {
         buf.reserve(BUFFER_BYTES);
         let count = from.read_buf(&mut buf).await?;
+        if count == 0 && has_reset_write.get() {
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
         to.send(buf.split().freeze()).await?;
         if count == 0 {
             return Ok(());
