fix(relay): reject responses whose head other recipients read differently

Callers saw: an endpoint's response with a blank or tab between the name of a field and its colon (`X-Odd : v`, `Content-Length : 4`) as a response, the line passed on or the body framed by it; a status of 600 or 999 as such; an empty body where the head names a length of zero and chunks. With `Transfer-Encoding: identity`, `Content-Length: 00`, `Upgrade: websocket` beside a length, or a name of 66,000 bytes their connection closed without a response: the request's task panicked.

Cause: the client codec of actix-http allows blanks after a name and any status from 100 on, has no option for either, and panics on a name that is too long. The relay found the end of the body by rules of its own that differ from the codec's, and asked the codec for a decoder that it had not.

Change: one decoder in ringbend-runtime. The head is checked by httparse without its allowances, its size before it is decoded, its status against the classes of HTTP; a head that names chunks and a length, another coding, or chunks in HTTP/1.0 is rejected. The same function decides the framing and decodes the body. 101 is no interim response, as no request asks for another protocol.

Held before, tests kept: statuses below 100, control bytes, NUL, DEL and blanks inside a name, control bytes in a value, folded lines, empty names, two lengths.

--- a/crates/ringbend-relay/src/exchange.rs
+++ b/crates/ringbend-relay/src/exchange.rs
@@ -7,19 +7,18 @@
 
 use std::fmt;
 
-use actix_codec::{Decoder, Encoder};
+use actix_codec::Encoder;
 use actix_http::body::BodySize;
 use actix_http::error::{ParseError, PayloadError};
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message};
-use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
+use actix_http::h1::{ClientCodec, Message};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::{Bytes, BytesMut};
+use ringbend_runtime::{BodyDecoder, BodyPart, ResponseDecoder};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::buffers::{BodyBuffer, HeldBytes, NoRoom};
 use crate::connection::{Connection, ConnectionReader};
-use crate::headers::content_length;
 use crate::network::ConnectError;
 
 /// Number of bytes per read.
@@ -28,9 +27,6 @@
 /// Maximum size of a body that is copied to be written with the head, in bytes.
 const SMALL_BODY_BYTES: usize = 16 << 10;
 
-/// Maximum size of a response head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-
 /// Why an exchange did not produce a complete response.
 #[derive(Debug)]
 pub(crate) enum ExchangeError {
@@ -79,15 +75,6 @@
     }
 }
 
-enum Framing {
-    /// Content length or chunked encoding.
-    Encoded(ClientPayloadCodec),
-    /// The body extends to the end of the connection.
-    UntilClose,
-    /// The body is complete.
-    Done,
-}
-
 /// A response whose body is still to be read. Dropping it closes the connection, which tells the
 /// endpoint to stop.
 pub(crate) struct IncomingResponse {
@@ -95,7 +82,7 @@
     connection: ConnectionReader,
     _write: OwnedWriteHalf,
     buf: BytesMut,
-    framing: Framing,
+    body: BodyDecoder,
 }
 
 /// Sends a request on a new connection and reads the head of the response.
@@ -105,19 +92,18 @@
     head: RequestHead,
     body: Bytes,
 ) -> Result<IncomingResponse, ExchangeError> {
-    let method = head.method.clone();
+    let mut decoder = ResponseDecoder::new(cfg.clone(), head.method.clone());
     let mut codec = ClientCodec::new(cfg.clone());
     let (request, rest) = encode(&mut codec, head, body).map_err(ExchangeError::EncodeFailed)?;
-    let Connection { reader: mut read, mut write } = connection;
+    let Connection { mut reader, mut write } = connection;
     let mut buf = BytesMut::with_capacity(READ_BYTES);
-    let write_request = async {
-        write.write_all(&request).await?;
-        write.write_all(&rest).await
-    };
-    let head = {
-        // An endpoint may respond before it has read the body, so writing and reading run concurrently.
-        let mut write_request = std::pin::pin!(write_request);
+    let (head, body) = {
+        let mut write_request = std::pin::pin!(async {
+            write.write_all(&request).await?;
+            write.write_all(&rest).await
+        });
         let mut is_writing = true;
+        // An endpoint may respond before it has read the body, so writing and reading run concurrently.
         loop {
             tokio::select! {
                 biased;
@@ -126,15 +112,14 @@
                     if let Err(e) = written {
                         // A response, if one arrives, is more informative than the failed write.
                         log::debug!(target: "exchange", error:% = e; "request not written completely");
-                        read.record_write_error(&e);
+                        reader.record_write_error(&e);
                     }
                 }
-                head = read_head(&mut codec, &mut read, &mut buf) => break head?,
+                head = read_head(&mut decoder, &mut reader, &mut buf) => break head?,
             }
         }
     };
-    let framing = framing(&method, &head, codec);
-    Ok(IncomingResponse { head, connection: read, _write: write, buf, framing })
+    Ok(IncomingResponse { head, connection: reader, _write: write, buf, body })
 }
 
 /// Encodes a request. Small bodies are part of the first buffer, so that they are written with the
@@ -157,19 +142,13 @@
 
 /// Reads the head of a response, and bytes of its body into `buf`.
 pub(crate) async fn read_head(
-    codec: &mut ClientCodec,
+    decoder: &mut ResponseDecoder,
     connection: &mut ConnectionReader,
     buf: &mut BytesMut,
-) -> Result<ResponseHead, ExchangeError> {
+) -> Result<(ResponseHead, BodyDecoder), ExchangeError> {
     loop {
-        if let Some(head) = codec.decode(buf).map_err(ExchangeError::Head)? {
-            if head.status.is_informational() {
-                continue;
-            }
-            return Ok(head);
-        }
-        if buf.len() > MAX_HEAD_BYTES {
-            return Err(ExchangeError::Head(ParseError::TooLarge));
+        if let Some(response) = decoder.decode(buf).map_err(ExchangeError::Head)? {
+            return Ok(response);
         }
         read_more(connection, buf).await?;
     }
@@ -186,48 +165,22 @@
     }
 }
 
-fn framing(method: &Method, head: &ResponseHead, codec: ClientCodec) -> Framing {
-    let no_body = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
-    let length = head.headers.get(CONTENT_LENGTH);
-    let is_empty = length.is_some_and(|value| value.as_bytes() == b"0");
-    if *method == Method::HEAD || no_body || is_empty {
-        return Framing::Done;
-    }
-    if length.is_some() || head.headers.contains_key(TRANSFER_ENCODING) {
-        return Framing::Encoded(codec.into_payload_codec());
-    }
-    Framing::UntilClose
-}
-
 impl IncomingResponse {
     /// The next bytes of the body; `None` once it is complete.
     pub(crate) async fn next_chunk(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         loop {
-            match &mut self.framing {
-                Framing::Done => return Ok(None),
-                Framing::UntilClose => return self.next_chunk_until_close().await,
-                Framing::Encoded(codec) => match codec.decode(&mut self.buf) {
-                    Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
-                    Ok(Some(None)) => self.framing = Framing::Done,
-                    Ok(None) => read_more(&mut self.connection, &mut self.buf).await?,
-                    Err(e) => return Err(ExchangeError::Body(e)),
-                },
+            match self.body.decode(&mut self.buf).map_err(ExchangeError::Body)? {
+                BodyPart::Chunk(chunk) => return Ok(Some(chunk)),
+                BodyPart::End => return Ok(None),
+                BodyPart::Incomplete => {}
             }
-        }
-    }
-
-    async fn next_chunk_until_close(&mut self) -> Result<Option<Bytes>, ExchangeError> {
-        if self.buf.is_empty() {
             match read_more(&mut self.connection, &mut self.buf).await {
-                Ok(()) => {}
-                Err(ExchangeError::Truncated) => {
-                    self.framing = Framing::Done;
+                Err(ExchangeError::Truncated) if self.body.ends_with_connection() => {
                     return Ok(None);
                 }
-                Err(e) => return Err(e),
+                read => read?,
             }
         }
-        Ok(Some(self.buf.split().freeze()))
     }
 
     /// Reads the complete body, of at most `limit` bytes.
@@ -249,11 +202,7 @@
         held: HeldBytes,
     ) -> Result<(Bytes, HeldBytes), ExchangeError> {
         let no_room = |NoRoom| ExchangeError::NoRoom;
-        let size = match &self.framing {
-            Framing::Done => Some(0),
-            Framing::Encoded(_) => content_length(&self.head.headers),
-            Framing::UntilClose => None,
-        };
+        let size = self.body.remaining().map(|size| usize::try_from(size).unwrap_or(usize::MAX));
         if size.is_some_and(|size| size > limit) {
             return Err(ExchangeError::Body(PayloadError::Overflow));
         }
--- a/crates/ringbend-relay/src/tunnel.rs
+++ b/crates/ringbend-relay/src/tunnel.rs
@@ -4,9 +4,9 @@
 
 use std::net::SocketAddrV4;
 
-use actix_http::StatusCode;
-use actix_http::h1::ClientCodec;
+use actix_http::{Method, StatusCode};
 use bytes::BytesMut;
+use ringbend_runtime::ResponseDecoder;
 use tokio::io::AsyncWriteExt;
 
 use crate::connection::{Connection, ConnectionReader, DirectReader};
@@ -40,11 +40,11 @@
     let (read, mut write) = stream.into_split();
     let request = format!("CONNECT {endpoint} HTTP/1.1\r\nHost: {endpoint}\r\n\r\n");
     write.write_all(request.as_bytes()).await.map_err(|_| CarrierError::NoAnswer)?;
-    let mut codec = ClientCodec::new(node.http_config.clone());
+    let mut decoder = ResponseDecoder::new(node.http_config.clone(), Method::CONNECT);
     let (mut reader, mut buf) =
         (ConnectionReader::Direct(DirectReader::new(read)), BytesMut::new());
-    let head = read_head(&mut codec, &mut reader, &mut buf).await;
-    let head = head.map_err(|_| CarrierError::NoAnswer)?;
+    let head = read_head(&mut decoder, &mut reader, &mut buf).await;
+    let (head, _) = head.map_err(|_| CarrierError::NoAnswer)?;
     match head.status {
         StatusCode::OK => {}
         StatusCode::BAD_GATEWAY => return Err(CarrierError::Refused),
--- /dev/null
+++ b/crates/ringbend-runtime/src/response_decoder.rs
@@ -0,0 +1,184 @@
+//! Decodes HTTP/1.1 responses with the codec of `actix-http`, after stricter checks of the head.
+//!
+//! The codec accepts heads that other recipients read differently: blanks between the name of a
+//! field and its colon, more than one way to find the end of the body, any three digits as a status.
+//! Whoever passes such a response on passes on a body that may not be the sender's.
+
+use actix_codec::Decoder;
+use actix_http::error::{ParseError, PayloadError};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec};
+use actix_http::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use actix_http::{Method, ResponseHead, ServiceConfig, StatusCode, Version};
+use bytes::{Bytes, BytesMut};
+
+/// Maximum size of a response head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Maximum number of fields in a response head, as in the codec.
+const MAX_FIELDS: usize = 96;
+
+/// The statuses that HTTP defines classes for.
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
+
+/// Decodes the head of the response to one request.
+pub struct ResponseDecoder {
+    cfg: ServiceConfig,
+    method: Method,
+}
+
+impl ResponseDecoder {
+    /// Creates a decoder of the response to a request with this method.
+    pub fn new(cfg: ServiceConfig, method: Method) -> Self {
+        Self { cfg, method }
+    }
+
+    /// Removes the head from `buf`, with the interim responses before it. `None` if it has not
+    /// arrived completely.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no response head, it does not tell where the body ends, or it is too large.
+    pub fn decode(
+        &mut self,
+        buf: &mut BytesMut,
+    ) -> Result<Option<(ResponseHead, BodyDecoder)>, ParseError> {
+        loop {
+            let size = check_head(buf)?;
+            if size.unwrap_or(buf.len()) > MAX_HEAD_BYTES {
+                return Err(ParseError::TooLarge);
+            }
+            if size.is_none() {
+                return Ok(None);
+            }
+            // A codec decodes a single response.
+            let mut codec = ClientCodec::new(self.cfg.clone());
+            let Some(head) = codec.decode(buf)? else { return Ok(None) };
+            if head.status.is_informational() {
+                continue;
+            }
+            let framing = framing(&self.method, &head, codec)?;
+            return Ok(Some((head, BodyDecoder { framing })));
+        }
+    }
+}
+
+/// The size of the head at the start of `buf`; `None` if it is not complete.
+fn check_head(buf: &[u8]) -> Result<Option<usize>, ParseError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut response = httparse::Response::new(&mut fields);
+    let size = match response.parse(buf)? {
+        httparse::Status::Complete(size) => size,
+        httparse::Status::Partial => return Ok(None),
+    };
+    // No request asks for another protocol.
+    let is_valid = |status: u16| {
+        STATUSES.contains(&status) && status != StatusCode::SWITCHING_PROTOCOLS.as_u16()
+    };
+    match response.code.is_some_and(is_valid) {
+        true => Ok(Some(size)),
+        false => Err(ParseError::Status),
+    }
+}
+
+/// Where the body of a response ends.
+enum Framing {
+    /// There is no further byte.
+    Done,
+    /// After this many bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked(ClientPayloadCodec),
+    /// With the connection.
+    UntilClose,
+}
+
+fn framing(
+    method: &Method,
+    head: &ResponseHead,
+    codec: ClientCodec,
+) -> Result<Framing, ParseError> {
+    let length = head.headers.get(CONTENT_LENGTH);
+    let encoding = head.headers.get(TRANSFER_ENCODING);
+    if let Some(encoding) = encoding
+        && (length.is_some() || head.version != Version::HTTP_11 || !is_chunked(encoding))
+    {
+        return Err(ParseError::Header);
+    }
+    let has_no_body = match head.status {
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => true,
+        status => *method == Method::HEAD || (*method == Method::CONNECT && status.is_success()),
+    };
+    if has_no_body {
+        return Ok(Framing::Done);
+    }
+    if encoding.is_some() {
+        return Ok(Framing::Chunked(codec.into_payload_codec()));
+    }
+    let Some(length) = length else { return Ok(Framing::UntilClose) };
+    let length = length.to_str().ok().and_then(|text| text.trim().parse().ok());
+    length.map(Framing::Length).ok_or(ParseError::Header)
+}
+
+fn is_chunked(encoding: &HeaderValue) -> bool {
+    encoding.to_str().is_ok_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
+}
+
+/// What follows in the body of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BodyPart {
+    /// These bytes.
+    Chunk(Bytes),
+    /// The end of the body.
+    End,
+    /// Nothing, before more bytes have arrived.
+    Incomplete,
+}
+
+/// Decodes the body of a response.
+pub struct BodyDecoder {
+    framing: Framing,
+}
+
+impl BodyDecoder {
+    /// Removes the next part of the body from `buf`.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no chunk.
+    pub fn decode(&mut self, buf: &mut BytesMut) -> Result<BodyPart, PayloadError> {
+        let part = match &mut self.framing {
+            Framing::Done => BodyPart::End,
+            Framing::Length(0) => BodyPart::End,
+            Framing::Length(_) | Framing::UntilClose if buf.is_empty() => BodyPart::Incomplete,
+            Framing::Length(left) => {
+                let size = usize::try_from(*left).unwrap_or(usize::MAX).min(buf.len());
+                *left -= size as u64;
+                BodyPart::Chunk(buf.split_to(size).freeze())
+            }
+            Framing::Chunked(codec) => match codec.decode(buf)? {
+                Some(Some(chunk)) => BodyPart::Chunk(chunk),
+                Some(None) => BodyPart::End,
+                None => BodyPart::Incomplete,
+            },
+            Framing::UntilClose => BodyPart::Chunk(buf.split().freeze()),
+        };
+        if part == BodyPart::End {
+            self.framing = Framing::Done;
+        }
+        Ok(part)
+    }
+
+    /// Whether the end of the connection is the end of the body.
+    pub fn ends_with_connection(&self) -> bool {
+        matches!(self.framing, Framing::UntilClose)
+    }
+
+    /// The number of bytes that are left of the body, if that is known before they arrive.
+    pub fn remaining(&self) -> Option<u64> {
+        match self.framing {
+            Framing::Done => Some(0),
+            Framing::Length(left) => Some(left),
+            Framing::Chunked(_) | Framing::UntilClose => None,
+        }
+    }
+}
