fix(relay): give up responses that go on without an end in interim heads or between chunks

Callers saw: an endpoint that sends interim responses, a chunk extension, blanks after a chunk size or a trailer without an end is read until the deadline of the request, which then ends with 504, although another endpoint could have served it; the instance spends a core on it all the while.

Cause: each interim head was bounded, not their sum, and the chunk decoder consumes what is no chunk without a bound.

Change: the decoder counts the bytes of all heads of a response, and the bytes since the last chunk, 64 KB each.

--- a/crates/ringbend-runtime/src/response_decoder.rs
+++ b/crates/ringbend-runtime/src/response_decoder.rs
@@ -11,12 +11,16 @@
 use actix_http::{Method, ResponseHead, ServiceConfig, StatusCode, Version};
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of a response head, in bytes.
+/// Maximum size of a response head, with the interim responses before it, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Maximum number of fields in a response head, as in the codec.
 const MAX_FIELDS: usize = 96;
 
+/// Maximum number of bytes between two chunks of a body, and after the last one: sizes, extensions
+/// and trailers.
+const MAX_CHUNK_OVERHEAD_BYTES: usize = 64 << 10;
+
 /// The statuses that HTTP defines classes for.
 const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
 
@@ -24,12 +28,14 @@
 pub struct ResponseDecoder {
     cfg: ServiceConfig,
     method: Method,
+    /// The size of the heads that were decoded, in bytes.
+    decoded_bytes: usize,
 }
 
 impl ResponseDecoder {
     /// Creates a decoder of the response to a request with this method.
     pub fn new(cfg: ServiceConfig, method: Method) -> Self {
-        Self { cfg, method }
+        Self { cfg, method, decoded_bytes: 0 }
     }
 
     /// Removes the head from `buf`, with the interim responses before it. `None` if it has not
@@ -44,12 +50,11 @@
     ) -> Result<Option<(ResponseHead, BodyDecoder)>, ParseError> {
         loop {
             let size = check_head(buf)?;
-            if size.unwrap_or(buf.len()) > MAX_HEAD_BYTES {
+            if self.decoded_bytes + size.unwrap_or(buf.len()) > MAX_HEAD_BYTES {
                 return Err(ParseError::TooLarge);
             }
-            if size.is_none() {
-                return Ok(None);
-            }
+            let Some(size) = size else { return Ok(None) };
+            self.decoded_bytes += size;
             // A codec decodes a single response.
             let mut codec = ClientCodec::new(self.cfg.clone());
             let Some(head) = codec.decode(buf)? else { return Ok(None) };
@@ -87,7 +92,11 @@
     /// After this many bytes.
     Length(u64),
     /// After the last chunk.
-    Chunked(ClientPayloadCodec),
+    Chunked {
+        codec: ClientPayloadCodec,
+        /// Bytes since the last chunk.
+        overhead: usize,
+    },
     /// With the connection.
     UntilClose,
 }
@@ -112,7 +121,7 @@
         return Ok(Framing::Done);
     }
     if encoding.is_some() {
-        return Ok(Framing::Chunked(codec.into_payload_codec()));
+        return Ok(Framing::Chunked { codec: codec.into_payload_codec(), overhead: 0 });
     }
     let Some(length) = length else { return Ok(Framing::UntilClose) };
     let length = length.to_str().ok().and_then(|text| text.trim().parse().ok());
@@ -144,7 +153,7 @@
     ///
     /// # Errors
     ///
-    /// The bytes are no chunk.
+    /// The bytes are no chunk, or there are too many of them between two chunks.
     pub fn decode(&mut self, buf: &mut BytesMut) -> Result<BodyPart, PayloadError> {
         let part = match &mut self.framing {
             Framing::Done => BodyPart::End,
@@ -155,11 +164,7 @@
                 *left -= size as u64;
                 BodyPart::Chunk(buf.split_to(size).freeze())
             }
-            Framing::Chunked(codec) => match codec.decode(buf)? {
-                Some(Some(chunk)) => BodyPart::Chunk(chunk),
-                Some(None) => BodyPart::End,
-                None => BodyPart::Incomplete,
-            },
+            Framing::Chunked { codec, overhead } => decode_chunked(codec, overhead, buf)?,
             Framing::UntilClose => BodyPart::Chunk(buf.split().freeze()),
         };
         if part == BodyPart::End {
@@ -178,7 +183,29 @@
         match self.framing {
             Framing::Done => Some(0),
             Framing::Length(left) => Some(left),
-            Framing::Chunked(_) | Framing::UntilClose => None,
+            Framing::Chunked { .. } | Framing::UntilClose => None,
+        }
+    }
+}
+
+fn decode_chunked(
+    codec: &mut ClientPayloadCodec,
+    overhead: &mut usize,
+    buf: &mut BytesMut,
+) -> Result<BodyPart, PayloadError> {
+    let arrived = buf.len();
+    match codec.decode(buf)? {
+        Some(Some(chunk)) => {
+            *overhead = 0;
+            Ok(BodyPart::Chunk(chunk))
+        }
+        Some(None) => Ok(BodyPart::End),
+        None => {
+            *overhead += arrived - buf.len();
+            match *overhead {
+                ..=MAX_CHUNK_OVERHEAD_BYTES => Ok(BodyPart::Incomplete),
+                _ => Err(PayloadError::EncodingCorrupted),
+            }
         }
     }
 }
