fix(ringbendd): read responses of plain services by the same decoder as the relay

Cause: the call on its own connection relied on the client codec, which has no decoder for a body that ends with its connection and takes the first head, interim or not, as the response.

Change: the call uses ResponseDecoder. The write of the request ends before the response is read, and a failed write is a failed call, so a reset that it reports is not lost.

--- /dev/null
+++ b/crates/ringbend-playground/tests/broken_responses.rs
@@ -0,0 +1,142 @@
+//! Responses of a plain service that break off, are malformed or never end: callers receive them as failures.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use actix_rt::net::{TcpListener, TcpStream};
+use futures_util::future::join_all;
+use ringbend_playground::{Fleet, FleetConfig};
+use serde_json::json;
+use socket2::SockRef;
+use support::{Response, block_on, call, put, small_config, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// How long a caller may wait for the outcome of a response without an end.
+const ENDLESS_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// What a service does after it has written its response.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    Close,
+    Reset,
+    /// Writes these bytes until the peer closes the connection.
+    Flood(&'static str),
+}
+
+/// Responds to one request.
+async fn serve(mut connection: TcpStream, response: &str, end: End) {
+    let mut request = Vec::new();
+    while !request.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+        if !matches!(connection.read_buf(&mut request).await, Ok(1..)) {
+            return;
+        }
+    }
+    connection.write_all(response.as_bytes()).await.unwrap();
+    match end {
+        End::Close => {
+            // Bytes that were not read would turn the end into a reset.
+            connection.shutdown().await.unwrap();
+            while matches!(connection.read(&mut request).await, Ok(1..)) {}
+        }
+        End::Reset => SockRef::from(&connection).set_linger(Some(Duration::ZERO)).unwrap(),
+        End::Flood(text) => {
+            let text = text.repeat(1_000);
+            while connection.write_all(text.as_bytes()).await.is_ok() {}
+        }
+    }
+}
+
+/// Starts a service that always sends this response.
+async fn start_service(fleet: &Fleet, name: &str, response: String, end: End) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let entry = json!({"id": format!("{name}-1"), "address": listener.local_addr().unwrap(),
+        "data_centre": "dc-1", "kind": "service", "service": name, "checks_fencing": false,
+        "kv_capacity": 0, "state": "live"});
+    tokio::task::spawn_local(async move {
+        while let Ok((connection, _)) = listener.accept().await {
+            let response = response.clone();
+            tokio::task::spawn_local(async move { serve(connection, &response, end).await });
+        }
+    });
+    put(format!("http://{}/v1/endpoints", fleet.instance_list.address()), entry).await;
+}
+
+/// Calls a service once it is known. Returns the response and how long it took.
+async fn call_service(fleet: &Fleet, name: &str) -> (Response, Duration) {
+    let (to, path) = (fleet.instances[0].callers_address, format!("/services/{name}/"));
+    let mut received = None;
+    wait_until("the service is known", async || {
+        let began = Instant::now();
+        let response = call(to, &path, &[], "request").await;
+        let is_known = response.status != 404;
+        received = Some((response, began.elapsed()));
+        is_known
+    })
+    .await;
+    received.unwrap()
+}
+
+async fn start_fleet() -> Fleet {
+    Fleet::start(FleetConfig { instances: 1, ..small_config() }).await.unwrap()
+}
+
+#[test]
+fn a_body_that_ends_with_its_connection_is_forwarded() {
+    block_on(async {
+        let fleet = start_fleet().await;
+        let heads = [
+            "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.0 200 OK\r\n",
+            "HTTP/1.1 200 OK\r\nUpgrade: websocket\r\n",
+        ];
+        for (n, head) in heads.into_iter().enumerate() {
+            let name = format!("sound-{n}");
+            start_service(&fleet, &name, format!("{head}\r\nbody"), End::Close).await;
+            let (response, _) = call_service(&fleet, &name).await;
+            assert_eq!((response.status, response.text.as_str()), (200, "body"), "{head:?}");
+        }
+    });
+}
+
+#[test]
+fn broken_responses_are_failures() {
+    let ok = "HTTP/1.1 200 OK\r\n";
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    let length = "Content-Length: 4\r\n";
+    let cases = [
+        (format!("{ok}\r\npart"), End::Reset),
+        (format!("{ok}{chunked}\r\n4\r\nbody\r\n"), End::Close),
+        (format!("{ok}Content-Length: 5\r\n\r\nbody"), End::Close),
+        (format!("HTTP/1.1 000 -\r\n{length}\r\nbody"), End::Close),
+        (format!("HTTP/1.1 600 -\r\n{length}\r\nbody"), End::Close),
+        (format!("{ok}X Odd: v\r\n{length}\r\nbody"), End::Close),
+        (format!("{ok}X-Odd : v\r\n{length}\r\nbody"), End::Close),
+        (format!("{ok}X\u{1}Odd: v\r\n{length}\r\nbody"), End::Close),
+        (format!("{ok}Content-Length : 4\r\n\r\nbody"), End::Close),
+        (format!("{ok}Transfer-Encoding: identity\r\n\r\nbody"), End::Close),
+        (format!("{ok}Content-Length: 0\r\n{chunked}\r\n4\r\nbody\r\n0\r\n\r\n"), End::Close),
+        (format!("{ok}{}: v\r\n{length}\r\nbody", "a".repeat(66_000)), End::Close),
+        (ok.to_owned(), End::Flood("X-More: more\r\n")),
+        (String::new(), End::Flood("HTTP/1.1 100 Continue\r\n\r\n")),
+        (format!("{ok}{chunked}\r\n4;"), End::Flood("more")),
+        (format!("{ok}{chunked}\r\n0\r\n"), End::Flood("X-More: more\r\n")),
+        (format!("{ok}\r\n"), End::Flood("more")),
+    ];
+    block_on(async {
+        let fleet = start_fleet().await;
+        // Each has a service of its own, as endpoints that fail are avoided for a while.
+        join_all(cases.into_iter().enumerate().map(async |(n, (response, end))| {
+            let case = format!("{:?}, then {end:?}", &response[..response.len().min(70)]);
+            let name = format!("odd-{n}");
+            start_service(&fleet, &name, response, end).await;
+            let (received, took) = call_service(&fleet, &name).await;
+            let run_state = received.run_state();
+            assert_eq!(received.status, 502, "{case}: {received:?}");
+            // A body that is too large proves that the service has run the call.
+            assert!(["may-have-run", "failed"].contains(&&*run_state), "{case}: {received:?}");
+            assert!(took < ENDLESS_TIMEOUT, "{case}: {took:?}");
+        }))
+        .await;
+    });
+}
--- a/crates/ringbendd/src/callers/unpooled.rs
+++ b/crates/ringbendd/src/callers/unpooled.rs
@@ -2,20 +2,22 @@
 //!
 //! Calls that may not be repeated need two things that a pooled client does not provide: knowing
 //! whether any byte was sent, and telling a complete response from one that was cut off at a chunk
-//! boundary. The codec is `actix-http`'s.
+//! boundary.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_codec::Framed;
+use actix_codec::{Framed, FramedParts};
 use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, Message, MessageType};
+use actix_http::h1::{ClientCodec, Message};
 use actix_http::header::HeaderMap;
-use actix_http::{Method, RequestHead, RequestHeadType, StatusCode, Uri, Version};
+use actix_http::{Method, RequestHead, RequestHeadType, ServiceConfig, StatusCode, Uri, Version};
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
-use futures_util::{SinkExt, StreamExt};
+use futures_util::SinkExt;
 use ringbend_policy::AttemptEnd;
+use ringbend_runtime::{BodyDecoder, BodyPart, ResponseDecoder};
+use tokio::io::AsyncReadExt;
 
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -45,7 +47,9 @@
     let connecting = tokio::time::timeout(connect_timeout, TcpStream::connect(to));
     let Ok(Ok(io)) = connecting.await else { return Err(AttemptEnd::NotSent) };
     let _ = io.set_nodelay(true);
-    let mut framed = Framed::new(io, ClientCodec::default());
+    let cfg = ServiceConfig::default();
+    let mut decoder = ResponseDecoder::new(cfg.clone(), method.clone());
+    let mut framed = Framed::new(io, ClientCodec::new(cfg));
     let mut head = RequestHead::default();
     head.uri = uri;
     head.method = method;
@@ -59,31 +63,42 @@
         framed.send(Message::Chunk(Some(body))).await.map_err(broken)?;
         framed.send(Message::Chunk(None)).await.map_err(broken)?;
     }
-    let Some(Ok(head)) = framed.next().await else { return Err(AttemptEnd::Broken) };
-    let body = match framed.codec_ref().message_type() {
-        MessageType::None => Bytes::new(),
-        MessageType::Payload | MessageType::Stream => {
-            read_body(framed.into_map_codec(ClientCodec::into_payload_codec)).await?
+    let FramedParts { mut io, read_buf: mut buf, .. } = framed.into_parts();
+    let (head, body) = loop {
+        if let Some(response) = decoder.decode(&mut buf).map_err(|_| AttemptEnd::Broken)? {
+            break response;
+        }
+        if io.read_buf(&mut buf).await.map_err(broken)? == 0 {
+            return Err(AttemptEnd::Broken);
         }
     };
+    let body = read_body(&mut io, &mut buf, body).await?;
     Ok(UnpooledResponse { status: head.status, headers: head.headers, body })
 }
 
-/// Reads the body until the codec reports its end. A connection that closes earlier cut it off.
+/// Reads the body to its end. A connection that closes earlier cut it off.
 async fn read_body(
-    mut framed: Framed<TcpStream, actix_http::h1::ClientPayloadCodec>,
+    io: &mut TcpStream,
+    buf: &mut BytesMut,
+    mut decoder: BodyDecoder,
 ) -> Result<Bytes, AttemptEnd> {
     let mut body = BytesMut::new();
     loop {
-        match framed.next().await {
-            Some(Ok(Some(chunk))) => {
-                if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
-                    return Err(AttemptEnd::EndpointError);
-                }
+        match decoder.decode(buf).map_err(|_| AttemptEnd::Broken)? {
+            BodyPart::Chunk(chunk) if body.len() + chunk.len() > MAX_RESPONSE_BYTES => {
+                return Err(AttemptEnd::EndpointError);
+            }
+            BodyPart::Chunk(chunk) => {
                 body.extend_from_slice(&chunk);
+                continue;
             }
-            Some(Ok(None)) => return Ok(body.freeze()),
-            Some(Err(_)) | None => return Err(AttemptEnd::Broken),
+            BodyPart::End => return Ok(body.freeze()),
+            BodyPart::Incomplete => {}
+        }
+        match io.read_buf(buf).await {
+            Ok(1..) => {}
+            Ok(0) if decoder.ends_with_connection() => return Ok(body.freeze()),
+            Ok(0) | Err(_) => return Err(AttemptEnd::Broken),
         }
     }
 }
