fix(ringbendd): follow the instance list also if an entry describes no endpoint

Operators saw: another writer leaves one entry that is nested without bounds, lacks a field or has a number or port out of range. Instances that run do not learn of later endpoints, and one that starts does not become ready.

Cause: the list was decoded as a whole, so one entry made all of it malformed.

Change: each entry is decoded by itself; those that cannot be are skipped and logged, one line a read.

--- a/crates/ringbend-playground/tests/support/mod.rs
+++ b/crates/ringbend-playground/tests/support/mod.rs
@@ -132,6 +132,11 @@
     assert_eq!(response.status, 204);
 }
 
+/// Sends a text as the body of a POST request that has no response body.
+pub(crate) async fn post(url: String, body: String) {
+    assert_eq!(send(client().post(url), body).await.status, 204);
+}
+
 pub(crate) async fn settings_version(admin: SocketAddr) -> u64 {
     admin_get(admin, "/v1/status").await["settings_version"].as_u64().unwrap()
 }
--- a/crates/ringbendd/src/platform/instance_list.rs
+++ b/crates/ringbendd/src/platform/instance_list.rs
@@ -5,9 +5,13 @@
 
 use async_trait::async_trait;
 use ringbend_platform::EndpointEntry;
+use serde_json::value::RawValue;
 
 use super::http::{CallError, HttpClient};
 
+/// How much of the reason is logged for which an entry is invalid: it may quote the entry.
+const MAX_LOGGED_CHARS: usize = 200;
+
 /// The platform's list of endpoints, which is delayed.
 #[async_trait(?Send)]
 pub(crate) trait InstanceList {
@@ -36,8 +40,26 @@
         let Some((list, tag)) = self.http.get_if_changed(&self.url, tag.as_deref()).await? else {
             return Ok(None);
         };
-        let list = serde_json::from_slice(&list).map_err(|_| CallError::Malformed)?;
+        let list: Vec<&RawValue> =
+            serde_json::from_slice(&list).map_err(|_| CallError::Malformed)?;
         *self.tag.borrow_mut() = tag;
-        Ok(Some(list))
+        Ok(Some(decode_entries(&list)))
+    }
+}
+
+/// Decodes the entries that describe an endpoint. Another writer's entry must not hide the others.
+fn decode_entries(list: &[&RawValue]) -> Vec<EndpointEntry> {
+    let mut entries = Vec::with_capacity(list.len());
+    let mut errors = Vec::new();
+    for entry in list {
+        match serde_json::from_str(entry.get()) {
+            Ok(entry) => entries.push(entry),
+            Err(e) => errors.push(e),
+        }
+    }
+    if let Some(first) = errors.first() {
+        let why: String = first.to_string().chars().take(MAX_LOGGED_CHARS).collect();
+        log::warn!(count = errors.len(), why; "skipping invalid entries of the instance list");
     }
+    entries
 }
