fix(relay): reject requests that come late in the grace time of a stop as not run

Callers saw: a request that comes late in the grace time of a planned stop is taken and passed on, and cut off at the end of it. Here: one whose body is complete only after the instance has ceased to accept requests is sent to an endpoint all the same, and ends as "may have run", a stream without an end; with a grace time of 3 s requests are taken until 0.1 s before the end.

Cause: whether a request is accepted was asked before its body was read, not after; and the time for which requests are accepted did not depend on the grace time.

Change: the question is asked again once the body is complete, before anything is sent; requests are accepted for half of a short grace time (with 6 s or more, for 2.5 s as before).

--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -106,6 +106,10 @@
             FingerprintBuilder::new(admitted.account.as_ref(), host(req.head()), req.head());
         let body = self.read_body(&mut req, limits.body_bytes, timeout).await;
         let (body, held) = body.map_err(|e| Refusal::from(&e))?;
+        if self.node.refuses_new_requests() {
+            // The body was still arriving when the instance ceased to accept requests.
+            return Err(Refusal::Stopping);
+        }
         let fingerprint = fingerprint.finish(&body).await;
         let sample = self.node.rng.borrow_mut().random::<f64>();
         let service = admitted.route.pick_service(sample).ok_or(Refusal::NoService)?.clone();
--- a/crates/ringbend-relay/src/shutdown.rs
+++ b/crates/ringbend-relay/src/shutdown.rs
@@ -19,11 +19,15 @@
 /// needs two failures.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(3_200);
 
-/// How long a stopping instance accepts requests. The load balancer takes about two seconds to
-/// route new callers elsewhere, and a request accepted later may not complete within the grace
+/// How long a stopping instance accepts requests, at most. The load balancer takes about two seconds
+/// to route new callers elsewhere, and a request accepted later may not complete within the grace
 /// time.
 const ACCEPT_REQUESTS_TIME: Duration = Duration::from_millis(2_500);
 
+/// The share of a short grace time, without the reserve, for which requests are accepted. The rest is
+/// left for their responses.
+const ACCEPT_REQUESTS_SHARE: f64 = 0.5;
+
 /// The part of the grace time that is reserved for the process to exit by itself.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
@@ -52,9 +56,9 @@
 impl Node {
     /// Whether the instance is stopping and refuses new requests, also on existing connections.
     pub(crate) fn refuses_new_requests(&self) -> bool {
-        self.stopping_since
-            .get()
-            .is_some_and(|at| self.clock.now().since(at) >= ACCEPT_REQUESTS_TIME)
+        let accept_time =
+            ACCEPT_REQUESTS_TIME.min(self.drain_timeout().mul_f64(ACCEPT_REQUESTS_SHARE));
+        self.stopping_since.get().is_some_and(|at| self.clock.now().since(at) >= accept_time)
     }
 
     /// The time from the stop until open requests are aborted.
