fix(platform): a malformed response of the store does not end the watch of its table

A response of the store with a field name of 66,000 bytes ended the task that reads the table: the instance no longer followed the configuration or the endpoints.

Cause: awc decodes by the codec of actix-http, which panics on such a name.

(The relay's own exchanges check the size of a head before it is decoded.)

--- a/crates/ringbend-runtime/src/response_decoder.rs
+++ b/crates/ringbend-runtime/src/response_decoder.rs
@@ -4,12 +4,15 @@
 //! field and its colon, more than one way to find the end of the body, any three digits as a status.
 //! Whoever passes such a response on passes on a body that may not be the sender's.
 
+use std::panic::AssertUnwindSafe;
+
 use actix_codec::Decoder;
 use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec};
 use actix_http::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use actix_http::{Method, ResponseHead, ServiceConfig, StatusCode, Version};
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 
 /// Maximum size of a response head, with the interim responses before it, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -209,3 +212,25 @@
         }
     }
 }
+
+/// The codec has panicked on a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CodecPanic;
+
+impl std::fmt::Display for CodecPanic {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the HTTP codec panicked on the response")
+    }
+}
+
+impl std::error::Error for CodecPanic {}
+
+/// Makes a call with a client that decodes responses by itself. A response must not end the task
+/// that reads it: the codec panics on the name of a field that is longer than 65,535 bytes.
+///
+/// # Errors
+///
+/// The call has panicked.
+pub async fn catch_codec_panic<F: Future>(call: F) -> Result<F::Output, CodecPanic> {
+    AssertUnwindSafe(call).catch_unwind().await.map_err(|_| CodecPanic)
+}
