--- a/crates/ringbend-playground/tests/broken_responses.rs
+++ b/crates/ringbend-playground/tests/broken_responses.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_rt::net::{TcpListener, TcpStream};
@@ -62,6 +64,56 @@
     put(format!("http://{}/v1/endpoints", fleet.instance_list.address()), entry).await;
 }
 
+/// What an engine has received.
+#[derive(Default)]
+struct Received {
+    prompts: Cell<usize>,
+    reports: Cell<usize>,
+}
+
+/// A response of an engine to a request for its load report.
+fn load_report() -> String {
+    let report = json!({"running": 0, "waiting": 0, "prefill_backlog": 0, "kv_used": 0,
+        "kv_capacity": 100_000, "state": "live"})
+    .to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{report}", report.len())
+}
+
+/// Starts an engine of the model `name` with these responses to prompts and to requests for its load report.
+async fn start_engine(
+    fleet: &Fleet,
+    name: &str,
+    (response, end): (String, End),
+    report: String,
+) -> Rc<Received> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let entry = json!({"id": format!("{name}-1"), "address": listener.local_addr().unwrap(),
+        "data_centre": "dc-1", "kind": "engine", "service": name, "checks_fencing": false,
+        "kv_capacity": 100_000, "state": "live"});
+    let received = Rc::<Received>::default();
+    let counts = received.clone();
+    tokio::task::spawn_local(async move {
+        while let Ok((connection, _)) = listener.accept().await {
+            let (response, report, counts) = (response.clone(), report.clone(), counts.clone());
+            tokio::task::spawn_local(async move {
+                let mut first = [0; 5];
+                match connection.peek(&mut first).await {
+                    Ok(5) if &first == b"POST " => {
+                        counts.prompts.set(counts.prompts.get() + 1);
+                        serve(connection, &response, end).await;
+                    }
+                    _ => {
+                        counts.reports.set(counts.reports.get() + 1);
+                        serve(connection, &report, End::Close).await;
+                    }
+                }
+            });
+        }
+    });
+    put(format!("http://{}/v1/endpoints", fleet.instance_list.address()), entry).await;
+    received
+}
+
 /// Calls a service once it is known. Returns the response and how long it took.
 async fn call_service(fleet: &Fleet, name: &str) -> (Response, Duration) {
     let (to, path) = (fleet.instances[0].callers_address, format!("/services/{name}/"));
@@ -140,3 +192,57 @@
         .await;
     });
 }
+
+/// Responses to prompts, which are complete only with their last token.
+#[test]
+fn broken_responses_of_engines_are_failures() {
+    let ok = "HTTP/1.1 200 OK\r\n";
+    let length = "Content-Length: 4\r\n";
+    let cases = [
+        (format!("{ok}\r\npart"), End::Reset),
+        (format!("HTTP/1.1 000 -\r\n{length}\r\nbody"), End::Close),
+        (format!("HTTP/1.1 600 -\r\n{length}\r\nbody"), End::Close),
+        (format!("{ok}X Odd: v\r\n{length}\r\nbody"), End::Close),
+        (format!("{ok}{}: v\r\n{length}\r\nbody", "a".repeat(66_000)), End::Close),
+        (ok.to_owned(), End::Flood("X-More: more\r\n")),
+        (format!("{ok}\r\n"), End::Flood("more")),
+    ];
+    block_on(async {
+        let fleet = start_fleet().await;
+        join_all(cases.into_iter().enumerate().map(async |(n, (response, end))| {
+            let case = format!("{:?}, then {end:?}", &response[..response.len().min(70)]);
+            let name = format!("odd-{n}");
+            let engine = start_engine(&fleet, &name, (response, end), load_report()).await;
+            let to = fleet.instances[0].callers_address;
+            let body = json!({"model": name, "max_tokens": 5, "prompt": "review"}).to_string();
+            let mut received = None;
+            wait_until("the engine is known", async || {
+                let response = call(to, "/v1/completions", &[], &body).await;
+                let is_known = response.status != 404;
+                received = Some(response);
+                is_known
+            })
+            .await;
+            let received = received.unwrap();
+            assert!((500..600).contains(&received.status), "{case}: {received:?}");
+            assert!(engine.prompts.get() > 0, "{case}: {received:?}");
+        }))
+        .await;
+    });
+}
+
+/// One engine's report must not end the task that reads those of all.
+#[test]
+fn a_broken_load_report_does_not_hide_those_of_other_engines() {
+    block_on(async {
+        let fleet = start_fleet().await;
+        let long =
+            format!("HTTP/1.1 200 OK\r\n{}: v\r\nContent-Length: 0\r\n\r\n", "a".repeat(66_000));
+        let prompt = || (String::new(), End::Close);
+        let broken = start_engine(&fleet, "broken", prompt(), long).await;
+        wait_until("the broken report is read", async || broken.reports.get() > 0).await;
+        let sound = start_engine(&fleet, "sound", prompt(), load_report()).await;
+        wait_until("the report of the other engine is read", async || sound.reports.get() > 0)
+            .await;
+    });
+}
--- a/crates/ringbendd/src/platform/http.rs
+++ b/crates/ringbendd/src/platform/http.rs
@@ -8,6 +8,7 @@
 use awc::error::SendRequestError;
 use awc::http::Method;
 use bytes::Bytes;
+use ringbend_runtime::{CodecPanic, catch_codec_panic};
 
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
@@ -57,10 +58,10 @@
         url: &str,
         body: impl Into<Bytes>,
     ) -> Result<Bytes, CallError> {
-        let call = self.send(method, url, body.into());
+        let call = catch_codec_panic(self.send(method, url, body.into()));
         match tokio::time::timeout(self.timeout, call).await {
-            Ok(response) => response,
-            Err(_) => Err(CallError::Unknown),
+            Ok(Ok(response)) => response,
+            Ok(Err(CodecPanic)) | Err(_) => Err(CallError::Unknown),
         }
     }
 
@@ -87,7 +88,10 @@
             let body = res.body().limit(MAX_RESPONSE_BYTES).await;
             Ok(Some((body.map_err(|_| CallError::Unknown)?, tag)))
         };
-        tokio::time::timeout(self.timeout, read).await.unwrap_or(Err(CallError::Unknown))
+        match tokio::time::timeout(self.timeout, catch_codec_panic(read)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(CodecPanic)) | Err(_) => Err(CallError::Unknown),
+        }
     }
 
     async fn send(&self, method: Method, url: &str, body: Bytes) -> Result<Bytes, CallError> {
