--- a/crates/ringbend-relay/src/exchange.rs
+++ b/crates/ringbend-relay/src/exchange.rs
@@ -97,28 +97,11 @@
     let (request, rest) = encode(&mut codec, head, body).map_err(ExchangeError::EncodeFailed)?;
     let Connection { mut reader, mut write } = connection;
     let mut buf = BytesMut::with_capacity(READ_BYTES);
-    let (head, body) = {
-        let mut write_request = std::pin::pin!(async {
-            write.write_all(&request).await?;
-            write.write_all(&rest).await
-        });
-        let mut is_writing = true;
-        // An endpoint may respond before it has read the body, so writing and reading run concurrently.
-        loop {
-            tokio::select! {
-                biased;
-                written = &mut write_request, if is_writing => {
-                    is_writing = false;
-                    if let Err(e) = written {
-                        // A response, if one arrives, is more informative than the failed write.
-                        log::debug!(target: "exchange", error:% = e; "request not written completely");
-                        reader.record_write_error(&e);
-                    }
-                }
-                head = read_head(&mut decoder, &mut reader, &mut buf) => break head?,
-            }
-        }
+    let written = async {
+        write.write_all(&request).await?;
+        write.write_all(&rest).await
     };
+    let (head, body) = read_head_while(written, &mut decoder, &mut reader, &mut buf).await?;
     Ok(IncomingResponse { head, connection: reader, _write: write, buf, body })
 }
 
@@ -140,6 +123,27 @@
     Ok((request, Bytes::new()))
 }
 
+/// Reads the head of a response while the request is written: an endpoint may respond before it has
+/// read all of it. What is not written when the head arrives is not sent.
+async fn read_head_while(
+    written: impl Future<Output = std::io::Result<()>>,
+    decoder: &mut ResponseDecoder,
+    connection: &mut ConnectionReader,
+    buf: &mut BytesMut,
+) -> Result<(ResponseHead, BodyDecoder), ExchangeError> {
+    let written = tokio::select! {
+        biased;
+        written = written => written,
+        head = read_head(decoder, connection, buf) => return head,
+    };
+    if let Err(e) = written {
+        // A response, if one arrives, is more informative than the failed write.
+        log::debug!(target: "exchange", error:% = e; "request not written completely");
+        connection.record_write_error(&e);
+    }
+    read_head(decoder, connection, buf).await
+}
+
 /// Reads the head of a response, and bytes of its body into `buf`.
 pub(crate) async fn read_head(
     decoder: &mut ResponseDecoder,
