--- a/crates/ringbend-gateway/src/events.rs
+++ b/crates/ringbend-gateway/src/events.rs
@@ -57,7 +57,7 @@
         Ok(events)
     }
 
-    /// The number of bytes of the event whose end has not arrived.
+    /// The number of buffered bytes of an incomplete event.
     pub fn incomplete_bytes(&self) -> usize {
         self.buf.len()
     }
--- a/crates/ringbend-playground/tests/broken_responses.rs
+++ b/crates/ringbend-playground/tests/broken_responses.rs
@@ -114,13 +114,13 @@
     received
 }
 
-/// Calls a service once it is known. Returns the response and how long it took.
-async fn call_service(fleet: &Fleet, name: &str) -> (Response, Duration) {
-    let (to, path) = (fleet.instances[0].callers_address, format!("/services/{name}/"));
+/// Repeats a call until the instance knows the endpoint. Returns the response and how long it took.
+async fn call_when_known(fleet: &Fleet, path: &str, body: &str) -> (Response, Duration) {
+    let to = fleet.instances[0].callers_address;
     let mut received = None;
-    wait_until("the service is known", async || {
+    wait_until("the endpoint is known", async || {
         let began = Instant::now();
-        let response = call(to, &path, &[], "request").await;
+        let response = call(to, path, &[], body).await;
         let is_known = response.status != 404;
         received = Some((response, began.elapsed()));
         is_known
@@ -129,6 +129,10 @@
     received.unwrap()
 }
 
+async fn call_service(fleet: &Fleet, name: &str) -> (Response, Duration) {
+    call_when_known(fleet, &format!("/services/{name}/"), "request").await
+}
+
 async fn start_fleet() -> Fleet {
     Fleet::start(FleetConfig { instances: 1, ..small_config() }).await.unwrap()
 }
@@ -213,17 +217,8 @@
             let case = format!("{:?}, then {end:?}", &response[..response.len().min(70)]);
             let name = format!("odd-{n}");
             let engine = start_engine(&fleet, &name, (response, end), load_report()).await;
-            let to = fleet.instances[0].callers_address;
             let body = json!({"model": name, "max_tokens": 5, "prompt": "review"}).to_string();
-            let mut received = None;
-            wait_until("the engine is known", async || {
-                let response = call(to, "/v1/completions", &[], &body).await;
-                let is_known = response.status != 404;
-                received = Some(response);
-                is_known
-            })
-            .await;
-            let received = received.unwrap();
+            let (received, _) = call_when_known(&fleet, "/v1/completions", &body).await;
             assert!((500..600).contains(&received.status), "{case}: {received:?}");
             assert!(engine.prompts.get() > 0, "{case}: {received:?}");
         }))
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -107,7 +107,7 @@
         let body = self.read_body(&mut req, limits.body_bytes, timeout).await;
         let (body, held) = body.map_err(|e| Refusal::from(&e))?;
         if self.node.refuses_new_requests() {
-            // The body was still arriving when the instance ceased to accept requests.
+            // The instance stopped accepting requests while the body was uploaded.
             return Err(Refusal::Stopping);
         }
         let fingerprint = fingerprint.finish(&body).await;
--- a/crates/ringbend-relay/src/connection.rs
+++ b/crates/ringbend-relay/src/connection.rs
@@ -26,10 +26,10 @@
     Tunnel(FrameReader),
 }
 
-/// Reads from a socket, and tells its orderly end from a reset that a write has reported.
+/// The read half of a socket, which also fails if a write has consumed the error of a reset.
 ///
-/// The kernel reports a reset once, to whichever call comes first. After a write has taken it, reads
-/// return what arrived before, and then zero bytes as at the end of a response.
+/// The kernel reports a reset only once, to a read or to a write. Reads after a failed write return the
+/// buffered bytes and then a clean EOF.
 pub(crate) struct DirectReader {
     read: OwnedReadHalf,
     is_reset: bool,
@@ -72,7 +72,7 @@
     pub(crate) fn record_write_error(&mut self, e: &io::Error) {
         match self {
             Self::Direct(reader) => reader.record_write_error(e),
-            // The carrier marks the end of the endpoint's connection.
+            // The carrier sends an explicit end frame.
             Self::Tunnel(_) => {}
         }
     }
@@ -120,8 +120,8 @@
     }
 }
 
-/// Whether a write has failed because the connection broke before the peer closed it. A connection
-/// that is reset after that reports a broken pipe, and all that the peer sent has arrived.
+/// Whether a write error means that the response may be truncated. A reset after the peer's FIN is
+/// reported as a broken pipe; everything that the peer sent has been received then.
 pub(crate) fn is_reset(e: &io::Error) -> bool {
     e.kind() != io::ErrorKind::BrokenPipe
 }
--- a/crates/ringbend-relay/src/exchange.rs
+++ b/crates/ringbend-relay/src/exchange.rs
@@ -123,8 +123,8 @@
     Ok((request, Bytes::new()))
 }
 
-/// Reads the head of a response while the request is written: an endpoint may respond before it has
-/// read all of it. What is not written when the head arrives is not sent.
+/// Reads the head of a response while the request is written, as an endpoint may respond early. The
+/// rest of the request is not sent once the head has arrived.
 async fn read_head_while(
     written: impl Future<Output = std::io::Result<()>>,
     decoder: &mut ResponseDecoder,
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -34,12 +34,12 @@
     parser: EventSplitter,
     ready: VecDeque<Event>,
     last: Option<EventId>,
-    /// Counts the bytes of the event whose end has not arrived.
+    /// Counts the buffered bytes of an incomplete event.
     incomplete: HeldBytes,
 }
 
 impl EventStream {
-    /// Creates a stream whose bytes that cannot be forwarded yet are counted in `incomplete`.
+    /// Creates a stream that counts the buffered bytes of an incomplete event in `incomplete`.
     pub(crate) fn new(
         incoming: IncomingResponse,
         last: Option<EventId>,
--- a/crates/ringbend-relay/src/tunnel_server.rs
+++ b/crates/ringbend-relay/src/tunnel_server.rs
@@ -125,7 +125,7 @@
     let (mut peer_read, peer_write) = peer.into_split();
     let (mut endpoint_read, mut endpoint_write) = endpoint.into_split();
     let frames = FramedWrite::new(peer_write, LengthDelimitedCodec::new());
-    // A write takes the report of a reset, so that reads end as after an orderly close.
+    // After a write has failed with a reset, reads return a clean EOF.
     let has_reset_write = Cell::new(false);
     let to_endpoint = async {
         endpoint_write.write_all(&buf).await?;
@@ -165,7 +165,7 @@
     }
 }
 
-/// Copies in frames, with an empty one at the orderly end of `from`.
+/// Copies in frames, and sends an empty one when `from` is closed cleanly.
 async fn copy_framed(
     from: &mut (impl AsyncRead + Unpin),
     mut to: FramedWrite<impl AsyncWrite + Unpin, LengthDelimitedCodec>,
--- a/crates/ringbend-runtime/src/response_decoder.rs
+++ b/crates/ringbend-runtime/src/response_decoder.rs
@@ -1,8 +1,7 @@
 //! Decodes HTTP/1.1 responses with the codec of `actix-http`, after stricter checks of the head.
 //!
-//! The codec accepts heads that other recipients read differently: blanks between the name of a
-//! field and its colon, more than one way to find the end of the body, any three digits as a status.
-//! Whoever passes such a response on passes on a body that may not be the sender's.
+//! The codec accepts whitespace between a field name and the colon, ambiguous body framing and any
+//! three-digit status. Forwarding such responses allows response smuggling.
 
 use std::panic::AssertUnwindSafe;
 
@@ -20,18 +19,17 @@
 /// Maximum number of fields in a response head, as in the codec.
 const MAX_FIELDS: usize = 96;
 
-/// Maximum number of bytes between two chunks of a body, and after the last one: sizes, extensions
-/// and trailers.
+/// Maximum size of chunk sizes and extensions between two chunks, or of the trailers, in bytes.
 const MAX_CHUNK_OVERHEAD_BYTES: usize = 64 << 10;
 
-/// The statuses that HTTP defines classes for.
+/// Valid status codes.
 const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
 
 /// Decodes the head of the response to one request.
 pub struct ResponseDecoder {
     cfg: ServiceConfig,
     method: Method,
-    /// The size of the heads that were decoded, in bytes.
+    /// The size of the decoded heads, including interim ones, in bytes.
     decoded_bytes: usize,
 }
 
@@ -41,12 +39,12 @@
         Self { cfg, method, decoded_bytes: 0 }
     }
 
-    /// Removes the head from `buf`, with the interim responses before it. `None` if it has not
-    /// arrived completely.
+    /// Decodes the head of the final response from `buf` and skips interim responses. Returns `None`
+    /// if the head is incomplete.
     ///
     /// # Errors
     ///
-    /// The bytes are no response head, it does not tell where the body ends, or it is too large.
+    /// Fails if the head is malformed, its body framing is ambiguous, or it is too large.
     pub fn decode(
         &mut self,
         buf: &mut BytesMut,
@@ -58,7 +56,7 @@
             }
             let Some(size) = size else { return Ok(None) };
             self.decoded_bytes += size;
-            // A codec decodes a single response.
+            // The codec keeps state from the head before.
             let mut codec = ClientCodec::new(self.cfg.clone());
             let Some(head) = codec.decode(buf)? else { return Ok(None) };
             if head.status.is_informational() {
@@ -70,7 +68,7 @@
     }
 }
 
-/// The size of the head at the start of `buf`; `None` if it is not complete.
+/// Validates the head at the start of `buf` and returns its size, or `None` if it is incomplete.
 fn check_head(buf: &[u8]) -> Result<Option<usize>, ParseError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut response = httparse::Response::new(&mut fields);
@@ -78,7 +76,7 @@
         httparse::Status::Complete(size) => size,
         httparse::Status::Partial => return Ok(None),
     };
-    // No request asks for another protocol.
+    // Requests never ask for a protocol upgrade.
     let is_valid = |status: u16| {
         STATUSES.contains(&status) && status != StatusCode::SWITCHING_PROTOCOLS.as_u16()
     };
@@ -88,19 +86,19 @@
     }
 }
 
-/// Where the body of a response ends.
+/// The framing of a response body.
 enum Framing {
-    /// There is no further byte.
+    /// The body is complete.
     Done,
-    /// After this many bytes.
+    /// The remaining content length.
     Length(u64),
-    /// After the last chunk.
+    /// Chunked transfer coding.
     Chunked {
         codec: ClientPayloadCodec,
-        /// Bytes since the last chunk.
+        /// Bytes decoded since the last chunk.
         overhead: usize,
     },
-    /// With the connection.
+    /// The body extends to the end of the connection.
     UntilClose,
 }
 
@@ -135,14 +133,14 @@
     encoding.to_str().is_ok_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
 }
 
-/// What follows in the body of a response.
+/// The next part of a response body.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BodyPart {
-    /// These bytes.
+    /// A piece of the body.
     Chunk(Bytes),
     /// The end of the body.
     End,
-    /// Nothing, before more bytes have arrived.
+    /// More bytes are needed.
     Incomplete,
 }
 
@@ -152,11 +150,11 @@
 }
 
 impl BodyDecoder {
-    /// Removes the next part of the body from `buf`.
+    /// Decodes the next part of the body from `buf`.
     ///
     /// # Errors
     ///
-    /// The bytes are no chunk, or there are too many of them between two chunks.
+    /// Fails if the chunked coding is malformed, or its overhead exceeds the limit.
     pub fn decode(&mut self, buf: &mut BytesMut) -> Result<BodyPart, PayloadError> {
         let part = match &mut self.framing {
             Framing::Done => BodyPart::End,
@@ -176,12 +174,12 @@
         Ok(part)
     }
 
-    /// Whether the end of the connection is the end of the body.
+    /// Whether the body extends to the end of the connection.
     pub fn ends_with_connection(&self) -> bool {
         matches!(self.framing, Framing::UntilClose)
     }
 
-    /// The number of bytes that are left of the body, if that is known before they arrive.
+    /// The number of remaining bytes, if known in advance.
     pub fn remaining(&self) -> Option<u64> {
         match self.framing {
             Framing::Done => Some(0),
@@ -225,12 +223,12 @@
 
 impl std::error::Error for CodecPanic {}
 
-/// Makes a call with a client that decodes responses by itself. A response must not end the task
-/// that reads it: the codec panics on the name of a field that is longer than 65,535 bytes.
+/// Awaits a call of an HTTP client and turns a panic of its codec into an error. The codec of
+/// `actix-http` panics on a field name that is longer than 65,535 bytes.
 ///
 /// # Errors
 ///
-/// The call has panicked.
+/// Fails if the call panicked.
 pub async fn catch_codec_panic<F: Future>(call: F) -> Result<F::Output, CodecPanic> {
     AssertUnwindSafe(call).catch_unwind().await.map_err(|_| CodecPanic)
 }
--- a/crates/ringbendd/src/platform/instance_list.rs
+++ b/crates/ringbendd/src/platform/instance_list.rs
@@ -9,7 +9,7 @@
 
 use super::http::{CallError, HttpClient};
 
-/// How much of the reason is logged for which an entry is invalid: it may quote the entry.
+/// Maximum length of a logged decoding error, in characters. The error may quote the entry.
 const MAX_LOGGED_CHARS: usize = 200;
 
 /// The platform's list of endpoints, which is delayed.
@@ -47,7 +47,7 @@
     }
 }
 
-/// Decodes the entries that describe an endpoint. Another writer's entry must not hide the others.
+/// Decodes the valid entries. Each is decoded separately, so that an invalid one affects no other.
 fn decode_entries(list: &[&RawValue]) -> Vec<EndpointEntry> {
     let mut entries = Vec::with_capacity(list.len());
     let mut errors = Vec::new();
