fix(relay): a request whose two runs end together is answered

Cause: run_until polled the response of a run to its end and then awaited the crash probe, holding the result. race and await_first_response drop that wait when the other side is ready first. The result was lost, and await_response polled the finished future: `async fn` resumed after completion, a panic in the connection's task.

Change: nothing is awaited any more between the end of a run and the return of its result. The crash check is a task of its own; whoever records the failure waits for it (fail_run), and a race goes on with the run that is left while it is in progress. The request is sent again only after both checks. A run keeps the result of its start until it is taken, so a wait can be cancelled and repeated. The failure of a run that lost a race is recorded also if the other one responds during the check.

Ruled out: the two carriers of a connection (connector.rs) and watch_for_overdue poll futures by reference, but return as soon as one is done.

--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -345,7 +345,10 @@
         let result = self
             .run_until(dependencies, deadline, incoming.read_counted(MAX_RESPONSE_BYTES, held))
             .await;
-        let (body, held) = result.map_err(|why| self.record_run_error(&run.endpoint, &why))?;
+        let (body, held) = match result {
+            Ok(read) => read,
+            Err(why) => return Err(self.fail_run(&run.endpoint, &why).await),
+        };
         let status = head.status;
         let mut res = Response::with_body(status, GuardedBody::new(body, held).boxed());
         copy_headers(&head, res.headers_mut());
--- a/crates/ringbend-relay/src/crashes.rs
+++ b/crates/ringbend-relay/src/crashes.rs
@@ -20,6 +20,7 @@
 use ringbend_gateway::{Candidates, EndedProcess, Endpoint};
 use ringbend_types::{Fingerprint, Timestamp};
 use smallvec::SmallVec;
+use tokio::task::JoinHandle;
 
 use crate::active_request::ActiveRequest;
 use crate::log_fields::Millis;
@@ -112,6 +113,21 @@
     }
 }
 
+/// A check whether an endpoint has crashed. It continues if this is dropped.
+#[must_use]
+pub(crate) struct CrashCheck(Option<JoinHandle<()>>);
+
+impl CrashCheck {
+    /// Waits until the result is recorded.
+    pub(crate) async fn finished(&mut self) {
+        let Some(task) = &mut self.0 else { return };
+        if let Err(e) = task.await {
+            log::warn!(target: "endpoints", error:% = e; "crash check failed");
+        }
+        self.0 = None;
+    }
+}
+
 struct Probe {
     at: Timestamp,
     /// `None` while the probe is in progress.
@@ -260,24 +276,23 @@
         self.streaming_since.is_none_or(|since| now.since(since) < HARMLESS_AFTER)
     }
 
-    /// Determines whether a run failed because its endpoint crashed, before the request is sent
-    /// elsewhere.
-    pub(crate) async fn check_for_crash(&self, endpoint: &Endpoint, why: &RunError) {
+    /// Determines whether a run failed because its endpoint crashed. The request must not be sent
+    /// elsewhere before the check has finished.
+    pub(crate) fn check_for_crash(&self, endpoint: &Endpoint, why: &RunError) -> CrashCheck {
         if !self.may_have_caused_crash() {
-            return;
+            return CrashCheck(None);
         }
         let (node, run) = (&self.node, self.suspected_run());
         match why {
             RunError::Exchange(e) if !e.is_unsent() => {
                 let probing = node.clone().probe_twice(endpoint.clone(), run);
-                if tokio::task::spawn_local(probing).await.is_err() {
-                    log::debug!(target: "endpoints", id = self.request_id(); "probe task failed");
-                }
+                CrashCheck(Some(tokio::task::spawn_local(probing)))
             }
             RunError::Ended if node.directory.borrow().has_ended(endpoint) => {
                 node.record_strike(&run, endpoint);
+                CrashCheck(None)
             }
-            _ => {}
+            _ => CrashCheck(None),
         }
     }
 }
--- a/crates/ringbend-relay/src/hedging.rs
+++ b/crates/ringbend-relay/src/hedging.rs
@@ -23,22 +23,22 @@
         mut run: Run,
     ) -> Result<(Run, ResponseStart), SendFailure> {
         let Some(hedge_time) = self.hedge_at(&run) else { return self.await_response(run).await };
-        match self.run_until(&run.dependencies, hedge_time, &mut run.started).await {
+        match self.run_until(&run.dependencies, hedge_time, run.started.ended()).await {
             Err(RunError::Late) => {}
-            started => return self.settle(run, started),
+            waited => return self.settle(run, waited).await,
         }
         let placed = {
             let placing = std::pin::pin!(self.schedule(false));
             let deadline = self.attempts.deadline();
-            let first = self.run_until(&run.dependencies, deadline, &mut run.started);
+            let first = self.run_until(&run.dependencies, deadline, run.started.ended());
             tokio::select! {
                 biased;
-                started = first => Err(started),
+                waited = first => Err(waited),
                 placed = placing => Ok(placed),
             }
         };
         match placed {
-            Err(started) => self.settle(run, started),
+            Err(waited) => self.settle(run, waited).await,
             Ok(Ok(second))
                 if !self.is_suspect()
                     && self.is_hedge_useful(&run, &second)
@@ -89,26 +89,27 @@
         mut second_run: Run,
     ) -> Result<(Run, ResponseStart), SendFailure> {
         let deadline = self.attempts.deadline();
-        let (started, is_second) = {
-            let first = self.run_until(&first_run.dependencies, deadline, &mut first_run.started);
+        let (waited, is_second) = {
+            let first =
+                self.run_until(&first_run.dependencies, deadline, first_run.started.ended());
             let second =
-                self.run_until(&second_run.dependencies, deadline, &mut second_run.started);
+                self.run_until(&second_run.dependencies, deadline, second_run.started.ended());
             tokio::select! {
                 biased;
-                started = first => (started, false),
-                started = second => (started, true),
+                waited = first => (waited, false),
+                waited = second => (waited, true),
             }
         };
-        let (run, mut other) =
+        let (mut run, mut other) =
             if is_second { (second_run, first_run) } else { (first_run, second_run) };
-        match self.settle(run, started) {
-            Ok((run, started)) if !started.response.not_run => {
+        match run.end(waited) {
+            Ok(started) if !started.response.not_run => {
                 // The request succeeded, so the end of the other run's endpoint is not attributed
                 // to it.
                 other.abandon_guard.disarm();
                 Ok((run, started))
             }
-            Ok((run, started)) => {
+            Ok(started) => {
                 // The request was not run there; the other run continues.
                 if let Err(SendFailure::Send(_)) =
                     self.check_response(&run.endpoint, &started.response, started.head.status)
@@ -117,7 +118,38 @@
                 }
                 self.await_response(other).await
             }
-            Err(_) => self.await_response(other).await,
+            Err(why) => self.await_other(run, &why, other).await,
         }
     }
+
+    /// Waits for the run that is left, while it is determined whether the endpoint of the other one
+    /// crashed.
+    async fn await_other(
+        &mut self,
+        failed: Run,
+        why: &RunError,
+        mut left: Run,
+    ) -> Result<(Run, ResponseStart), SendFailure> {
+        let endpoint = failed.endpoint.clone();
+        drop(failed);
+        let mut check = self.check_for_crash(&endpoint, why);
+        let deadline = self.attempts.deadline();
+        let waited = tokio::select! {
+            biased;
+            waited = self.run_until(&left.dependencies, deadline, left.started.ended()) => {
+                Some(waited)
+            }
+            () = check.finished() => None,
+        };
+        let Some(waited) = waited else {
+            self.record_run_error(&endpoint, why);
+            return self.await_response(left).await;
+        };
+        let settled = self.settle(left, waited).await;
+        if settled.is_err() {
+            check.finished().await;
+        }
+        self.record_run_error(&endpoint, why);
+        settled
+    }
 }
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -1,11 +1,12 @@
 //! Runs of a request on an endpoint until the response starts.
 
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use bytes::Bytes;
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{LocalBoxFuture, MaybeDone, maybe_done};
 use ringbend_gateway::{Endpoint, EventId, LimitSource, Placement, overdue_after};
 use ringbend_types::Timestamp;
 use smallvec::SmallVec;
@@ -35,7 +36,26 @@
     /// When a missing first event counts as a failure.
     silence_deadline: Timestamp,
     pub(crate) abandon_guard: AbandonGuard,
-    pub(crate) started: LocalBoxFuture<'static, Result<ResponseStart, ExchangeError>>,
+    pub(crate) started: PendingStart,
+}
+
+/// The start of a run's response. Its result is kept until it is taken, so that a wait for it can be
+/// cancelled and repeated at any time.
+pub(crate) struct PendingStart(
+    MaybeDone<LocalBoxFuture<'static, Result<ResponseStart, ExchangeError>>>,
+);
+
+impl PendingStart {
+    /// Waits until the response has started or the run has failed.
+    pub(crate) async fn ended(&mut self) -> Result<(), ExchangeError> {
+        (&mut self.0).await;
+        Ok(())
+    }
+
+    fn take(&mut self) -> Result<ResponseStart, RunError> {
+        let started = Pin::new(&mut self.0).take_output();
+        started.unwrap_or(Err(ExchangeError::Truncated)).map_err(RunError::Exchange)
+    }
 }
 
 /// A response that has started.
@@ -123,7 +143,8 @@
         };
         let sent = self.node.clock.now();
         let overdue_at = sent + overdue_after(expected);
-        let started = Box::pin(self.watch_for_overdue(&dependencies, overdue_at, sending.begin()));
+        let work = Box::pin(self.watch_for_overdue(&dependencies, overdue_at, sending.begin()));
+        let started = PendingStart(maybe_done(work));
         let silence_deadline = self.silence_deadline(&tracked, expected);
         let abandon_guard = self.abandon_guard(&endpoint);
         Ok(Run {
@@ -150,30 +171,35 @@
         mut run: Run,
     ) -> Result<(Run, ResponseStart), SendFailure> {
         let silence_deadline = run.silence_deadline;
-        let started = match run.tracked.memory {
-            Some(_) => self.run_until(&run.dependencies, silence_deadline, &mut run.started).await,
-            None => {
-                self.wait_or_replace(&run.dependencies, silence_deadline, &mut run.started).await
-            }
+        let ended = run.started.ended();
+        let waited = match run.tracked.memory {
+            Some(_) => self.run_until(&run.dependencies, silence_deadline, ended).await,
+            None => self.wait_or_replace(&run.dependencies, silence_deadline, ended).await,
         };
-        self.settle(run, started)
+        self.settle(run, waited).await
     }
 
-    /// Returns the response that a run has started, or records why there is none.
-    pub(crate) fn settle(
+    /// Returns the response that a run has started, or records why there is none. `waited` is how
+    /// the wait for it ended.
+    pub(crate) async fn settle(
         &mut self,
         mut run: Run,
-        started: Result<ResponseStart, RunError>,
+        waited: Result<(), RunError>,
     ) -> Result<(Run, ResponseStart), SendFailure> {
-        run.abandon_guard.disarm();
-        match started {
+        match run.end(waited) {
             Ok(started) => Ok((run, started)),
-            Err(why) => Err(self.record_run_error(&run.endpoint, &why)),
+            Err(why) => Err(self.fail_run(&run.endpoint, &why).await),
         }
     }
 }
 
 impl Run {
+    /// The result of the run once the wait for it has ended.
+    pub(crate) fn end(&mut self, waited: Result<(), RunError>) -> Result<ResponseStart, RunError> {
+        self.abandon_guard.disarm();
+        waited.and_then(|()| self.started.take())
+    }
+
     /// Converts a run whose first event has arrived into its stream.
     pub(crate) fn into_stream(
         self,
--- a/crates/ringbend-relay/src/sending.rs
+++ b/crates/ringbend-relay/src/sending.rs
@@ -73,6 +73,12 @@
     }
 
     /// Records a failed run and returns the resulting failure of the send.
+    /// Records why a run failed, once it is known whether its endpoint has crashed.
+    pub(crate) async fn fail_run(&mut self, endpoint: &Endpoint, why: &RunError) -> SendFailure {
+        self.check_for_crash(endpoint, why).finished().await;
+        self.record_run_error(endpoint, why)
+    }
+
     pub(crate) fn record_run_error(&mut self, endpoint: &Endpoint, why: &RunError) -> SendFailure {
         if matches!(why, RunError::Held) {
             log::warn!(
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -171,7 +171,7 @@
                 return Ok(());
             }
             Err(why) => {
-                let failure = request.record_run_error(&endpoint, &why);
+                let failure = request.fail_run(&endpoint, &why).await;
                 drop((tracked, events, survival));
                 let resumed = resume(request, failure, last).await?;
                 ResponseStream { endpoint, tracked, dependencies, events, .. } = resumed;
--- a/crates/ringbend-relay/src/timeouts.rs
+++ b/crates/ringbend-relay/src/timeouts.rs
@@ -103,6 +103,8 @@
 
     /// Waits until `until`, until the process of an endpoint that the work depends on has ended, or
     /// until the engine that the request was sent to counts as lost. That is the first endpoint.
+    ///
+    /// Cancel safe: once the work is done, nothing else is waited for that could lose its result.
     pub(crate) async fn run_until<T>(
         &self,
         dependencies: &[Endpoint],
@@ -121,7 +123,7 @@
                 None => std::future::pending().await,
             }
         };
-        let done = tokio::select! {
+        tokio::select! {
             biased;
             done = work => done.map_err(RunError::Exchange),
             () = self.node.clock.sleep_until(until) => Err(RunError::Late),
@@ -130,11 +132,7 @@
             () = self.node.wait_until_held(&self.original.keys), if self.is_cancelled_when_held() => {
                 Err(RunError::Held)
             }
-        };
-        if let (Err(why), Some(lead)) = (&done, dependencies.first()) {
-            self.check_for_crash(lead, why).await;
         }
-        done
     }
 }
 
