fix(runtime): a streamed response whose sender ends without a word is aborted

The body of a streamed response ended in order when its sender was dropped, whatever the reason. A task that panics, or that gives up a caller which does not read (ringbendd, after 5 s), thus delivered the part that was sent as a whole response.

Change: the end of a streamed response is said by its sender (StreamSender::finish). A sender that is dropped without it aborts the response. The relay finishes a stream after its last event, ringbendd after [DONE] or its failure event, the engine stand-in after [DONE].

Looked at in the same way: a tunnel ends in order with an empty frame and is broken off otherwise; the body that a handler reads ends with an error if its connection does. Both hold as they are.

Evidence: ringbend-runtime/tests/connections.rs a_stream_whose_sender_is_dropped_is_not_complete, red before (the connection was kept after the last chunk), green now; 18 of 18 there. The tests of the playground, ringbendd and the stand-ins pass, and those of slow readers, shutdown and broken responses of the relay.

--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -7,7 +7,7 @@
 use actix_http::ResponseHead;
 use bytes::Bytes;
 use ringbend_gateway::{Endpoint, Event, EventId, EventSplitter, NextStep, SendOutcome};
-use ringbend_runtime::{HttpResponse, StreamError, StreamSender, stream};
+use ringbend_runtime::{HttpResponse, StreamSender, stream};
 use ringbend_types::Timestamp;
 use smallvec::SmallVec;
 
@@ -106,14 +106,11 @@
             request.log_end(cut.outcome());
             // A caller that does not read keeps only its connection open.
             drop(request);
-            // The caller must be able to detect that the response is incomplete.
-            if tx.tx.send(Err(StreamError)).await.is_err() {
-                log::debug!(target: "request", outcome = cut.outcome(); "caller disconnected before the stream was cut off");
-            }
             return;
         }
         request.node.clear_suspect(request.original.keys.request);
         request.log_end("streamed");
+        tx.tx.finish();
     });
     res
 }
--- a/crates/ringbend-runtime/src/response.rs
+++ b/crates/ringbend-runtime/src/response.rs
@@ -1,6 +1,8 @@
 //! Construction of HTTP responses.
 
+use std::cell::Cell;
 use std::fmt;
+use std::rc::Rc;
 use std::task::{Poll, ready};
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
@@ -10,6 +12,7 @@
 use futures_util::stream;
 use serde::Serialize;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::{SendError, TrySendError};
 
 use crate::server::HttpResponse;
 
@@ -63,8 +66,49 @@
     }
 }
 
-/// The sending half of a streamed response. Dropping it ends the response.
-pub type StreamSender<T = Bytes> = mpsc::Sender<Result<T, StreamError>>;
+/// The sending half of a streamed response. If it is dropped without [`Self::finish`], the response is
+/// aborted after what was sent.
+#[derive(Debug)]
+pub struct StreamSender<T = Bytes> {
+    tx: mpsc::Sender<Result<T, StreamError>>,
+    is_finished: Rc<Cell<bool>>,
+}
+
+impl<T> StreamSender<T> {
+    /// Sends a chunk, or aborts the response. Waits while the buffer is full.
+    ///
+    /// # Errors
+    ///
+    /// The reader has disconnected.
+    pub async fn send(
+        &self,
+        chunk: Result<T, StreamError>,
+    ) -> Result<(), SendError<Result<T, StreamError>>> {
+        self.tx.send(chunk).await
+    }
+
+    /// Like [`Self::send`], without waiting.
+    ///
+    /// # Errors
+    ///
+    /// The buffer is full or the reader has disconnected.
+    pub fn try_send(
+        &self,
+        chunk: Result<T, StreamError>,
+    ) -> Result<(), TrySendError<Result<T, StreamError>>> {
+        self.tx.try_send(chunk)
+    }
+
+    /// Waits until the reader disconnects.
+    pub async fn closed(&self) {
+        self.tx.closed().await;
+    }
+
+    /// Ends the response after what was sent.
+    pub fn finish(self) {
+        self.is_finished.set(true);
+    }
+}
 
 /// How many bytes of a chunk are taken to be written at once.
 const MAX_WRITE_BYTES: usize = 16 << 10;
@@ -73,13 +117,16 @@
 /// disconnects.
 pub fn stream<T: StreamChunk>(status: StatusCode, depth: usize) -> (StreamSender<T>, HttpResponse) {
     let (tx, mut rx) = mpsc::channel(depth);
+    let is_finished = Rc::new(Cell::new(false));
+    let tx = StreamSender { tx, is_finished: is_finished.clone() };
     let mut current: Option<T> = None;
     let chunks = stream::poll_fn(move |cx| {
         if current.is_none() {
             current = match ready!(rx.poll_recv(cx)) {
                 Some(Ok(chunk)) => Some(chunk),
                 Some(Err(e)) => return Poll::Ready(Some(Err(e))),
-                None => return Poll::Ready(None),
+                None if is_finished.get() => return Poll::Ready(None),
+                None => return Poll::Ready(Some(Err(StreamError))),
             };
         }
         Poll::Ready(take_part(&mut current).map(Ok))
--- a/crates/ringbend-runtime/tests/connections.rs
+++ b/crates/ringbend-runtime/tests/connections.rs
@@ -61,6 +61,8 @@
                 }
                 "/large" => text(StatusCode::OK, "text/plain", vec![b'x'; UNREAD_BYTES]),
                 "/aborted" => aborted_stream(),
+                "/dropped" => dropped_stream(),
+                "/finished" => finished_stream(),
                 _ => text(StatusCode::OK, "text/plain", path),
             }
         })
@@ -75,6 +77,21 @@
     res
 }
 
+/// A stream whose sender ends without a word, like that of a task that panics.
+fn dropped_stream() -> HttpResponse {
+    let (tx, res) = stream::<Bytes>(StatusCode::OK, 2);
+    tx.try_send(Ok(Bytes::from_static(b"first"))).unwrap();
+    res
+}
+
+/// A stream that ends with its first chunk.
+fn finished_stream() -> HttpResponse {
+    let (tx, res) = stream::<Bytes>(StatusCode::OK, 2);
+    tx.try_send(Ok(Bytes::from_static(b"first"))).unwrap();
+    tx.finish();
+    res
+}
+
 struct Scene {
     server: Server,
     paths: Rc<Paths>,
@@ -240,6 +257,24 @@
     assert!(!received.ends_with("0\r\n\r\n"), "{received}");
 }
 
+/// Guards against part of a response that is delivered as all of it: the end of its sender ended the body in order.
+#[actix_rt::test]
+async fn a_stream_whose_sender_is_dropped_is_not_complete() {
+    let scene = Scene::start(8, ConnectionLimits::default()).await;
+    let mut client = scene.send(&get("/dropped")).await;
+    let received = read_to_end(&mut client).await;
+    assert!(received.contains("first"), "{received}");
+    assert!(!received.ends_with("0\r\n\r\n"), "{received}");
+}
+
+#[actix_rt::test]
+async fn a_stream_that_is_finished_is_complete() {
+    let scene = Scene::start(8, ConnectionLimits::default()).await;
+    let mut client = scene.send(&get("/finished")).await;
+    let received = read_until(&mut client, "0\r\n\r\n").await;
+    assert!(received.contains("first"), "{received}");
+}
+
 #[actix_rt::test]
 async fn a_client_that_expects_it_is_told_to_continue() {
     let scene = Scene::start(8, ConnectionLimits::default()).await;
--- a/crates/ringbend-standins/src/engine_api.rs
+++ b/crates/ringbend-standins/src/engine_api.rs
@@ -271,7 +271,7 @@
         written += 1;
         if last {
             let _ = tx.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
-            return;
+            return tx.finish();
         }
     }
     driver.cancel(attempt);
--- a/crates/ringbendd/src/callers/request_task/response.rs
+++ b/crates/ringbendd/src/callers/request_task/response.rs
@@ -65,9 +65,12 @@
         match &self.kind {
             RequestKind::Prompt { stream: true, .. } => {
                 self.begin_stream(sink);
-                let _ = self.write(Bytes::from_static(SSE_DONE), sink).await;
+                let written = self.write(Bytes::from_static(SSE_DONE), sink).await;
                 let recorded = self.recorded.take().map(BytesMut::freeze).unwrap_or_default();
                 self.settle_with_response(200, "text/event-stream", recorded).await;
+                if written.is_ok() {
+                    sink.finish();
+                }
             }
             RequestKind::Prompt { chat, model, .. } => {
                 let body = self.completion(*chat, model);
@@ -143,7 +146,9 @@
             sink.respond(failure.into_response());
         } else {
             let remaining = self.deadline.since(self.app.now());
-            let _ = sink.write(failure.into_event(), remaining).await;
+            if sink.write(failure.into_event(), remaining).await.is_ok() {
+                sink.finish();
+            }
         }
         true
     }
--- a/crates/ringbendd/src/callers/response_sink.rs
+++ b/crates/ringbendd/src/callers/response_sink.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ringbend_runtime::{HttpResponse, StreamSender};
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::oneshot;
 
 /// A caller that reads nothing for this long counts as disconnected.
@@ -52,6 +53,13 @@
         }
     }
 
+    /// Ends a streamed response. One that is not ended is aborted.
+    pub(crate) fn finish(&mut self) {
+        if let Self::Streaming(tx) = std::mem::replace(self, Self::Ended) {
+            tx.finish();
+        }
+    }
+
     /// Writes a chunk of the body. `remaining` is the time until the request's deadline.
     pub(crate) async fn write(
         &mut self,
@@ -59,11 +67,12 @@
         remaining: Duration,
     ) -> Result<(), CallerGone> {
         let Self::Streaming(tx) = self else { return Ok(()) };
-        if let Ok(permit) = tx.try_reserve() {
-            permit.send(Ok(chunk));
-            return Ok(());
-        }
-        match tokio::time::timeout(STALL_TIMEOUT.min(remaining), tx.send(Ok(chunk))).await {
+        let chunk = match tx.try_send(Ok(chunk)) {
+            Ok(()) => return Ok(()),
+            Err(TrySendError::Full(chunk)) => chunk,
+            Err(TrySendError::Closed(_)) => return Err(CallerGone),
+        };
+        match tokio::time::timeout(STALL_TIMEOUT.min(remaining), tx.send(chunk)).await {
             Ok(Ok(())) => Ok(()),
             _ => Err(CallerGone),
         }
