fix(relay): a request whose task panics is answered, and no other one is affected

Change: the task of a request is where a panic ends. The relay answers 503 `internal-not-run` with a Retry-After if nothing was sent to an endpoint, 502 `internal` otherwise, and cuts off a stream that has begun. It logs `request task failed` with the id and counts it in ringbend_request_panics_total. The server of every program answers 500 for a handler that panics itself.

--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -13,7 +13,7 @@
     Account, Attempts, ConfigVersion, HealthEvent, NextStep, PATH_CHECK_INTERVAL, Route,
     SendOutcome, Service,
 };
-use ringbend_runtime::HttpResponse;
+use ringbend_runtime::{HttpResponse, catch_panic};
 use ringbend_types::{EndpointId, PromptBucket, RunState, Timestamp, TokenCount};
 
 use crate::buffers::{BodyKind, HeldBytes};
@@ -88,6 +88,14 @@
     Stream(Box<ResponseStream>),
 }
 
+/// How the sends of a request ended.
+enum RequestOutcome {
+    /// With the response to the caller.
+    Complete(HttpResponse),
+    /// With a stream that is to be forwarded to the caller.
+    Stream(Box<ResponseStream>),
+}
+
 /// Range of the `Retry-After` of a long prompt that could not be placed in time, as a share of its
 /// target time to the first event.
 const LATE_RETRY_AFTER_SHARE: std::ops::Range<f64> = 0.5..1.0;
@@ -131,6 +139,18 @@
 
     /// Sends the request until an endpoint responds or the request is rejected.
     pub(crate) async fn run(mut self) -> HttpResponse {
+        match catch_panic(self.run_until_response()).await {
+            Ok(RequestOutcome::Complete(res)) => res,
+            Ok(RequestOutcome::Stream(stream)) => crate::streams::forward(self, *stream),
+            Err(panic) => {
+                self.node.record_panic(self.request_id(), &panic);
+                let was_sent = !self.attempts.tried().is_empty();
+                self.refuse(if was_sent { Refusal::Internal } else { Refusal::InternalNotRun })
+            }
+        }
+    }
+
+    async fn run_until_response(&mut self) -> RequestOutcome {
         loop {
             let node = self.node.clone();
             let sent = tokio::select! {
@@ -139,12 +159,14 @@
                 () = node.wait_until_last_response() => Err(SendFailure::Aborted),
             };
             let failure = match sent {
-                Ok(SendSuccess::Complete(res, status)) => return self.finish(res, status.as_str()),
-                Ok(SendSuccess::Stream(stream)) => return crate::streams::forward(self, *stream),
+                Ok(SendSuccess::Complete(res, status)) => {
+                    return RequestOutcome::Complete(self.finish(res, status.as_str()));
+                }
+                Ok(SendSuccess::Stream(stream)) => return RequestOutcome::Stream(stream),
                 Err(failure) => failure,
             };
             if let Some(refusal) = self.handle_failure(failure).await {
-                return self.reject(refusal);
+                return RequestOutcome::Complete(self.reject(refusal));
             }
         }
     }
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -9,7 +9,7 @@
 use futures_util::future::LocalBoxFuture;
 use rand::Rng;
 use ringbend_gateway::{AdmissionRequest, Admitted, Attempts, admit};
-use ringbend_runtime::{BodyError, Handler, HttpRequest, HttpResponse, read_chunks};
+use ringbend_runtime::{BodyError, Handler, HttpRequest, HttpResponse, catch_panic, read_chunks};
 use ringbend_types::Timestamp;
 
 use crate::active_request::{ActiveRequest, OriginalRequest, RequestConfig};
@@ -48,15 +48,14 @@
 impl Callers {
     async fn handle_request(&self, req: HttpRequest) -> HttpResponse {
         let arrived_at = self.node.clock.now();
-        let metadata = match self.node.dialect.parse_request(req.head()) {
-            Ok(metadata) => metadata,
-            Err(e) => {
-                log::info!(target: "request", error:% = e; "invalid request head");
-                return self.with_connection_close(Refusal::BadHead.into_response(None));
-            }
-        };
-        let res = match self.serve(req, &metadata, arrived_at).await {
-            Ok(res) => res,
+        let mut metadata = RequestMetadata::default();
+        let prepared = catch_panic(self.prepare(req, &mut metadata, arrived_at)).await;
+        let prepared = prepared.unwrap_or_else(|panic| {
+            self.node.record_panic(metadata.request_id.as_deref().unwrap_or("-"), &panic);
+            Err(Refusal::InternalNotRun)
+        });
+        let res = match prepared {
+            Ok(request) => request.run().await,
             Err(refusal) => self.refusal_response(&metadata, refusal),
         };
         self.with_connection_close(res)
@@ -87,12 +86,17 @@
         res
     }
 
-    async fn serve(
+    /// Admits a request and reads its body. Sets `metadata` as soon as it is known.
+    async fn prepare(
         &self,
         mut req: HttpRequest,
-        metadata: &RequestMetadata,
+        metadata: &mut RequestMetadata,
         arrived_at: Timestamp,
-    ) -> Result<HttpResponse, Refusal> {
+    ) -> Result<ActiveRequest, Refusal> {
+        *metadata = self.node.dialect.parse_request(req.head()).map_err(|e| {
+            log::info!(target: "request", error:% = e; "invalid request head");
+            Refusal::BadHead
+        })?;
         if self.node.refuses_new_requests() {
             return Err(Refusal::Stopping);
         }
@@ -136,7 +140,7 @@
         if let Some(cause) = request.held_for() {
             request.is_trial = self.node.claim_trial(cause).await;
         }
-        Ok(request.run().await)
+        Ok(request)
     }
 
     /// Reads the body, whose bytes are counted until the request has ended.
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -16,7 +16,7 @@
     Reachability, Replica, RetryBudget, SpreadSequence, StartSurvey, StoreOutages, StoreReaders,
     WorkId, fleet_backoff_factor,
 };
-use ringbend_runtime::Clock;
+use ringbend_runtime::{Clock, Panicked};
 use ringbend_telemetry::Metrics;
 use ringbend_types::{ServiceName, Timestamp};
 use ringbend_wire::EndpointChanges;
@@ -180,6 +180,12 @@
 const MAX_READY_CONFIG_AGE: Duration = Duration::from_millis(2_900);
 
 impl Node {
+    /// Records that the task of a request panicked.
+    pub(crate) fn record_panic(&self, id: &str, panic: &Panicked) {
+        log::error!(target: "request", id, error:% = panic; "request task failed");
+        self.metrics.request_panicked();
+    }
+
     pub(crate) fn new(
         cfg: RelayConfig,
         clock: Clock,
--- a/crates/ringbend-relay/src/refusal.rs
+++ b/crates/ringbend-relay/src/refusal.rs
@@ -50,6 +50,10 @@
     Suspected,
     /// No instance reaches any endpoint of the service. The request was not sent.
     OutOfReach,
+    /// The task of the request panicked before the request was sent.
+    InternalNotRun,
+    /// The task of the request panicked after the request was sent.
+    Internal,
     /// The deadline passed and the request was not run.
     LateNotRun,
     /// The deadline passed.
@@ -80,7 +84,7 @@
     /// The run state that the response reports.
     pub(crate) fn run_state(self) -> RunState {
         match self {
-            Self::MayHaveRun | Self::Late => RunState::MayHaveRun,
+            Self::MayHaveRun | Self::Internal | Self::Late => RunState::MayHaveRun,
             _ => RunState::NotRun,
         }
     }
@@ -109,6 +113,8 @@
             Self::BackingOff => "backing-off",
             Self::Suspected => "suspected",
             Self::OutOfReach => "out-of-reach",
+            Self::InternalNotRun => "internal-not-run",
+            Self::Internal => "internal",
             Self::LateNotRun => "late-not-run",
             Self::Late => "late",
         }
@@ -121,7 +127,7 @@
             Self::BadHead => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::REQUEST_TIMEOUT,
-            Self::MayHaveRun => StatusCode::BAD_GATEWAY,
+            Self::MayHaveRun | Self::Internal => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -144,6 +150,7 @@
             | Self::BackingOff
             | Self::Suspected
             | Self::OutOfReach
+            | Self::InternalNotRun
             | Self::LateNotRun => Some(hint.unwrap_or(DEFAULT_RETRY_AFTER)),
             _ => None,
         }
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -7,7 +7,7 @@
 use actix_http::ResponseHead;
 use bytes::Bytes;
 use ringbend_gateway::{Endpoint, Event, EventId, EventSplitter, NextStep, SendOutcome};
-use ringbend_runtime::{HttpResponse, StreamSender, stream};
+use ringbend_runtime::{HttpResponse, StreamSender, catch_panic, stream};
 use ringbend_types::Timestamp;
 use smallvec::SmallVec;
 
@@ -99,14 +99,16 @@
     tokio::task::spawn_local(async move {
         let mut request = request;
         let end = tokio::select! {
-            end = forward_stream(&mut request, response_stream, &tx) => end,
+            end = catch_panic(forward_stream(&mut request, response_stream, &tx)) => end,
             () = tx.tx.closed() => return,
         };
+        let end = end.unwrap_or_else(|panic| {
+            request.node.record_panic(request.request_id(), &panic);
+            Err(StreamAbort::Internal)
+        });
         if let Err(cut) = end {
-            request.log_end(cut.outcome());
-            // A caller that does not read keeps only its connection open.
-            drop(request);
-            return;
+            // The response is aborted.
+            return request.log_end(cut.outcome());
         }
         request.node.clear_suspect(request.original.keys.request);
         request.log_end("streamed");
@@ -129,6 +131,8 @@
     /// Other bodies take all the memory for them.
     NoRoom,
     Broken,
+    /// The task of the request panicked.
+    Internal,
 }
 
 impl StreamAbort {
@@ -138,6 +142,7 @@
             Self::Unread => "cut-unread",
             Self::NoRoom => "cut-no-room",
             Self::Broken => "cut-broken",
+            Self::Internal => "cut-internal",
         }
     }
 }
--- a/crates/ringbend-runtime/src/http1.rs
+++ b/crates/ringbend-runtime/src/http1.rs
@@ -25,7 +25,9 @@
 use crate::connections::{ConnectionState, Phase};
 use crate::http1_io::{HeadProgress, Http1Io, ReadAhead, RequestBody};
 use crate::response::empty;
-use crate::server::{ConnectionLimits, Handler, HttpResponse, PendingTunnel, TunnelHandler};
+use crate::server::{
+    ConnectionLimits, Handler, HttpResponse, PendingTunnel, TunnelHandler, handle,
+};
 
 /// The response body is read until this many bytes wait to be written.
 const WRITE_BUFFER_BYTES: usize = 32 << 10;
@@ -194,7 +196,7 @@
         if req.head().expect() {
             self.write_all(&mut BytesMut::from(CONTINUE)).await?;
         }
-        let mut handling = self.server.handler.clone().handle(req);
+        let mut handling = std::pin::pin!(handle(self.server.handler.clone(), req));
         let mut is_closing = std::pin::pin!(self.state.closing());
         let mut may_close = true;
         loop {
--- a/crates/ringbend-runtime/src/lib.rs
+++ b/crates/ringbend-runtime/src/lib.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod http1;
 mod http1_io;
+mod panics;
 mod protocols;
 mod response;
 mod response_decoder;
@@ -17,6 +18,7 @@
 pub use body::{BodyError, read_body, read_chunks};
 pub use clock::{Clock, unix_millis};
 pub use connections::{ConnectionCounts, Connections};
+pub use panics::{Panicked, catch_panic};
 pub use response::{StreamChunk, StreamError, StreamSender, empty, json, stream, text};
 pub use response_decoder::{BodyDecoder, BodyPart, CodecPanic, ResponseDecoder, catch_codec_panic};
 pub use server::{
--- a/crates/ringbend-runtime/src/protocols.rs
+++ b/crates/ringbend-runtime/src/protocols.rs
@@ -11,7 +11,7 @@
 
 use crate::connections::ConnectionState;
 use crate::http1::{Admission, Http1Server};
-use crate::server::{Handler, ServerConfig, TunnelHandler};
+use crate::server::{Handler, ServerConfig, TunnelHandler, handle};
 
 /// The first bytes of the preface of HTTP/2. No method of HTTP/1.1 begins with them.
 const HTTP2_PREFACE: &[u8] = b"PRI ";
@@ -84,7 +84,7 @@
     let limits = cfg.limits.get();
     let handle = fn_service(move |req: Request| {
         let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(req).await) }
+        async move { Ok::<_, Infallible>(handle(handler, req).await) }
     });
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(limits.idle_timeout))
--- a/crates/ringbend-runtime/src/server.rs
+++ b/crates/ringbend-runtime/src/server.rs
@@ -20,6 +20,7 @@
 
 use crate::connections::Connections;
 use crate::http1::Admission;
+use crate::panics::catch_panic;
 use crate::protocols::Protocols;
 use crate::response::empty;
 
@@ -41,6 +42,15 @@
     }
 }
 
+/// Handles a request. A panic of the handler is answered with 500, so that the connection and its other
+/// requests are not affected.
+pub(crate) async fn handle(handler: Rc<dyn Handler>, req: HttpRequest) -> HttpResponse {
+    catch_panic(handler.handle(req)).await.unwrap_or_else(|panic| {
+        log::error!("request handler {panic}");
+        empty(StatusCode::INTERNAL_SERVER_ERROR)
+    })
+}
+
 /// A CONNECT request that is not answered yet.
 pub struct PendingTunnel(Framed<TcpStream, Codec>);
 
--- a/crates/ringbend-runtime/tests/connections.rs
+++ b/crates/ringbend-runtime/tests/connections.rs
@@ -62,6 +62,7 @@
                 "/large" => text(StatusCode::OK, "text/plain", vec![b'x'; UNREAD_BYTES]),
                 "/aborted" => aborted_stream(),
                 "/dropped" => dropped_stream(),
+                "/panic" => panic!("a fault of the handler"),
                 "/finished" => finished_stream(),
                 _ => text(StatusCode::OK, "text/plain", path),
             }
@@ -275,6 +276,16 @@
     assert!(received.contains("first"), "{received}");
 }
 
+/// Guards against connections that are closed without a response because the handler of a request has panicked.
+#[actix_rt::test]
+async fn a_request_whose_handler_panics_is_answered() {
+    let scene = Scene::start(8, ConnectionLimits::default()).await;
+    let mut client = scene.send(&(get("/panic") + &get("/first"))).await;
+    let received = read_until(&mut client, "/first").await;
+    assert!(received.starts_with("HTTP/1.1 500 "), "{received}");
+    assert_eq!(*scene.paths.received.borrow(), ["/panic", "/first"]);
+}
+
 #[actix_rt::test]
 async fn a_client_that_expects_it_is_told_to_continue() {
     let scene = Scene::start(8, ConnectionLimits::default()).await;
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -71,6 +71,7 @@
     strikes: Counter,
     unknown_signals: Counter,
     inadmissible: Counter,
+    request_panics: Counter,
     endpoint_limits: Family<EndpointLabels, Gauge<f64, AtomicU64>>,
     overload_queue: Family<PriorityLabels, Gauge>,
     overload_rejections: Family<PriorityLabels, Counter>,
@@ -147,6 +148,7 @@
             strikes: Counter::default(),
             unknown_signals: Counter::default(),
             inadmissible: Counter::default(),
+            request_panics: Counter::default(),
             endpoint_limits: Family::default(),
             overload_queue: Family::default(),
             overload_rejections: Family::default(),
@@ -265,6 +267,11 @@
         self.inadmissible.inc();
     }
 
+    /// Counts a request whose task panicked.
+    pub fn request_panicked(&self) {
+        self.request_panics.inc();
+    }
+
     /// Sets the result of the survey of engines after the start of this instance.
     pub fn set_start_survey(&self, asked: usize, answered: usize, requests: usize) {
         let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
@@ -401,6 +408,12 @@
             "Requests placed on endpoints that do not accept any",
             inadmissible,
         );
+        let panics = self.request_panics.clone();
+        r.register(
+            "request_panics",
+            "Requests whose task panicked, a fault of this program",
+            panics,
+        );
         r.register("unknown_signals", "Unknown headers in endpoint responses", unknown);
         r.register_with_unit(
             "settings_age",
