fix(ringbendd): a prompt whose engine closes without a response may have run

Callers saw: an engine that closed its connection after it had received a prompt, before a byte of the response, was sent the prompt again, up to four times, also if the prompt must not be repeated; long prompts until their deadline. The failure said not-run. Found by playing ends inside a head on every path, with a head of no bytes.

Cause: awc reports such an end as SendRequestError::Connect(ConnectError::Disconnected). ringbendd took every Connect error as proof that nothing was sent (AttemptEnd::NotSent), which is retried without limit and reported as not run.

Change: only an error before the connection is established proves it. The client of the platform's services had the same line: a call to the table service whose connection closed without a response counted as not applied, and is now of unknown outcome (read from the code; no test of it).

Ruled out: plain services and the relay make their calls on connections of their own, where an end without a response is unknown already (tested before and now).

Evidence: broken_responses.rs a_prompt_whose_engine_closes_without_a_response_may_have_run, red before (sent 4 times, not-run), green now. Two new tests there play ends inside a head at every fifth length, after an interim response or not, closed and reset, and a reset during a long upload, for plain services and for prompts, streamed or not: the one for services held before; the one for prompts timed out before at the head of no bytes with a prompt of 300 KB.

--- a/crates/ringbend-playground/tests/broken_responses.rs
+++ b/crates/ringbend-playground/tests/broken_responses.rs
@@ -17,6 +17,12 @@
 /// How long a caller may wait for the outcome of a response without an end.
 const ENDLESS_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// The size of a call's body that does not fit into the buffers of a connection.
+const LONG_BODY_BYTES: usize = 12 << 20;
+
+/// The size of a prompt that is written in several parts, and that an engine has room for.
+const LONG_PROMPT_BYTES: usize = 300 << 10;
+
 /// What a service does after it has written its response.
 #[derive(Debug, Clone, Copy)]
 enum End {
@@ -226,6 +232,95 @@
     });
 }
 
+/// The heads of responses up to each of these lengths, and the reset of a response while the request is uploaded.
+fn responses_that_break_early() -> Vec<(String, End)> {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n";
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    let parts = (0..head.len()).step_by(5).chain([head.len() - 1]).map(|length| &head[..length]);
+    let parts = parts.flat_map(|part| [part.to_owned(), interim.to_owned() + part]);
+    let heads = parts.flat_map(|part| [(part.clone(), End::Close), (part, End::Reset)]);
+    let reset = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: part\n\n";
+    heads.chain([(reset.to_owned(), End::Reset)]).collect()
+}
+
+/// Guards against parts of responses that callers receive as whole ones.
+#[test]
+fn responses_that_end_inside_their_head_or_the_upload_are_failures() {
+    block_on(async {
+        let fleet = start_fleet().await;
+        let body = "x".repeat(LONG_BODY_BYTES);
+        let cases = responses_that_break_early().into_iter().enumerate();
+        join_all(cases.map(async |(n, (response, end))| {
+            let case = format!("{response:?}, then {end:?}");
+            let name = format!("early-{n}");
+            start_service(&fleet, &name, response, end).await;
+            // A long body is still being written when the response arrives.
+            let sent = if n % 8 == 0 || case.contains("part") { &*body } else { "request" };
+            let (received, _) = call_when_known(&fleet, &format!("/services/{name}/"), sent).await;
+            assert_eq!(received.status, 502, "{case}: {received:?}");
+            assert_eq!(received.run_state(), "may-have-run", "{case}: {received:?}");
+        }))
+        .await;
+    });
+}
+
+#[test]
+fn responses_of_engines_that_end_inside_their_head_or_the_upload_are_failures() {
+    block_on(async {
+        let fleet = start_fleet().await;
+        let prompt = "x".repeat(LONG_PROMPT_BYTES);
+        let cases = responses_that_break_early().into_iter().enumerate();
+        join_all(cases.map(async |(n, (response, end))| {
+            let case = format!("{response:?}, then {end:?}");
+            let name = format!("early-{n}");
+            let prompt = if n % 8 == 0 || case.contains("part") { &*prompt } else { "review" };
+            for stream in [false, true] {
+                let name = format!("{name}-{stream}");
+                let response = (response.clone(), end);
+                let engine = start_engine(&fleet, &name, response, load_report()).await;
+                let body = json!({"model": name, "max_tokens": 5, "prompt": prompt,
+                    "stream": stream})
+                .to_string();
+                let (received, _) = call_when_known(&fleet, "/v1/completions", &body).await;
+                assert!((500..600).contains(&received.status), "{case}: {received:?}");
+                assert!(engine.prompts.get() > 0, "{case}: {received:?}");
+            }
+        }))
+        .await;
+    });
+}
+
+/// Guards against prompts that run twice, or are reported as not run: an engine that closed its connection before its
+/// response counted as one that had received nothing.
+#[test]
+fn a_prompt_whose_engine_closes_without_a_response_may_have_run() {
+    block_on(async {
+        let fleet = start_fleet().await;
+        let long = "x".repeat(LONG_PROMPT_BYTES);
+        let cases = [(End::Close, "review"), (End::Reset, "review"), (End::Close, &long)];
+        join_all(cases.into_iter().enumerate().map(async |(n, (end, prompt))| {
+            let case = format!("{end:?}, {} bytes", prompt.len());
+            let name = format!("silent-{n}");
+            let engine = start_engine(&fleet, &name, (String::new(), end), load_report()).await;
+            let body = json!({"model": name, "max_tokens": 5, "prompt": prompt}).to_string();
+            let to = fleet.instances[0].callers_address;
+            let once = [("x-ringbend-not-repeatable", "true")];
+            let mut received = None;
+            wait_until("the engine is known", async || {
+                let response = call(to, "/v1/completions", &once, &body).await;
+                let is_known = response.status != 404;
+                received = Some(response);
+                is_known
+            })
+            .await;
+            let received = received.unwrap();
+            assert_eq!((received.status, engine.prompts.get()), (502, 1), "{case}: {received:?}");
+            assert_eq!(received.run_state(), "may-have-run", "{case}: {received:?}");
+        }))
+        .await;
+    });
+}
+
 /// One engine's report must not end the task that reads those of all.
 #[test]
 fn a_broken_load_report_does_not_hide_those_of_other_engines() {
--- a/crates/ringbendd/src/callers/attempt.rs
+++ b/crates/ringbendd/src/callers/attempt.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use actix_http::body::SizedStream;
-use awc::error::SendRequestError;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use ringbend_platform::{EndpointEntry, LoadReport, headers};
@@ -17,6 +16,7 @@
 use super::prompt::PromptBody;
 use super::sse::{SseEvent, SseReader, TokenEvent};
 use crate::app::App;
+use crate::platform::is_unsent;
 
 /// What an attempt reports to the request's task.
 #[derive(Debug)]
@@ -86,9 +86,9 @@
         let length = chunks.iter().map(|c| c.len() as u64).sum();
         let chunks = stream::iter(chunks.into_iter().map(Ok::<_, std::convert::Infallible>));
         let res = req.send_body(SizedStream::new(length, chunks)).await;
-        let res = res.map_err(|e| match e {
-            SendRequestError::Connect(_) | SendRequestError::Url(_) => AttemptEnd::NotSent,
-            _ => AttemptEnd::Broken,
+        let res = res.map_err(|e| {
+            log::debug!(attempt:% = attempt, error:% = e; "no response to the attempt");
+            if is_unsent(&e) { AttemptEnd::NotSent } else { AttemptEnd::Broken }
         })?;
         self.check_head(&res)?;
         Ok(res)
--- a/crates/ringbendd/src/platform/http.rs
+++ b/crates/ringbendd/src/platform/http.rs
@@ -5,7 +5,7 @@
 
 use actix_http::StatusCode;
 use actix_http::header::{ETAG, IF_NONE_MATCH};
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::Method;
 use bytes::Bytes;
 use ringbend_runtime::{CodecPanic, catch_codec_panic};
@@ -106,8 +106,15 @@
 }
 
 fn to_call_error(e: SendRequestError) -> CallError {
+    if is_unsent(&e) { CallError::NotSent } else { CallError::Unknown }
+}
+
+/// Whether no byte of the request was sent. A connection that is closed before a byte of the response
+/// counts as a failed connect for the client, although the request was sent.
+pub(crate) fn is_unsent(e: &SendRequestError) -> bool {
     match e {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::NotSent,
-        _ => CallError::Unknown,
+        SendRequestError::Connect(e) => !matches!(e, ConnectError::Disconnected),
+        SendRequestError::Url(_) => true,
+        _ => false,
     }
 }
--- a/crates/ringbendd/src/platform/mod.rs
+++ b/crates/ringbendd/src/platform/mod.rs
@@ -7,7 +7,7 @@
 mod table;
 
 pub(crate) use endpoints::{EndpointControl, HttpEndpoints};
-pub(crate) use http::{CallError, HttpClient};
+pub(crate) use http::{CallError, HttpClient, is_unsent};
 pub(crate) use instance_list::{HttpInstanceList, InstanceList};
 pub(crate) use objects::{HttpObjects, ObjectStore};
 pub(crate) use table::{HttpTable, TableService};
