fix: an endpoint's 503 is no promise that a request which may run once was not run

Callers saw: an endpoint ran a request that must not be repeated and answered 503 without stating that it had not run it.

Change: for a request that may run once such a response is replaced by a 502, may-have-run, without the endpoint's stamp and Retry-After. Requests that may be repeated, and all other statuses, are passed on as before. ringbendd did the same for calls to plain services.

--- a/crates/ringbend-playground/tests/broken_responses.rs
+++ b/crates/ringbend-playground/tests/broken_responses.rs
@@ -203,6 +203,29 @@
     });
 }
 
+/// Guards against calls that run twice: a service that had run a call answered 503, which callers take for the promise
+/// that it was not run.
+#[test]
+fn a_call_that_may_run_once_is_not_promised_to_be_unrun_without_a_proof() {
+    block_on(async {
+        let fleet = start_fleet().await;
+        let statuses = ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"];
+        for (n, status) in statuses.into_iter().enumerate() {
+            let name = format!("busy-{n}");
+            let response = format!("HTTP/1.1 {status}\r\nContent-Length: 4\r\n\r\nbody");
+            start_service(&fleet, &name, response, End::Close).await;
+            let (received, _) = call_service(&fleet, &name).await;
+            assert_eq!(received.status, 502, "{status}: {received:?}");
+            assert_eq!(received.run_state(), "may-have-run", "{status}: {received:?}");
+        }
+        // Other statuses make no promise.
+        let response = "HTTP/1.1 500 -\r\nContent-Length: 4\r\n\r\nbody".to_owned();
+        start_service(&fleet, "failing", response, End::Close).await;
+        let (received, _) = call_service(&fleet, "failing").await;
+        assert_eq!((received.status, received.text.as_str()), (500, "body"));
+    });
+}
+
 /// Responses to prompts, which are complete only with their last token.
 #[test]
 fn broken_responses_of_engines_are_failures() {
--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -103,6 +103,14 @@
 /// Callers are spread over this time when a back-off of endpoints ends.
 const BACKOFF_END_JITTER: Duration = Duration::from_millis(500);
 
+/// The statuses that promise callers that the request was not run.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Maximum size of a buffered response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
@@ -350,10 +358,24 @@
                 self.record_health(&run.endpoint.id, HealthEvent::Good);
                 Ok(SendSuccess::Stream(Box::new(run.into_stream(head, events, first))))
             }
+            ResponseBody::Body(_) if self.is_unproved_promise(head.status) => {
+                log::warn!(
+                    target: "request", id = self.request_id(), endpoint:% = run.endpoint.id,
+                    status = head.status.as_u16();
+                    "endpoint does not prove that the request was not run"
+                );
+                Err(SendFailure::Send(SendOutcome::Unknown))
+            }
             ResponseBody::Body(incoming) => self.read_response(&run, head, incoming).await,
         }
     }
 
+    /// Whether callers would take the status for the promise that the request was not run, which the
+    /// endpoint has not given.
+    fn is_unproved_promise(&self, status: StatusCode) -> bool {
+        !self.config.route.repeat.may_repeat() && NOT_RUN_STATUSES.contains(&status)
+    }
+
     /// Reads the remaining body of a response that is not streamed.
     async fn read_response(
         &mut self,
--- a/crates/ringbendd/src/callers/plain.rs
+++ b/crates/ringbendd/src/callers/plain.rs
@@ -50,8 +50,18 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// Whether the call may run again.
+    is_repeatable: bool,
 }
 
+/// The statuses by which callers know that a call was not run and may be sent again.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Serves a call to a plain service.
 pub(crate) async fn serve(app: &Rc<App>, call: Call) -> Result<HttpResponse, Failure> {
     let path = call.req.path();
@@ -68,15 +78,17 @@
     };
     let uri: Uri = target.parse().map_err(|_| Failure::NotFound)?;
     let method = call.req.method().clone();
+    let is_repeatable =
+        method.is_idempotent() && !call.headers.not_repeatable && call.headers.key.is_none();
     let plain = PlainCall {
+        is_repeatable,
         uri,
         headers: forwarded_headers(call.req.headers()),
         body: call.body.clone(),
-        method: method.clone(),
+        method,
     };
     let settings = request_task::effective_settings(app, &call.headers, &service);
     let (id, signals) = app.policy.register_request();
-    let idempotent = method.is_idempotent();
     let profile = RequestProfile {
         id,
         account: call.headers.account.clone(),
@@ -86,7 +98,7 @@
         max_tokens: 0,
         prefix: 0,
         deadline: request_task::deadline(app, &call.headers, &settings),
-        repeatable: idempotent && !call.headers.not_repeatable && call.headers.key.is_none(),
+        repeatable: is_repeatable,
         needs_claim: call.headers.key.is_some(),
         settings,
     };
@@ -163,6 +175,11 @@
         if echo.is_some_and(|echo| echo.as_bytes() != attempt.as_bytes()) {
             return Err(AttemptEnd::Broken);
         }
+        if !call.is_repeatable && NOT_RUN_STATUSES.contains(&res.status) {
+            let status = res.status.as_u16();
+            log::warn!(attempt, status; "service does not prove that the call was not run");
+            return Err(AttemptEnd::Broken);
+        }
         let headers = forwarded_headers(&res.headers);
         Ok(PlainResponse { status: res.status, headers, body: res.body })
     }
