fix(relay): a stop waits until responses are written

Cause: a request counted as open until its handler returned the response. What followed, up to 16 MB of body or 64 events of a stream, was written by the connection without anybody counting it.

Change: a request is open from its head until the body of its response has been written or its connection is gone; the guard is part of the body. A stop still ends with the grace time.

Looked at for the same: a reload closes nothing; a listener that ends leaves its connections open; the carrier of a tunnel is counted until both directions have ended.

--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -22,7 +22,7 @@
 use crate::guarded_body::GuardedBody;
 use crate::headers::copy_headers;
 use crate::log_fields::{AccountName, Millis};
-use crate::node::{Node, OpenRequest};
+use crate::node::Node;
 use crate::ports::RequestMetadata;
 use crate::refusal::Refusal;
 use crate::runs::{ResponseBody, ResponseStart, Run};
@@ -69,7 +69,6 @@
     delivery: DeliveryTimes,
     /// Long pauses of the stream, which indicate a slow engine.
     pub(crate) pauses: LongPauseCounter,
-    _open: OpenRequest,
 }
 
 /// When events were forwarded to the caller.
@@ -122,7 +121,6 @@
         config: RequestConfig,
         attempts: Attempts,
         arrived_at: Timestamp,
-        open: OpenRequest,
     ) -> Self {
         node.metrics.admitted();
         let (endpoint_failure, retry_after, is_end_logged) = (None, None, false);
@@ -141,7 +139,6 @@
             is_trial: false,
             delivery: DeliveryTimes::default(),
             pauses: LongPauseCounter::default(),
-            _open: open,
         }
     }
 
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_http::body::MessageBody;
 use actix_http::{ConnectionType, RequestHead};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -15,6 +16,7 @@
 use crate::active_request::{ActiveRequest, OriginalRequest, RequestConfig};
 use crate::buffers::{BodyBuffer, BodyKind, HeldBytes, NoRoom};
 use crate::fingerprint::FingerprintBuilder;
+use crate::guarded_body::GuardedResponse;
 use crate::headers::content_length;
 use crate::log_fields::Millis;
 use crate::node::Node;
@@ -48,6 +50,7 @@
 impl Callers {
     async fn handle_request(&self, req: HttpRequest) -> HttpResponse {
         let arrived_at = self.node.clock.now();
+        let open = self.node.track_request();
         let mut metadata = RequestMetadata::default();
         let prepared = catch_panic(self.prepare(req, &mut metadata, arrived_at)).await;
         let prepared = prepared.unwrap_or_else(|panic| {
@@ -58,7 +61,9 @@
             Ok(request) => request.run().await,
             Err(refusal) => self.refusal_response(&metadata, refusal),
         };
-        self.with_connection_close(res)
+        // The request is open until its response is written.
+        let res = self.with_connection_close(res);
+        res.map_body(|_, body| GuardedResponse::new(body, open).boxed())
     }
 
     /// Logs and counts a refusal, and returns its response.
@@ -100,7 +105,6 @@
         if self.node.refuses_new_requests() {
             return Err(Refusal::Stopping);
         }
-        let open = self.node.track_request();
         self.wait_for_initial_state().await;
         let admitted = self.admit(&req, metadata, arrived_at)?;
         let limits = admitted.snapshot.limits;
@@ -135,7 +139,6 @@
             RequestConfig { route, account, service, version: snapshot.version },
             attempts,
             arrived_at,
-            open,
         );
         if let Some(cause) = request.held_for() {
             request.is_trial = self.node.claim_trial(cause).await;
