fix: another writer's row at an endpoint's address does not end what runs there

Callers saw: while a machine drained, a row appeared that held the address of a sound engine and lacked Version, ColdLeftMs, Sequence and born.

A row at the address of an endpoint that has stated its start proves the end of that endpoint only with a later start.

--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -251,10 +251,15 @@
     /// Marks the previous endpoints at this address as ended, because one that has just started
     /// listens there. Applies only within a service: a row of an unknown service proves nothing
     /// about others. Of two endpoints that were first seen together it is unknown which started
-    /// later.
+    /// later, and a row without a later start may be another writer's.
     fn replace_at_address(&mut self, now: Timestamp, endpoint: &Endpoint) -> EndedEndpoints {
         let others = self.listening(endpoint.address).filter(|entry| entry.since < now);
-        let others = others.filter(|entry| entry.endpoint.is_at_address_of(endpoint));
+        let others = others.filter(|entry| {
+            let other = &entry.endpoint;
+            // `None` orders before every start.
+            let started_later = other.start.is_none() || endpoint.start > other.start;
+            other.is_at_address_of(endpoint) && started_later
+        });
         let ended: EndedEndpoints = others.map(|entry| entry.endpoint.id.clone()).collect();
         for id in &ended {
             if let Some(entry) = self.entries.get_mut(id) {
