fix(relay): an engine that serves without a row may be silent for over a second

Cause: an engine that answered neither a run nor requests for its report counted as lost as soon as its row was gone. A missing row was taken for a consequence of the silence. It is one only if the row was removed during the silence; an engine that sent something after the removal leaves, and goes on serving.

Change: the removal counts only if the run has been silent since before it. Otherwise the engine has the 2.5 s of one with a row. The silence of a run is measured from its last byte; it began anew when a run was waited for again, which hid this fault on routes with a short target for pauses, and detected lost engines later.

A try that was reverted: 2.5 s for all engines without a row. Two tests of lost engines failed (3.5 s and 3.8 s where 2.5 s and 3.5 s are allowed); they stay as strict.

--- a/crates/ringbend-gateway/src/directory.rs
+++ b/crates/ringbend-gateway/src/directory.rs
@@ -47,6 +47,7 @@
 #[derive(Debug, Clone)]
 struct FormerEndpoint {
     start: Option<EndpointStart>,
+    removed_at: Timestamp,
     until: Timestamp,
 }
 
@@ -284,7 +285,8 @@
         self.at_address.remove(&entry.endpoint);
         self.cold.forget(id);
         self.former.retain(|_, former| now < former.until);
-        let former = FormerEndpoint { start: entry.endpoint.start, until: now + FORMER_RETENTION };
+        let (start, until) = (entry.endpoint.start, now + FORMER_RETENTION);
+        let former = FormerEndpoint { start, removed_at: now, until };
         self.former.insert(id.clone(), former);
         for other in self.at_address.at(entry.endpoint.address) {
             if let Some(other) = self.entries.get_mut(other) {
@@ -293,6 +295,12 @@
         }
     }
 
+    /// When this instance learnt that an endpoint's row was removed; `None` if it has a row or was
+    /// removed long ago.
+    pub fn removed_at(&self, id: &EndpointId) -> Option<Timestamp> {
+        self.former.get(id).map(|former| former.removed_at)
+    }
+
     /// Whether the process that was known as `endpoint` has ended, so that it will send nothing
     /// more.
     pub fn has_ended(&self, endpoint: &Endpoint) -> bool {
--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -384,7 +384,12 @@
         let (dependencies, deadline) =
             (std::slice::from_ref(&run.endpoint), self.attempts.deadline());
         let result = self
-            .run_until(dependencies, deadline, incoming.read_counted(MAX_RESPONSE_BYTES, held))
+            .run_until(
+                dependencies,
+                self.node.clock.now(),
+                deadline,
+                incoming.read_counted(MAX_RESPONSE_BYTES, held),
+            )
             .await;
         let (body, held) = match result {
             Ok(read) => read,
--- a/crates/ringbend-relay/src/hedging.rs
+++ b/crates/ringbend-relay/src/hedging.rs
@@ -23,14 +23,14 @@
         mut run: Run,
     ) -> Result<(Run, ResponseStart), SendFailure> {
         let Some(hedge_time) = self.hedge_at(&run) else { return self.await_response(run).await };
-        match self.run_until(&run.dependencies, hedge_time, run.started.ended()).await {
+        match self.run_until(&run.dependencies, run.sent, hedge_time, run.started.ended()).await {
             Err(RunError::Late) => {}
             waited => return self.settle(run, waited).await,
         }
         let placed = {
             let placing = std::pin::pin!(self.schedule(false));
             let deadline = self.attempts.deadline();
-            let first = self.run_until(&run.dependencies, deadline, run.started.ended());
+            let first = self.run_until(&run.dependencies, run.sent, deadline, run.started.ended());
             tokio::select! {
                 biased;
                 waited = first => Err(waited),
@@ -90,10 +90,18 @@
     ) -> Result<(Run, ResponseStart), SendFailure> {
         let deadline = self.attempts.deadline();
         let (waited, is_second) = {
-            let first =
-                self.run_until(&first_run.dependencies, deadline, first_run.started.ended());
-            let second =
-                self.run_until(&second_run.dependencies, deadline, second_run.started.ended());
+            let first = self.run_until(
+                &first_run.dependencies,
+                first_run.sent,
+                deadline,
+                first_run.started.ended(),
+            );
+            let second = self.run_until(
+                &second_run.dependencies,
+                second_run.sent,
+                deadline,
+                second_run.started.ended(),
+            );
             tokio::select! {
                 biased;
                 waited = first => (waited, false),
@@ -136,7 +144,7 @@
         let deadline = self.attempts.deadline();
         let waited = tokio::select! {
             biased;
-            waited = self.run_until(&left.dependencies, deadline, left.started.ended()) => {
+            waited = self.run_until(&left.dependencies, left.sent, deadline, left.started.ended()) => {
                 Some(waited)
             }
             () = check.finished() => None,
--- a/crates/ringbend-relay/src/lost_endpoints.rs
+++ b/crates/ringbend-relay/src/lost_endpoints.rs
@@ -2,8 +2,9 @@
 //!
 //! Silence alone may be a long prompt that is being prefilled, and a missing row alone proves
 //! nothing either: some engines continue to serve without one. An engine counts as lost if it does
-//! not respond to requests for its report, which need no slot, and its row was removed or it has not
-//! responded for a while.
+//! not respond to requests for its report, which need no slot, and its row was removed during its
+//! silence or it has not responded for a while. A row that was removed before the silence expired
+//! because the engine leaves, not because it was silent.
 //!
 //! A run that holds memory on other engines has its engine checked while it is silent: rows of lost
 //! engines are removed only when that memory must be released. Other runs have it checked once its
@@ -38,8 +39,8 @@
 /// How long the result of a check holds for other runs on the engine.
 const CHECK_TTL: Duration = Duration::from_millis(600);
 
-/// How long an engine with a row may be without a response. Memory must be released four seconds
-/// after the loss of the engine that uses it.
+/// How long an engine may be without a response if its row does not show that it is lost. Memory must
+/// be released four seconds after the loss of the engine that uses it.
 const MAX_UNRESPONSIVE: Duration = Duration::from_millis(2_500);
 
 /// The latest checks of engines.
@@ -68,7 +69,10 @@
                 self.clock.sleep_until(silent_since + UNREGISTERED_SILENCE).await;
             }
             let checked_at = self.clock.now();
-            if self.check(engine).await && self.stays_unresponsive(engine, checked_at).await {
+            let served_without_row = self.has_served_without_row(engine, silent_since);
+            if self.check(engine).await
+                && self.stays_unresponsive(engine, checked_at, served_without_row).await
+            {
                 log::warn!(target: "endpoints", endpoint:% = engine.id; "engine lost");
                 return;
             }
@@ -76,9 +80,22 @@
         }
     }
 
+    /// Whether an engine that has been silent since `silent_since` sent something after its row was
+    /// removed.
+    fn has_served_without_row(&self, engine: &Endpoint, silent_since: Timestamp) -> bool {
+        let removed_at = self.directory.borrow().removed_at(&engine.id);
+        removed_at.is_some_and(|at| at < silent_since)
+    }
+
     /// Waits until the row of an engine that has not responded since `since` is gone, or it has been
-    /// unresponsive for too long. Returns false if it responds before that.
-    async fn stays_unresponsive(self: &Rc<Self>, engine: &Endpoint, since: Timestamp) -> bool {
+    /// unresponsive for too long. Returns false if it responds before that. The row says nothing if
+    /// the engine has served without one.
+    async fn stays_unresponsive(
+        self: &Rc<Self>,
+        engine: &Endpoint,
+        since: Timestamp,
+        served_without_row: bool,
+    ) -> bool {
         let responds = async {
             loop {
                 tokio::time::sleep(CHECK_INTERVAL).await;
@@ -89,7 +106,7 @@
         };
         tokio::select! {
             biased;
-            () = self.wait_until_unregistered(engine) => true,
+            () = self.wait_until_unregistered(engine), if !served_without_row => true,
             () = self.clock.sleep_until(since + MAX_UNRESPONSIVE) => true,
             () = responds => false,
         }
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -170,11 +170,11 @@
         &mut self,
         mut run: Run,
     ) -> Result<(Run, ResponseStart), SendFailure> {
-        let silence_deadline = run.silence_deadline;
+        let (sent, silence_deadline) = (run.sent, run.silence_deadline);
         let ended = run.started.ended();
         let waited = match run.tracked.memory {
-            Some(_) => self.run_until(&run.dependencies, silence_deadline, ended).await,
-            None => self.wait_or_replace(&run.dependencies, silence_deadline, ended).await,
+            Some(_) => self.run_until(&run.dependencies, sent, silence_deadline, ended).await,
+            None => self.wait_or_replace(&run.dependencies, sent, silence_deadline, ended).await,
         };
         self.settle(run, waited).await
     }
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -161,8 +161,10 @@
     request.streaming_since = Some(request.node.clock.now());
     let mut survival = request.watch_survival(&endpoint);
     loop {
-        let silence_deadline = gap_deadline(request);
-        match request.wait_or_replace(&dependencies, silence_deadline, events.next()).await {
+        let (silent_since, silence_deadline) = (request.node.clock.now(), gap_deadline(request));
+        let next = events.next();
+        let next = request.wait_or_replace(&dependencies, silent_since, silence_deadline, next);
+        match next.await {
             Ok(Some(event)) => {
                 last = event.id.or(last);
                 send_event(request, tx, event).await?;
--- a/crates/ringbend-relay/src/timeouts.rs
+++ b/crates/ringbend-relay/src/timeouts.rs
@@ -58,23 +58,24 @@
     }
 
     /// Waits until `silence_deadline`, and then until the request's deadline if no other run can
-    /// replace this one.
+    /// replace this one. The run has been silent since `silent_since`.
     pub(crate) async fn wait_or_replace<T>(
         &mut self,
         dependencies: &[Endpoint],
+        silent_since: Timestamp,
         silence_deadline: Timestamp,
         work: impl Future<Output = Result<T, ExchangeError>>,
     ) -> Result<T, RunError> {
         let mut work = std::pin::pin!(work);
         let deadline = self.attempts.deadline();
         if silence_deadline < deadline {
-            match self.run_until(dependencies, silence_deadline, &mut work).await {
+            match self.run_until(dependencies, silent_since, silence_deadline, &mut work).await {
                 Err(RunError::Late) if self.replace_silent() => return Err(RunError::Replaced),
                 Err(RunError::Late) => {}
                 done => return done,
             }
         }
-        self.run_until(dependencies, deadline, work).await
+        self.run_until(dependencies, silent_since, deadline, work).await
     }
 
     /// Whether a send is cancelled when its request becomes held. A response that is already
@@ -102,16 +103,17 @@
     }
 
     /// Waits until `until`, until the process of an endpoint that the work depends on has ended, or
-    /// until the engine that the request was sent to counts as lost. That is the first endpoint.
+    /// until the engine that the request was sent to counts as lost. That is the first endpoint. The
+    /// run has been silent since `silent_since`.
     ///
     /// Cancel safe: once the work is done, nothing else is waited for that could lose its result.
     pub(crate) async fn run_until<T>(
         &self,
         dependencies: &[Endpoint],
+        silent_since: Timestamp,
         until: Timestamp,
         work: impl Future<Output = Result<T, ExchangeError>>,
     ) -> Result<T, RunError> {
-        let silent_since = self.node.clock.now();
         let lead = dependencies.first().filter(|_| self.config.service.engine.is_some());
         let lost = async {
             match lead {
