--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -13,13 +13,13 @@
     Account, Attempts, ConfigVersion, HealthEvent, NextStep, PATH_CHECK_INTERVAL, Route,
     SendOutcome, Service,
 };
-use ringbend_runtime::{HttpResponse, catch_panic};
+use ringbend_runtime::{HttpResponse, NOT_RUN_STATUSES, catch_panic};
 use ringbend_types::{EndpointId, PromptBucket, RunState, Timestamp, TokenCount};
 
 use crate::buffers::{BodyKind, HeldBytes};
 use crate::engine_pace::LongPauseCounter;
 use crate::exchange::IncomingResponse;
-use crate::guarded_body::GuardedBody;
+use crate::guarded_body::GuardedBytes;
 use crate::headers::copy_headers;
 use crate::log_fields::{AccountName, Millis};
 use crate::node::Node;
@@ -102,14 +102,6 @@
 /// Callers are spread over this time when a back-off of endpoints ends.
 const BACKOFF_END_JITTER: Duration = Duration::from_millis(500);
 
-/// The statuses that promise callers that the request was not run.
-const NOT_RUN_STATUSES: [StatusCode; 4] = [
-    StatusCode::REQUEST_TIMEOUT,
-    StatusCode::MISDIRECTED_REQUEST,
-    StatusCode::TOO_MANY_REQUESTS,
-    StatusCode::SERVICE_UNAVAILABLE,
-];
-
 /// Maximum size of a buffered response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
@@ -396,7 +388,7 @@
             Err(why) => return Err(self.fail_run(&run.endpoint, &why).await),
         };
         let status = head.status;
-        let mut res = Response::with_body(status, GuardedBody::new(body, held).boxed());
+        let mut res = Response::with_body(status, GuardedBytes::new(body, held).boxed());
         copy_headers(&head, res.headers_mut());
         let may_succeed_elsewhere =
             status.is_server_error() && self.config.route.repeat.may_repeat();
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -16,7 +16,7 @@
 use crate::active_request::{ActiveRequest, OriginalRequest, RequestConfig};
 use crate::buffers::{BodyBuffer, BodyKind, HeldBytes, NoRoom};
 use crate::fingerprint::FingerprintBuilder;
-use crate::guarded_body::GuardedResponse;
+use crate::guarded_body::GuardedBody;
 use crate::headers::content_length;
 use crate::log_fields::Millis;
 use crate::node::Node;
@@ -63,7 +63,7 @@
         };
         // The request is open until its response is written.
         let res = self.with_connection_close(res);
-        res.map_body(|_, body| GuardedResponse::new(body, open).boxed())
+        res.map_body(|_, body| GuardedBody::new(body, open).boxed())
     }
 
     /// Logs and counts a refusal, and returns its response.
--- a/crates/ringbend-relay/src/copy_server.rs
+++ b/crates/ringbend-relay/src/copy_server.rs
@@ -12,7 +12,7 @@
     self as wire, EndpointChanges, Message, encode_endpoint_change, encode_evacuations,
 };
 
-use crate::guarded_body::GuardedBody;
+use crate::guarded_body::GuardedBytes;
 use crate::node::Node;
 use crate::peer_copies::{CONFIG_PATH, ENDPOINTS_PATH};
 
@@ -58,7 +58,7 @@
             _ => return empty(StatusCode::NOT_FOUND),
         };
         let Some(copy) = copy else { return empty(StatusCode::SERVICE_UNAVAILABLE) };
-        let body = GuardedBody::new(copy, ActiveCopyResponse::new(self.node.clone()));
+        let body = GuardedBytes::new(copy, ActiveCopyResponse::new(self.node.clone()));
         Response::with_body(StatusCode::OK, body.boxed())
     }
 }
--- a/crates/ringbend-relay/src/guarded_body.rs
+++ b/crates/ringbend-relay/src/guarded_body.rs
@@ -12,18 +12,18 @@
 const CHUNK_BYTES: usize = 16 << 10;
 
 /// The body of a response, and what is released with it.
-pub(crate) struct GuardedResponse<G> {
+pub(crate) struct GuardedBody<G> {
     body: BoxBody,
     _guard: G,
 }
 
-impl<G> GuardedResponse<G> {
+impl<G> GuardedBody<G> {
     pub(crate) fn new(body: BoxBody, guard: G) -> Self {
         Self { body, _guard: guard }
     }
 }
 
-impl<G: Unpin> MessageBody for GuardedResponse<G> {
+impl<G: Unpin> MessageBody for GuardedBody<G> {
     type Error = Box<dyn Error>;
 
     fn size(&self) -> BodySize {
@@ -39,18 +39,18 @@
 }
 
 /// The bytes of a response, and what is released with them.
-pub(crate) struct GuardedBody<G> {
+pub(crate) struct GuardedBytes<G> {
     remaining: Bytes,
     _guard: G,
 }
 
-impl<G> GuardedBody<G> {
+impl<G> GuardedBytes<G> {
     pub(crate) fn new(remaining: Bytes, guard: G) -> Self {
         Self { remaining, _guard: guard }
     }
 }
 
-impl<G: Unpin> MessageBody for GuardedBody<G> {
+impl<G: Unpin> MessageBody for GuardedBytes<G> {
     type Error = Infallible;
 
     fn size(&self) -> BodySize {
--- a/crates/ringbend-runtime/src/lib.rs
+++ b/crates/ringbend-runtime/src/lib.rs
@@ -19,7 +19,9 @@
 pub use clock::{Clock, unix_millis};
 pub use connections::{ConnectionCounts, Connections};
 pub use panics::{Panicked, catch_panic};
-pub use response::{StreamChunk, StreamError, StreamSender, empty, json, stream, text};
+pub use response::{
+    NOT_RUN_STATUSES, StreamChunk, StreamError, StreamSender, empty, json, stream, text,
+};
 pub use response_decoder::{BodyDecoder, BodyPart, CodecPanic, ResponseDecoder, catch_codec_panic};
 pub use server::{
     ConnectionLimits, Handler, HttpRequest, HttpResponse, PendingTunnel, Server, ServerConfig,
--- a/crates/ringbend-runtime/src/response.rs
+++ b/crates/ringbend-runtime/src/response.rs
@@ -16,6 +16,14 @@
 
 use crate::server::HttpResponse;
 
+/// The statuses by which clients know that a request was not run and may be sent again.
+pub const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Creates a response without a body.
 pub fn empty(status: StatusCode) -> HttpResponse {
     Response::with_body(status, BoxBody::new(()))
--- a/crates/ringbendd/src/callers/plain.rs
+++ b/crates/ringbendd/src/callers/plain.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use ringbend_platform::{EndpointEntry, EndpointKind, headers};
 use ringbend_policy::{AttemptEnd, Dispatch, RequestProfile};
-use ringbend_runtime::HttpResponse;
+use ringbend_runtime::{HttpResponse, NOT_RUN_STATUSES};
 use ringbend_telemetry::TraceContext;
 use ringbend_types::{ServiceName, TokenCount};
 use tokio::sync::mpsc;
@@ -54,14 +54,6 @@
     is_repeatable: bool,
 }
 
-/// The statuses by which callers know that a call was not run and may be sent again.
-const NOT_RUN_STATUSES: [StatusCode; 4] = [
-    StatusCode::REQUEST_TIMEOUT,
-    StatusCode::MISDIRECTED_REQUEST,
-    StatusCode::TOO_MANY_REQUESTS,
-    StatusCode::SERVICE_UNAVAILABLE,
-];
-
 /// Serves a call to a plain service.
 pub(crate) async fn serve(app: &Rc<App>, call: Call) -> Result<HttpResponse, Failure> {
     let path = call.req.path();
