perf(relay): the task of a request is hardly larger than before its panics were caught

Callers saw nothing.

Cause: the future of a request had grown from 15,952 to 56,232 bytes, that of a stream from 9,312 to 22,568 (size_of_val, trial): each wrapper that owns a future stores it a second time, and catch_panic owned those of the whole request. The rest came from the request and its runs being moved from future to future.

Change: catch_panic takes a pinned future; the request is boxed once; settling borrows its run; the rare wait for the run that is left is boxed. 17,472 and 8,672 bytes now.

--- a/crates/ringbend-relay/src/active_request.rs
+++ b/crates/ringbend-relay/src/active_request.rs
@@ -1,6 +1,7 @@
 //! The life cycle of one admitted request: its sends to endpoints until a response begins or the
 //! request is rejected.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -135,8 +136,12 @@
     }
 
     /// Sends the request until an endpoint responds or the request is rejected.
-    pub(crate) async fn run(mut self) -> HttpResponse {
-        match catch_panic(self.run_until_response()).await {
+    pub(crate) async fn run(mut self: Box<Self>) -> HttpResponse {
+        let outcome = {
+            let running = pin!(self.run_until_response());
+            catch_panic(running).await
+        };
+        match outcome {
             Ok(RequestOutcome::Complete(res)) => res,
             Ok(RequestOutcome::Stream(stream)) => crate::streams::forward(self, *stream),
             Err(panic) => {
--- a/crates/ringbend-relay/src/callers.rs
+++ b/crates/ringbend-relay/src/callers.rs
@@ -1,5 +1,6 @@
 //! Handling of a caller's request up to the start of its response.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,7 +53,10 @@
         let arrived_at = self.node.clock.now();
         let open = self.node.track_request();
         let mut metadata = RequestMetadata::default();
-        let prepared = catch_panic(self.prepare(req, &mut metadata, arrived_at)).await;
+        let prepared = {
+            let preparing = pin!(self.prepare(req, &mut metadata, arrived_at));
+            catch_panic(preparing).await
+        };
         let prepared = prepared.unwrap_or_else(|panic| {
             self.node.record_panic(metadata.request_id.as_deref().unwrap_or("-"), &panic);
             Err(Refusal::InternalNotRun)
@@ -97,7 +101,7 @@
         mut req: HttpRequest,
         metadata: &mut RequestMetadata,
         arrived_at: Timestamp,
-    ) -> Result<ActiveRequest, Refusal> {
+    ) -> Result<Box<ActiveRequest>, Refusal> {
         *metadata = self.node.dialect.parse_request(req.head()).map_err(|e| {
             log::info!(target: "request", error:% = e; "invalid request head");
             Refusal::BadHead
@@ -132,14 +136,14 @@
         let keys = SuspectKeys::new(fingerprint, service.name.clone(), metadata.parts.clone());
         let (head, keys) = (req.head().clone(), Rc::new(keys));
         let original = OriginalRequest { head, body, keys, _held: held };
-        let mut request = ActiveRequest::new(
+        let mut request = Box::new(ActiveRequest::new(
             self.node.clone(),
             metadata.clone(),
             original,
             RequestConfig { route, account, service, version: snapshot.version },
             attempts,
             arrived_at,
-        );
+        ));
         if let Some(cause) = request.held_for() {
             request.is_trial = self.node.claim_trial(cause).await;
         }
--- a/crates/ringbend-relay/src/hedging.rs
+++ b/crates/ringbend-relay/src/hedging.rs
@@ -25,7 +25,10 @@
         let Some(hedge_time) = self.hedge_at(&run) else { return self.await_response(run).await };
         match self.run_until(&run.dependencies, run.sent, hedge_time, run.started.ended()).await {
             Err(RunError::Late) => {}
-            waited => return self.settle(run, waited).await,
+            waited => {
+                let started = self.settle(&mut run, waited).await?;
+                return Ok((run, started));
+            }
         }
         let placed = {
             let placing = std::pin::pin!(self.schedule(false));
@@ -38,7 +41,10 @@
             }
         };
         match placed {
-            Err(waited) => self.settle(run, waited).await,
+            Err(waited) => {
+                let started = self.settle(&mut run, waited).await?;
+                Ok((run, started))
+            }
             Ok(Ok(second))
                 if !self.is_suspect()
                     && self.is_hedge_useful(&run, &second)
@@ -126,7 +132,8 @@
                 }
                 self.await_response(other).await
             }
-            Err(why) => self.await_other(run, &why, other).await,
+            // Boxed, as it is rare and would enlarge the task of every request.
+            Err(why) => Box::pin(self.await_other(run, &why, other)).await,
         }
     }
 
@@ -153,11 +160,11 @@
             self.record_run_error(&endpoint, why);
             return self.await_response(left).await;
         };
-        let settled = self.settle(left, waited).await;
+        let settled = self.settle(&mut left, waited).await;
         if settled.is_err() {
             check.finished().await;
         }
         self.record_run_error(&endpoint, why);
-        settled
+        settled.map(|started| (left, started))
     }
 }
--- a/crates/ringbend-relay/src/runs.rs
+++ b/crates/ringbend-relay/src/runs.rs
@@ -176,18 +176,19 @@
             Some(_) => self.run_until(&run.dependencies, sent, silence_deadline, ended).await,
             None => self.wait_or_replace(&run.dependencies, sent, silence_deadline, ended).await,
         };
-        self.settle(run, waited).await
+        let started = self.settle(&mut run, waited).await?;
+        Ok((run, started))
     }
 
     /// Returns the response that a run has started, or records why there is none. `waited` is how
     /// the wait for it ended.
     pub(crate) async fn settle(
         &mut self,
-        mut run: Run,
+        run: &mut Run,
         waited: Result<(), RunError>,
-    ) -> Result<(Run, ResponseStart), SendFailure> {
+    ) -> Result<ResponseStart, SendFailure> {
         match run.end(waited) {
-            Ok(started) => Ok((run, started)),
+            Ok(started) => Ok(started),
             Err(why) => Err(self.fail_run(&run.endpoint, &why).await),
         }
     }
--- a/crates/ringbend-relay/src/streams.rs
+++ b/crates/ringbend-relay/src/streams.rs
@@ -1,6 +1,7 @@
 //! Forwarding of event streams, which are resumed on another engine when they break.
 
 use std::collections::VecDeque;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -92,22 +93,28 @@
 }
 
 /// Starts the response to the caller and forwards the remaining events in a separate task.
-pub(crate) fn forward(request: ActiveRequest, response_stream: ResponseStream) -> HttpResponse {
+pub(crate) fn forward(
+    request: Box<ActiveRequest>,
+    response_stream: ResponseStream,
+) -> HttpResponse {
     let (tx, mut res) = stream(response_stream.head.status, EVENT_BUFFER);
     let tx = EventSender { tx, queue: Rc::default() };
     copy_headers(&response_stream.head, res.headers_mut());
     tokio::task::spawn_local(async move {
         let mut request = request;
-        let end = tokio::select! {
-            end = catch_panic(forward_stream(&mut request, response_stream, &tx)) => end,
-            () = tx.tx.closed() => return,
+        let end = {
+            let forwarding = pin!(forward_stream(&mut request, response_stream, &tx));
+            tokio::select! {
+                end = catch_panic(forwarding) => end,
+                () = tx.tx.closed() => return,
+            }
         };
         let end = end.unwrap_or_else(|panic| {
             request.node.record_panic(request.request_id(), &panic);
             Err(StreamAbort::Internal)
         });
         if let Err(cut) = end {
-            // The response is aborted.
+            // Dropping `tx` aborts the response.
             return request.log_end(cut.outcome());
         }
         request.node.clear_suspect(request.original.keys.request);
--- a/crates/ringbend-runtime/src/panics.rs
+++ b/crates/ringbend-runtime/src/panics.rs
@@ -3,6 +3,7 @@
 use std::any::Any;
 use std::fmt;
 use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
 
 use futures_util::FutureExt;
 
@@ -26,11 +27,12 @@
     }
 }
 
-/// Awaits `work` and turns a panic into an error. What `work` owned has been dropped by then.
+/// Awaits `work` and turns a panic into an error. What `work` owned has been dropped by then. It is pinned
+/// by the caller, as each wrapper that owns a large future adds its size to that of the task.
 ///
 /// # Errors
 ///
 /// `work` panicked.
-pub async fn catch_panic<F: Future>(work: F) -> Result<F::Output, Panicked> {
+pub async fn catch_panic<F: Future + ?Sized>(work: Pin<&mut F>) -> Result<F::Output, Panicked> {
     AssertUnwindSafe(work).catch_unwind().await.map_err(|payload| Panicked::new(&*payload))
 }
--- a/crates/ringbend-runtime/src/server.rs
+++ b/crates/ringbend-runtime/src/server.rs
@@ -45,7 +45,7 @@
 /// Handles a request. A panic of the handler is answered with 500, so that the connection and its other
 /// requests are not affected.
 pub(crate) async fn handle(handler: Rc<dyn Handler>, req: HttpRequest) -> HttpResponse {
-    catch_panic(handler.handle(req)).await.unwrap_or_else(|panic| {
+    catch_panic(handler.handle(req).as_mut()).await.unwrap_or_else(|panic| {
         log::error!("request handler {panic}");
         empty(StatusCode::INTERNAL_SERVER_ERROR)
     })
