--- a/crates/ringbend-playground/tests/broken_responses.rs
+++ b/crates/ringbend-playground/tests/broken_responses.rs
@@ -255,15 +255,29 @@
     });
 }
 
-/// The heads of responses up to each of these lengths, and the reset of a response while the request is uploaded.
-fn responses_that_break_early() -> Vec<(String, End)> {
+/// A response that breaks before its body is complete.
+struct EarlyBreak {
+    response: String,
+    end: End,
+    /// Whether the request is so long that it is still being written when the response arrives.
+    during_upload: bool,
+}
+
+/// Responses that end inside their head, and one that is reset while the request is uploaded.
+fn responses_that_break_early() -> Vec<EarlyBreak> {
     let head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n";
     let interim = "HTTP/1.1 100 Continue\r\n\r\n";
     let parts = (0..head.len()).step_by(5).chain([head.len() - 1]).map(|length| &head[..length]);
     let parts = parts.flat_map(|part| [part.to_owned(), interim.to_owned() + part]);
     let heads = parts.flat_map(|part| [(part.clone(), End::Close), (part, End::Reset)]);
-    let reset = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: part\n\n";
-    heads.chain([(reset.to_owned(), End::Reset)]).collect()
+    // Uploads are large, so that only some of these are played during one.
+    let heads = heads.enumerate().map(|(n, (response, end))| {
+        let during_upload = n.is_multiple_of(8);
+        EarlyBreak { response, end, during_upload }
+    });
+    let part = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: part\n\n";
+    let reset = EarlyBreak { response: part.into(), end: End::Reset, during_upload: true };
+    heads.chain([reset]).collect()
 }
 
 /// Guards against parts of responses that callers receive as whole ones.
@@ -273,12 +287,12 @@
         let fleet = start_fleet().await;
         let body = "x".repeat(LONG_BODY_BYTES);
         let cases = responses_that_break_early().into_iter().enumerate();
-        join_all(cases.map(async |(n, (response, end))| {
+        join_all(cases.map(async |(n, early)| {
+            let EarlyBreak { response, end, during_upload } = early;
             let case = format!("{response:?}, then {end:?}");
             let name = format!("early-{n}");
             start_service(&fleet, &name, response, end).await;
-            // A long body is still being written when the response arrives.
-            let sent = if n % 8 == 0 || case.contains("part") { &*body } else { "request" };
+            let sent = if during_upload { &*body } else { "request" };
             let (received, _) = call_when_known(&fleet, &format!("/services/{name}/"), sent).await;
             assert_eq!(received.status, 502, "{case}: {received:?}");
             assert_eq!(received.run_state(), "may-have-run", "{case}: {received:?}");
@@ -293,10 +307,11 @@
         let fleet = start_fleet().await;
         let prompt = "x".repeat(LONG_PROMPT_BYTES);
         let cases = responses_that_break_early().into_iter().enumerate();
-        join_all(cases.map(async |(n, (response, end))| {
+        join_all(cases.map(async |(n, early)| {
+            let EarlyBreak { response, end, during_upload } = early;
             let case = format!("{response:?}, then {end:?}");
             let name = format!("early-{n}");
-            let prompt = if n % 8 == 0 || case.contains("part") { &*prompt } else { "review" };
+            let prompt = if during_upload { &*prompt } else { "review" };
             for stream in [false, true] {
                 let name = format!("{name}-{stream}");
                 let response = (response.clone(), end);
