--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -194,8 +194,9 @@
     fn prove(&self, proof: Proof, cursor: Cursor, wait: Duration) {
         let (sent_ms, store_ms) = (proof.sent.0 / 1_000, proof.store_clock.as_millis() as u64);
         let wait_ms = wait.as_millis() as u64;
+        let took_ms = self.node.clock.now().since(proof.sent).as_millis() as u64;
         log::info!(
-            target: "store", table = C::NAME, sent_ms, store_ms, cursor = cursor.0, wait_ms;
+            target: "store", table = C::NAME, sent_ms, took_ms, store_ms, cursor = cursor.0, wait_ms;
             "table proved current"
         );
         self.copy.prove(&self.node, proof, cursor, wait.is_zero());
@@ -226,6 +227,9 @@
     }
 
     async fn record_failure(&mut self, e: SourceError) {
+        if e == SourceError::TimedOut {
+            self.node.metrics.store_timed_out();
+        }
         if C::DETECTS_OUTAGES {
             let now = self.node.clock.now();
             self.node.readers.borrow_mut().call_failed(now);
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -71,6 +71,7 @@
     strikes: Counter,
     unknown_signals: Counter,
     inadmissible: Counter,
+    store_timeouts: Counter,
     request_panics: Counter,
     endpoint_limits: Family<EndpointLabels, Gauge<f64, AtomicU64>>,
     overload_queue: Family<PriorityLabels, Gauge>,
@@ -148,6 +149,7 @@
             strikes: Counter::default(),
             unknown_signals: Counter::default(),
             inadmissible: Counter::default(),
+            store_timeouts: Counter::default(),
             request_panics: Counter::default(),
             endpoint_limits: Family::default(),
             overload_queue: Family::default(),
@@ -262,6 +264,11 @@
         self.unknown_signals.inc();
     }
 
+    /// Counts a read of a watched table that the store did not answer in time.
+    pub fn store_timed_out(&self) {
+        self.store_timeouts.inc();
+    }
+
     /// Counts a request that was not sent, because the endpoint it was placed on does not accept requests.
     pub fn inadmissible(&self) {
         self.inadmissible.inc();
@@ -401,6 +408,12 @@
         );
         let backoffs = self.endpoint_backoffs.clone();
         r.register("endpoint_backoffs", "Endpoints that asked this instance to back off", backoffs);
+        let store_timeouts = self.store_timeouts.clone();
+        r.register(
+            "store_timeouts",
+            "Reads of the watched tables that the store did not answer in time",
+            store_timeouts,
+        );
         let unknown = self.unknown_signals.clone();
         let inadmissible = self.inadmissible.clone();
         r.register(
