fix(relay): a late answer of the store counts

Callers saw 503 for as long as the store took over a second for each response: no service at all after a start (no-config), and stale-config 3.5 s after the store had become slow.

Cause: a call to the store was given up after one second and made again, so a store that needs 1.1 s never answered, though each response would have come. What is lost with a late response is its age, and the proof carries when the call was sent. Class: a guess at another's pace decides whether its answer counts.

A call that takes longer than expected still counts as a sign of an outage after a second, but it stays open for three, and whichever call is answered first counts. A store that is known to be slow is called each 0.8 s whatever is still open, as the proofs of one call at a time would be too far apart, and the limits of all calls follow the latest response. Who reads a slow store is decided by the arrival of proofs, since the proofs are old when they arrive.

--- a/crates/ringbend-relay/src/config_copy.rs
+++ b/crates/ringbend-relay/src/config_copy.rs
@@ -111,7 +111,9 @@
             let age = read_age(node.is_scheduler(), draw);
             let unread_since = node.readers.borrow().unread_since();
             let since = unread_since.unwrap_or(node.clock.started_at());
-            let due = since + age;
+            let pace = node.store_pace.get();
+            let slow_due = pace.read_due(node.clock.started_at(), node.is_scheduler(), draw);
+            let due = slow_due.unwrap_or(since + age);
             if node.clock.now() >= due {
                 let config_age_ms = copy_age_ms(node, WatchedTable::Config);
                 let endpoints_age_ms = copy_age_ms(node, WatchedTable::Endpoints);
--- a/crates/ringbend-relay/src/discovery.rs
+++ b/crates/ringbend-relay/src/discovery.rs
@@ -26,8 +26,7 @@
     Duration::from_millis(1_500),
 ];
 
-/// Timeout of registry calls. A slow store takes up to a third of a second per call; a lost
-/// response never arrives.
+/// The shortest timeout of registry calls.
 const REGISTRY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Interval between checks whether another instance has reached the store.
@@ -166,7 +165,7 @@
         return Ok(());
     }
     let Some(own) = node.own_record() else { return Ok(()) };
-    with_timeout(registry.register(&own)).await?;
+    with_timeout(node, registry.register(&own)).await?;
     if may_be_split || !knows_local_instances(node) {
         // Of two instances that register together, the one that reads later finds the other.
         read_registry(node, registry).await?;
@@ -177,7 +176,7 @@
 }
 
 async fn read_registry(node: &Node, registry: &dyn InstanceRegistry) -> Result<(), SourceError> {
-    node.replace_registry(with_timeout(registry.list()).await?);
+    node.replace_registry(with_timeout(node, registry.list()).await?);
     Ok(())
 }
 
@@ -195,9 +194,11 @@
 }
 
 async fn with_timeout<T>(
+    node: &Node,
     call: impl Future<Output = Result<T, SourceError>>,
 ) -> Result<T, SourceError> {
-    tokio::time::timeout(REGISTRY_TIMEOUT, call).await.unwrap_or(Err(SourceError::TimedOut))
+    let timeout = REGISTRY_TIMEOUT.max(node.store_pace.get().timeout());
+    tokio::time::timeout(timeout, call).await.unwrap_or(Err(SourceError::TimedOut))
 }
 
 /// Greets the highest-ranked instances of this data centre, and more of them each time, until a
--- a/crates/ringbend-relay/src/endpoint_copy.rs
+++ b/crates/ringbend-relay/src/endpoint_copy.rs
@@ -141,7 +141,8 @@
             // Registered before the check, so that no notification in between is missed.
             notified.as_mut().enable();
             if node.config_cursor.get() > from {
-                tokio::time::sleep(OVERTAKEN_GRACE).await;
+                let delay = node.store_pace.get().proof_delay();
+                tokio::time::sleep(OVERTAKEN_GRACE + delay).await;
                 return;
             }
             notified.await;
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -40,6 +40,7 @@
 mod overload_queues;
 mod peer_copies;
 mod peer_socket;
+mod pending_calls;
 mod permits;
 mod placement;
 mod placement_grants;
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -13,8 +13,8 @@
 use ringbend_gateway::{
     AccountShares, Backoffs, Carriers, ColdPacing, Directory, Freshness, HealthTracker,
     InstanceRank, Limits, LoadTracker, Membership, Outbox, PaceQueries, Peers, Permits, Quarantine,
-    Reachability, Replica, RetryBudget, SpreadSequence, StartSurvey, StoreOutages, StoreReaders,
-    WorkId, fleet_backoff_factor,
+    Reachability, Replica, RetryBudget, SpreadSequence, StartSurvey, StoreOutages, StorePace,
+    StoreReaders, WorkId, fleet_backoff_factor,
 };
 use ringbend_runtime::{Clock, Panicked};
 use ringbend_telemetry::Metrics;
@@ -116,6 +116,8 @@
     pub(crate) store_read: Notify,
     /// When the store last answered any instance.
     pub(crate) outages: RefCell<StoreOutages>,
+    /// How long the store's responses take.
+    pub(crate) store_pace: Cell<StorePace>,
     /// Which instances read the watched tables from the store.
     pub(crate) readers: RefCell<StoreReaders>,
     /// Notified when this instance becomes a scheduler or ceases to be one.
@@ -250,6 +252,7 @@
             store_recovered: Notify::new(),
             store_read: Notify::new(),
             outages: RefCell::default(),
+            store_pace: Cell::default(),
             readers: RefCell::new(StoreReaders::new(incarnation)),
             role_changed: Notify::new(),
             started_reading: Notify::new(),
--- a/crates/ringbend-relay/src/registry_watch.rs
+++ b/crates/ringbend-relay/src/registry_watch.rs
@@ -13,9 +13,6 @@
 /// The wait requested from the store.
 const POLL_TIMEOUT: Duration = Duration::from_millis(9_000);
 
-/// How long the store may take beyond the requested wait, as for the watched tables.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// How long to wait for further changes after one: many instances write their rows together.
 const BATCH_DELAY: Duration = Duration::from_millis(400);
 
@@ -112,7 +109,7 @@
         let cursor = node.registry_records.borrow().cursor();
         let result = match cursor {
             Some(cursor) => {
-                with_timeout(POLL_TIMEOUT, registry.changes(cursor, POLL_TIMEOUT)).await
+                with_timeout(node, POLL_TIMEOUT, registry.changes(cursor, POLL_TIMEOUT)).await
             }
             None => Err(SourceError::HistoryGone),
         };
@@ -123,7 +120,7 @@
                 has_changed
             }
             Ok(_) | Err(SourceError::HistoryGone) => {
-                node.replace_registry(with_timeout(Duration::ZERO, registry.list()).await?);
+                node.replace_registry(with_timeout(node, Duration::ZERO, registry.list()).await?);
                 true
             }
             Err(e) => return Err(e),
@@ -137,10 +134,12 @@
 }
 
 async fn with_timeout<T>(
+    node: &Node,
     wait: Duration,
     call: impl Future<Output = Result<T, SourceError>>,
 ) -> Result<T, SourceError> {
-    tokio::time::timeout(wait + CALL_TIMEOUT, call).await.unwrap_or(Err(SourceError::TimedOut))
+    let timeout = wait + node.store_pace.get().timeout();
+    tokio::time::timeout(timeout, call).await.unwrap_or(Err(SourceError::TimedOut))
 }
 
 /// Writes this instance's row whenever the reader of the registry finds it missing.
@@ -151,7 +150,7 @@
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
         let Some(own) = node.own_record().filter(|_| node.is_scheduler()) else { continue };
         log::info!(target: "peers", "registry row is missing; writing it again");
-        if let Err(e) = with_timeout(Duration::ZERO, registry.register(&own)).await {
+        if let Err(e) = with_timeout(&node, Duration::ZERO, registry.register(&own)).await {
             // The reader asks again.
             log::info!(target: "peers", error:% = e; "registration failed");
         }
--- a/crates/ringbend-relay/src/suspect_store.rs
+++ b/crates/ringbend-relay/src/suspect_store.rs
@@ -32,9 +32,6 @@
 /// Interval between checks whether peers have sent the suspects.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Timeout of one call to the store.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Delay before a failed call is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -46,9 +43,11 @@
 const CLAIM_SEPARATOR: char = '/';
 
 async fn with_timeout<T>(
+    node: &Node,
     call: impl Future<Output = Result<T, SourceError>>,
 ) -> Result<T, SourceError> {
-    tokio::time::timeout(CALL_TIMEOUT, call).await.unwrap_or(Err(SourceError::TimedOut))
+    let timeout = node.store_pace.get().timeout();
+    tokio::time::timeout(timeout, call).await.unwrap_or(Err(SourceError::TimedOut))
 }
 
 /// Loads the suspects from other instances or from the store.
@@ -57,7 +56,7 @@
         wait_for_peers(&node).await;
     }
     while !node.knows_suspects.get() {
-        match with_timeout(node.durable_store.read_all()).await {
+        match with_timeout(&node, node.durable_store.read_all()).await {
             Ok(rows) => {
                 rows.iter().for_each(|row| node.apply_stored_row(row));
                 node.record_suspects_known("the store");
@@ -122,7 +121,7 @@
                 let Some(known) = known else { return };
                 let value = encode_suspicion(&known).encode_to_vec().into();
                 let row = DurableRow { key: fingerprint.to_string().into(), value };
-                match with_timeout(node.durable_store.put(&row)).await {
+                match with_timeout(&node, node.durable_store.put(&row)).await {
                     Ok(()) => return,
                     Err(e) => {
                         log::info!(target: "suspects", fingerprint:% = fingerprint, error:% = e; "storing suspect failed; retrying")
@@ -151,7 +150,7 @@
                 (1..=u8::MAX).take(MAX_CLAIMS).map(|number| claim_key(fingerprint, number));
             let keys: Vec<Arc<str>> =
                 std::iter::once(fingerprint.to_string().into()).chain(claims).collect();
-            if let Err(e) = with_timeout(node.durable_store.delete(&keys)).await {
+            if let Err(e) = with_timeout(&node, node.durable_store.delete(&keys)).await {
                 log::info!(target: "suspects", fingerprint:% = fingerprint, error:% = e; "deleting suspect row failed");
             }
         });
@@ -165,7 +164,7 @@
         // Whatever the result of the call, this instance does not claim the same trial again.
         self.quarantine.borrow_mut().record_try(self.clock.now(), fingerprint, number);
         let row = DurableRow { key: claim_key(fingerprint, number), value: Bytes::new() };
-        let claimed = with_timeout(self.durable_store.put_if_absent(&row)).await;
+        let claimed = with_timeout(self, self.durable_store.put_if_absent(&row)).await;
         log::info!(target: "suspects", fingerprint:% = fingerprint, number, claimed:?; "trial run claim answered");
         self.publish_suspect(fingerprint, true);
         claimed.unwrap_or(false)
--- a/crates/ringbend-relay/src/table_gossip.rs
+++ b/crates/ringbend-relay/src/table_gossip.rs
@@ -167,6 +167,11 @@
     let config_at = to_own_clock(currency.proved_us);
     let config_at = config_at.filter(|at| node.replica.borrow_mut().prove_at(version, *at));
     if let Some(at) = config_at {
+        if Some(at) > node.readers.borrow().proved_at(WatchedTable::Config) {
+            let mut pace = node.store_pace.get();
+            pace.record_proof_elsewhere(now, at);
+            node.store_pace.set(pace);
+        }
         node.readers.borrow_mut().proved_by(WatchedTable::Config, currency.reader, at);
         node.startup_progress.notify_waiters();
     }
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -5,17 +5,14 @@
 use std::time::Duration;
 
 use rand::Rng;
-use ringbend_gateway::{MAX_SECONDARY_BACKOFF, Proof, StoreBackoff};
+use ringbend_gateway::{MAX_SECONDARY_BACKOFF, Proof, SLOW_CALL_INTERVAL, StoreBackoff};
 use ringbend_types::Timestamp;
 
 use crate::node::Node;
-use crate::ports::{Cursor, InvalidRow, Source, SourceError};
+use crate::pending_calls::{Answer, PendingCalls};
+use crate::ports::{Batch, Cursor, InvalidRow, Source, SourceError};
 use crate::table_copies::apply_outage_update;
 
-/// How long the store may take beyond the requested wait. It usually replies within milliseconds; a
-/// slow store takes up to a third of a second.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// The source of the next update.
 pub(crate) enum ReadFrom {
     /// The store, called with this wait for a change.
@@ -70,6 +67,16 @@
     fn prove(&self, node: &Node, proof: Proof, cursor: Cursor, paired: bool);
 }
 
+/// How a call for changes ended.
+enum CallOutcome<T> {
+    Answered(Answer<T>),
+    /// Another call is due, or another instance has newer rows.
+    Superseded,
+    /// The response may be lost.
+    Overtaken,
+    Failed(SourceError),
+}
+
 /// Follows one table for as long as the process lives.
 pub(crate) struct Watch<Item, Change, C> {
     node: Rc<Node>,
@@ -79,7 +86,7 @@
     backoff: StoreBackoff,
 }
 
-impl<Item, Change, C: TableCopy<Item, Change>> Watch<Item, Change, C> {
+impl<Item: 'static, Change: 'static, C: TableCopy<Item, Change>> Watch<Item, Change, C> {
     pub(crate) fn new(node: Rc<Node>, source: Rc<dyn Source<Item, Change>>, copy: C) -> Self {
         Self { node, source, copy, lost_at: None, backoff: StoreBackoff::default() }
     }
@@ -96,77 +103,84 @@
     }
 
     async fn read_all(&mut self) -> Cursor {
+        let mut calls = PendingCalls::default();
+        let mut early = None;
         loop {
-            let sent = self.node.clock.now();
-            match with_timeout(CALL_TIMEOUT, self.source.read_all()).await {
-                Ok(batch) => {
-                    self.record_response();
-                    let cursor = batch.cursor;
-                    let proof = Proof { sent, store_clock: batch.store_clock };
-                    self.record_invalid_rows(&batch.invalid_rows);
-                    let known = self.copy.known_cursor(&self.node);
-                    self.copy.replace(&self.node, batch.items, cursor);
-                    if self.is_latest(cursor, known) {
-                        self.prove(proof, cursor, Duration::ZERO);
-                    }
-                    return cursor;
-                }
-                Err(e) => {
-                    self.record_failure(e).await;
-                    if let Some(cursor) = self.copy.first_copy(&self.node).await {
-                        return cursor;
-                    }
+            let answer = match early.take() {
+                Some(answer) => Ok(answer),
+                None => self.call_read_all(&mut calls).await,
+            };
+            let error = match answer {
+                Ok(Answer { sent, wait, took, result: Ok(batch) }) => {
+                    self.record_response(took, wait);
+                    return self.replace(sent, batch);
                 }
+                Ok(Answer { result: Err(e), .. }) | Err(e) => e,
+            };
+            early = self.record_failure(error, &mut calls).await;
+            if early.is_none()
+                && let Some(cursor) = self.copy.first_copy(&self.node).await
+            {
+                return cursor;
             }
         }
     }
 
+    /// Calls for the whole table, and waits for the answer to this call or to an earlier one.
+    async fn call_read_all(
+        &self,
+        calls: &mut PendingCalls<Batch<Item>>,
+    ) -> Result<Answer<Batch<Item>>, SourceError> {
+        let source = self.source.clone();
+        let call = async move { source.read_all().await };
+        calls.start(self.node.clock.now(), Duration::ZERO, call);
+        let timeout = self.node.store_pace.get().timeout();
+        with_timeout(timeout, async { Ok(calls.next().await) }).await
+    }
+
+    /// Replaces the copy by the whole table, as a call that was sent at `sent` returned it.
+    fn replace(&self, sent: Timestamp, batch: Batch<Item>) -> Cursor {
+        let cursor = batch.cursor;
+        let proof = Proof { sent, store_clock: batch.store_clock };
+        self.record_invalid_rows(&batch.invalid_rows);
+        let known = self.copy.known_cursor(&self.node);
+        self.copy.replace(&self.node, batch.items, cursor);
+        if self.is_latest(cursor, known) {
+            self.prove(proof, cursor, Duration::ZERO);
+        }
+        cursor
+    }
+
     /// Follows changes until the history is no longer available.
     async fn follow(&mut self, mut cursor: Cursor) {
+        let mut calls = PendingCalls::default();
         // If set, the response to the last call may be lost, so the next call does not wait.
         let mut is_overtaken = false;
+        let mut early = None;
         loop {
-            let is_up_to_date = self.copy.fetch_newer(&self.node).await;
-            let wait = match is_up_to_date {
-                false => Duration::ZERO,
-                true => match self.copy.next_read(&self.node).await {
-                    ReadFrom::Peers => continue,
-                    // The first call after a failure does not wait either, so that contact to the
-                    // store is confirmed at once.
-                    ReadFrom::Store(_) if self.lost_at.is_some() || is_overtaken => Duration::ZERO,
-                    ReadFrom::Store(wait) => wait,
+            let answer = match early.take() {
+                Some(answer) => answer,
+                None => match self.call_for_changes(&mut calls, &mut cursor, is_overtaken).await {
+                    CallOutcome::Answered(answer) => answer,
+                    outcome => {
+                        is_overtaken = matches!(outcome, CallOutcome::Overtaken);
+                        if let CallOutcome::Failed(e) = outcome {
+                            early = self.record_failure(e, &mut calls).await;
+                        }
+                        continue;
+                    }
                 },
             };
-            cursor = cursor.max(self.copy.known_cursor(&self.node));
             is_overtaken = false;
-            let sent = self.node.clock.now();
-            let call = with_timeout(wait + CALL_TIMEOUT, self.source.changes(cursor, wait));
-            let response = tokio::select! {
-                response = call => response,
-                () = self.copy.wait_for_newer(&self.node), if is_up_to_date => continue,
-                () = self.copy.wait_until_overtaken(&self.node, cursor), if !wait.is_zero() => {
-                    log::info!(target: "store", table = C::NAME, cursor = cursor.0; "response overtaken by another read; calling again");
-                    is_overtaken = true;
-                    continue;
-                }
-                // A call with a long wait would hang for a long time after a network failure.
-                () = self.node.store_lost.notified(), if !C::DETECTS_OUTAGES => {
-                    Err(SourceError::Unreachable)
-                }
-            };
-            match response {
+            let Answer { sent, wait, took, result } = answer;
+            match result {
                 Ok(batch) => {
-                    self.record_response();
-                    cursor = cursor.max(batch.cursor);
-                    let proof = Proof { sent, store_clock: batch.store_clock };
-                    self.record_invalid_rows(&batch.invalid_rows);
+                    self.record_response(took, wait);
                     let changed = !batch.items.is_empty();
-                    let known = self.copy.known_cursor(&self.node);
-                    self.copy.apply(&self.node, batch.items, batch.cursor);
-                    if batch.is_complete && self.is_latest(batch.cursor, known) {
-                        self.prove(proof, batch.cursor, wait);
-                    }
-                    if changed && batch.is_complete {
+                    let is_complete = batch.is_complete;
+                    cursor = cursor.max(batch.cursor);
+                    self.apply(sent, wait, batch);
+                    if changed && is_complete {
                         tokio::time::sleep(C::BATCH_DELAY).await;
                     }
                 }
@@ -174,11 +188,83 @@
                     log::info!(target: "store", table = C::NAME; "change history no longer available; reading the whole table");
                     return;
                 }
-                Err(e) => self.record_failure(e).await,
+                Err(e) => early = self.record_failure(e, &mut calls).await,
             }
         }
     }
 
+    /// Calls for changes once that is due, and waits for the answer to this call or to an earlier
+    /// one.
+    async fn call_for_changes(
+        &mut self,
+        calls: &mut PendingCalls<Batch<Change>>,
+        cursor: &mut Cursor,
+        is_overtaken: bool,
+    ) -> CallOutcome<Batch<Change>> {
+        let is_up_to_date = self.copy.fetch_newer(&self.node).await;
+        let wait = match is_up_to_date {
+            false => Duration::ZERO,
+            true => match self.copy.next_read(&self.node).await {
+                ReadFrom::Peers => return CallOutcome::Superseded,
+                // The first call after a failure does not wait either, so that contact to the
+                // store is confirmed at once.
+                ReadFrom::Store(_) if self.lost_at.is_some() || is_overtaken => Duration::ZERO,
+                ReadFrom::Store(_) if self.overlaps_calls() => Duration::ZERO,
+                ReadFrom::Store(wait) => wait,
+            },
+        };
+        *cursor = (*cursor).max(self.copy.known_cursor(&self.node));
+        let now = self.node.clock.now();
+        let next_call = calls.last_sent().map(|sent| sent + SLOW_CALL_INTERVAL);
+        if is_overtaken || next_call.is_none_or(|at| at <= now) {
+            let (source, from) = (self.source.clone(), *cursor);
+            calls.start(now, wait, async move { source.changes(from, wait).await });
+        }
+        let sent = calls.last_sent().unwrap_or(now);
+        let pace = self.node.store_pace.get();
+        let give_up = calls.waiting_since().unwrap_or(now) + wait + pace.timeout();
+        let next_call = if self.overlaps_calls() { sent + SLOW_CALL_INTERVAL } else { give_up };
+        let may_be_overtaken = !wait.is_zero();
+        tokio::select! {
+            answer = calls.next() => CallOutcome::Answered(answer),
+            () = self.copy.wait_for_newer(&self.node), if is_up_to_date => {
+                calls.clear();
+                CallOutcome::Superseded
+            }
+            () = self.copy.wait_until_overtaken(&self.node, *cursor), if may_be_overtaken => {
+                log::info!(target: "store", table = C::NAME, cursor = cursor.0; "response overtaken by another read; calling again");
+                CallOutcome::Overtaken
+            }
+            // A call with a long wait would hang for a long time after a network failure.
+            () = self.node.store_lost.notified(), if !C::DETECTS_OUTAGES => {
+                calls.clear();
+                CallOutcome::Failed(SourceError::Unreachable)
+            }
+            () = self.node.clock.sleep_until(next_call.min(give_up)) => {
+                if next_call < give_up { CallOutcome::Superseded } else { CallOutcome::Failed(SourceError::TimedOut) }
+            }
+        }
+    }
+
+    /// Whether to call a slow store again before it has answered. Proofs of the other tables come
+    /// with those of the one that detects outages.
+    fn overlaps_calls(&self) -> bool {
+        C::DETECTS_OUTAGES && self.node.store_pace.get().is_slow()
+    }
+
+    /// Applies changes, as a call that was sent at `sent` returned them.
+    fn apply(&self, sent: Timestamp, wait: Duration, batch: Batch<Change>) {
+        let proof = Proof { sent, store_clock: batch.store_clock };
+        self.record_invalid_rows(&batch.invalid_rows);
+        if !self.is_latest(batch.cursor, self.copy.known_cursor(&self.node)) {
+            return;
+        }
+        self.copy.apply(&self.node, batch.items, batch.cursor);
+        if batch.is_complete {
+            self.prove(proof, batch.cursor, wait);
+        }
+    }
+
     /// Whether a response is no older than what is `known` of the table from the store or from
     /// other instances. An older one reflects an earlier state and proves nothing.
     fn is_latest(&self, cursor: Cursor, known: Cursor) -> bool {
@@ -211,7 +297,11 @@
         }
     }
 
-    fn record_response(&mut self) {
+    /// Records a response that took this time.
+    fn record_response(&mut self, took: Duration, wait: Duration) {
+        let mut pace = self.node.store_pace.get();
+        pace.record_response(took, wait);
+        self.node.store_pace.set(pace);
         self.backoff.reset();
         let update = self.node.outages.borrow_mut().answered(self.node.clock.now());
         apply_outage_update(&self.node, update);
@@ -226,7 +316,14 @@
         log::info!(target: "store", table = C::NAME, away_ms; "store available again");
     }
 
-    async fn record_failure(&mut self, e: SourceError) {
+    /// Records a failed call, and waits before the next one. Returns the answer to a call that is
+    /// still open if one arrives meanwhile.
+    async fn record_failure<T: 'static>(
+        &mut self,
+        e: SourceError,
+        calls: &mut PendingCalls<T>,
+    ) -> Option<Answer<T>> {
+        calls.note_failure();
         if e == SourceError::TimedOut {
             self.node.metrics.store_timed_out();
         }
@@ -243,18 +340,19 @@
         }
         let delay = self.next_delay();
         if C::DETECTS_OUTAGES || self.node.store_lost_at.get().is_none() {
-            tokio::select! {
-                () = tokio::time::sleep(delay) => {}
-                () = self.copy.wait_for_newer(&self.node) => {}
-            }
-            return;
+            return tokio::select! {
+                answer = calls.next() => Some(answer),
+                () = tokio::time::sleep(delay) => None,
+                () = self.copy.wait_for_newer(&self.node) => None,
+            };
         }
         // One watch is enough to probe an unavailable store. The time limit is for the case that
         // the probing watch keeps failing for another reason and never reports the recovery.
         tokio::select! {
-            () = self.node.store_recovered.notified() => {}
-            () = tokio::time::sleep(MAX_SECONDARY_BACKOFF) => {}
-            () = self.copy.wait_for_newer(&self.node) => {}
+            answer = calls.next() => Some(answer),
+            () = self.node.store_recovered.notified() => None,
+            () = tokio::time::sleep(MAX_SECONDARY_BACKOFF) => None,
+            () = self.copy.wait_for_newer(&self.node) => None,
         }
     }
 
