fix: positions in the store's history are ordered by its era first

A key that was revoked after the return was refused with 503 like all others, or accepted where the counter had just reached the old place.

Cause: the greatest position that an instance or a peer had seen was taken for a lower bound of every later response, also of a history that had begun anew; and a position of the lost history was read on from. Class: a position outlives the history that it belongs to.

Changes are read on only within an era; otherwise the whole table is read. A response from a former era is dropped. Messages carry the era in fields of their own, so instances of the version before read them as before. Rows of endpoints that the store has lost are kept for the time within which they are written again.

--- a/crates/ringbend-gateway/src/evacuations.rs
+++ b/crates/ringbend-gateway/src/evacuations.rs
@@ -5,7 +5,7 @@
 //! reflects. Of two copies the one with the later position is right, so instances converge whatever
 //! the order and number of messages.
 
-use ringbend_types::DataCentre;
+use ringbend_types::{Cursor, DataCentre};
 use smallvec::SmallVec;
 
 /// The start or the end of an evacuation.
@@ -20,14 +20,14 @@
 /// The evacuated data centres as of a position in the operator table's history.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Evacuations {
-    position: u64,
+    position: Cursor,
     /// Sorted, so that equal sets compare equal.
     data_centres: SmallVec<[DataCentre; 2]>,
 }
 
 impl Evacuations {
     /// The data centres that were evacuated at `position`.
-    pub fn new(position: u64, data_centres: impl IntoIterator<Item = DataCentre>) -> Self {
+    pub fn new(position: Cursor, data_centres: impl IntoIterator<Item = DataCentre>) -> Self {
         let mut data_centres: SmallVec<[DataCentre; 2]> = data_centres.into_iter().collect();
         data_centres.sort();
         data_centres.dedup();
@@ -35,7 +35,7 @@
     }
 
     /// The position in the operator table's history up to which evacuations are known.
-    pub fn position(&self) -> u64 {
+    pub fn position(&self) -> Cursor {
         self.position
     }
 
@@ -54,7 +54,7 @@
     /// the later position follow.
     pub fn with_changes(
         &self,
-        position: u64,
+        position: Cursor,
         changes: impl IntoIterator<Item = EvacuationChange>,
     ) -> Self {
         let mut data_centres = self.data_centres.clone();
--- a/crates/ringbend-gateway/src/peers.rs
+++ b/crates/ringbend-gateway/src/peers.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use ringbend_types::{DataCentre, Timestamp};
+use ringbend_types::{Cursor, DataCentre, Timestamp};
 
 use crate::carriers::Candidates;
 use crate::schedulers::{InstanceRank, Role};
@@ -57,7 +57,7 @@
     /// The version of the configuration in force there.
     pub config: ConfigVersion,
     /// The cursor in the changes of the endpoint table.
-    pub endpoints: u64,
+    pub endpoints: Cursor,
 }
 
 /// The role and instance counts that a peer reports.
@@ -251,7 +251,7 @@
 
     /// Whether the copy of the endpoint table at `address` is not known to be as current as
     /// `endpoints`.
-    pub fn is_behind(&self, address: SocketAddrV4, endpoints: u64) -> bool {
+    pub fn is_behind(&self, address: SocketAddrV4, endpoints: Cursor) -> bool {
         self.peers.get(&address).is_none_or(|peer| peer.copies.endpoints < endpoints)
     }
 
--- a/crates/ringbend-gateway/src/replica.rs
+++ b/crates/ringbend-gateway/src/replica.rs
@@ -29,6 +29,9 @@
     freshness: Freshness,
     /// Whether a later configuration was seen that could not be decoded.
     unreadable: bool,
+    /// Whether the store was last seen without the configuration in force or a later one, as after
+    /// its return from an older copy.
+    missing_in_store: bool,
 }
 
 impl Replica {
@@ -56,10 +59,18 @@
         self.unreadable
     }
 
+    /// Records the configuration that the whole table was read with, if it holds one. If that is
+    /// older than the one in force, the store has lost that one, and perhaps a later one that took
+    /// keys away. Nothing proves the one in force current until the store has it again.
+    pub fn note_stored(&mut self, stored: Option<ConfigVersion>) {
+        self.missing_in_store = stored < self.version();
+    }
+
     /// Records a response of the store that showed nothing newer than what has been offered.
     /// Returns the time at which it proves the copy current, if it does.
     pub fn prove(&mut self, proof: Proof, paired: bool) -> Option<Timestamp> {
-        (!self.unreadable).then(|| self.freshness.prove(proof, paired))
+        let proves = !self.unreadable && !self.missing_in_store;
+        proves.then(|| self.freshness.prove(proof, paired))
     }
 
     /// Records that another instance proved `version` the newest at `at`, on this one's clock. This
--- a/crates/ringbend-gateway/src/store_pace.rs
+++ b/crates/ringbend-gateway/src/store_pace.rs
@@ -26,10 +26,10 @@
 /// How long no proof may arrive from an instance that reads a slow store before a scheduler reads
 /// it; drawn from this range so that not all start at once. The proofs themselves are old when they
 /// arrive, so their age does not show that nobody reads.
-const SILENCE_MS: Range<f64> = 1_000.0..1_300.0;
+const SILENCE_MS: Range<f64> = 1_400.0..1_700.0;
 
 /// The same for an instance that does not schedule.
-const MEMBER_SILENCE_MS: Range<f64> = 1_350.0..1_500.0;
+const MEMBER_SILENCE_MS: Range<f64> = 1_750.0..1_900.0;
 
 /// How long the store's latest response took, and when other instances last proved the copies.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/ringbend-gateway/tests/evacuations.rs
+++ b/crates/ringbend-gateway/tests/evacuations.rs
@@ -4,7 +4,7 @@
 
 use quickcheck::{TestResult, quickcheck};
 use ringbend_gateway::{Directory, EndpointChange, EvacuationChange, Evacuations};
-use ringbend_types::DataCentre;
+use ringbend_types::{Cursor, DataCentre};
 use support::{at, endpoint, service};
 
 fn centre(number: u8) -> DataCentre {
@@ -23,20 +23,20 @@
 fn endpoints_of_an_evacuated_data_centre_are_no_candidates() {
     let mut directory = Directory::default();
     directory.apply(at(0), EndpointChange::Present(endpoint(1)));
-    let evacuated = Evacuations::new(7, [endpoint(1).data_centre]);
+    let evacuated = Evacuations::new(Cursor::new(0, 7), [endpoint(1).data_centre]);
     assert!(directory.merge_evacuations(evacuated.clone()));
     assert!(!directory.merge_evacuations(evacuated));
     assert!(directory.is_evacuated(&endpoint(1)));
     assert_eq!(directory.of_service(at(0), &service("engines")).count(), 0);
-    assert!(directory.merge_evacuations(Evacuations::new(8, [])));
+    assert!(directory.merge_evacuations(Evacuations::new(Cursor::new(0, 8), [])));
     assert_eq!(directory.of_service(at(0), &service("engines")).count(), 1);
 }
 
 #[test]
 fn older_copy_does_not_replace_a_later_one() {
-    let mut known = Evacuations::new(9, [centre(1)]);
-    assert!(!known.merge(Evacuations::new(8, [])));
-    assert!(!known.merge(Evacuations::new(9, [])));
+    let mut known = Evacuations::new(Cursor::new(0, 9), [centre(1)]);
+    assert!(!known.merge(Evacuations::new(Cursor::new(0, 8), [])));
+    assert!(!known.merge(Evacuations::new(Cursor::new(0, 9), [])));
     assert!(known.contains(&centre(1)));
 }
 
@@ -49,7 +49,7 @@
         }
         let mut states = vec![Evacuations::default()];
         for (position, (number, starts)) in (1..).zip(&history) {
-            let next = states.last().unwrap().with_changes(position, [change(*number, *starts)]);
+            let next = states.last().unwrap().with_changes(Cursor::new(0, position), [change(*number, *starts)]);
             states.push(next);
         }
         let latest = states.last().unwrap().clone();
@@ -69,9 +69,9 @@
         let all = |upto: usize| history[..upto].iter().map(|(number, starts)| change(*number, *starts));
         let known = known % (history.len() + 1);
         let from = from % (known + 1);
-        let before = Evacuations::default().with_changes(known as u64, all(known));
+        let before = Evacuations::default().with_changes(Cursor::new(0, known as u64), all(known));
         let last = history.len();
-        let after = before.with_changes(last as u64, all(last).skip(from));
-        TestResult::from_bool(after == Evacuations::default().with_changes(last as u64, all(last)))
+        let after = before.with_changes(Cursor::new(0, last as u64), all(last).skip(from));
+        TestResult::from_bool(after == Evacuations::default().with_changes(Cursor::new(0, last as u64), all(last)))
     }
 }
--- a/crates/ringbend-relay/src/config_copy.rs
+++ b/crates/ringbend-relay/src/config_copy.rs
@@ -7,9 +7,11 @@
     EvacuationChange, Evacuations, OfferResult, Proof, Snapshot, WatchedTable, read_age,
 };
 
+use ringbend_types::Cursor;
+
 use crate::node::Node;
 use crate::peer_copies;
-use crate::ports::{ConfigItem, Cursor, OperatorChange};
+use crate::ports::{ConfigItem, OperatorChange};
 use crate::table_copies::{copy_age_ms, leave_reading_to_others, record_own_proof};
 use crate::watch::{ReadFrom, TableCopy};
 
@@ -85,18 +87,24 @@
 
     fn replace(&self, node: &Node, items: Vec<OperatorChange>, cursor: Cursor) {
         let (configs, evacuations) = split_changes(items);
-        let evacuated = Evacuations::new(cursor.0, []).with_changes(cursor.0, evacuations);
+        let evacuated = Evacuations::new(cursor, []).with_changes(cursor, evacuations);
         node.adopt_evacuations(evacuated);
         Self::record_read(node, cursor);
+        let stored = configs.iter().map(|config| config.parts.version).max();
         configs.into_iter().for_each(|config| Self::activate(node, config));
+        node.replica.borrow_mut().note_stored(stored);
     }
 
     fn apply(&self, node: &Node, items: Vec<OperatorChange>, cursor: Cursor) {
         let (configs, changes) = split_changes(items);
-        let evacuated = node.directory.borrow().evacuations().with_changes(cursor.0, changes);
+        let evacuated = node.directory.borrow().evacuations().with_changes(cursor, changes);
         node.adopt_evacuations(evacuated);
         Self::record_read(node, cursor);
+        let stored = configs.iter().map(|config| config.parts.version).max();
         configs.into_iter().for_each(|config| Self::activate(node, config));
+        if stored.is_some() {
+            node.replica.borrow_mut().note_stored(stored);
+        }
     }
 
     /// Reads the store as long as no other instance does; otherwise only when the copy has become
--- a/crates/ringbend-relay/src/copy_server.rs
+++ b/crates/ringbend-relay/src/copy_server.rs
@@ -8,6 +8,7 @@
 use futures_util::future::LocalBoxFuture;
 use ringbend_gateway::{Endpoint, EndpointChange};
 use ringbend_runtime::{Handler, HttpRequest, HttpResponse, empty};
+use ringbend_types::Cursor;
 use ringbend_wire::{
     self as wire, EndpointChanges, Message, encode_endpoint_change, encode_evacuations,
 };
@@ -70,9 +71,9 @@
         return None;
     }
     let row = node.encoded_config.borrow().as_ref()?.to_vec();
-    let cursor = node.config_cursor.get().0;
+    let Cursor { era, version: cursor } = node.config_cursor.get();
     let evacuations = Some(encode_evacuations(node.directory.borrow().evacuations()));
-    Some(wire::ConfigCopy { row, cursor, evacuations }.encode_to_vec().into())
+    Some(wire::ConfigCopy { row, cursor, evacuations, era }.encode_to_vec().into())
 }
 
 fn endpoints_copy(node: &Node) -> Bytes {
@@ -83,6 +84,6 @@
     let rows = directory
         .registered()
         .map(|e| encode_endpoint_change(&EndpointChange::Present(as_of_now(e))));
-    let to_cursor = node.endpoints_cursor.get().0;
-    EndpointChanges { from_cursor: 0, to_cursor, rows: rows.collect() }.encode_to_vec().into()
+    let Cursor { era, version: to_cursor } = node.endpoints_cursor.get();
+    EndpointChanges { from_cursor: 0, to_cursor, rows: rows.collect(), era }.encode_to_vec().into()
 }
--- a/crates/ringbend-relay/src/endpoint_copy.rs
+++ b/crates/ringbend-relay/src/endpoint_copy.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use ringbend_gateway::{Endpoint, EndpointChange, Proof, WatchedTable};
+use ringbend_types::Cursor;
 use ringbend_wire::{EndpointChanges, encode_endpoint_change};
 
 use crate::node::Node;
 use crate::peer_copies;
-use crate::ports::Cursor;
 use crate::table_copies::record_own_proof;
 use crate::watch::{ReadFrom, TableCopy};
 
@@ -74,6 +74,10 @@
         let now = node.clock.now();
         let (before, count) = (node.directory.borrow().len(), items.len());
         log::info!(target: "endpoints", before, count; "endpoint table read");
+        if before > 0 && cursor.era > node.endpoints_cursor.get().era {
+            // Rows that the store has lost are written again.
+            node.directory.borrow_mut().store_recovered(now);
+        }
         let ended = node.directory.borrow_mut().replace(now, items);
         node.handle_ended_endpoints(&ended);
         node.endpoints_cursor.set(cursor);
@@ -91,10 +95,11 @@
         }
         // Also if this instance has stopped reading meanwhile: no other one may have read them.
         if items.len() <= MAX_GOSSIPED_CHANGES {
-            let from_cursor = node.endpoints_cursor.get().0;
+            let from = node.endpoints_cursor.get();
             let rows = items.iter().map(encode_endpoint_change).collect();
-            let changes = EndpointChanges { from_cursor, to_cursor: cursor.0, rows };
-            *node.endpoint_changes.borrow_mut() = Some(changes);
+            let Cursor { era, version: to_cursor } = cursor;
+            let changes = EndpointChanges { from_cursor: from.version, to_cursor, rows, era };
+            *node.endpoint_changes.borrow_mut() = Some(changes).filter(|_| from.era == era);
         }
         apply_endpoints(node, items, cursor);
         node.flush.immediate.notify_one();
--- a/crates/ringbend-relay/src/evacuations.rs
+++ b/crates/ringbend-relay/src/evacuations.rs
@@ -20,7 +20,7 @@
         let after = self.directory.borrow().evacuations().data_centres().to_vec();
         let log_missing = |from: &[DataCentre], other: &[DataCentre], evacuated: bool| {
             for data_centre in from.iter().filter(|centre| !other.contains(centre)) {
-                log::info!(target: "endpoints", data_centre:%, evacuated, position; "evacuation changed");
+                log::info!(target: "endpoints", data_centre:%, evacuated, position:%; "evacuation changed");
             }
         };
         log_missing(&after, &before, true);
--- a/crates/ringbend-relay/src/gossip_sender.rs
+++ b/crates/ringbend-relay/src/gossip_sender.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use ringbend_gateway::{HEARTBEAT_INTERVAL, Outbox, WorkId};
-use ringbend_types::{EndpointId, Timestamp};
+use ringbend_types::{Cursor, EndpointId, Timestamp};
 use ringbend_wire::{
     EndpointChanges, EndpointRestart, LoadDigest, OpenWork, OwnersWork, encode_endpoint_restart,
     encode_endpoint_result, encode_placed_work, encode_waiting_work,
@@ -31,7 +31,7 @@
     proved_at: Cell<Timestamp>,
     endpoints_proved_at: Cell<Timestamp>,
     config: Cell<u64>,
-    endpoints: Cell<u64>,
+    endpoints: Cell<Cursor>,
     evacuated: RefCell<Vec<String>>,
     is_scheduler: Cell<bool>,
     /// The scheduler that this instance reports its requests to if it is a member.
@@ -192,8 +192,9 @@
         let has_newer_proof = proof.since(proved_at.get()) >= MIN_PROOF_ADVANCE
             || endpoints_proof.since(endpoints_proved_at.get()) >= MIN_PROOF_ADVANCE;
         let is_scheduler = self.node.is_scheduler();
+        let position = Cursor::new(currency.era, currency.endpoints_cursor);
         let has_changed = config.replace(currency.config_version) != currency.config_version
-            || endpoints.replace(currency.endpoints_cursor) != currency.endpoints_cursor;
+            || endpoints.replace(position) != position;
         let evacuated = currency.evacuations.unwrap_or_default().data_centres;
         let has_changed =
             self.last_sent.evacuated.replace(evacuated.clone()) != evacuated || has_changed;
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -78,7 +78,7 @@
 };
 pub use network::TcpNetwork;
 pub use ports::{
-    Batch, ConfigDecoder, ConfigItem, ConfigSource, Cursor, Dialect, DurableRow, DurableStore,
+    Batch, ConfigDecoder, ConfigItem, ConfigSource, Dialect, DurableRow, DurableStore,
     EndpointSource, EngineReport, ForwardContext, InstanceRecord, InstanceRegistry,
     InvalidRequestHead, InvalidRow, Network, OperatorChange, PrefillHelper, RegistryBatch,
     RegistryChange, ReportRequest, RequestMetadata, ReservationCommand, ReservationRequest,
--- a/crates/ringbend-relay/src/node.rs
+++ b/crates/ringbend-relay/src/node.rs
@@ -18,7 +18,7 @@
 };
 use ringbend_runtime::{Clock, Panicked};
 use ringbend_telemetry::Metrics;
-use ringbend_types::{ServiceName, Timestamp};
+use ringbend_types::{Cursor, ServiceName, Timestamp};
 use ringbend_wire::EndpointChanges;
 use tokio::sync::Notify;
 
@@ -30,7 +30,7 @@
 use crate::peer_socket::{FlushSignals, PeerSocket};
 use crate::placement_grants::PlacementGrants;
 use crate::placement_requests::PlacementRequests;
-use crate::ports::{ConfigDecoder, Cursor, Dialect, DurableStore, Network};
+use crate::ports::{ConfigDecoder, Dialect, DurableStore, Network};
 use crate::registry_copy::RegistryCopy;
 use crate::reservations::MemoryReservations;
 use crate::resources::{CallerConnections, body_bytes};
--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -15,7 +15,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use ringbend_gateway::{ConfigVersion, CopyVersions, Endpoint, EndpointChange, Evacuations};
-use ringbend_types::Timestamp;
+use ringbend_types::{Cursor, Timestamp};
 use ringbend_wire::{
     self as wire, EndpointChanges, Message, WireError, decode_endpoint_change, decode_evacuations,
 };
@@ -25,7 +25,7 @@
 use crate::endpoint_copy::EndpointCopy;
 use crate::exchange::{self, ExchangeError};
 use crate::node::Node;
-use crate::ports::{Cursor, InvalidRow};
+use crate::ports::InvalidRow;
 use crate::watch::TableCopy;
 
 /// Path of the configuration.
@@ -64,7 +64,7 @@
 }
 
 fn has_newer_endpoints(node: &Node, versions: CopyVersions) -> bool {
-    Cursor(versions.endpoints) > node.endpoints_cursor.get()
+    versions.endpoints > node.endpoints_cursor.get()
 }
 
 /// Waits until a peer is known to have a newer configuration.
@@ -104,7 +104,7 @@
 
 /// Fetches the first endpoints from a peer, if one that has any becomes known soon.
 pub(crate) async fn fetch_first_endpoints(node: &Node) -> bool {
-    wait_for_peer_with_copy(node, |versions| versions.endpoints > 0).await
+    wait_for_peer_with_copy(node, |versions| versions.endpoints > Cursor::default()).await
         && fetch_endpoints(node).await
         && node.endpoints_cursor.get() > Cursor::default()
 }
@@ -228,9 +228,10 @@
     log::info!(target: "peers", peer:%, version = item.parts.version.0; "configuration fetched from peer");
     // Instances of an earlier version serve no evacuations, so the table is read from its start.
     let (evacuations, cursor) = match &copy.evacuations {
-        Some(evacuations) => {
-            (decode_evacuations(evacuations).map_err(CopyError::Decode)?, Cursor(copy.cursor))
-        }
+        Some(evacuations) => (
+            decode_evacuations(evacuations).map_err(CopyError::Decode)?,
+            Cursor::new(copy.era, copy.cursor),
+        ),
         None => (Evacuations::default(), Cursor::default()),
     };
     ConfigCopy::apply_copy(node, item, evacuations, cursor);
@@ -249,8 +250,9 @@
     };
     let rows: Result<Vec<Option<Endpoint>>, WireError> = copy.rows.iter().map(endpoint).collect();
     let rows = rows.map_err(CopyError::Decode)?.into_iter().flatten().collect();
-    if Cursor(copy.to_cursor) > node.endpoints_cursor.get() {
-        EndpointCopy.replace(node, rows, Cursor(copy.to_cursor));
+    let to = Cursor::new(copy.era, copy.to_cursor);
+    if to > node.endpoints_cursor.get() {
+        EndpointCopy.replace(node, rows, to);
     }
     Ok(())
 }
--- a/crates/ringbend-relay/src/placement_requests.rs
+++ b/crates/ringbend-relay/src/placement_requests.rs
@@ -160,7 +160,7 @@
     /// reach instances some milliseconds apart, and a caller refused in between would lose a round
     /// trip and its retry delay although an idle endpoint is known here.
     fn is_ahead_of(&self, scheduler: SocketAddrV4) -> bool {
-        self.peers.borrow().is_behind(scheduler, self.endpoints_cursor.get().0)
+        self.peers.borrow().is_behind(scheduler, self.endpoints_cursor.get())
     }
 
     /// Adds a granted placement to this instance's load tracker. `None` if it cannot be decoded.
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -14,7 +14,7 @@
     Demand, Endpoint, EndpointChange, EndpointSignals, EngineUsage, EvacuationChange, EventId,
     Pace, Reservation, ReservationId, ReservationReply, SnapshotParts,
 };
-use ringbend_types::{ClientAccountId, DataCentre, EndpointId, EndpointStart, SharedParts};
+use ringbend_types::{ClientAccountId, Cursor, DataCentre, EndpointId, EndpointStart, SharedParts};
 use smallvec::SmallVec;
 use tokio::net::TcpStream;
 
@@ -176,10 +176,6 @@
     async fn connect(&self, address: SocketAddrV4) -> io::Result<TcpStream>;
 }
 
-/// A position in a watched table's change history.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Cursor(pub u64);
-
 /// A row that cannot be decoded; the other rows of its batch remain valid.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InvalidRow {
--- a/crates/ringbend-relay/src/registry_copy.rs
+++ b/crates/ringbend-relay/src/registry_copy.rs
@@ -5,8 +5,10 @@
 
 use ringbend_gateway::RegisteredInstance;
 
+use ringbend_types::Cursor;
+
 use crate::node::Node;
-use crate::ports::{Cursor, InstanceRecord, RegistryBatch};
+use crate::ports::{InstanceRecord, RegistryBatch};
 
 /// A copy of the registry. Some rows may belong to instances that no longer run.
 #[derive(Debug, Default)]
--- a/crates/ringbend-relay/src/table_gossip.rs
+++ b/crates/ringbend-relay/src/table_gossip.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ringbend_gateway::{ConfigVersion, CopyVersions, EndpointChange, Role, WatchedTable};
-use ringbend_types::Timestamp;
+use ringbend_types::{Cursor, Timestamp};
 use ringbend_wire::{
     Currency, EndpointChanges, LoadDigest, WireError, decode_endpoint_change, decode_evacuations,
     decode_role, encode_evacuations,
@@ -12,7 +12,6 @@
 
 use crate::endpoint_copy::apply_endpoints;
 use crate::node::Node;
-use crate::ports::Cursor;
 use crate::table_copies::{apply_outage_update, leave_reading_to_others};
 
 /// A copy's proof of currency is not sent on its own if it has advanced by less than this. A reader
@@ -22,10 +21,12 @@
 /// How current this instance's copies are.
 pub(crate) fn currency(node: &Node) -> Option<Currency> {
     let (replica, readers) = (node.replica.borrow(), node.readers.borrow());
+    let Cursor { era, version: endpoints_cursor } = node.endpoints_cursor.get();
     Some(Currency {
         config_version: replica.version()?.0,
         proved_us: replica.proved_at()?.0,
-        endpoints_cursor: node.endpoints_cursor.get().0,
+        endpoints_cursor,
+        era,
         reader: readers.reader(),
         endpoints_proved_us: readers.proved_at(WatchedTable::Endpoints).map(|at| at.0),
         answering_since_us: node.outages.borrow().answering_since().map(|since| since.0),
@@ -91,9 +92,10 @@
 /// Returns whether the changes were new.
 fn apply_changes(node: &Node, changes: &EndpointChanges) -> bool {
     let known = node.endpoints_cursor.get();
-    let (from, to) = (Cursor(changes.from_cursor), Cursor(changes.to_cursor));
+    let from = Cursor::new(changes.era, changes.from_cursor);
+    let to = Cursor::new(changes.era, changes.to_cursor);
     // Changes after a gap are ignored; the cursor in the same digest reveals the gap.
-    if known >= to || known < from {
+    if known >= to || known < from || known.era != to.era {
         return false;
     }
     let rows: Result<Vec<EndpointChange>, WireError> =
@@ -110,15 +112,21 @@
     }
 }
 
+/// How far the sender has read the endpoint table.
+fn endpoints_position(currency: &Currency) -> Cursor {
+    Cursor::new(currency.era, currency.endpoints_cursor)
+}
+
 /// Records which versions the sender can serve, and whether they are newer than the local copies.
 fn record_peer_versions(node: &Node, from: SocketAddrV4, currency: &Currency) {
     let config = ConfigVersion(currency.config_version);
-    let versions = CopyVersions { config, endpoints: currency.endpoints_cursor };
+    let endpoints = endpoints_position(currency);
+    let versions = CopyVersions { config, endpoints };
     node.peers.borrow_mut().set_copy_versions(from, versions);
     if node.replica.borrow().version().is_none_or(|own| config > own) {
         node.newer_config.notify_one();
     }
-    if Cursor(currency.endpoints_cursor) > node.endpoints_cursor.get() {
+    if endpoints > node.endpoints_cursor.get() {
         node.newer_endpoints.notify_one();
     }
 }
@@ -178,7 +186,7 @@
     // The table has not changed since the peer's position, and this copy is as far or farther. A
     // reader keeps the position of the last change, but its copy includes all that it has read.
     let position = node.endpoints_cursor.get().max(node.endpoints_read_at.get());
-    let is_as_new = Cursor(currency.endpoints_cursor) <= position;
+    let is_as_new = endpoints_position(currency) <= position;
     let endpoints_at = currency.endpoints_proved_us.and_then(to_own_clock);
     if let Some(at) = endpoints_at {
         node.readers.borrow_mut().endpoints_proved_elsewhere(at);
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -6,13 +6,16 @@
 
 use rand::Rng;
 use ringbend_gateway::{MAX_SECONDARY_BACKOFF, Proof, SLOW_CALL_INTERVAL, StoreBackoff};
-use ringbend_types::Timestamp;
+use ringbend_types::{Cursor, Timestamp};
 
 use crate::node::Node;
 use crate::pending_calls::{Answer, PendingCalls};
-use crate::ports::{Batch, Cursor, InvalidRow, Source, SourceError};
+use crate::ports::{Batch, InvalidRow, Source, SourceError};
 use crate::table_copies::apply_outage_update;
 
+/// The minimum interval between two reads of a whole table because its history is gone.
+const MIN_REREAD_INTERVAL: Duration = Duration::from_millis(400);
+
 /// The source of the next update.
 pub(crate) enum ReadFrom {
     /// The store, called with this wait for a change.
@@ -97,7 +100,10 @@
             None => self.read_all().await,
         };
         loop {
+            let started_at = self.node.clock.now();
             self.follow(cursor).await;
+            // A store without any history would be read in a busy loop.
+            self.node.clock.sleep_until(started_at + MIN_REREAD_INTERVAL).await;
             cursor = self.read_all().await;
         }
     }
@@ -144,10 +150,11 @@
         let proof = Proof { sent, store_clock: batch.store_clock };
         self.record_invalid_rows(&batch.invalid_rows);
         let known = self.copy.known_cursor(&self.node);
-        self.copy.replace(&self.node, batch.items, cursor);
-        if self.is_latest(cursor, known) {
-            self.prove(proof, cursor, Duration::ZERO);
+        if !self.is_latest(cursor, known) {
+            return known;
         }
+        self.copy.replace(&self.node, batch.items, cursor);
+        self.prove(proof, cursor, Duration::ZERO);
         cursor
     }
 
@@ -232,7 +239,7 @@
                 CallOutcome::Superseded
             }
             () = self.copy.wait_until_overtaken(&self.node, *cursor), if may_be_overtaken => {
-                log::info!(target: "store", table = C::NAME, cursor = cursor.0; "response overtaken by another read; calling again");
+                log::info!(target: "store", table = C::NAME, cursor:% = cursor; "response overtaken by another read; calling again");
                 CallOutcome::Overtaken
             }
             // A call with a long wait would hang for a long time after a network failure.
@@ -270,8 +277,7 @@
     fn is_latest(&self, cursor: Cursor, known: Cursor) -> bool {
         let is_latest = cursor >= known;
         if !is_latest {
-            let (cursor, known) = (cursor.0, known.0);
-            log::warn!(target: "store", table = C::NAME, cursor, known; "response is older than the copy");
+            log::warn!(target: "store", table = C::NAME, cursor:%, known:%; "response is older than the copy");
         }
         is_latest
     }
@@ -282,7 +288,7 @@
         let wait_ms = wait.as_millis() as u64;
         let took_ms = self.node.clock.now().since(proof.sent).as_millis() as u64;
         log::info!(
-            target: "store", table = C::NAME, sent_ms, took_ms, store_ms, cursor = cursor.0, wait_ms;
+            target: "store", table = C::NAME, sent_ms, took_ms, store_ms, cursor:% = cursor, wait_ms;
             "table proved current"
         );
         self.copy.prove(&self.node, proof, cursor, wait.is_zero());
--- a/crates/ringbend-types/src/lib.rs
+++ b/crates/ringbend-types/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O or reads a clock: callers pass in a [`Timestamp`] and a random seed.
 
+mod cursor;
 mod decimal;
 mod fingerprint;
 mod id;
@@ -13,6 +14,7 @@
 mod seed;
 mod time;
 
+pub use cursor::Cursor;
 pub use decimal::ParseDecimalError;
 pub use fingerprint::{Fingerprint, ParseFingerprintError};
 pub use id::{
--- a/crates/ringbend-wire/src/generated.rs
+++ b/crates/ringbend-wire/src/generated.rs
@@ -543,6 +543,9 @@
     /// The data centres that the operator evacuates.
     #[prost(message, optional, tag = "8")]
     pub evacuations: ::core::option::Option<Evacuations>,
+    /// The store's era that the cursor belongs to.
+    #[prost(uint64, tag = "9")]
+    pub era: u64,
 }
 /// The data centres that the operator evacuates, as of a place in the history of its table.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -551,6 +554,9 @@
     pub position: u64,
     #[prost(string, repeated, tag = "2")]
     pub data_centres: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The store's era that the position belongs to.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 /// The configuration as its table holds it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -563,6 +569,9 @@
     /// From the same table; at least as recent as the cursor.
     #[prost(message, optional, tag = "3")]
     pub evacuations: ::core::option::Option<Evacuations>,
+    /// The store's era that the cursor belongs to.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 /// Changes of the endpoints' table between two places in its history.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -573,6 +582,9 @@
     pub to_cursor: u64,
     #[prost(message, repeated, tag = "3")]
     pub rows: ::prost::alloc::vec::Vec<EndpointRow>,
+    /// The store's era that both places belong to.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EndpointRow {
