fix(relay): an instance waits for an address that is still in use

An instance whose address was in use at its start ended after some milliseconds, with nothing listening until the platform started it again, and the platform gives up one that ends again and again. After a loss of power the address may be held for a moment by a connection of another process or by the predecessor.

A start tries again for five seconds, with a line for each try.

--- a/crates/ringbend-relay/src/relay.rs
+++ b/crates/ringbend-relay/src/relay.rs
@@ -1,6 +1,7 @@
 //! Starting a relay, reloading its settings and reading its state.
 
 use std::fmt;
+use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 use ringbend_runtime::{Clock, Server, ServerConfig, serve, serve_with_tunnels};
 use ringbend_types::Timestamp;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::admin::{AdminServer, ReadinessCheck};
 use crate::callers::Callers;
@@ -80,6 +82,12 @@
     pub(crate) registry: Rc<dyn InstanceRegistry>,
 }
 
+/// How long an instance that starts waits for an address that is in use.
+const ADDRESS_IN_USE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The interval between tries to listen on an address that is in use.
+const ADDRESS_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Indices into the list of servers.
 const CALLERS: usize = 0;
 const READY: usize = 1;
@@ -150,14 +158,15 @@
         if let Some(address) = listen.peers {
             let copies = Rc::new(CopyServer { node: node.clone() });
             let tunnels = Rc::new(TunnelServer { node: node.clone() });
-            let server =
-                serve_with_tunnels(address.into(), ServerConfig::default(), copies, tunnels)
-                    .await
-                    .change_context(RelayError::Listen(address.into()))?;
+            let open = async || {
+                let cfg = ServerConfig::default();
+                serve_with_tunnels(address.into(), cfg, copies.clone(), tunnels.clone()).await
+            };
+            let server = open_listener(address.into(), open).await?;
             let address = SocketAddrV4::new(*address.ip(), server.address().port());
             servers.push(server);
-            let socket = PeerSocket::open(address).await;
-            let socket = socket.change_context(RelayError::Listen(address.into()))?;
+            let socket =
+                open_listener(address.into(), async || PeerSocket::open(address).await).await?;
             node.peers.borrow_mut().set_own_address(socket.address);
             node.membership.borrow_mut().set_own_address(socket.address);
             let has_seeds = !seeds.is_empty();
@@ -320,5 +329,23 @@
     cfg: ServerConfig,
     handler: Rc<dyn ringbend_runtime::Handler>,
 ) -> Result<Server, Report<RelayError>> {
-    serve(address, cfg, handler).await.change_context(RelayError::Listen(address))
+    open_listener(address, async || serve(address, cfg.clone(), handler.clone()).await).await
+}
+
+/// Opens a listening socket with `open`. Retries while the address is in use: a connection of
+/// another process, or the instance's predecessor, may hold it for a moment.
+async fn open_listener<T>(
+    address: SocketAddr,
+    open: impl AsyncFn() -> io::Result<T>,
+) -> Result<T, Report<RelayError>> {
+    let give_up = Instant::now() + ADDRESS_IN_USE_TIMEOUT;
+    loop {
+        match open().await {
+            Err(e) if e.kind() == ErrorKind::AddrInUse && Instant::now() < give_up => {
+                log::warn!(target: "relay", address:%; "address in use; retrying");
+                tokio::time::sleep(ADDRESS_RETRY_INTERVAL).await;
+            }
+            opened => return opened.change_context(RelayError::Listen(address)),
+        }
+    }
 }
