fix(relay): an instance that stops reading a slow store learns how slow it is

An instance that had begun to read a slow store and left that to another one before its first call was answered never saw the answer. It went on taking the store for quick, and began to read again every 2.4 s, by the age of proofs that a slow store makes old.

--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -211,13 +211,14 @@
         let is_up_to_date = self.copy.fetch_newer(&self.node).await;
         let wait = match is_up_to_date {
             false => Duration::ZERO,
-            true => match self.copy.next_read(&self.node).await {
-                ReadFrom::Peers => return CallOutcome::Superseded,
+            true => match self.next_read_or_answer(calls).await {
+                Err(answer) => return CallOutcome::Answered(answer),
+                Ok(ReadFrom::Peers) => return CallOutcome::Superseded,
                 // The first call after a failure does not wait either, so that contact to the
                 // store is confirmed at once.
-                ReadFrom::Store(_) if self.lost_at.is_some() || is_overtaken => Duration::ZERO,
-                ReadFrom::Store(_) if self.overlaps_calls() => Duration::ZERO,
-                ReadFrom::Store(wait) => wait,
+                Ok(ReadFrom::Store(_)) if self.lost_at.is_some() || is_overtaken => Duration::ZERO,
+                Ok(ReadFrom::Store(_)) if self.overlaps_calls() => Duration::ZERO,
+                Ok(ReadFrom::Store(wait)) => wait,
             },
         };
         *cursor = (*cursor).max(self.copy.known_cursor(&self.node));
@@ -253,6 +254,18 @@
         }
     }
 
+    /// Waits until an update is due, or for the answer to a call that is still open. An instance that
+    /// has left reading to others meanwhile learns from it how long the store takes.
+    async fn next_read_or_answer<T: 'static>(
+        &self,
+        calls: &mut PendingCalls<T>,
+    ) -> Result<ReadFrom, Answer<T>> {
+        tokio::select! {
+            read = self.copy.next_read(&self.node) => Ok(read),
+            answer = calls.next() => Err(answer),
+        }
+    }
+
     /// Whether to call a slow store again before it has answered. Proofs of the other tables come
     /// with those of the one that detects outages.
     fn overlaps_calls(&self) -> bool {
