--- a/crates/ringbend-gateway/src/store_pace.rs
+++ b/crates/ringbend-gateway/src/store_pace.rs
@@ -25,7 +25,7 @@
 
 /// How long no proof may arrive from an instance that reads a slow store before a scheduler reads
 /// it; drawn from this range so that not all start at once. The proofs themselves are old when they
-/// arrive, so their age does not show that nobody reads.
+/// arrive, so their age does not show that no instance reads.
 const SILENCE_MS: Range<f64> = 1_400.0..1_700.0;
 
 /// The same for an instance that does not schedule.
