fix(relay): the time limit of a call to the store no longer covers a whole list

Callers were not served after a loss of all instances where a table took several pages and the store was not quick. The time limit of a call, one to three seconds, was put on a list of however many calls. A list that took longer was given up whatever part of it had been read, and begun again, up to four times side by side, for as long as the store took that long.

A port reads one page now. Each page has the time limit of a call and is repeated by itself, and a list that advances goes on. It counts as read when its first page was: changes are read from there on, and the first call for them does not wait if the list took several pages, so that a fresh proof follows at once. A page that does not continue the list ends it: what was read before serves, rows behind it stay as they are, and a line and a metric tell so. The configuration's row is on the first page, so it is never an old one. Registry and suspects are listed in the same way.

--- a/crates/ringbend-relay/src/config_copy.rs
+++ b/crates/ringbend-relay/src/config_copy.rs
@@ -7,7 +7,7 @@
     EvacuationChange, Evacuations, OfferResult, Proof, Snapshot, WatchedTable, read_age,
 };
 
-use ringbend_types::Cursor;
+use ringbend_types::{Cursor, StoreKey};
 
 use crate::node::Node;
 use crate::peer_copies;
@@ -85,9 +85,20 @@
 
     const DETECTS_OUTAGES: bool = true;
 
-    fn replace(&self, node: &Node, items: Vec<OperatorChange>, cursor: Cursor) {
+    /// The row of the configuration comes first, so it is read even if others are not.
+    fn replace(
+        &self,
+        node: &Node,
+        items: Vec<OperatorChange>,
+        cursor: Cursor,
+        read_to: Option<&StoreKey>,
+    ) {
         let (configs, evacuations) = split_changes(items);
-        let evacuated = Evacuations::new(cursor, []).with_changes(cursor, evacuations);
+        let evacuated = match read_to {
+            None => Evacuations::default(),
+            Some(_) => node.directory.borrow().evacuations().clone(),
+        };
+        let evacuated = evacuated.with_changes(cursor, evacuations);
         node.adopt_evacuations(evacuated);
         Self::record_read(node, cursor);
         let stored = configs.iter().map(|config| config.parts.version).max();
@@ -163,7 +174,7 @@
         peer_copies::fetch_first_config(node).await.then(|| node.config_cursor.get())
     }
 
-    fn record_invalid_row(&self, node: &Node) {
+    fn record_unreadable(&self, node: &Node) {
         node.replica.borrow_mut().mark_unreadable();
     }
 
--- a/crates/ringbend-relay/src/discovery.rs
+++ b/crates/ringbend-relay/src/discovery.rs
@@ -9,8 +9,10 @@
 use ringbend_types::{DataCentre, Timestamp};
 
 use crate::SourceError;
+use crate::listing::read_table;
 use crate::node::Node;
 use crate::ports::{InstanceRecord, InstanceRegistry};
+use crate::registry_copy::REGISTRY;
 
 /// Interval at which the registry is read until that succeeds.
 const REGISTRY_RETRY_INTERVAL: Duration = Duration::from_millis(700);
@@ -176,7 +178,7 @@
 }
 
 async fn read_registry(node: &Node, registry: &dyn InstanceRegistry) -> Result<(), SourceError> {
-    node.replace_registry(with_timeout(node, registry.list()).await?);
+    node.replace_registry(read_table(node, REGISTRY, REGISTRY_TIMEOUT, registry).await?);
     Ok(())
 }
 
--- a/crates/ringbend-relay/src/endpoint_copy.rs
+++ b/crates/ringbend-relay/src/endpoint_copy.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ringbend_gateway::{Endpoint, EndpointChange, Proof, WatchedTable};
-use ringbend_types::Cursor;
+use ringbend_types::{Cursor, StoreKey};
 use ringbend_wire::{EndpointChanges, encode_endpoint_change};
 
 use crate::node::Node;
@@ -70,8 +70,19 @@
 
     const DETECTS_OUTAGES: bool = false;
 
-    fn replace(&self, node: &Node, items: Vec<Endpoint>, cursor: Cursor) {
+    fn replace(
+        &self,
+        node: &Node,
+        mut items: Vec<Endpoint>,
+        cursor: Cursor,
+        read_to: Option<&StoreKey>,
+    ) {
         let now = node.clock.now();
+        if let Some(read_to) = read_to {
+            let directory = node.directory.borrow();
+            let is_unread = |endpoint: &&Endpoint| endpoint.id.as_str() > read_to.as_str();
+            items.extend(directory.registered().filter(is_unread).cloned());
+        }
         let (before, count) = (node.directory.borrow().len(), items.len());
         log::info!(target: "endpoints", before, count; "endpoint table read");
         if before > 0 && cursor.era > node.endpoints_cursor.get().era {
@@ -162,7 +173,7 @@
         peer_copies::fetch_first_endpoints(node).await.then(|| node.endpoints_cursor.get())
     }
 
-    fn record_invalid_row(&self, _: &Node) {}
+    fn record_unreadable(&self, _: &Node) {}
 
     fn prove(&self, node: &Node, proof: Proof, cursor: Cursor, paired: bool) {
         node.endpoints_read_at.set(cursor);
--- a/crates/ringbend-relay/src/lib.rs
+++ b/crates/ringbend-relay/src/lib.rs
@@ -31,6 +31,7 @@
 mod headers;
 mod hedging;
 mod limits;
+mod listing;
 mod log_fields;
 mod lost_endpoints;
 mod membership;
@@ -80,9 +81,9 @@
 pub use ports::{
     Batch, ConfigDecoder, ConfigItem, ConfigSource, Dialect, DurableRow, DurableStore,
     EndpointSource, EngineReport, ForwardContext, InstanceRecord, InstanceRegistry,
-    InvalidRequestHead, InvalidRow, Network, OperatorChange, PrefillHelper, RegistryBatch,
-    RegistryChange, ReportRequest, RequestMetadata, ReservationCommand, ReservationRequest,
-    ResponseMetadata, Source, SourceError,
+    InvalidRequestHead, InvalidRow, Network, OperatorChange, Page, PagedTable, PrefillHelper,
+    RegistryBatch, RegistryChange, ReportRequest, RequestMetadata, ReservationCommand,
+    ReservationRequest, ResponseMetadata, Source, SourceError,
 };
 pub use relay::{Ports, Relay, RelayError};
 pub use shutdown::StopSummary;
--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -252,7 +252,7 @@
     let rows = rows.map_err(CopyError::Decode)?.into_iter().flatten().collect();
     let to = Cursor::new(copy.era, copy.to_cursor);
     if to > node.endpoints_cursor.get() {
-        EndpointCopy.replace(node, rows, to);
+        EndpointCopy.replace(node, rows, to, None);
     }
     Ok(())
 }
--- a/crates/ringbend-relay/src/ports.rs
+++ b/crates/ringbend-relay/src/ports.rs
@@ -12,7 +12,8 @@
 use bytes::Bytes;
 use ringbend_gateway::{
     Demand, Endpoint, EndpointChange, EndpointSignals, EngineUsage, EvacuationChange, EventId,
-    ListError, Pace, Reservation, ReservationId, ReservationReply, SnapshotParts,
+    ListError, ListStep, Pace, Reservation, ReservationId, ReservationReply, SnapshotParts,
+    TableList,
 };
 use ringbend_types::{ClientAccountId, Cursor, DataCentre, EndpointId, EndpointStart, SharedParts};
 use smallvec::SmallVec;
@@ -183,12 +184,40 @@
     pub key: Arc<str>,
     /// The decoding error.
     pub reason: Arc<str>,
+    /// Whether the table is not current without this row.
+    pub is_required: bool,
 }
 
-/// One response of a watched table.
+/// One page of a table.
+#[derive(Debug, Clone)]
+pub struct Page<T> {
+    /// The rows that no earlier page had.
+    pub items: Vec<T>,
+    /// Rows that could not be decoded.
+    pub invalid_rows: Vec<InvalidRow>,
+    /// The list up to this page.
+    pub list: TableList,
+    /// How the list goes on.
+    pub step: ListStep,
+    /// The store's monotonic clock when it built the response.
+    pub store_clock: Duration,
+}
+
+/// A table whose rows can be listed.
+#[async_trait(?Send)]
+pub trait PagedTable<Row> {
+    /// Reads the page that follows those of `list`, or the first page. This is one call to the store.
+    ///
+    /// # Errors
+    ///
+    /// The call failed, or the page does not continue the list.
+    async fn read_page(&self, list: Option<&TableList>) -> Result<Page<Row>, SourceError>;
+}
+
+/// Changes of a watched table.
 #[derive(Debug, Clone)]
 pub struct Batch<T> {
-    /// The table's content, or its changes in order.
+    /// The changes in order.
     pub items: Vec<T>,
     /// Rows that could not be decoded.
     pub invalid_rows: Vec<InvalidRow>,
@@ -233,12 +262,9 @@
 
 impl std::error::Error for SourceError {}
 
-/// A table that can be read as a whole and watched for changes.
+/// A table that can be listed and watched for changes.
 #[async_trait(?Send)]
-pub trait Source<Item, Change> {
-    /// Reads the whole table.
-    async fn read_all(&self) -> Result<Batch<Item>, SourceError>;
-
+pub trait Source<Item, Change>: PagedTable<Item> {
     /// Long-polls for changes after `after`: waits at most `wait` for the first one.
     async fn changes(&self, after: Cursor, wait: Duration) -> Result<Batch<Change>, SourceError>;
 }
@@ -297,27 +323,26 @@
     pub record: Option<InstanceRecord>,
 }
 
-/// Rows of the registry, as of a position in its history.
+/// Changes of the registry, as of a position in its history.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RegistryBatch {
-    /// The rows.
+    /// The changes in order.
     pub changes: Vec<RegistryChange>,
+    /// Rows that could not be decoded.
+    pub invalid_rows: Vec<InvalidRow>,
     /// The position up to which they are known.
     pub cursor: Cursor,
     /// Whether there are no further changes up to the position.
     pub is_complete: bool,
 }
 
-/// Registry through which instances discover each other.
+/// Registry through which instances discover each other. Its list includes this instance's own
+/// entry; some entries may belong to instances that no longer run.
 #[async_trait(?Send)]
-pub trait InstanceRegistry {
+pub trait InstanceRegistry: PagedTable<RegistryChange> {
     /// Writes this instance's entry. The call is idempotent.
     async fn register(&self, own: &InstanceRecord) -> Result<(), SourceError>;
 
-    /// Lists all entries, including this instance's own; some may belong to instances that no
-    /// longer run.
-    async fn list(&self) -> Result<RegistryBatch, SourceError>;
-
     /// Long-polls for changes after `after`: waits at most `wait` for the first one.
     async fn changes(&self, after: Cursor, wait: Duration) -> Result<RegistryBatch, SourceError>;
 
@@ -336,10 +361,7 @@
 
 /// Storage for data that must survive the end of all instances.
 #[async_trait(?Send)]
-pub trait DurableStore {
-    /// Reads all rows.
-    async fn read_all(&self) -> Result<Vec<DurableRow>, SourceError>;
-
+pub trait DurableStore: PagedTable<DurableRow> {
     /// Writes a row and overwrites an existing one with the same key.
     async fn put(&self, row: &DurableRow) -> Result<(), SourceError>;
 
--- a/crates/ringbend-relay/src/registry_copy.rs
+++ b/crates/ringbend-relay/src/registry_copy.rs
@@ -7,8 +7,12 @@
 
 use ringbend_types::Cursor;
 
+use crate::listing::{InvalidRows, Listed};
 use crate::node::Node;
-use crate::ports::{InstanceRecord, RegistryBatch};
+use crate::ports::{InstanceRecord, RegistryBatch, RegistryChange};
+
+/// The table's name in logs.
+pub(crate) const REGISTRY: &str = "registry";
 
 /// A copy of the registry. Some rows may belong to instances that no longer run.
 #[derive(Debug, Default)]
@@ -31,28 +35,39 @@
         self.rows.is_empty()
     }
 
-    fn apply(&mut self, batch: RegistryBatch) {
-        for change in batch.changes {
+    fn apply(&mut self, changes: Vec<RegistryChange>, cursor: Cursor) {
+        for change in changes {
             match change.record {
                 Some(record) => self.rows.insert(change.key, record),
                 None => self.rows.remove(&change.key),
             };
         }
-        self.cursor = self.cursor.max(Some(batch.cursor));
+        self.cursor = self.cursor.max(Some(cursor));
     }
 }
 
 impl Node {
-    /// Replaces the copy of the registry.
-    pub(crate) fn replace_registry(&self, batch: RegistryBatch) {
-        log::info!(target: "peers", rows = batch.changes.len(); "registry read");
-        *self.registry_records.borrow_mut() = RegistryCopy::default();
-        self.apply_registry(batch);
+    /// Replaces the copy of the registry. Rows that were not read stay as they are.
+    pub(crate) fn replace_registry(&self, listed: Listed<RegistryChange>) {
+        log::info!(target: "peers", rows = listed.items.len(), pages = listed.pages; "registry read");
+        listed.invalid_rows.log(REGISTRY);
+        {
+            let mut copy = self.registry_records.borrow_mut();
+            copy.cursor = None;
+            let is_unread = |key: &str| listed.read_to.as_ref().is_some_and(|to| key > to.as_str());
+            copy.rows.retain(|key, _| is_unread(key));
+        }
+        self.apply_registry_changes(listed.items, listed.cursor);
     }
 
     /// Applies changes to the copy of the registry.
     pub(crate) fn apply_registry(&self, batch: RegistryBatch) {
-        self.registry_records.borrow_mut().apply(batch);
+        InvalidRows::from(batch.invalid_rows).log(REGISTRY);
+        self.apply_registry_changes(batch.changes, batch.cursor);
+    }
+
+    fn apply_registry_changes(&self, changes: Vec<RegistryChange>, cursor: Cursor) {
+        self.registry_records.borrow_mut().apply(changes, cursor);
         let registered = |row: &InstanceRecord| RegisteredInstance {
             address: row.address,
             data_centre: row.data_centre.clone(),
--- a/crates/ringbend-relay/src/registry_watch.rs
+++ b/crates/ringbend-relay/src/registry_watch.rs
@@ -7,8 +7,10 @@
 use ringbend_gateway::{HEARTBEAT_INTERVAL, WatchedTable};
 use ringbend_wire::LoadDigest;
 
+use crate::listing::read_table;
 use crate::node::Node;
 use crate::ports::{InstanceRegistry, SourceError};
+use crate::registry_copy::REGISTRY;
 
 /// The wait requested from the store.
 const POLL_TIMEOUT: Duration = Duration::from_millis(9_000);
@@ -120,7 +122,8 @@
                 has_changed
             }
             Ok(_) | Err(SourceError::HistoryGone) => {
-                node.replace_registry(with_timeout(node, Duration::ZERO, registry.list()).await?);
+                let listed = read_table(node, REGISTRY, Duration::ZERO, registry).await?;
+                node.replace_registry(listed);
                 true
             }
             Err(e) => return Err(e),
--- a/crates/ringbend-relay/src/suspect_store.rs
+++ b/crates/ringbend-relay/src/suspect_store.rs
@@ -14,8 +14,12 @@
     Message, Suspicion as EncodedSuspicion, WireError, decode_suspicion, encode_suspicion,
 };
 
+use crate::listing::{InvalidRows, read_table};
 use crate::node::Node;
-use crate::ports::{DurableRow, SourceError};
+use crate::ports::{DurableRow, InvalidRow, SourceError};
+
+/// The table's name in logs.
+const SUSPECTS: &str = "suspects";
 
 /// How long a starting instance serves no requests because it does not know the suspects. This is
 /// longer than a slow store takes to reply. A store that is unavailable must not keep callers from
@@ -56,9 +60,11 @@
         wait_for_peers(&node).await;
     }
     while !node.knows_suspects.get() {
-        match with_timeout(&node, node.durable_store.read_all()).await {
-            Ok(rows) => {
-                rows.iter().for_each(|row| node.apply_stored_row(row));
+        match read_table(&node, SUSPECTS, Duration::ZERO, &*node.durable_store).await {
+            Ok(listed) => {
+                listed.invalid_rows.log(SUSPECTS);
+                let invalid = listed.items.iter().filter_map(|row| node.apply_stored_row(row));
+                InvalidRows::from(invalid.collect::<Vec<_>>()).log(SUSPECTS);
                 node.record_suspects_known("the store");
             }
             Err(e) => {
@@ -92,22 +98,26 @@
 }
 
 impl Node {
-    /// Applies a stored row. Rows are ordered by key, so a request precedes its claims.
-    fn apply_stored_row(&self, row: &DurableRow) {
+    /// Applies a stored row; returns it if it is invalid. Rows are ordered by key, so a request
+    /// precedes its claims.
+    fn apply_stored_row(&self, row: &DurableRow) -> Option<InvalidRow> {
         let now = self.clock.now();
         if let Some((fingerprint, number)) = parse_claim_key(&row.key) {
             self.quarantine.borrow_mut().record_try(now, fingerprint, number);
-            return;
+            return None;
         }
         match parse_stored_suspicion(&row.value) {
             Ok(suspicion) => {
                 if self.quarantine.borrow_mut().merge(now, &suspicion) {
                     self.publish_suspect(suspicion.fingerprint, true);
                 }
+                None
             }
-            Err(e) => {
-                log::warn!(target: "suspects", key:% = row.key, error:% = e; "invalid suspect row")
-            }
+            Err(e) => Some(InvalidRow {
+                key: row.key.clone(),
+                reason: e.to_string().into(),
+                is_required: false,
+            }),
         }
     }
 
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -6,11 +6,12 @@
 
 use rand::Rng;
 use ringbend_gateway::{MAX_SECONDARY_BACKOFF, Proof, SLOW_CALL_INTERVAL, StoreBackoff};
-use ringbend_types::{Cursor, Timestamp};
+use ringbend_types::{Cursor, StoreKey, Timestamp};
 
+use crate::listing::{InvalidRows, Listed, Listing};
 use crate::node::Node;
 use crate::pending_calls::{Answer, PendingCalls};
-use crate::ports::{Batch, InvalidRow, Source, SourceError};
+use crate::ports::{Batch, Page, Source, SourceError};
 use crate::table_copies::apply_outage_update;
 
 /// The minimum interval between two reads of a whole table because its history is gone.
@@ -35,8 +36,9 @@
     /// Whether this watch detects store outages on behalf of the others.
     const DETECTS_OUTAGES: bool;
 
-    /// Replaces the copy.
-    fn replace(&self, node: &Node, items: Vec<Item>, cursor: Cursor);
+    /// Replaces the copy. If only the rows up to the key `read_to` were read, those after it stay as
+    /// they are.
+    fn replace(&self, node: &Node, items: Vec<Item>, cursor: Cursor, read_to: Option<&StoreKey>);
 
     /// Applies changes up to `cursor`.
     fn apply(&self, node: &Node, items: Vec<Change>, cursor: Cursor);
@@ -58,8 +60,8 @@
     /// The position up to which changes are known, from the store or from other instances.
     fn known_cursor(&self, node: &Node) -> Cursor;
 
-    /// Records that a row could not be decoded.
-    fn record_invalid_row(&self, node: &Node);
+    /// Records that a required row could not be decoded.
+    fn record_unreadable(&self, node: &Node);
 
     /// Waits until other reads show that a call for changes after `from` should have been answered.
     async fn wait_until_overtaken(&self, node: &Node, from: Cursor);
@@ -87,11 +89,14 @@
     copy: C,
     lost_at: Option<Timestamp>,
     backoff: StoreBackoff,
+    /// Whether the latest list took several calls: its proof is as old as the first one.
+    is_proof_due: bool,
 }
 
 impl<Item: 'static, Change: 'static, C: TableCopy<Item, Change>> Watch<Item, Change, C> {
     pub(crate) fn new(node: Rc<Node>, source: Rc<dyn Source<Item, Change>>, copy: C) -> Self {
-        Self { node, source, copy, lost_at: None, backoff: StoreBackoff::default() }
+        let backoff = StoreBackoff::default();
+        Self { node, source, copy, lost_at: None, backoff, is_proof_due: false }
     }
 
     pub(crate) async fn run(mut self) {
@@ -110,19 +115,34 @@
 
     async fn read_all(&mut self) -> Cursor {
         let mut calls = PendingCalls::default();
+        let mut listing = Listing::new(C::NAME);
         let mut early = None;
         loop {
             let answer = match early.take() {
                 Some(answer) => Ok(answer),
-                None => self.call_read_all(&mut calls).await,
+                None => self.call_for_page(&mut calls, &listing).await,
             };
             let error = match answer {
-                Ok(Answer { sent, wait, took, result: Ok(batch) }) => {
+                Ok(Answer { sent, wait, took, result: Ok(page) }) => {
                     self.record_response(took, wait);
-                    return self.replace(sent, batch);
+                    // Those that are still open are for the same page.
+                    calls.clear();
+                    match listing.add(&self.node, sent, page) {
+                        Some(listed) => return self.replace(listed),
+                        None => continue,
+                    }
                 }
                 Ok(Answer { result: Err(e), .. }) | Err(e) => e,
             };
+            if let SourceError::InvalidPage(e) = error
+                && let Some(listed) = listing.end_at(&self.node, e)
+            {
+                return self.replace(listed);
+            }
+            if matches!(error, SourceError::InvalidPage(_) | SourceError::HistoryGone) {
+                listing = Listing::new(C::NAME);
+                calls.clear();
+            }
             early = self.record_failure(error, &mut calls).await;
             if early.is_none()
                 && let Some(cursor) = self.copy.first_copy(&self.node).await
@@ -132,28 +152,30 @@
         }
     }
 
-    /// Calls for the whole table, and waits for the answer to this call or to an earlier one.
-    async fn call_read_all(
+    /// Calls for the next page of the table, and waits for the answer to this call or to an earlier
+    /// one.
+    async fn call_for_page(
         &self,
-        calls: &mut PendingCalls<Batch<Item>>,
-    ) -> Result<Answer<Batch<Item>>, SourceError> {
-        let source = self.source.clone();
-        let call = async move { source.read_all().await };
+        calls: &mut PendingCalls<Page<Item>>,
+        listing: &Listing<Item>,
+    ) -> Result<Answer<Page<Item>>, SourceError> {
+        let (source, list) = (self.source.clone(), listing.list().cloned());
+        let call = async move { source.read_page(list.as_ref()).await };
         calls.start(self.node.clock.now(), Duration::ZERO, call);
         let timeout = self.node.store_pace.get().timeout();
         with_timeout(timeout, async { Ok(calls.next().await) }).await
     }
 
-    /// Replaces the copy by the whole table, as a call that was sent at `sent` returned it.
-    fn replace(&self, sent: Timestamp, batch: Batch<Item>) -> Cursor {
-        let cursor = batch.cursor;
-        let proof = Proof { sent, store_clock: batch.store_clock };
-        self.record_invalid_rows(&batch.invalid_rows);
+    /// Replaces the copy by the table as it was listed.
+    fn replace(&mut self, listed: Listed<Item>) -> Cursor {
+        let Listed { items, cursor, proof, pages, invalid_rows, read_to } = listed;
+        self.record_invalid_rows(&invalid_rows);
+        self.is_proof_due = pages > 1;
         let known = self.copy.known_cursor(&self.node);
         if !self.is_latest(cursor, known) {
             return known;
         }
-        self.copy.replace(&self.node, batch.items, cursor);
+        self.copy.replace(&self.node, items, cursor, read_to.as_ref());
         self.prove(proof, cursor, Duration::ZERO);
         cursor
     }
@@ -217,6 +239,7 @@
                 // The first call after a failure does not wait either, so that contact to the
                 // store is confirmed at once.
                 Ok(ReadFrom::Store(_)) if self.lost_at.is_some() || is_overtaken => Duration::ZERO,
+                Ok(ReadFrom::Store(_)) if std::mem::take(&mut self.is_proof_due) => Duration::ZERO,
                 Ok(ReadFrom::Store(_)) if self.overlaps_calls() => Duration::ZERO,
                 Ok(ReadFrom::Store(wait)) => wait,
             },
@@ -275,7 +298,7 @@
     /// Applies changes, as a call that was sent at `sent` returned them.
     fn apply(&self, sent: Timestamp, wait: Duration, batch: Batch<Change>) {
         let proof = Proof { sent, store_clock: batch.store_clock };
-        self.record_invalid_rows(&batch.invalid_rows);
+        self.record_invalid_rows(&batch.invalid_rows.into());
         if !self.is_latest(batch.cursor, self.copy.known_cursor(&self.node)) {
             return;
         }
@@ -307,12 +330,10 @@
         self.copy.prove(&self.node, proof, cursor, wait.is_zero());
     }
 
-    fn record_invalid_rows(&self, rows: &[InvalidRow]) {
-        for row in rows {
-            log::warn!(
-                target: "store", table = C::NAME, key:% = row.key, why:% = row.reason; "skipping invalid row"
-            );
-            self.copy.record_invalid_row(&self.node);
+    fn record_invalid_rows(&self, rows: &InvalidRows) {
+        rows.log(C::NAME);
+        if rows.lack_required() {
+            self.copy.record_unreadable(&self.node);
         }
     }
 
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -72,6 +72,8 @@
     unknown_signals: Counter,
     inadmissible: Counter,
     store_timeouts: Counter,
+    store_pages: Counter,
+    lists_ended_early: Family<CodeLabels, Counter>,
     request_panics: Counter,
     endpoint_limits: Family<EndpointLabels, Gauge<f64, AtomicU64>>,
     overload_queue: Family<PriorityLabels, Gauge>,
@@ -150,6 +152,8 @@
             unknown_signals: Counter::default(),
             inadmissible: Counter::default(),
             store_timeouts: Counter::default(),
+            store_pages: Counter::default(),
+            lists_ended_early: Family::default(),
             request_panics: Counter::default(),
             endpoint_limits: Family::default(),
             overload_queue: Family::default(),
@@ -269,6 +273,16 @@
         self.store_timeouts.inc();
     }
 
+    /// Counts a page of a table that was read from the store.
+    pub fn store_page_read(&self) {
+        self.store_pages.inc();
+    }
+
+    /// Counts a list of a table of the store that was not read to its end, by the reason.
+    pub fn list_ended_early(&self, code: &'static str) {
+        self.lists_ended_early.get_or_create(&CodeLabels { code }).inc();
+    }
+
     /// Counts a request that was not sent, because the endpoint it was placed on does not accept requests.
     pub fn inadmissible(&self) {
         self.inadmissible.inc();
@@ -414,6 +428,12 @@
             "Reads of the watched tables that the store did not answer in time",
             store_timeouts,
         );
+        r.register("store_pages", "Pages of tables read from the store", self.store_pages.clone());
+        r.register(
+            "lists_ended_early",
+            "Lists of tables of the store that were not read to their end, by code",
+            self.lists_ended_early.clone(),
+        );
         let unknown = self.unknown_signals.clone();
         let inadmissible = self.inadmissible.clone();
         r.register(
