fix(relay): invalid rows are counted, and not logged one by one

Each row that could not be decoded was a line, at every read of its table. Thousands of rows of others displaced all other lines in the queue of the log, and the lines of a start could not be found among them.

The first four rows of a read are logged with key and reason, and one line has the number of the others.

--- a/crates/ringbend-relay/src/listing.rs
+++ b/crates/ringbend-relay/src/listing.rs
@@ -12,6 +12,9 @@
 use crate::node::Node;
 use crate::ports::{InvalidRow, Page, PagedTable, SourceError};
 
+/// The maximum number of invalid rows of one read that are logged one by one.
+const MAX_LOGGED_ROWS: usize = 4;
+
 /// How often in a row the call for a further page may fail. The rows that were read so far would
 /// have to be read again.
 const MAX_PAGE_FAILURES: u32 = 8;
@@ -33,17 +36,20 @@
     pub(crate) read_to: Option<StoreKey>,
 }
 
-/// Rows that could not be decoded.
+/// Rows that could not be decoded, of which only the first ones are kept.
 #[derive(Default)]
 pub(crate) struct InvalidRows {
-    rows: Vec<InvalidRow>,
+    first: Vec<InvalidRow>,
+    count: usize,
     lacks_required: bool,
 }
 
 impl InvalidRows {
     fn add(&mut self, rows: Vec<InvalidRow>) {
+        self.count += rows.len();
         self.lacks_required |= rows.iter().any(|row| row.is_required);
-        self.rows.extend(rows);
+        let room = MAX_LOGGED_ROWS - self.first.len();
+        self.first.extend(rows.into_iter().take(room));
     }
 
     /// Whether one of them is a row without which the table is not current.
@@ -51,10 +57,15 @@
         self.lacks_required
     }
 
+    /// Logs the first rows, and the number of the others.
     pub(crate) fn log(&self, table: &str) {
-        for row in &self.rows {
+        for row in &self.first {
             log::warn!(target: "store", table, key:% = row.key, why:% = row.reason; "skipping invalid row");
         }
+        let others = self.count - self.first.len();
+        if others > 0 {
+            log::warn!(target: "store", table, others; "skipping further invalid rows");
+        }
     }
 }
 
