fix(relay): a long list is read by the instances that schedule

Each instance that started listed its tables to their end. With a table of many pages and some hundred instances that start together these are thousands of calls within a second, more than the store takes, and calls that it rejects keep all of them from starting.

After the first page an instance that does not schedule waits up to three seconds for the copy of one that does, and every instance looks for a copy before each further page. The suspects' list ends as well once another instance has sent them. Instances that read a table again because its history is gone list it as before: they have no other reader to wait for.

--- a/crates/ringbend-relay/src/config_copy.rs
+++ b/crates/ringbend-relay/src/config_copy.rs
@@ -174,6 +174,11 @@
         peer_copies::fetch_first_config(node).await.then(|| node.config_cursor.get())
     }
 
+    async fn first_copy_within(&self, node: &Node, wait: Duration) -> Option<Cursor> {
+        let is_fetched = peer_copies::fetch_config_within(node, wait).await;
+        is_fetched.then(|| node.config_cursor.get())
+    }
+
     fn record_unreadable(&self, node: &Node) {
         node.replica.borrow_mut().mark_unreadable();
     }
--- a/crates/ringbend-relay/src/endpoint_copy.rs
+++ b/crates/ringbend-relay/src/endpoint_copy.rs
@@ -173,6 +173,11 @@
         peer_copies::fetch_first_endpoints(node).await.then(|| node.endpoints_cursor.get())
     }
 
+    async fn first_copy_within(&self, node: &Node, wait: Duration) -> Option<Cursor> {
+        let is_fetched = peer_copies::fetch_endpoints_within(node, wait).await;
+        is_fetched.then(|| node.endpoints_cursor.get())
+    }
+
     fn record_unreadable(&self, _: &Node) {}
 
     fn prove(&self, node: &Node, proof: Proof, cursor: Cursor, paired: bool) {
--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -97,16 +97,54 @@
 
 /// Fetches the first configuration from a peer, if one that has any becomes known soon.
 pub(crate) async fn fetch_first_config(node: &Node) -> bool {
-    wait_for_peer_with_copy(node, |versions| versions.config > ConfigVersion(0)).await
-        && fetch_config(node).await
-        && node.config_cursor.get() > Cursor::default()
+    wait_for_peer_with_copy(node, has_config).await && fetch_known_config(node).await
 }
 
 /// Fetches the first endpoints from a peer, if one that has any becomes known soon.
 pub(crate) async fn fetch_first_endpoints(node: &Node) -> bool {
-    wait_for_peer_with_copy(node, |versions| versions.endpoints > Cursor::default()).await
-        && fetch_endpoints(node).await
-        && node.endpoints_cursor.get() > Cursor::default()
+    wait_for_peer_with_copy(node, has_endpoints).await && fetch_known_endpoints(node).await
+}
+
+/// Fetches the first configuration from a peer, if one that has any becomes known within `wait`.
+pub(crate) async fn fetch_config_within(node: &Node, wait: Duration) -> bool {
+    is_known_within(node, wait, has_config).await && fetch_known_config(node).await
+}
+
+/// Fetches the first endpoints from a peer, if one that has any becomes known within `wait`.
+pub(crate) async fn fetch_endpoints_within(node: &Node, wait: Duration) -> bool {
+    is_known_within(node, wait, has_endpoints).await && fetch_known_endpoints(node).await
+}
+
+fn has_config(versions: CopyVersions) -> bool {
+    versions.config > ConfigVersion(0)
+}
+
+fn has_endpoints(versions: CopyVersions) -> bool {
+    versions.endpoints > Cursor::default()
+}
+
+async fn fetch_known_config(node: &Node) -> bool {
+    fetch_config(node).await && node.config_cursor.get() > Cursor::default()
+}
+
+async fn fetch_known_endpoints(node: &Node) -> bool {
+    fetch_endpoints(node).await && node.endpoints_cursor.get() > Cursor::default()
+}
+
+/// Waits at most this time until an instance that has a wanted copy is known.
+async fn is_known_within(
+    node: &Node,
+    wait: Duration,
+    wanted: impl Fn(CopyVersions) -> bool,
+) -> bool {
+    let until = node.clock.now() + wait;
+    while peers_with(node, &wanted).is_empty() {
+        if node.clock.now() >= until {
+            return false;
+        }
+        wait_before_retry(node).await;
+    }
+    true
 }
 
 fn peers_with(node: &Node, wanted: impl Fn(CopyVersions) -> bool) -> Vec<SocketAddrV4> {
--- a/crates/ringbend-relay/src/suspect_store.rs
+++ b/crates/ringbend-relay/src/suspect_store.rs
@@ -60,7 +60,11 @@
         wait_for_peers(&node).await;
     }
     while !node.knows_suspects.get() {
-        match read_table(&node, SUSPECTS, Duration::ZERO, &*node.durable_store).await {
+        let listed = tokio::select! {
+            listed = read_table(&node, SUSPECTS, Duration::ZERO, &*node.durable_store) => listed,
+            () = wait_until_suspects_known(&node) => return,
+        };
+        match listed {
             Ok(listed) => {
                 listed.invalid_rows.log(SUSPECTS);
                 let invalid = listed.items.iter().filter_map(|row| node.apply_stored_row(row));
@@ -75,6 +79,13 @@
     }
 }
 
+/// Waits until peers have sent the suspects, which makes reading further pages needless.
+async fn wait_until_suspects_known(node: &Node) {
+    while !node.knows_suspects.get() {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 async fn wait_for_peers(node: &Node) {
     let started_at = node.clock.now();
     while !node.knows_suspects.get() {
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -17,6 +17,11 @@
 /// The minimum interval between two reads of a whole table because its history is gone.
 const MIN_REREAD_INTERVAL: Duration = Duration::from_millis(400);
 
+/// How long an instance that does not schedule waits, once the first page shows that the table takes
+/// several, for an instance that reads them. Otherwise hundreds of instances that start together would
+/// all read each page.
+const SHARED_LIST_WAIT: Duration = Duration::from_secs(3);
+
 /// The source of the next update.
 pub(crate) enum ReadFrom {
     /// The store, called with this wait for a change.
@@ -57,6 +62,14 @@
     /// has one.
     fn first_copy(&self, node: &Node) -> impl Future<Output = Option<Cursor>>;
 
+    /// Fetches the first copy from another instance if one has it or gets it within `wait`, and
+    /// returns its position.
+    fn first_copy_within(
+        &self,
+        node: &Node,
+        wait: Duration,
+    ) -> impl Future<Output = Option<Cursor>>;
+
     /// The position up to which changes are known, from the store or from other instances.
     fn known_cursor(&self, node: &Node) -> Cursor;
 
@@ -127,10 +140,13 @@
                     self.record_response(took, wait);
                     // Those that are still open are for the same page.
                     calls.clear();
-                    match listing.add(&self.node, sent, page) {
-                        Some(listed) => return self.replace(listed),
-                        None => continue,
+                    if let Some(listed) = listing.add(&self.node, sent, page) {
+                        return self.replace(listed);
+                    }
+                    if let Some(cursor) = self.copy_instead_of_page(&listing).await {
+                        return cursor;
                     }
+                    continue;
                 }
                 Ok(Answer { result: Err(e), .. }) | Err(e) => e,
             };
@@ -166,6 +182,18 @@
         with_timeout(timeout, async { Ok(calls.next().await) }).await
     }
 
+    /// Fetches the first copy from another instance, if one has it by the time that a further page is
+    /// to be read. Returns its position.
+    async fn copy_instead_of_page(&self, listing: &Listing<Item>) -> Option<Cursor> {
+        if self.copy.known_cursor(&self.node) > Cursor::default() {
+            return None;
+        }
+        let is_first = listing.list().is_some_and(|list| list.pages() == 1);
+        let waits = is_first && !self.node.is_scheduler();
+        let wait = if waits { SHARED_LIST_WAIT } else { Duration::ZERO };
+        self.copy.first_copy_within(&self.node, wait).await
+    }
+
     /// Replaces the copy by the table as it was listed.
     fn replace(&mut self, listed: Listed<Item>) -> Cursor {
         let Listed { items, cursor, proof, pages, invalid_rows, read_to } = listed;
