fix(relay): changes that do not advance are a failed call

A response to a call for changes may say that it is not complete, and the next call follows at once. Nothing checked that its position lies beyond the one before, so a store that said so again and again was called without a pause.

Such a response counts as malformed: it is logged with table and position, and the next call waits as after other failures.

--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -231,6 +231,10 @@
             is_overtaken = false;
             let Answer { sent, wait, took, result } = answer;
             match result {
+                Ok(batch) if !batch.is_complete && batch.cursor <= cursor => {
+                    log::warn!(target: "store", table = C::NAME, cursor:% = cursor; "changes do not advance");
+                    early = self.record_failure(SourceError::Malformed, &mut calls).await;
+                }
                 Ok(batch) => {
                     self.record_response(took, wait);
                     let changed = !batch.items.is_empty();
