fix(telemetry): a value in a text log line cannot add a line or a field

Values and messages went into text lines as they were. The id of a caller's request may hold spaces and equals signs, and keys of rows that others wrote and errors that quote them may hold line breaks, so any of them could add a field or a whole line to the log.

A value is quoted with the escapes of a Rust string literal if it holds white space, a quotation mark, an equals sign or a character that is not printable, and a message if it holds an equals sign or such a character. Other values and messages keep their form, and JSON lines do not change.

Before the change two of four tests of log_lines.rs fail: 23 records of a child process are 25 lines, and the message "cannot read a1" with a line break in it is two. All four pass now; the one for ordinary values and the one for JSON lines pass with and without the change.

--- a/crates/ringbend-telemetry/src/logs.rs
+++ b/crates/ringbend-telemetry/src/logs.rs
@@ -6,6 +6,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use log::kv::{Key, Value, VisitSource};
+use ringbend_types::{FieldValue, MessageText};
 use serde::{Deserialize, Serialize};
 
 use crate::line_queue::LineQueue;
@@ -14,7 +15,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogFormat {
-    /// `TIME LEVEL TARGET MESSAGE key=value …`.
+    /// `TIME LEVEL TARGET MESSAGE key=value …`. Values and messages that could be taken for other fields or
+    /// lines are quoted and escaped, as they may contain text from callers, endpoints and the store.
     #[default]
     Text,
     /// One JSON object.
@@ -134,8 +136,12 @@
                     out.finish(format_args!("{line}"));
                 }
                 LogFormat::Text => {
-                    let fields: String =
-                        fields.0.iter().map(|(key, value)| format!(" {key}={value}")).collect();
+                    let fields = fields.0.iter();
+                    let fields: String = fields
+                        .map(|(key, value)| format!(" {key}={}", FieldValue(value)))
+                        .collect();
+                    let message = message.to_string();
+                    let message = MessageText(&message);
                     out.finish(format_args!("{unix_ms} {level} {target} {message}{fields}"));
                 }
             }
--- a/crates/ringbend-types/src/lib.rs
+++ b/crates/ringbend-types/src/lib.rs
@@ -8,6 +8,7 @@
 mod id;
 mod prompt_part;
 mod quantity;
+mod quoting;
 mod request_rate;
 mod retry_after;
 mod run_state;
@@ -26,6 +27,7 @@
     ByteCount, EndpointStart, FencingToken, Incarnation, ParseQuantityError, PromptBucket,
     SettingsVersion, TokenCount, TokensPerSecond,
 };
+pub use quoting::{FieldValue, LineText, MessageText};
 pub use request_rate::RequestRate;
 pub use retry_after::RetryAfter;
 pub use run_state::{ParseRunStateError, RunState};
