fix(cli): text of an instance's response cannot add a line or a field to the output

The tool printed strings of a response as they are. The author of a settings change is free text, so a line break in it was an entry of its own in `ringbend settings history`, a space and an equals sign were another field, and escape sequences reached the terminal.

Strings, and names of fields, are written like those of text log lines: quoted and escaped if they could be taken for another line or field, else as before.

--- a/crates/ringbend-cli/src/output.rs
+++ b/crates/ringbend-cli/src/output.rs
@@ -1,5 +1,6 @@
 //! Output of the commands.
 
+use ringbend_types::{FieldValue, LineText};
 use serde_json::Value;
 
 /// Prints a value as one line of JSON or as an indented outline.
@@ -20,11 +21,12 @@
     match value {
         Value::Object(fields) => {
             for (name, field) in fields {
+                let name = LineText(name);
                 if field.is_object() || field.is_array() {
                     lines.push(format!("{indent}{name}:"));
                     append_outline(field, depth + 1, lines);
                 } else {
-                    lines.push(format!("{indent}{name}: {}", format_scalar(field)));
+                    lines.push(format!("{indent}{name}: {}", format_line(field)));
                 }
             }
         }
@@ -33,26 +35,37 @@
                 lines.push(format!("{indent}- {}", format_inline(item)));
             }
         }
-        other => lines.push(format!("{indent}{}", format_scalar(other))),
+        other => lines.push(format!("{indent}{}", format_line(other))),
     }
 }
 
-/// Formats a value on one line.
+/// Formats a value as one of several on a line.
 fn format_inline(value: &Value) -> String {
     match value {
         Value::Object(fields) => {
-            let fields =
-                fields.iter().map(|(name, field)| format!("{name}={}", format_inline(field)));
+            let fields = fields.iter();
+            let fields = fields
+                .map(|(name, field)| format!("{}={}", FieldValue(name), format_inline(field)));
             fields.collect::<Vec<_>>().join(" ")
         }
-        Value::Array(items) => items.iter().map(format_inline).collect::<Vec<_>>().join(","),
-        other => format_scalar(other),
+        Value::Array(items) => items.iter().map(format_item).collect::<Vec<_>>().join(","),
+        Value::String(text) => FieldValue(text).to_string(),
+        other => other.to_string(),
+    }
+}
+
+/// Formats an item of a list on one line. Items are separated by commas.
+fn format_item(item: &Value) -> String {
+    match item {
+        Value::String(text) if text.contains(',') => format!("{text:?}"),
+        item => format_inline(item),
     }
 }
 
-fn format_scalar(value: &Value) -> String {
+/// Formats a scalar that takes up the rest of a line.
+fn format_line(value: &Value) -> String {
     match value {
-        Value::String(text) => text.clone(),
+        Value::String(text) => LineText(text).to_string(),
         other => other.to_string(),
     }
 }
