fix(ringbendd): a key that is used again with another query is another request

The digest that identifies the request of a key was made of the method, path, class and body, without the query. A call to a plain service with another query and the same key was not run and was answered 200 with the response to the first one, which the caller could not tell from an answer of its own.

The digest covers the query as it is sent. Requests without a query keep their digest, so claims of earlier releases hold for them; a claim that an earlier release stored for a request with a query makes a repetition of it 422 key_reused for the 24 hours that claims are kept, and it is not run again.

a_key_that_is_used_again_with_another_query_is_rejected failed with 200 for ?boxes=2 after ?boxes=1 and passes now, with one run counted at the service.

--- a/crates/ringbend-ledger/src/claim.rs
+++ b/crates/ringbend-ledger/src/claim.rs
@@ -67,7 +67,7 @@
 pub struct Claim {
     /// The request that holds the claim. Request ids are never reused, so this identifies the row's owner.
     pub holder: RequestId,
-    /// Hash of method, path and body. A key that is reused for a different request is rejected.
+    /// Hash of method, path, query and body. A key that is reused for a different request is rejected.
     pub digest: u64,
     /// The state of the request.
     pub state: ClaimState,
--- a/crates/ringbend-playground/tests/failures.rs
+++ b/crates/ringbend-playground/tests/failures.rs
@@ -180,6 +180,34 @@
     });
 }
 
+/// Guards against a call that is answered with the response to another one, because what differs is in
+/// the query.
+#[test]
+fn a_key_that_is_used_again_with_another_query_is_rejected() {
+    block_on(async {
+        let fleet = Fleet::start(small_config()).await.unwrap();
+        let to = fleet.instances[0].callers_address;
+        let headers = [("x-ringbend-request-key", "count-9"), ("x-call-key", "count-9")];
+        let send = async |query: &str| {
+            call(to, &format!("/services/dispatch/count{query}"), &headers, "one box").await
+        };
+        let first = send("?boxes=1").await;
+        assert_eq!(first.status, 200, "{}", first.text);
+        let mut second = send("?boxes=1").await;
+        wait_until("the first call is settled", async || {
+            second = send("?boxes=1").await;
+            second.status == 200
+        })
+        .await;
+        assert_eq!(second.json(), first.json());
+        for query in ["?boxes=2", "", "?boxes=1&boxes=2", "?boxes%3D1"] {
+            let other = send(query).await;
+            assert_eq!((other.status, other.code().as_str()), (422, "key_reused"), "{query:?}");
+        }
+        assert_eq!(run_count(&fleet, "count-9").await, 1);
+    });
+}
+
 #[test]
 fn a_rejected_keyed_call_releases_its_key() {
     block_on(async {
--- a/crates/ringbendd/src/callers/prompt.rs
+++ b/crates/ringbendd/src/callers/prompt.rs
@@ -136,15 +136,15 @@
     serde_json::from_str(value.get()).map_err(Failure::BadBody)
 }
 
-/// Returns the digest that identifies a request under its key: the same key with another body is a
-/// different request.
+/// Returns the digest that identifies a request under its key: the same key with another path, query
+/// or body is a different request. `target` is the path, with the query if there is one.
 pub(crate) fn request_digest(
     method: &str,
-    path: &str,
+    target: &str,
     body: &[u8],
     headers: &headers::CallHeaders,
 ) -> u64 {
     let class = headers.class.as_ref().map_or("", |class| class.as_str());
-    let head = format!("{method}\n{path}\n{class}\n");
+    let head = format!("{method}\n{target}\n{class}\n");
     xxhash_rust::xxh3::xxh3_64_with_seed(body, xxh3_64(head.as_bytes()))
 }
--- a/crates/ringbendd/src/callers/request_task.rs
+++ b/crates/ringbendd/src/callers/request_task.rs
@@ -123,7 +123,8 @@
         span.set_attribute("request", profile.id);
         span.set_attribute("account", &profile.account);
         let claim = headers.key.clone().map(|key| {
-            let digest = request_digest(req.method().as_str(), req.path(), &body, &headers);
+            let target = req.uri().path_and_query().map_or(req.path(), |target| target.as_str());
+            let digest = request_digest(req.method().as_str(), target, &body, &headers);
             (ClaimKey { account: headers.account.clone(), key }, digest)
         });
         Self {
