fix(cli): an address with a path or query is rejected before a call

With a path, a query or a fragment in it, the call reached another route than the command's, and carried the operator's key there.

The argument is the authority of a URL now, as the help says (IP:port; names of hosts hold as well). Another value is an error of the arguments with exit code 1, and no call is made.

--- a/crates/ringbend-cli/src/args.rs
+++ b/crates/ringbend-cli/src/args.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use awc::http::uri::Authority;
 use ringbend_settings::{NodePath, SettingKey};
 use ringbend_types::{ChangeId, Fingerprint, SettingsVersion};
 
@@ -10,8 +11,8 @@
 #[derive(FromArgs)]
 pub(crate) struct Args {
     /// address of the instance's operators' API, IP:port
-    #[argh(option, default = "String::from(\"127.0.0.1:8081\")")]
-    pub(crate) admin: String,
+    #[argh(option, default = "Authority::from_static(\"127.0.0.1:8081\")")]
+    pub(crate) admin: Authority,
     /// file with the operator's key; defaults to the key in RINGBEND_ADMIN_KEY
     #[argh(option)]
     pub(crate) key_file: Option<PathBuf>,
--- a/crates/ringbend-cli/src/client.rs
+++ b/crates/ringbend-cli/src/client.rs
@@ -5,6 +5,7 @@
 
 use actix_http::StatusCode;
 use awc::http::Method;
+use awc::http::uri::Authority;
 use serde_json::Value;
 
 /// Timeout of one call.
@@ -78,7 +79,7 @@
 }
 
 impl AdminClient {
-    pub(crate) fn new(admin: &str, key: String) -> Self {
+    pub(crate) fn new(admin: &Authority, key: String) -> Self {
         let client = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
         Self { client, base: format!("http://{admin}"), key }
     }
