fix(ringbendd): the platform's URLs are checked where the settings are read

The paths of calls were appended to table_url, objects_url and instances_url as they were written. A query or fragment at the end took in the path, so every call went to another resource, and a slash at the end gave a path with two slashes.

The settings are URLs of their own type now: http, an authority and perhaps a path, of which a slash at the end is dropped. A value of another kind is an error that names the setting when the file is read, as other invalid values are.

--- a/crates/ringbend-playground/src/fleet.rs
+++ b/crates/ringbend-playground/src/fleet.rs
@@ -246,7 +246,10 @@
     }
 
     fn daemon_config(&self, name: &str, seeds: Vec<SocketAddr>) -> DaemonConfig {
-        let url = |server: &Server| Arc::from(format!("http://{}", server.address()));
+        let url = |server: &Server| {
+            let url = format!("http://{}", server.address());
+            url.parse().unwrap_or_else(|_| unreachable!("a valid URL"))
+        };
         let account = "peach".parse().unwrap_or_else(|_| unreachable!("a valid account"));
         DaemonConfig {
             instance: name.parse().unwrap_or_else(|_| unreachable!("a valid instance")),
--- a/crates/ringbendd/src/config.rs
+++ b/crates/ringbendd/src/config.rs
@@ -11,6 +11,7 @@
 use ringbend_types::{ClientAccountId, DataCentre, InstanceId};
 use serde::{Deserialize, Serialize};
 
+use crate::base_url::BaseUrl;
 use crate::error::DaemonError;
 
 /// All names in the file, used to suggest corrections.
@@ -90,11 +91,11 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PlatformConfig {
     /// URL of the table service, `http://IP:port`.
-    pub table_url: Arc<str>,
+    pub table_url: BaseUrl,
     /// URL of the object store.
-    pub objects_url: Arc<str>,
+    pub objects_url: BaseUrl,
     /// URL of the instance list.
-    pub instances_url: Arc<str>,
+    pub instances_url: BaseUrl,
     /// Poll interval of the instance list, and of engines that have not reported, in milliseconds.
     /// Settings are polled half as often, because peers push them.
     #[serde(default = "PlatformConfig::default_poll_ms")]
--- a/crates/ringbendd/src/lib.rs
+++ b/crates/ringbendd/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod admin;
 mod app;
+mod base_url;
 mod callers;
 mod claims;
 mod config;
@@ -25,6 +26,7 @@
 mod settings_sync;
 mod sweep;
 
+pub use base_url::{BaseUrl, ParseBaseUrlError};
 pub use config::{
     AdminConfig, CallerKey, DaemonConfig, PlatformConfig, ShutdownConfig, TlsConfig, TracesConfig,
 };
--- a/crates/ringbendd/src/platform/instance_list.rs
+++ b/crates/ringbendd/src/platform/instance_list.rs
@@ -1,13 +1,13 @@
 //! The instance list service and its HTTP client.
 
 use std::cell::RefCell;
-use std::sync::Arc;
 
 use async_trait::async_trait;
 use ringbend_platform::EndpointEntry;
 use serde_json::value::RawValue;
 
 use super::http::{CallError, HttpClient};
+use crate::base_url::BaseUrl;
 
 /// Maximum length of a logged decoding error, in characters. The error may quote the entry.
 const MAX_LOGGED_CHARS: usize = 200;
@@ -28,8 +28,8 @@
 }
 
 impl HttpInstanceList {
-    pub(crate) fn new(http: HttpClient, base: &Arc<str>) -> Self {
-        Self { http, url: format!("{base}/v1/endpoints"), tag: RefCell::default() }
+    pub(crate) fn new(http: HttpClient, base: &BaseUrl) -> Self {
+        Self { http, url: base.join(&["v1", "endpoints"]), tag: RefCell::default() }
     }
 }
 
--- a/crates/ringbendd/src/platform/table.rs
+++ b/crates/ringbendd/src/platform/table.rs
@@ -1,7 +1,5 @@
 //! The table service and its HTTP client.
 
-use std::sync::Arc;
-
 use actix_http::StatusCode;
 use async_trait::async_trait;
 use awc::http::Method;
@@ -9,6 +7,7 @@
 use ringbend_telemetry::Metrics;
 
 use super::http::{CallError, HttpClient};
+use crate::base_url::BaseUrl;
 
 /// The platform's transactional table service.
 #[async_trait(?Send)]
@@ -26,8 +25,8 @@
 }
 
 impl HttpTable {
-    pub(crate) fn new(http: HttpClient, base: &Arc<str>, metrics: Metrics) -> Self {
-        Self { http, url: format!("{base}/v1/call"), metrics }
+    pub(crate) fn new(http: HttpClient, base: &BaseUrl, metrics: Metrics) -> Self {
+        Self { http, url: base.join(&["v1", "call"]), metrics }
     }
 }
 
--- a/crates/ringbendd/tests/config.rs
+++ b/crates/ringbendd/tests/config.rs
@@ -50,3 +50,43 @@
         assert!(report.contains(name), "{name}: {report}");
     }
 }
+
+/// Guards against a URL whose end swallows the path of a call, so that every call goes to another
+/// resource.
+#[test]
+fn a_platform_url_with_other_parts_than_a_path_is_named_in_the_error() {
+    let urls = [
+        "http://127.0.0.1:1?a=b",
+        "http://127.0.0.1:1/table#a",
+        "http://127.0.0.1:1/a b",
+        "https://127.0.0.1:1",
+        "127.0.0.1:1",
+        "/table",
+        "",
+    ];
+    for url in urls {
+        for (name, port) in [("table_url", 1), ("objects_url", 2), ("instances_url", 3)] {
+            let known = format!("{name} = \"http://127.0.0.1:{port}\"");
+            let text = VALID_CONFIG.replace(&known, &format!("{name} = \"{url}\""));
+            assert_ne!(text, VALID_CONFIG);
+            match DaemonConfig::parse(&text) {
+                Ok(_) => panic!("{name} = {url:?} is accepted"),
+                Err(report) => assert!(format!("{report:?}").contains(name), "{report:?}"),
+            }
+        }
+    }
+}
+
+/// Guards against a path with two slashes, which is another resource.
+#[test]
+fn a_slash_at_the_end_of_a_platform_url_is_dropped() {
+    for (written, expected) in [
+        ("http://127.0.0.1:1/", "http://127.0.0.1:1"),
+        ("http://gateway:1/table/", "http://gateway:1/table"),
+        ("http://[::1]:1", "http://[::1]:1"),
+    ] {
+        let text = VALID_CONFIG.replace("http://127.0.0.1:1", written);
+        let (cfg, _) = DaemonConfig::parse(&text).unwrap();
+        assert_eq!(cfg.platform.table_url.to_string(), expected);
+    }
+}
