fix(ringbendd): the name of a stored object is encoded in the URL of a call

A claim row states the name of the object that holds a response, and the name went into the object store's URL as it was. A name with ?, #, % or a space asked for another object, so a repeated call was answered 409 earlier_may_have_run although its response is stored.

Path segments of the platform's URLs are percent-encoded in one place, all but the unreserved characters. The names that ringbendd itself chooses, "answer-" and a number, consist of these and keep their form.

--- a/crates/ringbend-playground/tests/failures.rs
+++ b/crates/ringbend-playground/tests/failures.rs
@@ -2,13 +2,14 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use ringbend_playground::{CALLER_KEY, Fleet, FleetConfig};
-use serde_json::json;
+use serde_json::{Value, json};
 use support::{
     block_on, call, call_with_key, change_setting, expected_tokens, inject_fault, parse_tokens,
-    put, run_count, send_prompt, set_everywhere, settings_version, small_config, wait_until,
+    put, run_count, send, send_prompt, set_everywhere, settings_version, small_config, wait_until,
 };
 
 #[test]
@@ -208,6 +209,54 @@
     });
 }
 
+async fn table_call(table: SocketAddr, request: &Value) -> Value {
+    let post = awc::Client::default().post(format!("http://{table}/v1/call"));
+    send(post, request.to_string()).await.json()
+}
+
+/// Guards against an object whose name, as a claim row states it, asks the object store for another
+/// one.
+#[test]
+fn a_stored_response_is_read_from_an_object_with_any_name() {
+    block_on(async {
+        let fleet = Fleet::start(small_config()).await.unwrap();
+        let (table, objects) = (fleet.table.address(), fleet.objects.address());
+        let to = fleet.instances[0].callers_address;
+        let headers = [("x-ringbend-request-key", "count-10"), ("x-call-key", "count-10")];
+        // The service returns the body, so that the response is too large for the claim row.
+        let body = "x".repeat(40 << 10);
+        let repeat = async || call(to, "/services/dispatch/count", &headers, &body).await;
+        let first = repeat().await;
+        let mut claim = Value::Null;
+        wait_until("the call is settled", async || {
+            let read = json!({"read": {"keys": ["claim/peach/count-10"]}});
+            let row = table_call(table, &read).await["rows"][0]["value"].clone();
+            claim = serde_json::from_str(row.as_str().unwrap_or("null")).unwrap();
+            claim["state"]["done"].is_object()
+        })
+        .await;
+        let known = claim["state"]["done"]["body"]["object"].as_str().unwrap();
+        let get = awc::Client::default().get(format!("http://{objects}/objects/{known}"));
+        let object = send(get, String::new()).await.json();
+        assert!(object == first.json());
+        for (name, path) in
+            [("a?b=c", "a%3Fb%3Dc"), ("a#b %", "a%23b%20%25"), ("a/%62", "a%2F%2562")]
+        {
+            put(format!("http://{objects}/objects/{path}"), object.clone()).await;
+            claim["state"]["done"]["body"]["object"] = name.into();
+            let value = claim.to_string();
+            let write =
+                json!({"put": {"key": "claim/peach/count-10", "value": value, "ttl_s": null}});
+            let commit = json!({"commit": {"conditions": [], "writes": [write]}});
+            assert_eq!(table_call(table, &commit).await, "committed");
+            let repeated = repeat().await;
+            assert_eq!((repeated.status, repeated.code().as_str()), (200, ""), "{name:?}");
+            assert!(repeated.json() == first.json(), "{name:?}");
+        }
+        assert_eq!(run_count(&fleet, "count-10").await, 1);
+    });
+}
+
 #[test]
 fn a_rejected_keyed_call_releases_its_key() {
     block_on(async {
--- a/crates/ringbendd/src/base_url.rs
+++ b/crates/ringbendd/src/base_url.rs
@@ -4,20 +4,25 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
 
+/// The characters that are escaped in a segment of a path: all but the unreserved ones of RFC 3986.
+const SEGMENT_ESCAPES: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
 /// The URL of a service: `http`, an authority and perhaps a path, without a slash at the end.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct BaseUrl(Arc<str>);
 
 impl BaseUrl {
-    /// The URL of the resource with these path segments.
+    /// The URL of the resource with these path segments, each of which may be any text.
     pub fn join(&self, segments: &[&str]) -> String {
         let mut url = self.0.to_string();
         for segment in segments {
             url.push('/');
-            url.push_str(segment);
+            url.extend(utf8_percent_encode(segment, SEGMENT_ESCAPES));
         }
         url
     }
--- a/crates/ringbendd/tests/config.rs
+++ b/crates/ringbendd/tests/config.rs
@@ -1,6 +1,6 @@
 //! Parsing of the daemon's settings file: errors and warnings name the setting they are about.
 
-use ringbendd::DaemonConfig;
+use ringbendd::{BaseUrl, DaemonConfig};
 
 const VALID_CONFIG: &str = r#"
 instance = "a1"
@@ -90,3 +90,12 @@
         assert_eq!(cfg.platform.table_url.to_string(), expected);
     }
 }
+
+/// Guards against a name whose text reaches another resource than the one with that name.
+#[test]
+fn the_segments_of_a_path_are_encoded() {
+    let base: BaseUrl = "http://127.0.0.1:1/a".parse().unwrap();
+    assert_eq!(base.join(&["objects", "answer-1f-2"]), "http://127.0.0.1:1/a/objects/answer-1f-2");
+    let url = base.join(&["objects", "a/b?c#d%20 \u{e4}"]);
+    assert_eq!(url, "http://127.0.0.1:1/a/objects/a%2Fb%3Fc%23d%2520%20%C3%A4");
+}
