fix(settings): a short page is not the last page of a scan

A scan of the nodes ended with the first page of fewer rows than requested. A table service with a page size of its own (500 rows or 1 MB at the platform's store) may return fewer, and the replica then put a part of the nodes in force at the newest version. No later sync read the others, because the version was up to date.

--- a/crates/ringbend-settings/src/sync.rs
+++ b/crates/ringbend-settings/src/sync.rs
@@ -112,11 +112,10 @@
         for (path, node) in found.iter().filter_map(rows::node) {
             tree.put(path, node);
         }
+        // A page may hold fewer rows than requested, so only an empty one is the end.
         match found.last() {
-            Some(last) if found.len() == PAGE_SIZE => {
-                self.scan_nodes(Some(last.key.clone()), head, tree)
-            }
-            _ => {
+            Some(last) => self.scan_nodes(Some(last.key.clone()), head, tree),
+            None => {
                 replica.load(Snapshot { version: head, tree });
                 SyncStep::UpToDate
             }
