fix(settings): a scan of the nodes that does not advance fails

A scan continued after the last key of each page, whatever the page held. A table service that returned the same page again, or an earlier one, was read forever, without a delay between two calls and with no line in the log.

The keys of a scan must ascend from the last one read.

--- a/crates/ringbend-settings/src/sync.rs
+++ b/crates/ringbend-settings/src/sync.rs
@@ -27,7 +27,40 @@
     Idle,
     Head,
     Log { head: SettingsVersion },
-    Nodes { head: SettingsVersion, tree: SettingsTree },
+    Nodes { head: SettingsVersion, scan: NodeScan },
+}
+
+/// A scan of all nodes, page by page.
+#[derive(Debug, Clone, Default)]
+struct NodeScan {
+    tree: SettingsTree,
+    /// Key of the last row read.
+    after: Option<RowKey>,
+}
+
+impl NodeScan {
+    fn request(&self) -> TableRequest {
+        TableRequest::Scan {
+            prefix: rows::NODE_PREFIX.into(),
+            after: self.after.clone(),
+            limit: PAGE_SIZE,
+        }
+    }
+
+    /// Adds a page. Returns whether it continues the scan: its keys must ascend from the last one
+    /// read, or a service that repeats pages would be read forever.
+    fn add(&mut self, page: &[Row]) -> bool {
+        for row in page {
+            if self.after.as_ref().is_some_and(|after| row.key <= *after) {
+                return false;
+            }
+            self.after = Some(row.key.clone());
+            if let Some((path, node)) = rows::node(row) {
+                self.tree.put(path, node);
+            }
+        }
+        true
+    }
 }
 
 /// One poll of the store. Call [`start`](Self::start), then pass in replies.
@@ -56,7 +89,7 @@
             State::Idle => SyncStep::Failed,
             State::Head => self.on_head(replica, found),
             State::Log { head } => self.on_log(replica, head, found),
-            State::Nodes { head, tree } => self.on_nodes(replica, head, tree, found),
+            State::Nodes { head, scan } => self.on_nodes(replica, head, scan, found),
         }
     }
 
@@ -84,20 +117,15 @@
             return SyncStep::UpToDate;
         }
         if gap || found.is_empty() {
-            return self.scan_nodes(None, head, SettingsTree::default());
+            return self.scan_nodes(head, NodeScan::default());
         }
         self.scan_log(replica.version(), head)
     }
 
-    fn scan_nodes(
-        &mut self,
-        after: Option<RowKey>,
-        head: SettingsVersion,
-        tree: SettingsTree,
-    ) -> SyncStep {
-        self.state = State::Nodes { head, tree };
-        let prefix = rows::NODE_PREFIX.into();
-        SyncStep::Call(TableRequest::Scan { prefix, after, limit: PAGE_SIZE })
+    fn scan_nodes(&mut self, head: SettingsVersion, scan: NodeScan) -> SyncStep {
+        let request = scan.request();
+        self.state = State::Nodes { head, scan };
+        SyncStep::Call(request)
     }
 
     /// Nodes that were written during the scan have later versions. The next poll applies the log entries up
@@ -106,19 +134,17 @@
         &mut self,
         replica: &mut Replica,
         head: SettingsVersion,
-        mut tree: SettingsTree,
+        mut scan: NodeScan,
         found: &[Row],
     ) -> SyncStep {
-        for (path, node) in found.iter().filter_map(rows::node) {
-            tree.put(path, node);
+        if !scan.add(found) {
+            return SyncStep::Failed;
         }
         // A page may hold fewer rows than requested, so only an empty one is the end.
-        match found.last() {
-            Some(last) => self.scan_nodes(Some(last.key.clone()), head, tree),
-            None => {
-                replica.load(Snapshot { version: head, tree });
-                SyncStep::UpToDate
-            }
+        if !found.is_empty() {
+            return self.scan_nodes(head, scan);
         }
+        replica.load(Snapshot { version: head, tree: scan.tree });
+        SyncStep::UpToDate
     }
 }
--- a/crates/ringbendd/src/settings_sync.rs
+++ b/crates/ringbendd/src/settings_sync.rs
@@ -76,8 +76,9 @@
             step = syncer.on_reply(&mut self.replica.borrow_mut(), &reply);
             self.on_update(app, before);
         }
-        if step == SyncStep::UpToDate {
-            self.mark_confirmed(app);
+        match step {
+            SyncStep::UpToDate => self.mark_confirmed(app),
+            _ => log::warn!("cannot read the settings: unexpected reply of the table service"),
         }
     }
 
