fix(settings): a log that does not advance is replaced by a read of all nodes

A sync read the log from the replica's version until it had reached the newest one. A page whose entries cannot be decoded, or that the replica has already, did not change the version, so the same page was requested forever and without a delay; a single log row of another release was enough to stop the settings of an instance. A log that grew as fast as it was read had no end either.

A page that does not advance the replica, or the 50th page, is followed by a read of all nodes, as an expired log is.

--- a/crates/ringbend-settings/src/sync.rs
+++ b/crates/ringbend-settings/src/sync.rs
@@ -11,6 +11,10 @@
 /// Number of rows per scan.
 const PAGE_SIZE: usize = 200;
 
+/// Pages of the log after which all nodes are read instead: 10,000 changes, which is more than the
+/// nodes of most trees.
+const MAX_LOG_PAGES: u32 = 50;
+
 /// The next step to be performed by the caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SyncStep {
@@ -26,7 +30,7 @@
 enum State {
     Idle,
     Head,
-    Log { head: SettingsVersion },
+    Log { head: SettingsVersion, after: SettingsVersion, pages: u32 },
     Nodes { head: SettingsVersion, scan: NodeScan },
 }
 
@@ -88,7 +92,7 @@
         match std::mem::replace(&mut self.state, State::Idle) {
             State::Idle => SyncStep::Failed,
             State::Head => self.on_head(replica, found),
-            State::Log { head } => self.on_log(replica, head, found),
+            State::Log { head, after, pages } => self.on_log(replica, head, after, pages, found),
             State::Nodes { head, scan } => self.on_nodes(replica, head, scan, found),
         }
     }
@@ -98,11 +102,11 @@
         if head <= replica.version() {
             return SyncStep::UpToDate;
         }
-        self.scan_log(replica.version(), head)
+        self.scan_log(replica.version(), head, 1)
     }
 
-    fn scan_log(&mut self, after: SettingsVersion, head: SettingsVersion) -> SyncStep {
-        self.state = State::Log { head };
+    fn scan_log(&mut self, after: SettingsVersion, head: SettingsVersion, pages: u32) -> SyncStep {
+        self.state = State::Log { head, after, pages };
         SyncStep::Call(TableRequest::Scan {
             prefix: rows::LOG_PREFIX.into(),
             after: Some(rows::log_key(after)),
@@ -110,16 +114,25 @@
         })
     }
 
-    fn on_log(&mut self, replica: &mut Replica, head: SettingsVersion, found: &[Row]) -> SyncStep {
+    fn on_log(
+        &mut self,
+        replica: &mut Replica,
+        head: SettingsVersion,
+        after: SettingsVersion,
+        pages: u32,
+        found: &[Row],
+    ) -> SyncStep {
         let gap =
             found.iter().filter_map(rows::entry).any(|e| replica.apply(&e) == ApplyOutcome::Gap);
         if replica.version() >= head {
             return SyncStep::UpToDate;
         }
-        if gap || found.is_empty() {
+        // A page without the next entry, or with one that cannot be decoded, would be read forever.
+        let advanced = replica.version() > after;
+        if gap || !advanced || pages >= MAX_LOG_PAGES {
             return self.scan_nodes(head, NodeScan::default());
         }
-        self.scan_log(replica.version(), head)
+        self.scan_log(replica.version(), head, pages + 1)
     }
 
     fn scan_nodes(&mut self, head: SettingsVersion, scan: NodeScan) -> SyncStep {
