fix(settings): a scan of the nodes has bounds on rows and bytes

A scan whose keys ascend without an end was read until the memory was used up: only the body of one response was bounded. The rows also include those that are not nodes and leave no trace in the tree.

--- a/crates/ringbend-settings/src/sync.rs
+++ b/crates/ringbend-settings/src/sync.rs
@@ -15,6 +15,12 @@
 /// nodes of most trees.
 const MAX_LOG_PAGES: u32 = 50;
 
+/// Maximum number of rows of a scan of all nodes, which bounds the memory of an endless scan.
+const MAX_SCAN_ROWS: usize = 1_000_000;
+
+/// Maximum size of the rows of a scan of all nodes, in bytes.
+const MAX_SCAN_BYTES: usize = 256 << 20;
+
 /// The next step to be performed by the caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SyncStep {
@@ -40,6 +46,8 @@
     tree: SettingsTree,
     /// Key of the last row read.
     after: Option<RowKey>,
+    rows: usize,
+    bytes: usize,
 }
 
 impl NodeScan {
@@ -52,10 +60,14 @@
     }
 
     /// Adds a page. Returns whether it continues the scan: its keys must ascend from the last one
-    /// read, or a service that repeats pages would be read forever.
+    /// read, or a service that repeats pages would be read forever, and the rows must be within the
+    /// bounds.
     fn add(&mut self, page: &[Row]) -> bool {
         for row in page {
-            if self.after.as_ref().is_some_and(|after| row.key <= *after) {
+            self.rows += 1;
+            self.bytes += row.key.as_str().len() + row.value.len();
+            let is_next = self.after.as_ref().is_none_or(|after| row.key > *after);
+            if !is_next || self.rows > MAX_SCAN_ROWS || self.bytes > MAX_SCAN_BYTES {
                 return false;
             }
             self.after = Some(row.key.clone());
