fix(settings): a scan of the nodes continues after a failed call

A sync that lost one call was dropped, and the next poll read all nodes from the first page. The more pages a scan has, the less likely it is that all of its calls succeed: with a table service that refuses a part of the calls, an instance that had to read all nodes was never ready.

The daemon keeps a scan that ended with a failed call and finishes it with the next poll, which then reads the log from the scan's version.

--- a/crates/ringbend-settings/src/sync.rs
+++ b/crates/ringbend-settings/src/sync.rs
@@ -79,7 +79,8 @@
     }
 }
 
-/// One poll of the store. Call [`start`](Self::start), then pass in replies.
+/// One poll of the store. Call [`start`](Self::start), then pass in replies. After a call without a
+/// reply, `start` may be called again later, which continues a scan of the nodes where it was.
 #[derive(Debug, Clone)]
 pub struct Syncer {
     state: State,
@@ -92,12 +93,22 @@
 }
 
 impl Syncer {
-    /// The first step.
+    /// The first step, or the last call again if it belongs to a scan of the nodes: one that began
+    /// again after each failed call would not end if many calls fail. Changes since the first read are
+    /// applied from the log by the next sync.
     pub fn start(&mut self) -> SyncStep {
+        if let State::Nodes { scan, .. } = &self.state {
+            return SyncStep::Call(scan.request());
+        }
         self.state = State::Head;
         SyncStep::Call(TableRequest::Read { keys: vec![rows::head_key()] })
     }
 
+    /// Whether the last call belongs to a scan of the nodes, which [`start`](Self::start) continues.
+    pub fn is_scanning_nodes(&self) -> bool {
+        matches!(self.state, State::Nodes { .. })
+    }
+
     /// The step after a reply.
     pub fn on_reply(&mut self, replica: &mut Replica, reply: &TableReply) -> SyncStep {
         let TableReply::Rows(found) = reply else { return SyncStep::Failed };
--- a/crates/ringbendd/src/settings_sync.rs
+++ b/crates/ringbendd/src/settings_sync.rs
@@ -30,6 +30,8 @@
     loaded: Cell<bool>,
     confirmed_at: Cell<Timestamp>,
     fetching: Cell<bool>,
+    /// A scan of the store that ended with a failed call.
+    unfinished: RefCell<Option<Syncer>>,
 }
 
 impl SettingsSync {
@@ -66,20 +68,37 @@
         effective
     }
 
-    /// Polls the store once.
+    /// Polls the store once, after finishing a scan that ended with a failed call.
     pub(crate) async fn poll(&self, app: &Rc<App>) {
-        let mut syncer = Syncer::default();
+        let unfinished = self.unfinished.take();
+        if let Some(syncer) = unfinished
+            && !self.sync(app, syncer).await
+        {
+            return;
+        }
+        if self.sync(app, Syncer::default()).await {
+            self.mark_confirmed(app);
+        }
+    }
+
+    /// Returns whether the replica has become as new as the first read of the sync.
+    async fn sync(&self, app: &Rc<App>, mut syncer: Syncer) -> bool {
         let mut step = syncer.start();
         while let SyncStep::Call(call) = step {
-            let Ok(reply) = app.table.call(call).await else { return };
+            let Ok(reply) = app.table.call(call).await else {
+                if syncer.is_scanning_nodes() {
+                    self.unfinished.replace(Some(syncer));
+                }
+                return false;
+            };
             let before = self.version();
             step = syncer.on_reply(&mut self.replica.borrow_mut(), &reply);
             self.on_update(app, before);
         }
-        match step {
-            SyncStep::UpToDate => self.mark_confirmed(app),
-            _ => log::warn!("cannot read the settings: unexpected reply of the table service"),
+        if step != SyncStep::UpToDate {
+            log::warn!("cannot read the settings: unexpected reply of the table service");
         }
+        step == SyncStep::UpToDate
     }
 
     /// Fetches the changes that a peer has and this replica does not.
