feat(standins): the table service returns scans in pages of its own size

The stand-in of the table service returned as many rows as a scan asked for, so no test had read a page that was short before the end. A real service has a page size of its own, and the reply of a scan did not say whether there are more rows.

A scan may ask for a reply that says whether there are more rows; requests and replies without the new field are as before, so that instances and services of both versions understand each other. The sync of the settings asks for it, which saves the read after the last page, and fails on an empty page that claims more rows.

--- a/crates/ringbend-models/src/lib.rs
+++ b/crates/ringbend-models/src/lib.rs
@@ -12,4 +12,4 @@
 };
 pub use instance_list::InstanceListModel;
 pub use prefix_cache::{BLOCK_TOKENS, PrefixCache, prefix_blocks};
-pub use table::{TableFaults, TableModel, TableRates};
+pub use table::{TableFaults, TableModel, TablePage, TableRates};
--- a/crates/ringbend-models/src/table.rs
+++ b/crates/ringbend-models/src/table.rs
@@ -23,6 +23,21 @@
     }
 }
 
+/// Maximum size of the reply to a scan, whatever limit the request has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TablePage {
+    /// Maximum number of rows.
+    pub max_rows: usize,
+    /// Maximum size of the keys and values, in bytes. The first row is returned whatever its size.
+    pub max_bytes: usize,
+}
+
+impl Default for TablePage {
+    fn default() -> Self {
+        Self { max_rows: 500, max_bytes: 1_000_000 }
+    }
+}
+
 /// Faults that tests inject.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -50,6 +65,7 @@
     rows: BTreeMap<RowKey, Row>,
     last_version: u64,
     rates: TableRates,
+    page: TablePage,
     window: RateWindow,
     /// Active faults.
     pub faults: TableFaults,
@@ -63,6 +79,11 @@
         Self { rates, ..Self::default() }
     }
 
+    /// Sets the maximum size of the reply to a scan.
+    pub fn set_page(&mut self, page: TablePage) {
+        self.page = page;
+    }
+
     /// Executes one call.
     pub fn call(
         &mut self,
@@ -78,9 +99,14 @@
                 let rows = keys.iter().filter_map(|key| self.rows.get(key).cloned());
                 Ok(TableReply::Rows(rows.collect()))
             }
-            TableRequest::Scan { prefix, after, limit } => {
+            TableRequest::Scan { prefix, after, limit, paged } => {
                 self.reads += 1;
-                Ok(TableReply::Rows(self.scan(prefix, after.as_ref(), *limit)))
+                let (rows, has_more) = self.scan(prefix, after.as_ref(), *limit);
+                Ok(if *paged {
+                    TableReply::Page { rows, has_more }
+                } else {
+                    TableReply::Rows(rows)
+                })
             }
             TableRequest::Commit { conditions, writes } => self.commit(conditions, writes),
         }
@@ -110,15 +136,25 @@
         *used <= max
     }
 
-    fn scan(&self, prefix: &str, after: Option<&RowKey>, limit: usize) -> Vec<Row> {
+    /// Returns a page of rows and whether there are further ones.
+    fn scan(&self, prefix: &str, after: Option<&RowKey>, limit: usize) -> (Vec<Row>, bool) {
         let start = after.cloned().unwrap_or_else(|| RowKey::new(prefix));
-        self.rows
+        let found = self
+            .rows
             .range(start..)
             .filter(|(key, _)| Some(*key) != after)
-            .take_while(|(key, _)| key.as_str().starts_with(prefix))
-            .take(limit)
-            .map(|(_, row)| row.clone())
-            .collect()
+            .take_while(|(key, _)| key.as_str().starts_with(prefix));
+        let max_rows = limit.min(self.page.max_rows);
+        let (mut page, mut bytes) = (Vec::new(), 0);
+        for (key, row) in found {
+            bytes += key.as_str().len() + row.value.len();
+            let fits = page.is_empty() || bytes <= self.page.max_bytes;
+            if page.len() >= max_rows || !fits {
+                return (page, true);
+            }
+            page.push(row.clone());
+        }
+        (page, false)
     }
 
     fn commit(
--- a/crates/ringbend-platform/src/table.rs
+++ b/crates/ringbend-platform/src/table.rs
@@ -100,8 +100,12 @@
         prefix: Arc<str>,
         /// Start after this key.
         after: Option<RowKey>,
-        /// Maximum number of rows in the reply.
+        /// Maximum number of rows in the reply, which may hold fewer before the end of the range.
         limit: usize,
+        /// Whether the reply may be a [`TableReply::Page`]. Services of earlier versions ignore this and
+        /// reply with [`TableReply::Rows`].
+        #[serde(default, skip_serializing_if = "is_false")]
+        paged: bool,
     },
     /// Check the conditions and apply the writes in one transaction.
     Commit {
@@ -119,12 +123,23 @@
     }
 }
 
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// A reply of the table service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TableReply {
-    /// The rows found by a read or scan.
+    /// The rows found by a read, or by a scan, which do not tell whether there are more.
     Rows(Vec<Row>),
+    /// The rows found by a scan that accepts pages.
+    Page {
+        /// The rows, in key order.
+        rows: Vec<Row>,
+        /// Whether there are further rows after the last one.
+        has_more: bool,
+    },
     /// The commit took effect.
     Committed,
     /// At least one condition did not hold, and nothing was written. Contains the current rows of the failed
--- a/crates/ringbend-playground/src/fleet.rs
+++ b/crates/ringbend-playground/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use ringbend_cli::{CertificatesError, write_test_certificates};
-use ringbend_models::{EngineSpec, TableRates};
+use ringbend_models::{EngineSpec, TablePage, TableRates};
 use ringbend_platform::{EndpointEntry, EndpointKind, EndpointState};
 use ringbend_runtime::Server;
 use ringbend_standins::engine::{Engine, EngineConfig};
@@ -49,6 +49,8 @@
     pub instance_list_lag: Duration,
     /// Commits and reads per second of the table service.
     pub table_rates: TableRates,
+    /// Maximum size of the table service's replies to scans.
+    pub table_page: TablePage,
     /// Time that an instance reports itself as not ready before it drains, in seconds.
     pub unready_s: u64,
     /// URL of the OTLP collector for traces.
@@ -71,6 +73,7 @@
             report_lag: Duration::from_millis(100),
             instance_list_lag: Duration::from_secs(2),
             table_rates: TableRates::default(),
+            table_page: TablePage::default(),
             unready_s: 0,
             otlp_url: None,
         }
@@ -188,7 +191,7 @@
             services.push(service::start(LOOPBACK_ANY_PORT).await?);
         }
         let entries = instance_list_entries(&cfg, &engines, &services);
-        let table = table::start(LOOPBACK_ANY_PORT, cfg.table_rates).await?;
+        let table = table::start(LOOPBACK_ANY_PORT, cfg.table_rates, cfg.table_page).await?;
         let objects = objects::start(LOOPBACK_ANY_PORT).await?;
         let instance_list =
             instances::start(LOOPBACK_ANY_PORT, cfg.instance_list_lag, entries).await?;
--- a/crates/ringbend-playground/tests/failures.rs
+++ b/crates/ringbend-playground/tests/failures.rs
@@ -4,11 +4,13 @@
 
 use std::time::{Duration, Instant};
 
+use ringbend_models::TablePage;
 use ringbend_playground::{CALLER_KEY, Fleet, FleetConfig};
 use serde_json::json;
 use support::{
-    block_on, call, call_with_key, change_setting, expected_tokens, inject_fault, parse_tokens,
-    put, run_count, send_prompt, set_everywhere, settings_version, small_config, wait_until,
+    admin_get, block_on, call, call_with_key, change_setting, expected_tokens, inject_fault,
+    parse_tokens, put, run_count, send_prompt, set_everywhere, settings_version, small_config,
+    wait_until,
 };
 
 #[test]
@@ -385,3 +387,33 @@
         }
     });
 }
+
+/// Guards against instances that take the first page of the table for the whole of it.
+#[test]
+fn an_instance_reads_all_settings_from_a_table_with_small_pages() {
+    block_on(async {
+        let table_page = TablePage { max_rows: 2, max_bytes: 1_000_000 };
+        let mut fleet = Fleet::start(FleetConfig { table_page, ..small_config() }).await.unwrap();
+        for n in 0..7 {
+            let at = format!("/a{n}");
+            let admin = fleet.instances[0].admin_address;
+            let id = format!("c{n}");
+            let accepted = change_setting(admin, &id, &at, "limits.weight", json!(n + 2)).await;
+            assert_eq!(accepted.status, 200);
+        }
+        // Without the first entry of the log, a new instance has to read all nodes.
+        let delete = json!({"delete": {"key": "settings/log/00000000000000000001"}});
+        let commit = json!({"commit": {"conditions": [], "writes": [delete]}});
+        let table = fleet.table.address();
+        let deleted = call(table, "/v1/call", &[], &commit.to_string()).await;
+        assert_eq!(deleted.status, 200, "{}", deleted.text);
+        fleet.add_isolated_instance("alone").await.unwrap();
+        fleet.wait_ready().await.unwrap();
+        let admin = fleet.instances[2].admin_address;
+        wait_until("settings in force", async || settings_version(admin).await == 7).await;
+        for n in 0..7 {
+            let node = admin_get(admin, &format!("/v1/settings/node?path=/a{n}")).await;
+            assert_eq!(node["overrides"]["limits.weight"], json!(n + 2), "{node}");
+        }
+    });
+}
--- a/crates/ringbend-settings/src/sync.rs
+++ b/crates/ringbend-settings/src/sync.rs
@@ -56,6 +56,7 @@
             prefix: rows::NODE_PREFIX.into(),
             after: self.after.clone(),
             limit: PAGE_SIZE,
+            paged: true,
         }
     }
 
@@ -111,12 +112,16 @@
 
     /// The step after a reply.
     pub fn on_reply(&mut self, replica: &mut Replica, reply: &TableReply) -> SyncStep {
-        let TableReply::Rows(found) = reply else { return SyncStep::Failed };
+        let (found, has_more) = match reply {
+            TableReply::Rows(rows) => (rows, None),
+            TableReply::Page { rows, has_more } => (rows, Some(*has_more)),
+            TableReply::Committed | TableReply::ConditionsFailed(_) => return SyncStep::Failed,
+        };
         match std::mem::replace(&mut self.state, State::Idle) {
             State::Idle => SyncStep::Failed,
             State::Head => self.on_head(replica, found),
             State::Log { head, after, pages } => self.on_log(replica, head, after, pages, found),
-            State::Nodes { head, scan } => self.on_nodes(replica, head, scan, found),
+            State::Nodes { head, scan } => self.on_nodes(replica, head, scan, found, has_more),
         }
     }
 
@@ -134,6 +139,7 @@
             prefix: rows::LOG_PREFIX.into(),
             after: Some(rows::log_key(after)),
             limit: PAGE_SIZE,
+            paged: true,
         })
     }
 
@@ -172,12 +178,15 @@
         head: SettingsVersion,
         mut scan: NodeScan,
         found: &[Row],
+        has_more: Option<bool>,
     ) -> SyncStep {
-        if !scan.add(found) {
+        // A page without a row does not advance the scan.
+        if !scan.add(found) || (found.is_empty() && has_more == Some(true)) {
             return SyncStep::Failed;
         }
-        // A page may hold fewer rows than requested, so only an empty one is the end.
-        if !found.is_empty() {
+        // A page may hold fewer rows than requested, so without a statement of the service only an
+        // empty one is the end.
+        if has_more.unwrap_or(!found.is_empty()) {
             return self.scan_nodes(head, scan);
         }
         replica.load(Snapshot { version: head, tree: scan.tree });
--- a/crates/ringbend-settings/tests/exhaustive.rs
+++ b/crates/ringbend-settings/tests/exhaustive.rs
@@ -88,6 +88,7 @@
                 prefix: "settings/log/".into(),
                 after: None,
                 limit: 100,
+                paged: false,
             });
         };
         let version = ringbend_types::SettingsVersion(version);
@@ -123,7 +124,12 @@
 }
 
 fn log(table: &mut TableModel) -> Vec<LogEntry> {
-    let scan = TableRequest::Scan { prefix: "settings/log/".into(), after: None, limit: 1_000 };
+    let scan = TableRequest::Scan {
+        prefix: "settings/log/".into(),
+        after: None,
+        limit: 1_000,
+        paged: false,
+    };
     match call(table, &scan) {
         Ok(TableReply::Rows(rows)) => {
             rows.iter().map(|row| serde_json::from_str(&row.value).unwrap()).collect()
--- a/crates/ringbend-settings/tests/sync.rs
+++ b/crates/ringbend-settings/tests/sync.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use ringbend_models::TableModel;
+use ringbend_models::{TableModel, TablePage};
 use ringbend_platform::{Row, RowKey, RowVersion, TableReply, TableRequest, Write};
 use ringbend_settings::{Replica, SyncStep, Syncer};
 use ringbend_types::SettingsVersion;
@@ -20,8 +20,9 @@
     calls: usize,
 }
 
-/// Synchronizes a replica with a table whose replies to scans are changed by `alter`, which is also
-/// given the key after which the scan starts.
+/// Synchronizes a replica with a table of an earlier version, which does not say whether there are more
+/// rows. Its replies to scans are changed by `alter`, which is also given the key after which the scan
+/// starts.
 fn sync_altered(
     table: &mut TableModel,
     replica: &mut Replica,
@@ -31,7 +32,7 @@
     let mut step = syncer.start();
     for calls in 0..MAX_CALLS {
         let SyncStep::Call(request) = step else { return Ended { step, calls } };
-        let mut reply = call(table, &request).unwrap();
+        let mut reply = call(table, &without_pages(&request)).unwrap();
         if let (TableRequest::Scan { prefix, after, .. }, TableReply::Rows(rows)) =
             (&request, &mut reply)
         {
@@ -42,6 +43,16 @@
     panic!("the sync has not ended after {MAX_CALLS} calls");
 }
 
+/// The request as a service of an earlier version reads it.
+fn without_pages(request: &TableRequest) -> TableRequest {
+    match request.clone() {
+        TableRequest::Scan { prefix, after, limit, paged: _ } => {
+            TableRequest::Scan { prefix, after, limit, paged: false }
+        }
+        other => other,
+    }
+}
+
 /// A table with `count` nodes, whose log no longer holds the first entry.
 fn table_with_nodes(count: u32) -> TableModel {
     let (mut table, replica) = (table(), Replica::default());
@@ -161,7 +172,7 @@
 }
 
 fn table_scan(table: &mut TableModel, prefix: Arc<str>) -> TableReply {
-    call(table, &TableRequest::Scan { prefix, after: None, limit: 200 }).unwrap()
+    call(table, &TableRequest::Scan { prefix, after: None, limit: 200, paged: false }).unwrap()
 }
 
 /// Guards against a log that is read for as long as it grows: a replica that is far behind reads
@@ -220,7 +231,7 @@
     let (mut calls, mut changes) = (0, 0);
     while let SyncStep::Call(request) = step {
         calls += 1;
-        let reply = call(&mut table, &request).unwrap();
+        let reply = call(&mut table, &without_pages(&request)).unwrap();
         step = syncer.on_reply(&mut replica, &reply);
         if matches!(&request, TableRequest::Scan { prefix, .. } if is_node_scan(prefix)) {
             // The first of these nodes is in a page that has been read, the other one is not.
@@ -257,7 +268,7 @@
                 has_failed = true;
                 break;
             }
-            let mut reply = call(&mut table, request).unwrap();
+            let mut reply = call(&mut table, &without_pages(request)).unwrap();
             if let (TableRequest::Scan { .. }, TableReply::Rows(rows)) = (request, &mut reply) {
                 rows.truncate(5);
             }
@@ -271,3 +282,39 @@
     assert_eq!((replica.version(), node_count(&replica, 60)), (SettingsVersion(60), 60));
     assert!(calls < 60, "{calls} calls");
 }
+
+/// A service that says whether there are more rows is read without one more call, whatever the size
+/// of its pages.
+#[test]
+fn the_last_page_of_a_service_with_small_pages_ends_the_scan() {
+    let pages = [(500, 1_000_000, 1), (10, 1_000_000, 6), (7, 1_000_000, 9), (500, 1, 60)];
+    for (max_rows, max_bytes, scans) in pages {
+        let mut table = table_with_nodes(60);
+        table.set_page(TablePage { max_rows, max_bytes });
+        let before = table.reads();
+        let mut replica = Replica::default();
+        sync(&mut table, &mut replica);
+        assert_eq!((replica.version(), node_count(&replica, 60)), (SettingsVersion(60), 60));
+        // The head and a page of the log are read before the nodes.
+        assert_eq!(table.reads() - before, 2 + scans, "{max_rows} rows, {max_bytes} bytes");
+    }
+}
+
+/// Guards against reading empty pages forever.
+#[test]
+fn an_empty_page_that_claims_more_rows_fails_the_sync() {
+    let mut table = table_with_nodes(60);
+    let mut replica = Replica::default();
+    let mut syncer = Syncer::default();
+    let mut step = syncer.start();
+    for _ in 0..10 {
+        let SyncStep::Call(request) = step else { break };
+        let mut reply = call(&mut table, &request).unwrap();
+        if let TableReply::Page { rows, has_more } = &mut reply {
+            rows.clear();
+            *has_more = true;
+        }
+        step = syncer.on_reply(&mut replica, &reply);
+    }
+    assert_eq!((step, replica.version()), (SyncStep::Failed, SettingsVersion(0)));
+}
--- a/crates/ringbend-standins/src/main.rs
+++ b/crates/ringbend-standins/src/main.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use ringbend_models::{EngineSpec, TableRates};
+use ringbend_models::{EngineSpec, TablePage, TableRates};
 use ringbend_standins::{engine, instances, objects, service, table};
 use ringbend_types::{TokenCount, TokensPerSecond};
 
@@ -69,6 +69,12 @@
     /// reads per second
     #[argh(option, default = "2000")]
     reads_per_s: u32,
+    /// maximum number of rows in the reply to a scan
+    #[argh(option, default = "TablePage::default().max_rows")]
+    page_rows: usize,
+    /// maximum size of the reply to a scan, in bytes
+    #[argh(option, default = "TablePage::default().max_bytes")]
+    page_bytes: usize,
 }
 
 /// run an object store
@@ -110,8 +116,10 @@
         StandinCommand::Service(ServiceArgs {}) => {
             run_until_signal(service::start(listen).await?.address()).await
         }
-        StandinCommand::Table(TableArgs { writes_per_s, reads_per_s }) => {
-            let server = table::start(listen, TableRates { writes_per_s, reads_per_s }).await?;
+        StandinCommand::Table(TableArgs { writes_per_s, reads_per_s, page_rows, page_bytes }) => {
+            let rates = TableRates { writes_per_s, reads_per_s };
+            let page = TablePage { max_rows: page_rows, max_bytes: page_bytes };
+            let server = table::start(listen, rates, page).await?;
             run_until_signal(server.address()).await
         }
         StandinCommand::Objects(ObjectsArgs {}) => {
--- a/crates/ringbend-standins/src/table.rs
+++ b/crates/ringbend-standins/src/table.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use ringbend_models::{TableFaults, TableModel, TableRates};
+use ringbend_models::{TableFaults, TableModel, TablePage, TableRates};
 use ringbend_platform::{TableError, TableRequest};
 use ringbend_runtime::{
     Clock, Handler, HttpRequest, HttpResponse, Server, ServerConfig, empty, json, read_body, serve,
@@ -39,14 +39,20 @@
     model: RefCell<TableModel>,
 }
 
-/// Starts an empty table service that listens on `address`.
+/// Starts an empty table service that listens on `address`. Replies to scans are at most as large as
+/// `page`.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub async fn start(address: SocketAddr, rates: TableRates) -> std::io::Result<Server> {
-    let model = RefCell::new(TableModel::new(rates));
-    let service = Rc::new(TableService { clock: Clock::start(), model });
+pub async fn start(
+    address: SocketAddr,
+    rates: TableRates,
+    page: TablePage,
+) -> std::io::Result<Server> {
+    let mut model = TableModel::new(rates);
+    model.set_page(page);
+    let service = Rc::new(TableService { clock: Clock::start(), model: RefCell::new(model) });
     serve(address, ServerConfig::default(), service).await
 }
 
