fix(ledger): a claim whose row cannot be decoded is reported as may have run

A claim of a key whose row exists but cannot be decoded, such as one of a later release, was taken for a claim without a row: the commit was repeated at once and rejected again, without a delay, until the request's time had passed. All claims of the same batch were rejected with it.

The key is claimed, and whether its request has run is unknown, so the claim is reported as that and the others of the batch go on.

--- a/crates/ringbend-ledger/src/claim_batcher.rs
+++ b/crates/ringbend-ledger/src/claim_batcher.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use ringbend_platform::{Condition, Row, RowKey, TableError, TableReply, TableRequest, Write};
+use ringbend_platform::{Condition, Row, TableError, TableReply, TableRequest, Write};
 use ringbend_types::{RequestId, Timestamp};
 
 use crate::claim::{Claim, ClaimKey, ClaimState, ExistingClaim, StoredAnswer};
@@ -326,26 +326,18 @@
                 batch.into_iter().for_each(|p| self.grant(p, actions));
             }
             (Call::Claim(batch), Ok(TableReply::ConditionsFailed(rows))) => {
-                for pending in batch {
-                    match find_claim(&rows, &pending.key.row()) {
-                        Some(held) => self.resolve(pending, &held, now_unix_ms, actions),
-                        None => self.waiting.push_front(pending),
-                    }
-                }
+                let unclaimed = self.resolve_existing(batch, &rows, now_unix_ms, actions);
+                unclaimed.into_iter().for_each(|pending| self.waiting.push_front(pending));
             }
             (Call::Claim(batch) | Call::ReadBack(batch), Err(TableError::OutcomeUnknown)) => {
                 self.retry_claims(batch, true, actions);
             }
             (Call::Claim(batch), _) => self.retry_claims(batch, false, actions),
             (Call::ReadBack(batch), Ok(TableReply::Rows(rows))) => {
-                for pending in batch {
-                    match find_claim(&rows, &pending.key.row()) {
-                        Some(held) => self.resolve(pending, &held, now_unix_ms, actions),
-                        // The lost commit may still take effect, in which case the next one finds this
-                        // request's own claim.
-                        None => self.waiting.push_front(pending),
-                    }
-                }
+                let unclaimed = self.resolve_existing(batch, &rows, now_unix_ms, actions);
+                // A lost commit may still take effect, in which case the next one finds this request's
+                // own claim.
+                unclaimed.into_iter().for_each(|pending| self.waiting.push_front(pending));
             }
             (Call::ReadBack(batch), _) => self.retry_claims(batch, true, actions),
             (Call::Settle(_) | Call::Free(_), Ok(TableReply::Committed)) => {}
@@ -362,6 +354,34 @@
         actions.push(ClaimAction::Granted(pending.holder));
     }
 
+    /// Resolves the claims whose rows exist, and returns the others.
+    fn resolve_existing(
+        &mut self,
+        batch: Vec<Pending>,
+        rows: &[Row],
+        now_unix_ms: u64,
+        actions: &mut Vec<ClaimAction>,
+    ) -> Vec<Pending> {
+        let mut unclaimed = Vec::new();
+        for pending in batch {
+            let key = pending.key.row();
+            let Some(row) = rows.iter().find(|row| row.key == key) else {
+                unclaimed.push(pending);
+                continue;
+            };
+            match serde_json::from_str::<Claim>(&row.value) {
+                Ok(held) => self.resolve(pending, &held, now_unix_ms, actions),
+                // The row may be of a later release. This request's own would be readable, and the
+                // key is claimed, so the request must not run.
+                Err(_) => {
+                    let status = ExistingClaim::MayHaveRun;
+                    actions.push(ClaimAction::AlreadyClaimed(pending.holder, status));
+                }
+            }
+        }
+        unclaimed
+    }
+
     fn resolve(
         &mut self,
         pending: Pending,
@@ -452,8 +472,3 @@
     let n = queue.len().min(max);
     queue.drain(..n).collect()
 }
-
-fn find_claim(rows: &[Row], key: &RowKey) -> Option<Claim> {
-    let row = rows.iter().find(|row| row.key == *key)?;
-    serde_json::from_str(&row.value).ok()
-}
