fix(ledger): claims and settlements that do not advance are retried with a delay

Only a call without a reply was followed by a delay. A claim that was rejected without a row was repeated at once and without a limit, and a settlement with a reply other than the outcome of its commit 200 times at once, each of them a call of the table service's budget, which all instances share.

Every reply that does not advance its batch is followed by the delay of a failed call and counts as an attempt.

--- a/crates/ringbend-ledger/src/claim_batcher.rs
+++ b/crates/ringbend-ledger/src/claim_batcher.rs
@@ -27,7 +27,7 @@
     /// Number of attempts after which a settlement is abandoned. Later requests with the same key are then
     /// told that the request may have run.
     pub max_settle_attempts: u32,
-    /// Delay after a failed call.
+    /// Delay after a call that failed or whose reply did not advance its batch.
     pub retry_delay: Duration,
     /// Time to live of claim rows.
     pub row_ttl: Duration,
@@ -319,36 +319,53 @@
         actions: &mut Vec<ClaimAction>,
     ) {
         if reply.is_err() {
-            self.pause_until = now + self.cfg.retry_delay;
+            self.pause(now);
         }
         match (call, reply) {
             (Call::Claim(batch), Ok(TableReply::Committed)) => {
                 batch.into_iter().for_each(|p| self.grant(p, actions));
             }
             (Call::Claim(batch), Ok(TableReply::ConditionsFailed(rows))) => {
+                let count = batch.len();
                 let unclaimed = self.resolve_existing(batch, &rows, now_unix_ms, actions);
-                unclaimed.into_iter().for_each(|pending| self.waiting.push_front(pending));
+                if unclaimed.len() == count {
+                    // Without a delay and a limit, the same commit would be repeated forever.
+                    self.pause(now);
+                    self.retry_claims(unclaimed, false, actions);
+                } else {
+                    unclaimed.into_iter().for_each(|pending| self.waiting.push_front(pending));
+                }
             }
             (Call::Claim(batch) | Call::ReadBack(batch), Err(TableError::OutcomeUnknown)) => {
                 self.retry_claims(batch, true, actions);
             }
-            (Call::Claim(batch), _) => self.retry_claims(batch, false, actions),
+            (Call::Claim(batch), _) => {
+                self.pause(now);
+                self.retry_claims(batch, false, actions);
+            }
             (Call::ReadBack(batch), Ok(TableReply::Rows(rows))) => {
                 let unclaimed = self.resolve_existing(batch, &rows, now_unix_ms, actions);
                 // A lost commit may still take effect, in which case the next one finds this request's
                 // own claim.
                 unclaimed.into_iter().for_each(|pending| self.waiting.push_front(pending));
             }
-            (Call::ReadBack(batch), _) => self.retry_claims(batch, true, actions),
+            (Call::ReadBack(batch), _) => {
+                self.pause(now);
+                self.retry_claims(batch, true, actions);
+            }
             (Call::Settle(_) | Call::Free(_), Ok(TableReply::Committed)) => {}
-            (Call::Settle(batch), _) => self.retry_settlements(batch),
+            (Call::Settle(batch), _) => self.retry_settlements(now, batch),
             (Call::ReadToFree(batch), Ok(TableReply::Rows(rows))) => {
                 self.free_claims(batch, &rows, actions);
             }
-            (Call::ReadToFree(batch) | Call::Free(batch), _) => self.retry_settlements(batch),
+            (Call::ReadToFree(batch) | Call::Free(batch), _) => self.retry_settlements(now, batch),
         }
     }
 
+    fn pause(&mut self, now: Timestamp) {
+        self.pause_until = now + self.cfg.retry_delay;
+    }
+
     fn grant(&mut self, pending: Pending, actions: &mut Vec<ClaimAction>) {
         self.granted.insert(pending.holder, (pending.key, pending.claim));
         actions.push(ClaimAction::Granted(pending.holder));
@@ -425,7 +442,8 @@
         }
     }
 
-    fn retry_settlements(&mut self, batch: Vec<Settling>) {
+    fn retry_settlements(&mut self, now: Timestamp, batch: Vec<Settling>) {
+        self.pause(now);
         for mut settling in batch {
             settling.attempts += 1;
             if settling.attempts >= self.cfg.max_settle_attempts {
