fix(relay): an instance that serves an older copy than it names is asked once

A search for a newer copy among other instances went on as long as one of them named a newer copy, and asked again at once after each fetched one, whatever it held. An instance that names a copy which it does not have, such as one that has started again at the same address with an older read, was asked without a pause for 800 ms, then the store was read, and so on without an end.

A fetched copy that is not newer than the local one counts as a failure and is logged, and the instance is left out for the rest of the search. The decision is in CopySearch, which has no I/O.

--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -14,7 +14,9 @@
 use bytes::Bytes;
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use ringbend_gateway::{ConfigVersion, CopyVersions, Endpoint, EndpointChange, Evacuations};
+use ringbend_gateway::{
+    ConfigVersion, CopySearch, CopySearchStep, CopyVersions, Endpoint, EndpointChange, Evacuations,
+};
 use ringbend_types::{Cursor, Timestamp};
 use ringbend_wire::{
     self as wire, EndpointChanges, Message, WireError, decode_endpoint_change, decode_evacuations,
@@ -155,21 +157,30 @@
     fetch: impl AsyncFn(SocketAddrV4) -> Result<(), CopyError>,
 ) -> bool {
     let until: Timestamp = node.clock.now() + FETCH_TIMEOUT;
-    while let Some(peer) = pick_random_peer(node, peers_with(node, &wanted)) {
+    let mut search = CopySearch::new(until);
+    loop {
+        let holders = match search.next(node.clock.now(), peers_with(node, &wanted)) {
+            CopySearchStep::UpToDate => return true,
+            CopySearchStep::GiveUp => return false,
+            CopySearchStep::Fetch(holders) => holders,
+            CopySearchStep::Wait => {
+                wait_before_retry(node).await;
+                continue;
+            }
+        };
+        let Some(peer) = pick_random_peer(node, holders) else { return true };
         let remaining = until.since(node.clock.now());
         let result = tokio::time::timeout(remaining.min(TRANSFER_TIMEOUT), fetch(peer))
             .await
             .unwrap_or(Err(CopyError::Late));
-        match result {
-            Ok(()) => continue,
-            Err(why) => log::info!(target: "peers", peer:%, why:%; "cannot fetch copy from peer"),
-        }
-        if node.clock.now() >= until {
-            return false;
+        let Err(why) = result else { continue };
+        log::info!(target: "peers", peer:%, why:%; "cannot fetch copy from peer");
+        if matches!(why, CopyError::Stale) {
+            search.record_stale(peer);
+        } else if node.clock.now() < until {
+            wait_before_retry(node).await;
         }
-        wait_before_retry(node).await;
     }
-    true
 }
 
 /// Why a copy could not be fetched from a peer.
@@ -181,6 +192,8 @@
     Exchange(ExchangeError),
     /// The peer's address is not a valid header value.
     Address(InvalidHeaderValue),
+    /// The peer named a newer copy than it served.
+    Stale,
     /// The peer cannot serve a copy now.
     Refused(StatusCode),
     /// The configuration cannot be decoded.
@@ -193,6 +206,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Late => write!(f, "timed out"),
+            Self::Stale => write!(f, "the peer's copy is not newer than the local one"),
             Self::Exchange(e) => e.fmt(f),
             Self::Address(e) => write!(f, "invalid peer address: {e}"),
             Self::Refused(status) => write!(f, "refused with status {status}"),
@@ -222,6 +236,7 @@
 }
 
 async fn fetch_config_from(node: &Node, peer: SocketAddrV4) -> Result<(), CopyError> {
+    let before = node.replica.borrow().version();
     let raw = get(node, peer, CONFIG_PATH).await?;
     let copy = wire::ConfigCopy::decode(raw).map_err(|e| CopyError::Decode(e.into()))?;
     let item = node.config_decoder.decode(copy.row.into()).map_err(CopyError::Config)?;
@@ -238,10 +253,11 @@
     // The copy does not prove that it is current. The peer's digest that says so arrived before the
     // copy and would be repeated only with the next heartbeat, so a hello requests it now.
     node.send_hello(peer);
-    Ok(())
+    if node.replica.borrow().version() > before { Ok(()) } else { Err(CopyError::Stale) }
 }
 
 async fn fetch_endpoints_from(node: &Node, peer: SocketAddrV4) -> Result<(), CopyError> {
+    let before = node.endpoints_cursor.get();
     let raw = get(node, peer, ENDPOINTS_PATH).await?;
     let copy = EndpointChanges::decode(raw).map_err(|e| CopyError::Decode(e.into()))?;
     let endpoint = |row| match decode_endpoint_change(row)? {
@@ -254,5 +270,5 @@
     if to > node.endpoints_cursor.get() {
         EndpointCopy.replace(node, rows, to);
     }
-    Ok(())
+    if node.endpoints_cursor.get() > before { Ok(()) } else { Err(CopyError::Stale) }
 }
