fix(daemon): a peer's message that does not end delays no other one

An instance read a message on a stream to its end before it read anything else of the connection, and waited for a request and for the hello of a new connection without a time limit. A peer that is paused in the middle of a message, or whose rest is lost, was not answered any more for as long as its other packets kept the connection open, and each request that did not end held one of the connection's streams.

Messages are read beside each other, and each must end within the time limit of a request.

--- a/crates/ringbendd/src/peers/quic.rs
+++ b/crates/ringbendd/src/peers/quic.rs
@@ -259,43 +259,56 @@
     Envelope::decode(response.as_slice()).map_err(|e| PeerError::Malformed(WireError::Decode(e)))
 }
 
-/// Receives a peer's messages and requests on a connection until it closes.
+/// Reads a peer's message to its end; `None` if it is incomplete or does not end in time. A peer that
+/// is paused in the middle of a message would otherwise hold its stream as long as the connection.
+async fn read_message(rx: &mut quinn::RecvStream) -> Option<Envelope> {
+    let bytes = tokio::time::timeout(REQUEST_TIMEOUT, rx.read_to_end(MAX_MESSAGE_BYTES)).await;
+    Envelope::decode(bytes.ok()?.ok()?.as_slice()).ok()
+}
+
+/// Receives a peer's messages and requests on a connection until it closes. No message delays the
+/// ones after it.
 async fn serve(app: Weak<App>, connection: Connection) {
     loop {
-        let received = tokio::select! {
+        tokio::select! {
             datagram = connection.read_datagram() => match datagram {
-                Ok(bytes) => Some(bytes),
+                Ok(bytes) => receive_message(&app, Envelope::decode(bytes).ok()),
                 Err(_) => return,
             },
             stream = connection.accept_uni() => match stream {
-                Ok(mut stream) => {
-                    stream.read_to_end(MAX_MESSAGE_BYTES).await.ok().map(Bytes::from)
+                Ok(mut rx) => {
+                    let app = app.clone();
+                    tokio::task::spawn_local(async move {
+                        receive_message(&app, read_message(&mut rx).await);
+                    });
                 }
                 Err(_) => return,
             },
             streams = connection.accept_bi() => match streams {
                 Ok((tx, rx)) => {
                     tokio::task::spawn_local(answer_request(app.clone(), tx, rx));
-                    None
                 }
                 Err(_) => return,
             },
-        };
-        let Some(app) = app.upgrade() else { return };
-        let envelope = received.and_then(|bytes| Envelope::decode(bytes).ok());
-        if let Some(Envelope { body: Some(envelope::Body::Gossip(gossip)) }) = envelope {
-            app.peers.handle_gossip(&app, gossip);
         }
+        if app.strong_count() == 0 {
+            return;
+        }
+    }
+}
+
+fn receive_message(app: &Weak<App>, message: Option<Envelope>) {
+    let Some(app) = app.upgrade() else { return };
+    if let Some(Envelope { body: Some(envelope::Body::Gossip(gossip)) }) = message {
+        app.peers.handle_gossip(&app, gossip);
     }
 }
 
-/// Answers the peer's hello; `None` if the peer uses a different protocol or sends no hello.
+/// Answers the peer's hello; `None` if the peer uses a different protocol or sends no hello in time.
 async fn exchange_hello(connection: &Connection, hello: Hello) -> Option<Hello> {
     let streams = tokio::time::timeout(REQUEST_TIMEOUT, connection.accept_bi()).await;
     let (mut tx, mut rx) = streams.ok()?.ok()?;
-    let bytes = rx.read_to_end(MAX_MESSAGE_BYTES).await.ok()?;
-    let Ok(Envelope { body: Some(envelope::Body::Hello(theirs)) }) =
-        Envelope::decode(bytes.as_slice())
+    let Some(Envelope { body: Some(envelope::Body::Hello(theirs)) }) = read_message(&mut rx).await
     else {
         return None;
     };
@@ -306,8 +319,7 @@
 }
 
 async fn answer_request(app: Weak<App>, mut tx: quinn::SendStream, mut rx: quinn::RecvStream) {
-    let Ok(bytes) = rx.read_to_end(MAX_MESSAGE_BYTES).await else { return };
-    let Ok(request_envelope) = Envelope::decode(bytes.as_slice()) else { return };
+    let Some(request_envelope) = read_message(&mut rx).await else { return };
     let Some(app) = app.upgrade() else { return };
     if let Some(response) = app.peers.handle_request(&app, request_envelope) {
         let _ = tx.write_all(&response.encode_to_vec()).await;
