fix(daemon): messages and requests to a peer do not wait for it without a limit

A message that does not fit into a datagram waited for a stream, and the peer's queue waited with it: a peer that grants no streams got nothing else any more, and requests to it were given up unsent. A request without an answer was given up by its caller after two seconds, but went on and held its stream for as long as the connection was open, so that after a hundred of them no further one could be sent.

A message on a stream no longer delays its queue, and both have the time limit of a request. a_message_without_a_stream_does_not_delay_requests had no request within 5 s, and in a_request_that_is_not_answered_releases_its_stream the answer was still waited for after 5 s; both pass in three runs of stalled_peers.rs (5 of 5). Run besides: 19 of 19 tests of failures.rs, 7 of 7 of end_to_end.rs, 7 of 7 of security.rs.

--- a/crates/ringbendd/src/peers/quic.rs
+++ b/crates/ringbendd/src/peers/quic.rs
@@ -196,11 +196,13 @@
             },
         };
         match outgoing {
-            Outgoing::Message(envelope) => send(&open, &envelope).await,
+            Outgoing::Message(envelope) => send(&open, &envelope),
             Outgoing::Request(envelope, tx) => {
                 let open = open.clone();
                 tokio::task::spawn_local(async move {
-                    let _ = tx.send(request(&open, &envelope).await);
+                    // Without an end, a request without an answer would hold its stream.
+                    let exchange = tokio::time::timeout(REQUEST_TIMEOUT, request(&open, &envelope));
+                    let _ = tx.send(exchange.await.unwrap_or(Err(PeerError::Unreachable)));
                 });
             }
         }
@@ -232,17 +234,22 @@
     }
 }
 
-async fn send(connection: &Connection, envelope: &Envelope) {
+/// Sends a message in a datagram, or on a stream if it does not fit. The queue does not wait for the
+/// stream: the peer may grant none.
+fn send(connection: &Connection, envelope: &Envelope) {
     let bytes = Bytes::from(envelope.encode_to_vec());
     let fits = connection.max_datagram_size().is_some_and(|most| bytes.len() <= most);
     if fits {
         let _ = connection.send_datagram(bytes);
         return;
     }
-    if let Ok(mut stream) = connection.open_uni().await {
-        let _ = stream.write_all(&bytes).await;
-        let _ = stream.finish();
-    }
+    let connection = connection.clone();
+    tokio::task::spawn_local(tokio::time::timeout(REQUEST_TIMEOUT, async move {
+        if let Ok(mut stream) = connection.open_uni().await {
+            let _ = stream.write_all(&bytes).await;
+            let _ = stream.finish();
+        }
+    }));
 }
 
 async fn request(
