fix(daemon): a complete response does not wait for the engine to end it

After the last event of a response, the rest was read to its end before the response counted as complete, so that the connection could be used again. An engine that keeps the connection open, or goes on with comments, kept the caller waiting until the time limit of silence, and the complete response was reported as a failure of the endpoint.

The end is waited for 100 ms at most; after that the connection is closed and the response is complete.

--- a/crates/ringbendd/src/callers/attempt.rs
+++ b/crates/ringbendd/src/callers/attempt.rs
@@ -40,6 +40,9 @@
     pub(crate) text: String,
 }
 
+/// How long the end of a response is waited for after its last event.
+const RESPONSE_END_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// An attempt of a request at an engine.
 pub(crate) struct PromptAttempt {
     pub(crate) app: Rc<App>,
@@ -146,8 +149,10 @@
                         self.events.send(AttemptEvent::Token(token)).await.ok()?;
                     }
                     Ok(Some(SseEvent::Done(_))) if finished => {
-                        // Read to the end, so that the connection can be reused.
-                        while let Some(Ok(_)) = res.next().await {}
+                        // Read to the end, so that the connection can be reused. The engine may
+                        // not end the response, which is complete.
+                        let rest = async { while let Some(Ok(_)) = res.next().await {} };
+                        let _ = tokio::time::timeout(RESPONSE_END_TIMEOUT, rest).await;
                         return Some(AttemptEnd::Complete);
                     }
                     Ok(Some(SseEvent::Done(_))) | Err(_) => return Some(AttemptEnd::Broken),
