fix(relay): a request that a scheduler keeps queued ends at its deadline

An instance that asks a scheduler for a placement waits as long as the scheduler replies that the request is queued, and repeats the question every 150 ms. Nothing else ended the wait: if the queue of the scheduler does not advance, the caller had no response, whatever the time limit of its route.

The wait ends at the request's deadline, and the request is refused as not run. In endless_queues.rs a request with a time limit of 1.5 s had no response within 8 s (53 placement requests); it is refused with 503 after 1.51 s now, and nothing has run. Run besides: 6 of 6 tests of scheduling.rs, 6 of 6 of regions.rs and the 4 tests of planners in overload.rs pass.

--- a/crates/ringbend-relay/src/placement_requests.rs
+++ b/crates/ringbend-relay/src/placement_requests.rs
@@ -70,14 +70,18 @@
         self.node.send_digest(&LoadDigest { asks: vec![ask], ..self.node.digest() }, scheduler);
     }
 
-    /// Asks one scheduler and waits for its decision. `None` if it does not reply or is not a
-    /// scheduler.
+    /// Asks one scheduler and waits for its decision. `None` if it does not reply, is not a scheduler,
+    /// or has not decided by the request's deadline, as one whose queue does not advance.
     async fn await_decision(&mut self, scheduler: SocketAddrV4, job: &Job) -> Option<Grant> {
         self.send(scheduler, job);
         let mut is_queued = false;
         loop {
+            let left = job.deadline.since(self.node.clock.now());
+            if left.is_zero() {
+                return None;
+            }
             let timeout = if is_queued { QUEUED_RESEND_INTERVAL } else { GRANT_TIMEOUT };
-            match tokio::time::timeout(timeout, self.rx.recv()).await {
+            match tokio::time::timeout(timeout.min(left), self.rx.recv()).await {
                 Ok(Some(grant)) => {
                     if grant.overloaded {
                         let now = self.node.clock.now();
@@ -90,6 +94,7 @@
                     }
                 }
                 Ok(None) => return None,
+                Err(_) if left < timeout => return None,
                 Err(_) if is_queued => {
                     is_queued = false;
                     self.send(scheduler, job);
@@ -131,7 +136,12 @@
         while asked.len() < MAX_SCHEDULERS_ASKED {
             let scheduler = next(&self.peers.borrow(), self.clock.now(), &asked)?;
             asked.push(scheduler);
-            let Some(grant) = pending.await_decision(scheduler, job).await else { continue };
+            let Some(grant) = pending.await_decision(scheduler, job).await else {
+                if self.clock.now() >= job.deadline {
+                    return Some(Err(PlacementError::TurnExpired));
+                }
+                continue;
+            };
             let asked_ms = self.clock.now().since(started_at).as_millis() as u64;
             log::info!(
                 target: "request", id = job.request.as_ref(), scheduler:%, asked_ms,
