fix(settings): a commit that is answered with rows counts as a failed attempt

A committer took rows for the reply to its read whatever it had asked for, and sent the commit again. A table service that answers a commit with rows was sent the same commit without a limit and without a delay. The commit may have taken effect in such a case, so the outcome is unknown.

Rows are accepted as the reply to a read only.

--- a/crates/ringbend-settings/src/commit.rs
+++ b/crates/ringbend-settings/src/commit.rs
@@ -98,7 +98,7 @@
     /// The step after a reply.
     pub fn on_reply(&mut self, reply: Result<TableReply, TableError>) -> CommitStep {
         match (reply, self.state.clone()) {
-            (Ok(TableReply::Rows(rows)), _) => self.on_rows(&rows),
+            (Ok(TableReply::Rows(rows)), State::Reading) => self.on_rows(&rows),
             (Ok(TableReply::Committed), State::Committing(entry)) => {
                 CommitStep::Done(CommitOutcome::Accepted(entry))
             }
@@ -106,6 +106,10 @@
                 self.maybe_applied |= e == TableError::OutcomeUnknown;
                 self.retry_read()
             }
+            (Ok(TableReply::Rows(_) | TableReply::Page { .. }), State::Committing(_)) => {
+                self.maybe_applied = true;
+                self.retry_read()
+            }
             // Any other reply says nothing certain, so the rows are read again.
             (Ok(_) | Err(_), _) => self.retry_read(),
         }
--- a/crates/ringbend-settings/tests/commit.rs
+++ b/crates/ringbend-settings/tests/commit.rs
@@ -4,7 +4,10 @@
 
 use quickcheck::{Gen, QuickCheck, TestResult};
 use ringbend_models::TableFaults;
-use ringbend_settings::{ApplyOutcome, CommitOutcome, Replica};
+use ringbend_platform::TableReply;
+use ringbend_settings::{
+    ApplyOutcome, CommitOutcome, CommitStep, Committer, MAX_COMMIT_ATTEMPTS, Replica, SettingsTree,
+};
 use ringbend_types::SettingsVersion;
 use support::{commit, faulty_table, path, set, sync, table};
 
@@ -81,6 +84,26 @@
     assert_eq!(weight(&late, "/a4"), 600);
 }
 
+/// Guards against repeating a commit without a limit and a delay at a service that answers it with
+/// rows.
+#[test]
+fn a_commit_that_is_answered_with_rows_ends_as_unknown() {
+    let mut committer = Committer::new(set("a", "/x", 1), SettingsTree::default());
+    let mut step = committer.start();
+    for _ in 0..10 * MAX_COMMIT_ATTEMPTS {
+        step = match step {
+            CommitStep::Done(outcome) => {
+                assert_eq!(outcome, CommitOutcome::OutcomeUnknown);
+                return;
+            }
+            CommitStep::Call(_) | CommitStep::Backoff { .. } => {
+                committer.on_reply(Ok(TableReply::Rows(Vec::new())))
+            }
+        };
+    }
+    panic!("the commit has not ended");
+}
+
 /// For all orders in which entries and snapshots arrive, the version never decreases, and a replica at a
 /// given version is equal to the snapshot of that version.
 fn version_never_decreases(order: Vec<(u8, bool)>) -> TestResult {
