--- a/crates/ringbend-ledger/src/claim_batcher.rs
+++ b/crates/ringbend-ledger/src/claim_batcher.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use ringbend_platform::{Condition, Row, RowKey, TableError, TableReply, TableRequest, Write};
+use ringbend_platform::{Condition, Row, TableError, TableReply, TableRequest, Write};
 use ringbend_types::{RequestId, Timestamp};
 
 use crate::claim::{Claim, ClaimKey, ClaimState, ExistingClaim, StoredAnswer};
@@ -27,7 +27,7 @@
     /// Number of attempts after which a settlement is abandoned. Later requests with the same key are then
     /// told that the request may have run.
     pub max_settle_attempts: u32,
-    /// Delay after a failed call.
+    /// Delay after a call that failed or whose reply did not advance its batch.
     pub retry_delay: Duration,
     /// Time to live of claim rows.
     pub row_ttl: Duration,
@@ -319,49 +319,86 @@
         actions: &mut Vec<ClaimAction>,
     ) {
         if reply.is_err() {
-            self.pause_until = now + self.cfg.retry_delay;
+            self.pause(now);
         }
         match (call, reply) {
             (Call::Claim(batch), Ok(TableReply::Committed)) => {
                 batch.into_iter().for_each(|p| self.grant(p, actions));
             }
             (Call::Claim(batch), Ok(TableReply::ConditionsFailed(rows))) => {
-                for pending in batch {
-                    match find_claim(&rows, &pending.key.row()) {
-                        Some(held) => self.resolve(pending, &held, now_unix_ms, actions),
-                        None => self.waiting.push_front(pending),
-                    }
+                let count = batch.len();
+                let unclaimed = self.resolve_existing(batch, &rows, now_unix_ms, actions);
+                if unclaimed.len() == count {
+                    // Without a delay and a limit, the same commit would be repeated forever.
+                    self.pause(now);
+                    self.retry_claims(unclaimed, false, actions);
+                } else {
+                    unclaimed.into_iter().for_each(|pending| self.waiting.push_front(pending));
                 }
             }
             (Call::Claim(batch) | Call::ReadBack(batch), Err(TableError::OutcomeUnknown)) => {
                 self.retry_claims(batch, true, actions);
             }
-            (Call::Claim(batch), _) => self.retry_claims(batch, false, actions),
+            (Call::Claim(batch), _) => {
+                self.pause(now);
+                self.retry_claims(batch, false, actions);
+            }
             (Call::ReadBack(batch), Ok(TableReply::Rows(rows))) => {
-                for pending in batch {
-                    match find_claim(&rows, &pending.key.row()) {
-                        Some(held) => self.resolve(pending, &held, now_unix_ms, actions),
-                        // The lost commit may still take effect, in which case the next one finds this
-                        // request's own claim.
-                        None => self.waiting.push_front(pending),
-                    }
-                }
+                let unclaimed = self.resolve_existing(batch, &rows, now_unix_ms, actions);
+                // A lost commit may still take effect, in which case the next one finds this request's
+                // own claim.
+                unclaimed.into_iter().for_each(|pending| self.waiting.push_front(pending));
+            }
+            (Call::ReadBack(batch), _) => {
+                self.pause(now);
+                self.retry_claims(batch, true, actions);
             }
-            (Call::ReadBack(batch), _) => self.retry_claims(batch, true, actions),
             (Call::Settle(_) | Call::Free(_), Ok(TableReply::Committed)) => {}
-            (Call::Settle(batch), _) => self.retry_settlements(batch),
+            (Call::Settle(batch), _) => self.retry_settlements(now, batch),
             (Call::ReadToFree(batch), Ok(TableReply::Rows(rows))) => {
                 self.free_claims(batch, &rows, actions);
             }
-            (Call::ReadToFree(batch) | Call::Free(batch), _) => self.retry_settlements(batch),
+            (Call::ReadToFree(batch) | Call::Free(batch), _) => self.retry_settlements(now, batch),
         }
     }
 
+    fn pause(&mut self, now: Timestamp) {
+        self.pause_until = now + self.cfg.retry_delay;
+    }
+
     fn grant(&mut self, pending: Pending, actions: &mut Vec<ClaimAction>) {
         self.granted.insert(pending.holder, (pending.key, pending.claim));
         actions.push(ClaimAction::Granted(pending.holder));
     }
 
+    /// Resolves the claims whose rows exist, and returns the others.
+    fn resolve_existing(
+        &mut self,
+        batch: Vec<Pending>,
+        rows: &[Row],
+        now_unix_ms: u64,
+        actions: &mut Vec<ClaimAction>,
+    ) -> Vec<Pending> {
+        let mut unclaimed = Vec::new();
+        for pending in batch {
+            let key = pending.key.row();
+            let Some(row) = rows.iter().find(|row| row.key == key) else {
+                unclaimed.push(pending);
+                continue;
+            };
+            match serde_json::from_str::<Claim>(&row.value) {
+                Ok(held) => self.resolve(pending, &held, now_unix_ms, actions),
+                // The row may be of a later release. This request's own would be readable, and the
+                // key is claimed, so the request must not run.
+                Err(_) => {
+                    let status = ExistingClaim::MayHaveRun;
+                    actions.push(ClaimAction::AlreadyClaimed(pending.holder, status));
+                }
+            }
+        }
+        unclaimed
+    }
+
     fn resolve(
         &mut self,
         pending: Pending,
@@ -405,7 +442,8 @@
         }
     }
 
-    fn retry_settlements(&mut self, batch: Vec<Settling>) {
+    fn retry_settlements(&mut self, now: Timestamp, batch: Vec<Settling>) {
+        self.pause(now);
         for mut settling in batch {
             settling.attempts += 1;
             if settling.attempts >= self.cfg.max_settle_attempts {
@@ -452,8 +490,3 @@
     let n = queue.len().min(max);
     queue.drain(..n).collect()
 }
-
-fn find_claim(rows: &[Row], key: &RowKey) -> Option<Claim> {
-    let row = rows.iter().find(|row| row.key == *key)?;
-    serde_json::from_str(&row.value).ok()
-}
