fix(relay): a table that was not read to its end is read again

A list that ended at a page which did not continue it, or at its bounds, counted as complete. Its instance kept too few endpoints for as long as it ran, and its position was the newest one, so that others replaced complete copies by it.

A page that does not continue the list is read again three times. After that the endpoints read so far are added to the copy, whose position and proof stay, and the table is read again; the configuration, whose row is the first one, is followed as usual beside a read every five seconds. Registry and suspects are read again after their usual delays. A read that is repeated because the history is gone goes on after a failed page unless another instance has a newer copy: it was dropped for the instance's own old one. Changes without a later position are a failed call from the third on, as a late one may have been overtaken.

--- a/crates/ringbend-gateway/src/table_list.rs
+++ b/crates/ringbend-gateway/src/table_list.rs
@@ -17,7 +17,7 @@
 }
 
 /// Many times what the largest fleets need. A platform that shares its tables may hold others' rows.
-pub const LIST_BOUNDS: ListBounds = ListBounds { pages: 400, rows: 100_000, bytes: 128 << 20 };
+pub const LIST_BOUNDS: ListBounds = ListBounds { pages: 10_000, rows: 1_000_000, bytes: 1 << 30 };
 
 /// What a list has to know of a page.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/ringbend-relay/src/config_copy.rs
+++ b/crates/ringbend-relay/src/config_copy.rs
@@ -7,7 +7,7 @@
     EvacuationChange, Evacuations, OfferResult, Proof, Snapshot, WatchedTable, read_age,
 };
 
-use ringbend_types::{Cursor, StoreKey};
+use ringbend_types::Cursor;
 
 use crate::node::Node;
 use crate::peer_copies;
@@ -42,6 +42,13 @@
         node.store_read.notify_waiters();
     }
 
+    /// Activates the configuration of the whole table.
+    fn activate_stored(node: &Node, configs: Vec<ConfigItem>) {
+        let stored = configs.iter().map(|config| config.parts.version).max();
+        configs.into_iter().for_each(|config| Self::activate(node, config));
+        node.replica.borrow_mut().note_stored(stored);
+    }
+
     /// Activates a configuration if it is newer.
     fn activate(node: &Node, item: ConfigItem) {
         let snapshot = Snapshot::new(item.parts);
@@ -85,25 +92,22 @@
 
     const DETECTS_OUTAGES: bool = true;
 
-    /// The row of the configuration comes first, so it is read even if others are not.
-    fn replace(
-        &self,
-        node: &Node,
-        items: Vec<OperatorChange>,
-        cursor: Cursor,
-        read_to: Option<&StoreKey>,
-    ) {
+    /// The row of the configuration comes first.
+    const FOLLOWS_PARTIAL_LIST: bool = true;
+
+    /// Evacuations keep their position, and with it their place behind those of other instances.
+    fn use_partial(&self, node: &Node, items: Vec<OperatorChange>, cursor: Cursor) {
+        let (configs, _) = split_changes(items);
+        Self::record_read(node, cursor);
+        Self::activate_stored(node, configs);
+    }
+
+    fn replace(&self, node: &Node, items: Vec<OperatorChange>, cursor: Cursor) {
         let (configs, evacuations) = split_changes(items);
-        let evacuated = match read_to {
-            None => Evacuations::default(),
-            Some(_) => node.directory.borrow().evacuations().clone(),
-        };
-        let evacuated = evacuated.with_changes(cursor, evacuations);
+        let evacuated = Evacuations::new(cursor, []).with_changes(cursor, evacuations);
         node.adopt_evacuations(evacuated);
         Self::record_read(node, cursor);
-        let stored = configs.iter().map(|config| config.parts.version).max();
-        configs.into_iter().for_each(|config| Self::activate(node, config));
-        node.replica.borrow_mut().note_stored(stored);
+        Self::activate_stored(node, configs);
     }
 
     fn apply(&self, node: &Node, items: Vec<OperatorChange>, cursor: Cursor) {
--- a/crates/ringbend-relay/src/endpoint_copy.rs
+++ b/crates/ringbend-relay/src/endpoint_copy.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ringbend_gateway::{Endpoint, EndpointChange, Proof, WatchedTable};
-use ringbend_types::{Cursor, StoreKey};
+use ringbend_types::Cursor;
 use ringbend_wire::{EndpointChanges, encode_endpoint_change};
 
 use crate::node::Node;
@@ -70,19 +70,18 @@
 
     const DETECTS_OUTAGES: bool = false;
 
-    fn replace(
-        &self,
-        node: &Node,
-        mut items: Vec<Endpoint>,
-        cursor: Cursor,
-        read_to: Option<&StoreKey>,
-    ) {
+    const FOLLOWS_PARTIAL_LIST: bool = false;
+
+    /// The position stays, so that other instances do not fetch the copy.
+    fn use_partial(&self, node: &Node, items: Vec<Endpoint>, _: Cursor) {
+        let position = node.endpoints_cursor.get();
+        let changes = items.into_iter().map(EndpointChange::Present).collect();
+        apply_endpoints(node, changes, position);
+        node.startup_progress.notify_waiters();
+    }
+
+    fn replace(&self, node: &Node, items: Vec<Endpoint>, cursor: Cursor) {
         let now = node.clock.now();
-        if let Some(read_to) = read_to {
-            let directory = node.directory.borrow();
-            let is_unread = |endpoint: &&Endpoint| endpoint.id.as_str() > read_to.as_str();
-            items.extend(directory.registered().filter(is_unread).cloned());
-        }
         let (before, count) = (node.directory.borrow().len(), items.len());
         log::info!(target: "endpoints", before, count; "endpoint table read");
         if before > 0 && cursor.era > node.endpoints_cursor.get().era {
--- a/crates/ringbend-relay/src/listing.rs
+++ b/crates/ringbend-relay/src/listing.rs
@@ -15,6 +15,13 @@
 /// The maximum number of invalid rows of one read that are logged one by one.
 const MAX_LOGGED_ROWS: usize = 4;
 
+/// How often in a row a page that does not continue the list is read again.
+const MAX_INVALID_PAGES: u32 = 3;
+
+/// How long a call for a page that began before the store was away is still waited for once the store
+/// is back.
+const HUNG_CALL: Duration = Duration::from_millis(500);
+
 /// How often in a row the call for a further page may fail. The rows that were read so far would
 /// have to be read again.
 const MAX_PAGE_FAILURES: u32 = 8;
@@ -86,12 +93,14 @@
     first_proof: Option<Proof>,
     items: Vec<T>,
     invalid_rows: InvalidRows,
+    /// The number of pages in a row that did not continue the list.
+    invalid_pages: u32,
 }
 
 impl<T> Listing<T> {
     pub(crate) fn new(table: &'static str) -> Self {
         let (items, invalid_rows) = (Vec::new(), InvalidRows::default());
-        Self { table, list: None, first_proof: None, items, invalid_rows }
+        Self { table, list: None, first_proof: None, items, invalid_rows, invalid_pages: 0 }
     }
 
     /// The list so far, which the next page continues.
@@ -102,6 +111,7 @@
     /// Adds the page that a call sent at `sent` returned. Returns the table if it was the last one.
     pub(crate) fn add(&mut self, node: &Node, sent: Timestamp, page: Page<T>) -> Option<Listed<T>> {
         let Page { items, invalid_rows, list, step, store_clock } = page;
+        self.invalid_pages = 0;
         self.first_proof.get_or_insert(Proof { sent, store_clock });
         self.items.extend(items);
         self.invalid_rows.add(invalid_rows);
@@ -118,6 +128,12 @@
         }
     }
 
+    /// Records a page that does not continue the list. Returns whether it is to be read again.
+    pub(crate) fn retries_invalid_page(&mut self, e: ListError) -> bool {
+        self.invalid_pages += 1;
+        e != ListError::HistoryChanged && self.invalid_pages < MAX_INVALID_PAGES
+    }
+
     /// Ends the list at a page that does not continue it. Returns what was read before, if that is
     /// part of the table as the store still holds it.
     pub(crate) fn end_at(&mut self, node: &Node, e: ListError) -> Option<Listed<T>> {
@@ -170,8 +186,12 @@
     loop {
         let sent = node.clock.now();
         let timeout = min_timeout.max(node.store_pace.get().timeout());
-        let page = tokio::time::timeout(timeout, table.read_page(listing.list())).await;
-        let error = match page.unwrap_or(Err(SourceError::TimedOut)) {
+        let call = tokio::time::timeout(timeout, table.read_page(listing.list()));
+        let page = tokio::select! {
+            page = call => page.unwrap_or(Err(SourceError::TimedOut)),
+            () = hung_call_outlived_outage(node, sent) => continue,
+        };
+        let error = match page {
             Ok(page) => {
                 failures = 0;
                 match listing.add(node, sent, page) {
@@ -183,10 +203,24 @@
         };
         failures += 1;
         match error {
-            SourceError::InvalidPage(e) => return listing.end_at(node, e).ok_or(error),
+            SourceError::InvalidPage(e) if !listing.retries_invalid_page(e) => {
+                return listing.end_at(node, e).ok_or(error);
+            }
+            SourceError::InvalidPage(_) => tokio::time::sleep(RETRY_DELAY).await,
             SourceError::HistoryGone => return Err(error),
             _ if listing.list().is_none() || failures > MAX_PAGE_FAILURES => return Err(error),
             _ => tokio::time::sleep(RETRY_DELAY.mul_f64(node.store_retry_factor())).await,
         }
     }
 }
+
+/// Waits until the store is available again after a call that was sent at `sent` may have been lost
+/// with it.
+pub(crate) async fn hung_call_outlived_outage(node: &Node, sent: Timestamp) {
+    loop {
+        node.store_recovered.notified().await;
+        if node.clock.now().since(sent) >= HUNG_CALL {
+            return;
+        }
+    }
+}
--- a/crates/ringbend-relay/src/registry_copy.rs
+++ b/crates/ringbend-relay/src/registry_copy.rs
@@ -57,7 +57,12 @@
             let is_unread = |key: &str| listed.read_to.as_ref().is_some_and(|to| key > to.as_str());
             copy.rows.retain(|key, _| is_unread(key));
         }
+        let is_partial = listed.read_to.is_some();
         self.apply_registry_changes(listed.items, listed.cursor);
+        if is_partial {
+            // The registry is read again before its changes are.
+            self.registry_records.borrow_mut().cursor = None;
+        }
     }
 
     /// Applies changes to the copy of the registry.
--- a/crates/ringbend-relay/src/registry_watch.rs
+++ b/crates/ringbend-relay/src/registry_watch.rs
@@ -50,8 +50,6 @@
         let error = tokio::select! {
             error = follow(&node, &*registry) => error,
             () = node.stopped_reading.notified() => continue,
-            // A call with a long wait would hang for a long time after a network failure.
-            () = node.store_lost.notified() => SourceError::Unreachable,
         };
         log::info!(target: "store", error:%; "registry not followed; retrying");
         tokio::select! {
@@ -110,9 +108,11 @@
     loop {
         let cursor = node.registry_records.borrow().cursor();
         let result = match cursor {
-            Some(cursor) => {
-                with_timeout(node, POLL_TIMEOUT, registry.changes(cursor, POLL_TIMEOUT)).await
-            }
+            Some(cursor) => tokio::select! {
+                changes = with_timeout(node, POLL_TIMEOUT, registry.changes(cursor, POLL_TIMEOUT)) => changes,
+                // A call with a long wait would hang for a long time after a network failure.
+                () = node.store_lost.notified() => Err(SourceError::Unreachable),
+            },
             None => Err(SourceError::HistoryGone),
         };
         let has_changed = match result {
@@ -123,7 +123,12 @@
             }
             Ok(_) | Err(SourceError::HistoryGone) => {
                 let listed = read_table(node, REGISTRY, Duration::ZERO, registry).await?;
+                let is_partial = listed.read_to.is_some();
                 node.replace_registry(listed);
+                if is_partial {
+                    node.greet_unheard();
+                    return Err(SourceError::Malformed);
+                }
                 true
             }
             Err(e) => return Err(e),
--- a/crates/ringbend-relay/src/suspect_store.rs
+++ b/crates/ringbend-relay/src/suspect_store.rs
@@ -69,6 +69,10 @@
                 listed.invalid_rows.log(SUSPECTS);
                 let invalid = listed.items.iter().filter_map(|row| node.apply_stored_row(row));
                 InvalidRows::from(invalid.collect::<Vec<_>>()).log(SUSPECTS);
+                if listed.read_to.is_some() {
+                    tokio::time::sleep(RETRY_DELAY.mul_f64(node.store_retry_factor())).await;
+                    continue;
+                }
                 node.record_suspects_known("the store");
             }
             Err(e) => {
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -6,7 +6,7 @@
 
 use rand::Rng;
 use ringbend_gateway::{MAX_SECONDARY_BACKOFF, Proof, SLOW_CALL_INTERVAL, StoreBackoff};
-use ringbend_types::{Cursor, StoreKey, Timestamp};
+use ringbend_types::{Cursor, Timestamp};
 
 use crate::listing::{InvalidRows, Listed, Listing};
 use crate::node::Node;
@@ -17,10 +17,20 @@
 /// The minimum interval between two reads of a whole table because its history is gone.
 const MIN_REREAD_INTERVAL: Duration = Duration::from_millis(400);
 
+/// How many responses in a row may say that there are more changes without a later position. One that
+/// is late may have been overtaken by changes from other instances.
+const MAX_STUCK_RESPONSES: u32 = 2;
+
+/// The time between two reads of a table whose end could not be read.
+const REREAD_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The time before a page that did not continue the list is read again.
+const INVALID_PAGE_DELAY: Duration = Duration::from_millis(100);
+
 /// How long an instance that does not schedule waits, once the first page shows that the table takes
 /// several, for an instance that reads them. Otherwise hundreds of instances that start together would
 /// all read each page.
-const SHARED_LIST_WAIT: Duration = Duration::from_secs(3);
+const SHARED_LIST_WAIT: Duration = Duration::from_secs(8);
 
 /// The source of the next update.
 pub(crate) enum ReadFrom {
@@ -41,9 +51,16 @@
     /// Whether this watch detects store outages on behalf of the others.
     const DETECTS_OUTAGES: bool;
 
-    /// Replaces the copy. If only the rows up to the key `read_to` were read, those after it stay as
-    /// they are.
-    fn replace(&self, node: &Node, items: Vec<Item>, cursor: Cursor, read_to: Option<&StoreKey>);
+    /// Whether the rows at the beginning of the table are enough, so that changes are followed even
+    /// if the rows behind them cannot be read.
+    const FOLLOWS_PARTIAL_LIST: bool;
+
+    /// Replaces the copy.
+    fn replace(&self, node: &Node, items: Vec<Item>, cursor: Cursor);
+
+    /// Uses the rows of a list that could not be read to its end. What is not among them is kept, and
+    /// other instances do not take the copy for a current one.
+    fn use_partial(&self, node: &Node, items: Vec<Item>, cursor: Cursor);
 
     /// Applies changes up to `cursor`.
     fn apply(&self, node: &Node, items: Vec<Change>, cursor: Cursor);
@@ -104,12 +121,14 @@
     backoff: StoreBackoff,
     /// Whether the latest list took several calls: its proof is as old as the first one.
     is_proof_due: bool,
+    /// When a table that was not read to its end is read again.
+    reread_at: Option<Timestamp>,
 }
 
 impl<Item: 'static, Change: 'static, C: TableCopy<Item, Change>> Watch<Item, Change, C> {
     pub(crate) fn new(node: Rc<Node>, source: Rc<dyn Source<Item, Change>>, copy: C) -> Self {
         let backoff = StoreBackoff::default();
-        Self { node, source, copy, lost_at: None, backoff, is_proof_due: false }
+        Self { node, source, copy, lost_at: None, backoff, is_proof_due: false, reread_at: None }
     }
 
     pub(crate) async fn run(mut self) {
@@ -141,7 +160,12 @@
                     // Those that are still open are for the same page.
                     calls.clear();
                     if let Some(listed) = listing.add(&self.node, sent, page) {
-                        return self.replace(listed);
+                        if let Some(cursor) = self.use_listed(listed) {
+                            return cursor;
+                        }
+                        listing = Listing::new(C::NAME);
+                        tokio::time::sleep(REREAD_INTERVAL).await;
+                        continue;
                     }
                     if let Some(cursor) = self.copy_instead_of_page(&listing).await {
                         return cursor;
@@ -150,18 +174,28 @@
                 }
                 Ok(Answer { result: Err(e), .. }) | Err(e) => e,
             };
-            if let SourceError::InvalidPage(e) = error
-                && let Some(listed) = listing.end_at(&self.node, e)
-            {
-                return self.replace(listed);
+            if let SourceError::InvalidPage(e) = error {
+                calls.clear();
+                if listing.retries_invalid_page(e) {
+                    tokio::time::sleep(INVALID_PAGE_DELAY).await;
+                    continue;
+                }
+                if let Some(partial) = listing.end_at(&self.node, e)
+                    && let Some(cursor) = self.use_listed(partial)
+                {
+                    return cursor;
+                }
+                listing = Listing::new(C::NAME);
             }
-            if matches!(error, SourceError::InvalidPage(_) | SourceError::HistoryGone) {
+            if error == SourceError::HistoryGone {
                 listing = Listing::new(C::NAME);
                 calls.clear();
             }
             early = self.record_failure(error, &mut calls).await;
+            let known = self.copy.known_cursor(&self.node);
             if early.is_none()
                 && let Some(cursor) = self.copy.first_copy(&self.node).await
+                && cursor > known
             {
                 return cursor;
             }
@@ -194,27 +228,40 @@
         self.copy.first_copy_within(&self.node, wait).await
     }
 
-    /// Replaces the copy by the table as it was listed.
-    fn replace(&mut self, listed: Listed<Item>) -> Cursor {
+    /// Uses the table as it was listed. Returns the position from which changes are read; `None` if the
+    /// table has to be read again first.
+    fn use_listed(&mut self, listed: Listed<Item>) -> Option<Cursor> {
         let Listed { items, cursor, proof, pages, invalid_rows, read_to } = listed;
         self.record_invalid_rows(&invalid_rows);
         self.is_proof_due = pages > 1;
+        self.reread_at = read_to.is_some().then(|| self.node.clock.now() + REREAD_INTERVAL);
         let known = self.copy.known_cursor(&self.node);
         if !self.is_latest(cursor, known) {
-            return known;
+            return Some(known);
+        }
+        if read_to.is_some() {
+            self.copy.use_partial(&self.node, items, cursor);
+            if !C::FOLLOWS_PARTIAL_LIST {
+                return None;
+            }
+        } else {
+            self.copy.replace(&self.node, items, cursor);
         }
-        self.copy.replace(&self.node, items, cursor, read_to.as_ref());
         self.prove(proof, cursor, Duration::ZERO);
-        cursor
+        Some(cursor)
     }
 
     /// Follows changes until the history is no longer available.
     async fn follow(&mut self, mut cursor: Cursor) {
         let mut calls = PendingCalls::default();
+        let mut stuck_responses = 0;
         // If set, the response to the last call may be lost, so the next call does not wait.
         let mut is_overtaken = false;
         let mut early = None;
         loop {
+            if self.reread_at.is_some_and(|at| self.node.clock.now() >= at) {
+                return;
+            }
             let answer = match early.take() {
                 Some(answer) => answer,
                 None => match self.call_for_changes(&mut calls, &mut cursor, is_overtaken).await {
@@ -231,11 +278,17 @@
             is_overtaken = false;
             let Answer { sent, wait, took, result } = answer;
             match result {
-                Ok(batch) if !batch.is_complete && batch.cursor <= cursor => {
+                Ok(batch)
+                    if !batch.is_complete
+                        && batch.cursor <= cursor
+                        && stuck_responses >= MAX_STUCK_RESPONSES =>
+                {
                     log::warn!(target: "store", table = C::NAME, cursor:% = cursor; "changes do not advance");
                     early = self.record_failure(SourceError::Malformed, &mut calls).await;
                 }
                 Ok(batch) => {
+                    let is_stuck = !batch.is_complete && batch.cursor <= cursor;
+                    stuck_responses = if is_stuck { stuck_responses + 1 } else { 0 };
                     self.record_response(took, wait);
                     let changed = !batch.items.is_empty();
                     let is_complete = batch.is_complete;
