fix(relay): a list of the registry is not dropped when the store is available again

The search for other instances was begun again each time that the store became available, whatever it was doing. A single failed call of another table counts as such a moment, so beside a registry of many pages and a store that refuses some calls the list never came to its end.

Evidence: the eight tests of split_recovery.rs, which bound the time until instances know each other after an outage, pass.

--- a/crates/ringbend-relay/src/discovery.rs
+++ b/crates/ringbend-relay/src/discovery.rs
@@ -9,7 +9,7 @@
 use ringbend_types::{DataCentre, Timestamp};
 
 use crate::SourceError;
-use crate::listing::read_table;
+use crate::listing::{hung_call_outlived_outage, read_table};
 use crate::node::Node;
 use crate::ports::{InstanceRecord, InstanceRegistry};
 use crate::registry_copy::REGISTRY;
@@ -70,15 +70,7 @@
     let mut has_failed = false;
     loop {
         let sent = node.clock.now();
-        // A call that hangs since the store became unavailable is abandoned once the store is back.
-        let joined = tokio::select! {
-            done = register(&node, &*registry, has_failed) => done,
-            () = node.store_recovered.notified() => {
-                has_failed = true;
-                continue;
-            }
-        };
-        match joined {
+        match register(&node, &*registry, has_failed).await {
             Ok(()) => break,
             Err(e) => {
                 has_failed = true;
@@ -167,7 +159,7 @@
         return Ok(());
     }
     let Some(own) = node.own_record() else { return Ok(()) };
-    with_timeout(node, registry.register(&own)).await?;
+    write_entry(node, registry, &own).await?;
     if may_be_split || !knows_local_instances(node) {
         // Of two instances that register together, the one that reads later finds the other.
         read_registry(node, registry).await?;
@@ -195,12 +187,23 @@
     }
 }
 
-async fn with_timeout<T>(
+/// Writes this instance's entry. A call that hangs since the store became unavailable is repeated
+/// once the store is back.
+async fn write_entry(
     node: &Node,
-    call: impl Future<Output = Result<T, SourceError>>,
-) -> Result<T, SourceError> {
-    let timeout = REGISTRY_TIMEOUT.max(node.store_pace.get().timeout());
-    tokio::time::timeout(timeout, call).await.unwrap_or(Err(SourceError::TimedOut))
+    registry: &dyn InstanceRegistry,
+    own: &InstanceRecord,
+) -> Result<(), SourceError> {
+    loop {
+        let sent = node.clock.now();
+        let timeout = REGISTRY_TIMEOUT.max(node.store_pace.get().timeout());
+        tokio::select! {
+            written = tokio::time::timeout(timeout, registry.register(own)) => {
+                return written.unwrap_or(Err(SourceError::TimedOut));
+            }
+            () = hung_call_outlived_outage(node, sent) => {}
+        }
+    }
 }
 
 /// Greets the highest-ranked instances of this data centre, and more of them each time, until a
