fix(relay): members wait for a long list as long as schedulers read it

An instance that does not schedule waited three seconds for the copy of one that does, and then read all pages itself. A list of 40 pages at 0.1 s a response took longer, so all of them went on: 258 calls of nine instances where 169 are enough, as a review saw.

Evidence: a_long_list_is_read_by_schedulers_and_not_by_all_instances passes, and so do all tests of start_load.rs and store_reader.rs. The list of 40 pages was not run again.

--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -58,6 +58,9 @@
 /// takes a third of a second to return them.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// How long an instance that waits for the copies of schedulers waits for one to become known.
+const SCHEDULER_WAIT: Duration = Duration::from_secs(3);
+
 /// How long a member waits for copies before it reads the store itself.
 const MEMBER_WAIT: Duration = Duration::from_millis(800);
 
@@ -133,15 +136,21 @@
     fetch_endpoints(node).await && node.endpoints_cursor.get() > Cursor::default()
 }
 
+/// Whether an instance is known that schedules for this one, and so reads the tables first.
+fn knows_scheduler(node: &Node) -> bool {
+    !node.peers.borrow().local_schedulers(node.clock.now()).is_empty()
+}
+
 /// Waits at most this time until an instance that has a wanted copy is known.
 async fn is_known_within(
     node: &Node,
     wait: Duration,
     wanted: impl Fn(CopyVersions) -> bool,
 ) -> bool {
-    let until = node.clock.now() + wait;
+    let started_at = node.clock.now();
     while peers_with(node, &wanted).is_empty() {
-        if node.clock.now() >= until {
+        let max_wait = if knows_scheduler(node) { wait } else { wait.min(SCHEDULER_WAIT) };
+        if node.clock.now().since(started_at) >= max_wait || node.is_scheduler() {
             return false;
         }
         wait_before_retry(node).await;
@@ -306,7 +315,7 @@
     let rows = rows.map_err(CopyError::Decode)?.into_iter().flatten().collect();
     let to = Cursor::new(copy.era, copy.to_cursor);
     if to > node.endpoints_cursor.get() {
-        EndpointCopy.replace(node, rows, to, None);
+        EndpointCopy.replace(node, rows, to);
     }
     if node.endpoints_cursor.get() > before { Ok(()) } else { Err(CopyError::Stale) }
 }
