--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -145,6 +145,8 @@
         }
     }
 
+    /// Reads the whole table, or fetches it from another instance. Returns the position from which
+    /// changes are read.
     async fn read_all(&mut self) -> Cursor {
         let mut calls = PendingCalls::default();
         let mut listing = Listing::new(C::NAME);
@@ -159,49 +161,68 @@
                     self.record_response(took, wait);
                     // Those that are still open are for the same page.
                     calls.clear();
-                    if let Some(listed) = listing.add(&self.node, sent, page) {
-                        if let Some(cursor) = self.use_listed(listed) {
-                            return cursor;
-                        }
-                        listing = Listing::new(C::NAME);
-                        tokio::time::sleep(REREAD_INTERVAL).await;
-                        continue;
-                    }
-                    if let Some(cursor) = self.copy_instead_of_page(&listing).await {
+                    if let Some(cursor) = self.use_page(&mut listing, sent, page).await {
                         return cursor;
                     }
                     continue;
                 }
                 Ok(Answer { result: Err(e), .. }) | Err(e) => e,
             };
-            if let SourceError::InvalidPage(e) = error {
+            if let SourceError::InvalidPage(e) = error
+                && listing.retries_invalid_page(e)
+            {
                 calls.clear();
-                if listing.retries_invalid_page(e) {
-                    tokio::time::sleep(INVALID_PAGE_DELAY).await;
-                    continue;
-                }
-                if let Some(partial) = listing.end_at(&self.node, e)
-                    && let Some(cursor) = self.use_listed(partial)
-                {
-                    return cursor;
-                }
-                listing = Listing::new(C::NAME);
+                tokio::time::sleep(INVALID_PAGE_DELAY).await;
+                continue;
             }
-            if error == SourceError::HistoryGone {
-                listing = Listing::new(C::NAME);
+            if matches!(error, SourceError::InvalidPage(_) | SourceError::HistoryGone) {
                 calls.clear();
+                if let Some(cursor) = self.end_listing(&mut listing, error) {
+                    return cursor;
+                }
             }
             early = self.record_failure(error, &mut calls).await;
-            let known = self.copy.known_cursor(&self.node);
             if early.is_none()
-                && let Some(cursor) = self.copy.first_copy(&self.node).await
-                && cursor > known
+                && let Some(cursor) = self.newer_copy().await
             {
                 return cursor;
             }
         }
     }
 
+    /// Adds a page to the list. Returns the position from which changes are read, if the table or the
+    /// copy of another instance is used from now on.
+    async fn use_page(
+        &mut self,
+        listing: &mut Listing<Item>,
+        sent: Timestamp,
+        page: Page<Item>,
+    ) -> Option<Cursor> {
+        let Some(listed) = listing.add(&self.node, sent, page) else {
+            return self.copy_instead_of_page(listing).await;
+        };
+        let cursor = self.use_listed(listed);
+        if cursor.is_none() {
+            *listing = Listing::new(C::NAME);
+            tokio::time::sleep(REREAD_INTERVAL).await;
+        }
+        cursor
+    }
+
+    /// Ends a list that cannot go on and begins another one. Returns the position from which changes
+    /// are read, if what was read before is enough.
+    fn end_listing(&mut self, listing: &mut Listing<Item>, error: SourceError) -> Option<Cursor> {
+        let mut ended = std::mem::replace(listing, Listing::new(C::NAME));
+        let SourceError::InvalidPage(e) = error else { return None };
+        ended.end_at(&self.node, e).and_then(|partial| self.use_listed(partial))
+    }
+
+    /// Fetches a copy that is newer than the own one from another instance, and returns its position.
+    async fn newer_copy(&self) -> Option<Cursor> {
+        let known = self.copy.known_cursor(&self.node);
+        self.copy.first_copy(&self.node).await.filter(|cursor| *cursor > known)
+    }
+
     /// Calls for the next page of the table, and waits for the answer to this call or to an earlier
     /// one.
     async fn call_for_page(
