docs: the cause of a long list that too many instances read, and a comment

Their lines show the cause: all instances find an empty registry, schedule for up to 0.4 s, and step down. One that reads its first page in that moment does not wait for the copy of others, as the role is looked at after the first page only. Not mended: it would need runs of the whole code again.

--- a/crates/ringbend-platform/src/table.rs
+++ b/crates/ringbend-platform/src/table.rs
@@ -131,7 +131,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TableReply {
-    /// The rows found by a read, or by a scan, which do not tell whether there are more.
+    /// The rows found by a read or a scan. Whether there are further ones is not known.
     Rows(Vec<Row>),
     /// The rows found by a scan that accepts pages.
     Page {
