fix(relay): an instance that schedules for a moment waits for a long list afterwards

Instances that find an empty registry all schedule for up to 0.4 s before they know each other. One that read its first page in that moment did not wait for the copy of the schedulers, as its role was looked at after the first page only, and listed the whole table beside them.

The role is looked at before each further page, and a list waits once, whenever its instance does not schedule.

--- a/crates/ringbend-relay/src/listing.rs
+++ b/crates/ringbend-relay/src/listing.rs
@@ -95,12 +95,22 @@
     invalid_rows: InvalidRows,
     /// The number of pages in a row that did not continue the list.
     invalid_pages: u32,
+    /// Whether the copy of another instance was waited for.
+    has_waited: bool,
 }
 
 impl<T> Listing<T> {
     pub(crate) fn new(table: &'static str) -> Self {
         let (items, invalid_rows) = (Vec::new(), InvalidRows::default());
-        Self { table, list: None, first_proof: None, items, invalid_rows, invalid_pages: 0 }
+        Self {
+            table,
+            list: None,
+            first_proof: None,
+            items,
+            invalid_rows,
+            invalid_pages: 0,
+            has_waited: false,
+        }
     }
 
     /// The list so far, which the next page continues.
@@ -128,6 +138,11 @@
         }
     }
 
+    /// Records that the copy of another instance is waited for. Returns whether it is the first time.
+    pub(crate) fn begin_wait(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_waited, true)
+    }
+
     /// Records a page that does not continue the list. Returns whether it is to be read again.
     pub(crate) fn retries_invalid_page(&mut self, e: ListError) -> bool {
         self.invalid_pages += 1;
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -239,12 +239,12 @@
 
     /// Fetches the first copy from another instance, if one has it by the time that a further page is
     /// to be read. Returns its position.
-    async fn copy_instead_of_page(&self, listing: &Listing<Item>) -> Option<Cursor> {
+    async fn copy_instead_of_page(&self, listing: &mut Listing<Item>) -> Option<Cursor> {
         if self.copy.known_cursor(&self.node) > Cursor::default() {
             return None;
         }
-        let is_first = listing.list().is_some_and(|list| list.pages() == 1);
-        let waits = is_first && !self.node.is_scheduler();
+        // All instances that find an empty registry schedule for a moment.
+        let waits = !self.node.is_scheduler() && listing.begin_wait();
         let wait = if waits { SHARED_LIST_WAIT } else { Duration::ZERO };
         self.copy.first_copy_within(&self.node, wait).await
     }
