refactor: the trait of watched copies and the labels of metrics have files of their own

What a watch requires of a copy is next to what the copies share, in table_copies.rs, and the label types of metrics are in metric_labels.rs.

--- a/crates/ringbend-relay/src/config_copy.rs
+++ b/crates/ringbend-relay/src/config_copy.rs
@@ -12,8 +12,9 @@
 use crate::node::Node;
 use crate::peer_copies;
 use crate::ports::{ConfigItem, OperatorChange};
-use crate::table_copies::{copy_age_ms, leave_reading_to_others, record_own_proof};
-use crate::watch::{ReadFrom, TableCopy};
+use crate::table_copies::{
+    ReadFrom, TableCopy, copy_age_ms, leave_reading_to_others, record_own_proof,
+};
 
 /// The wait requested from the store by the reader of the configuration. Its responses prove the
 /// copies of all instances current, so this is how old those proofs get.
--- a/crates/ringbend-relay/src/endpoint_copy.rs
+++ b/crates/ringbend-relay/src/endpoint_copy.rs
@@ -8,8 +8,7 @@
 
 use crate::node::Node;
 use crate::peer_copies;
-use crate::table_copies::record_own_proof;
-use crate::watch::{ReadFrom, TableCopy};
+use crate::table_copies::{ReadFrom, TableCopy, record_own_proof};
 
 /// The wait requested from the store by the reader of the endpoints. Responses about the
 /// configuration prove this table current as well, as long as no table has changed. An unavailable
--- a/crates/ringbend-relay/src/peer_copies.rs
+++ b/crates/ringbend-relay/src/peer_copies.rs
@@ -28,7 +28,7 @@
 use crate::exchange::{self, ExchangeError};
 use crate::node::Node;
 use crate::ports::InvalidRow;
-use crate::watch::TableCopy;
+use crate::table_copies::TableCopy;
 
 /// Path of the configuration.
 pub(crate) const CONFIG_PATH: &str = "/copies/config";
--- a/crates/ringbend-relay/src/watch.rs
+++ b/crates/ringbend-relay/src/watch.rs
@@ -12,7 +12,7 @@
 use crate::node::Node;
 use crate::pending_calls::{Answer, PendingCalls};
 use crate::ports::{Batch, Page, Source, SourceError};
-use crate::table_copies::apply_outage_update;
+use crate::table_copies::{ReadFrom, TableCopy, apply_outage_update};
 
 /// The minimum interval between two reads of a whole table because its history is gone.
 const MIN_REREAD_INTERVAL: Duration = Duration::from_millis(400);
@@ -32,76 +32,6 @@
 /// all read each page.
 const SHARED_LIST_WAIT: Duration = Duration::from_secs(8);
 
-/// The source of the next update.
-pub(crate) enum ReadFrom {
-    /// The store, called with this wait for a change.
-    Store(Duration),
-    /// Other instances, one of which has a newer copy.
-    Peers,
-}
-
-/// The table-specific part of a watch.
-pub(crate) trait TableCopy<Item, Change> {
-    /// The table's name in logs.
-    const NAME: &'static str;
-
-    /// How long to wait for further changes after one, before the store is called again.
-    const BATCH_DELAY: Duration;
-
-    /// Whether this watch detects store outages on behalf of the others.
-    const DETECTS_OUTAGES: bool;
-
-    /// Whether the rows at the beginning of the table are enough, so that changes are followed even
-    /// if the rows behind them cannot be read.
-    const FOLLOWS_PARTIAL_LIST: bool;
-
-    /// Replaces the copy.
-    fn replace(&self, node: &Node, items: Vec<Item>, cursor: Cursor);
-
-    /// Uses the rows of a list that could not be read to its end. What is not among them is kept, and
-    /// other instances do not take the copy for a current one.
-    fn use_partial(&self, node: &Node, items: Vec<Item>, cursor: Cursor);
-
-    /// Applies changes up to `cursor`.
-    fn apply(&self, node: &Node, items: Vec<Change>, cursor: Cursor);
-
-    /// Waits until an update is due.
-    fn next_read(&self, node: &Node) -> impl Future<Output = ReadFrom>;
-
-    /// Waits until another instance is known to have newer rows.
-    fn wait_for_newer(&self, node: &Node) -> impl Future<Output = ()>;
-
-    /// Fetches newer rows from other instances. Returns false if there are some that could not be
-    /// fetched in time.
-    fn fetch_newer(&self, node: &Node) -> impl Future<Output = bool>;
-
-    /// Fetches the first copy from another instance and returns its position; `None` if no instance
-    /// has one.
-    fn first_copy(&self, node: &Node) -> impl Future<Output = Option<Cursor>>;
-
-    /// Fetches the first copy from another instance if one has it or gets it within `wait`, and
-    /// returns its position.
-    fn first_copy_within(
-        &self,
-        node: &Node,
-        wait: Duration,
-    ) -> impl Future<Output = Option<Cursor>>;
-
-    /// The position up to which changes are known, from the store or from other instances.
-    fn known_cursor(&self, node: &Node) -> Cursor;
-
-    /// Records that a required row could not be decoded.
-    fn record_unreadable(&self, node: &Node);
-
-    /// Waits until other reads show that a call for changes after `from` should have been answered.
-    async fn wait_until_overtaken(&self, node: &Node, from: Cursor);
-
-    /// Records that the copy was current when the store's history had reached `cursor`. `paired`
-    /// means that the call did not wait, so that its times relate the store's clock to this
-    /// instance's.
-    fn prove(&self, node: &Node, proof: Proof, cursor: Cursor, paired: bool);
-}
-
 /// How a call for changes ended.
 enum CallOutcome<T> {
     Answered(Answer<T>),
--- a/crates/ringbend-telemetry/src/lib.rs
+++ b/crates/ringbend-telemetry/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod line_queue;
 mod logs;
+mod metric_labels;
 mod metrics;
 mod traces;
 
--- a/crates/ringbend-telemetry/src/metrics.rs
+++ b/crates/ringbend-telemetry/src/metrics.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, text::encode};
+use prometheus_client::encoding::{EncodeLabelValue, text::encode};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -12,6 +12,10 @@
 use prometheus_client::registry::{Registry, Unit};
 use ringbend_types::PromptBucket;
 
+use crate::metric_labels::{
+    BucketLabels, CodeLabels, EndpointLabels, OutcomeLabels, PriorityLabels,
+};
+
 /// The outcome of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Outcome {
@@ -25,31 +29,6 @@
     CallerGone,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct OutcomeLabels {
-    outcome: Outcome,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct BucketLabels {
-    prompt: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct EndpointLabels {
-    endpoint: String,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct PriorityLabels {
-    priority: u32,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct CodeLabels {
-    code: &'static str,
-}
-
 /// The metrics of one instance. Cheap to clone; all clones share the same counters.
 #[derive(Clone)]
 pub struct Metrics {
